--- /dev/null
+++ b/internal/dispatch/retry.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+// RetryPolicy bounds the attempts of one request.
+type RetryPolicy struct {
+	// MaxAttempts includes the first attempt.
+	MaxAttempts int
+	// BaseBackoff is the upper bound of the second retry's delay. It doubles
+	// with each further retry up to MaxBackoff. The first retry goes to
+	// another server at once.
+	BaseBackoff time.Duration
+	MaxBackoff  time.Duration
+}
+
+// DefaultRetryPolicy is used where nothing else is set.
+var DefaultRetryPolicy = RetryPolicy{
+	MaxAttempts: 4,
+	BaseBackoff: 50 * time.Millisecond,
+	MaxBackoff:  1 * time.Second,
+}
+
+// allows reports whether another attempt may follow attempt number n, which
+// ended with this failure.
+func (p RetryPolicy) allows(n int, f Failure, v verdict.Verdict, idempotent bool) bool {
+	switch f {
+	case BadRequest, CallerGone, CallerFailed:
+		return false
+	}
+	if n >= p.MaxAttempts {
+		return false
+	}
+	return v == verdict.NotRun || idempotent
+}
+
+// backoff returns the delay after attempt number n, with full jitter: random is
+// in [0, 1).
+func (p RetryPolicy) backoff(n int, random float64) time.Duration {
+	if n <= 1 {
+		return 0
+	}
+	bound := p.BaseBackoff
+	for i := 2; i < n && bound < p.MaxBackoff; i++ {
+		bound *= 2
+	}
+	return time.Duration(random * float64(min(bound, p.MaxBackoff)))
+}
+
+// RetryBudget bounds retries to a share of the requests. Each VM has its own;
+// since each earns by the requests that it saw, the sum over all VMs is
+// bounded by the same ratio of all requests, plus the reserves.
+type RetryBudget struct {
+	mu      sync.Mutex
+	ratio   float64
+	reserve float64
+	balance float64
+}
+
+// Default retry budget of a VM.
+const (
+	DefaultRetryRatio   = 0.1
+	DefaultRetryReserve = 50
+)
+
+// NewRetryBudget returns a budget that earns ratio retries with each request and
+// holds at most reserve, with which it starts.
+func NewRetryBudget(ratio, reserve float64) *RetryBudget {
+	return &RetryBudget{ratio: ratio, reserve: reserve, balance: reserve}
+}
+
+// Earn counts a request.
+func (b *RetryBudget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.reserve, b.balance+b.ratio)
+}
+
+// Spend takes one retry and reports whether there was one.
+func (b *RetryBudget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
