--- /dev/null
+++ b/internal/platform/rest/wire.go
@@ -0,0 +1,48 @@
+// Package rest reaches the platform's table service, object store, membership
+// list and weight store over HTTP with JSON bodies.
+package rest
+
+import "papayaspan.dev/papayaspan/internal/platform"
+
+// Paths of the platform's interface.
+const (
+	PathGet     = "/table/get"
+	PathScan    = "/table/scan"
+	PathCommit  = "/table/commit"
+	PathObjects = "/objects/"
+	PathMembers = "/members"
+	PathWeights = "/weights/"
+)
+
+// GetRequest asks for rows by key.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest asks for rows by prefix.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsReply carries the rows of a get or scan.
+type RowsReply struct {
+	Rows []platform.Row `json:"rows"`
+}
+
+// CommitRequest is one transaction.
+type CommitRequest struct {
+	Checks []platform.Check `json:"checks"`
+	Writes []platform.Write `json:"writes"`
+}
+
+// MembersReply carries the membership list.
+type MembersReply struct {
+	Members []platform.Member `json:"members"`
+}
+
+// WeightsReply carries the versions of a model.
+type WeightsReply struct {
+	Versions []string `json:"versions"`
+}
