--- /dev/null
+++ b/internal/openai/openai.go
@@ -0,0 +1,176 @@
+// Package openai holds the wire types of the OpenAI-compatible interface, with
+// the extensions that model engines and callers of papayaspan use. Only the
+// fields that routing needs are typed; a router forwards the rest unread.
+package openai
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Paths of the interface.
+const (
+	PathChatCompletions = "/v1/chat/completions"
+	PathCompletions     = "/v1/completions"
+	PathModels          = "/v1/models"
+)
+
+// Headers between router and engine.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIncarnation    = "X-Engine-Incarnation"
+	HeaderWeightsVersion = "X-Weights-Version"
+)
+
+// Done is the data of the event that ends a complete stream.
+const Done = "[DONE]"
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// StreamOptions are the options of a streamed answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Request holds the fields of a completion request that matter for routing.
+type Request struct {
+	Model               string          `json:"model"`
+	Messages            []Message       `json:"messages,omitempty"`
+	Prompt              json.RawMessage `json:"prompt,omitempty"`
+	MaxTokens           int             `json:"max_tokens,omitempty"`
+	MaxCompletionTokens int             `json:"max_completion_tokens,omitempty"`
+	Stream              bool            `json:"stream,omitempty"`
+	StreamOptions       *StreamOptions  `json:"stream_options,omitempty"`
+	// CacheSalt keeps the prefix caches of client accounts apart.
+	CacheSalt string `json:"cache_salt,omitempty"`
+	// Priority orders the engine's queue; lower runs first.
+	Priority int `json:"priority,omitempty"`
+	// ResumeFrom is the number of output tokens that the caller already has.
+	ResumeFrom int `json:"resume_from,omitempty"`
+}
+
+// OutputLimit returns the declared maximum of output tokens, or def.
+func (r *Request) OutputLimit(def int) int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return def
+}
+
+// PromptText returns the prompt as one text. Content that is not a string
+// counts by its JSON text.
+func (r *Request) PromptText() string {
+	if len(r.Messages) == 0 {
+		return rawText(r.Prompt)
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Role)
+		b.WriteByte('\n')
+		b.WriteString(rawText(m.Content))
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func rawText(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return string(raw)
+}
+
+// PromptTokensDetails breaks the prompt tokens down.
+type PromptTokensDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Usage counts the tokens of one answer.
+type Usage struct {
+	PromptTokens        int                  `json:"prompt_tokens"`
+	CompletionTokens    int                  `json:"completion_tokens"`
+	TotalTokens         int                  `json:"total_tokens"`
+	PromptTokensDetails *PromptTokensDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// Delta is the part of a message that a chunk adds.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Choice is one choice of an answer or chunk. A chat answer sets Message, a
+// chat chunk sets Delta, and a plain completion sets Text.
+type Choice struct {
+	Index        int     `json:"index"`
+	Delta        *Delta  `json:"delta,omitempty"`
+	Message      *Delta  `json:"message,omitempty"`
+	Text         string  `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Completion is an answer, or one chunk of a streamed answer.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	// TokenIndex is the index of the chunk's first output token.
+	TokenIndex *int `json:"token_index,omitempty"`
+}
+
+// ErrorBody is the error object, with the verdict as an extension.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes one error.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	// Verdict is "not_run", "may_have_run" or "ran".
+	Verdict   string `json:"verdict"`
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// Load is an engine's load report.
+type Load struct {
+	Incarnation   string            `json:"incarnation"`
+	Running       int               `json:"running"`
+	Waiting       int               `json:"waiting"`
+	QueuedTokens  int               `json:"queued_tokens"`
+	KVBlocksUsed  int               `json:"kv_blocks_used"`
+	KVBlocksTotal int               `json:"kv_blocks_total"`
+	Weights       map[string]string `json:"weights"`
+}
+
+// Order is an absolute order to an engine.
+type Order struct {
+	// Fencing grows with each order-giver; an engine that checks it refuses
+	// an order with a lower number than it has seen.
+	Fencing uint64 `json:"fencing"`
+	// Weights is the desired version for each model.
+	Weights map[string]string `json:"weights"`
+	// Role is the desired role; empty leaves it.
+	Role string `json:"role,omitempty"`
+}
+
+// CacheEvent is one entry of an engine's cache event stream.
+type CacheEvent struct {
+	Seq         uint64 `json:"seq"`
+	Incarnation string `json:"incarnation"`
+	// Type is "stored", "removed" or "cleared".
+	Type   string   `json:"type"`
+	Hashes []uint64 `json:"hashes"`
+}
--- /dev/null
+++ b/internal/standin/engine/complete.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/openai"
+)
+
+const defaultOutputTokens = 16
+
+// run is one request in an engine.
+type run struct {
+	e        *Engine
+	req      openai.Request
+	id       string
+	chat     bool
+	prompt   string
+	usage    openai.Usage
+	down     chan struct{}
+	truncate int // 0 is never
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req openai.Request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, "malformed request", http.StatusBadRequest)
+		return
+	}
+	prompt := req.PromptText()
+	e.mu.Lock()
+	e.stats.Requests++
+	if v := r.Header.Get("Authorization"); v != "" {
+		e.stats.LeakedKeys = append(e.stats.LeakedKeys, v)
+	}
+	if e.weights[req.Model] == "" {
+		e.mu.Unlock()
+		http.Error(w, "model not loaded", http.StatusNotFound)
+		return
+	}
+	poison := e.control.CrashText
+	down, slots := e.down, e.slots
+	e.waiting++
+	e.mu.Unlock()
+
+	if poison != nil && *poison != "" && strings.Contains(prompt, *poison) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !e.acquire(r, slots, down) {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.release(slots, down)
+	rn := e.start(r, req, prompt, down)
+	rn.serve(w, r)
+}
+
+// acquire waits for a running slot. It returns false if the caller left or the
+// engine crashed.
+func (e *Engine) acquire(r *http.Request, slots, down chan struct{}) bool {
+	select {
+	case slots <- struct{}{}:
+	case <-r.Context().Done():
+		return false
+	case <-down:
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down == down {
+		e.waiting--
+		e.running++
+	}
+	return true
+}
+
+func (e *Engine) release(slots, down chan struct{}) {
+	<-slots
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down == down {
+		e.running--
+	}
+}
+
+func (e *Engine) start(r *http.Request, req openai.Request, prompt string, down chan struct{}) *run {
+	tokens := strings.Fields(prompt)
+	chain := chainHashes(req.CacheSalt+"\x00"+req.Model, tokens, e.opts.BlockTokens)
+	e.mu.Lock()
+	hit := e.cache.lookup(chain)
+	e.cache.store(chain)
+	log := e.events
+	rn := &run{e: e, req: req, prompt: prompt, down: down, chat: r.URL.Path == openai.PathChatCompletions}
+	rn.id = r.Header.Get(openai.HeaderRequestID)
+	if wrong, ok := take(&e.control.WrongID); ok && wrong {
+		rn.id = "other-request"
+	}
+	if n, ok := take(&e.control.TruncateAfterTokens); ok {
+		rn.truncate = n
+	}
+	e.mu.Unlock()
+	log.stored(chain)
+	cached := hit * e.opts.BlockTokens
+	rn.usage = openai.Usage{PromptTokens: len(tokens), PromptTokensDetails: &openai.PromptTokensDetails{CachedTokens: cached}}
+	rn.pause(r, time.Duration(len(tokens)-cached)*e.opts.PrefillPerToken)
+	return rn
+}
+
+// pause waits, and breaks the connection if the caller leaves or the engine
+// crashes meanwhile.
+func (rn *run) pause(r *http.Request, d time.Duration) {
+	for {
+		t := time.NewTimer(d)
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+			t.Stop()
+			rn.e.mu.Lock()
+			rn.e.stats.Canceled++
+			rn.e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		case <-rn.down:
+			t.Stop()
+			panic(http.ErrAbortHandler)
+		}
+		rn.e.mu.Lock()
+		stalled := rn.e.control.Stall != nil && *rn.e.control.Stall
+		rn.e.mu.Unlock()
+		if !stalled {
+			return
+		}
+		d = 10 * time.Millisecond
+	}
+}
+
+func (rn *run) serve(w http.ResponseWriter, r *http.Request) {
+	rn.e.mu.Lock()
+	w.Header().Set(openai.HeaderIncarnation, rn.e.incarnation)
+	w.Header().Set(openai.HeaderWeightsVersion, rn.e.weights[rn.req.Model])
+	rn.e.mu.Unlock()
+	w.Header().Set(openai.HeaderRequestID, rn.id)
+	n := rn.req.OutputLimit(defaultOutputTokens)
+	rn.usage.CompletionTokens = n
+	rn.usage.TotalTokens = rn.usage.PromptTokens + n
+	if rn.req.Stream {
+		rn.stream(w, r, n)
+		return
+	}
+	var text strings.Builder
+	for i := 0; i < n; i++ {
+		text.WriteString(Token(rn.prompt, i))
+	}
+	rn.pause(r, time.Duration(n)*rn.e.opts.DecodePerToken)
+	stop := "stop"
+	choice := openai.Choice{FinishReason: &stop}
+	if rn.chat {
+		choice.Message = &openai.Delta{Role: "assistant", Content: text.String()}
+	} else {
+		choice.Text = text.String()
+	}
+	c := rn.completion("chat.completion", choice)
+	c.Usage = &rn.usage
+	writeJSON(w, c)
+}
+
+func (rn *run) completion(object string, choices ...openai.Choice) openai.Completion {
+	return openai.Completion{ID: rn.id, Object: object, Created: time.Now().Unix(), Model: rn.req.Model, Choices: choices}
+}
+
+func (rn *run) stream(w http.ResponseWriter, r *http.Request, n int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := rn.req.ResumeFrom; i < n; i++ {
+		if rn.truncate > 0 && i >= rn.truncate {
+			return
+		}
+		rn.crashAt(i)
+		choice := openai.Choice{}
+		if rn.chat {
+			choice.Delta = &openai.Delta{Content: Token(rn.prompt, i)}
+		} else {
+			choice.Text = Token(rn.prompt, i)
+		}
+		c := rn.completion("chat.completion.chunk", choice)
+		c.TokenIndex = &i
+		rn.send(w, c)
+		rn.pause(r, rn.e.opts.DecodePerToken)
+	}
+	stop := "stop"
+	rn.send(w, rn.completion("chat.completion.chunk", openai.Choice{Delta: &openai.Delta{}, FinishReason: &stop}))
+	if rn.req.StreamOptions != nil && rn.req.StreamOptions.IncludeUsage {
+		c := rn.completion("chat.completion.chunk")
+		c.Usage = &rn.usage
+		rn.send(w, c)
+	}
+	fmt.Fprintf(w, "data: %s\n\n", openai.Done)
+}
+
+func (rn *run) crashAt(i int) {
+	rn.e.mu.Lock()
+	at := rn.e.control.CrashAfterTokens
+	crash := at != nil && *at > 0 && i >= *at
+	if crash {
+		rn.e.control.CrashAfterTokens = nil
+	}
+	rn.e.mu.Unlock()
+	if crash {
+		rn.e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (rn *run) send(w http.ResponseWriter, c openai.Completion) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "data: %s\n\n", data)
+	flush(w)
+}
