--- a/design/design.go
+++ b/design/design.go
@@ -24,7 +24,7 @@
 	Description("What a client account may use, counted over all VMs together.")
 	Attribute("rate", Float64, "Sustained rate in tokens a second.")
 	Attribute("burst", Float64, "Capacity of the token bucket in tokens.")
-	Attribute("weight", Float64, "Share under contention; 0 means 1.")
+	Attribute("weight", Float64, "Share under contention; 0 means 1.", func() { Default(0) })
 	Required("rate", "burst")
 })
 
@@ -47,7 +47,7 @@
 	Description("A model that callers may ask for.")
 	Attribute("name", String)
 	Attribute("weights_version", String, "Version that engines must run.")
-	Attribute("replicas", Int, "Least number of engines to hold the model.")
+	Attribute("replicas", Int, "Least number of engines to hold the model.", func() { Default(0) })
 	Required("name", "weights_version")
 })
 
@@ -56,11 +56,11 @@
 	Attribute("id", String)
 	Attribute("path_prefix", String)
 	Attribute("servers", ArrayOf(String), "Ids of backend servers.")
-	Attribute("open", Boolean, "Needs no key.")
-	Attribute("idempotent", Boolean, "May be retried after it may have run.")
-	Attribute("require_idempotency_key", Boolean, "Refuse calls without an Idempotency-Key.")
-	Attribute("class", String, "lookup, booking, interactive or review.")
-	Attribute("cost_tokens", Float64, "Cost of one call against the account's rate.")
+	Attribute("open", Boolean, "Needs no key.", func() { Default(false) })
+	Attribute("idempotent", Boolean, "May be retried after it may have run.", func() { Default(false) })
+	Attribute("require_idempotency_key", Boolean, "Refuse calls without an Idempotency-Key.", func() { Default(false) })
+	Attribute("class", String, "lookup, booking, interactive or review.", func() { Default("") })
+	Attribute("cost_tokens", Float64, "Cost of one call against the account's rate.", func() { Default(0) })
 	Required("id", "path_prefix", "servers")
 })
 
@@ -71,13 +71,53 @@
 	Attribute("url", String)
 	Attribute("failure_domain", String)
 	Attribute("models", ArrayOf(String), "Models that an engine serves.")
-	Attribute("checks_fencing", Boolean, "Refuses orders with an old fencing number.")
-	Attribute("leaving", Boolean, "Must get no new work.")
+	Attribute("checks_fencing", Boolean, "Refuses orders with an old fencing number.", func() { Default(false) })
+	Attribute("leaving", Boolean, "Must get no new work.", func() { Default(false) })
 	Required("id", "kind", "url", "failure_domain")
 })
 
+var AccountChanges = Type("AccountChanges", func() {
+	Description("Objects with their whole new state, and ids to remove.")
+	Attribute("set", ArrayOf(Account))
+	Attribute("remove", ArrayOf(String))
+})
+
+var KeyChanges = Type("KeyChanges", func() {
+	Description("Objects with their whole new state, and ids to remove.")
+	Attribute("set", ArrayOf(CallerKey))
+	Attribute("remove", ArrayOf(String))
+})
+
+var ModelChanges = Type("ModelChanges", func() {
+	Description("Objects with their whole new state, and ids to remove.")
+	Attribute("set", ArrayOf(Model))
+	Attribute("remove", ArrayOf(String))
+})
+
+var RouteChanges = Type("RouteChanges", func() {
+	Description("Objects with their whole new state, and ids to remove.")
+	Attribute("set", ArrayOf(Route))
+	Attribute("remove", ArrayOf(String))
+})
+
+var ServerChanges = Type("ServerChanges", func() {
+	Description("Objects with their whole new state, and ids to remove.")
+	Attribute("set", ArrayOf(BackendServer))
+	Attribute("remove", ArrayOf(String))
+})
+
+// changes adds the attributes of a ticket's content.
+func changes() {
+	Attribute("comment", String, "Why; kept in the history.", func() { Default("") })
+	Attribute("accounts", AccountChanges)
+	Attribute("keys", KeyChanges)
+	Attribute("models", ModelChanges)
+	Attribute("routes", RouteChanges)
+	Attribute("servers", ServerChanges)
+}
+
 var Objects = Type("Objects", func() {
-	Description("Objects with their whole new state.")
+	Description("All objects of the configuration.")
 	Attribute("accounts", ArrayOf(Account))
 	Attribute("keys", ArrayOf(CallerKey))
 	Attribute("models", ArrayOf(Model))
@@ -85,60 +125,36 @@
 	Attribute("servers", ArrayOf(BackendServer))
 })
 
-var ObjectIDs = Type("ObjectIDs", func() {
-	Description("Ids of objects to remove.")
-	Attribute("accounts", ArrayOf(String))
-	Attribute("keys", ArrayOf(String))
-	Attribute("models", ArrayOf(String))
-	Attribute("routes", ArrayOf(String))
-	Attribute("servers", ArrayOf(String))
-})
-
 var Problem = Type("Problem", func() {
 	Description("One reason for which a ticket is refused.")
-	Attribute("object", String, "Kind and id of the object.")
+	Attribute("object", String, "Kind and id of the object; empty for the ticket.", func() { Default("") })
+	Attribute("field", String, "Name of the field, if the reason concerns one.", func() { Default("") })
 	Attribute("reason", String)
-	Required("object", "reason")
+	Required("reason")
 })
 
 var Place = Type("Place", func() {
 	Description("How far one VM is.")
 	Attribute("vm", String)
-	Attribute("failure_domain", String)
+	Attribute("failure_domain", String, func() { Default("") })
 	Attribute("number", UInt64, "Last ticket in force on the VM.")
 	Attribute("in_force", Boolean)
 	Required("vm", "number", "in_force")
 })
 
-var TicketResult = ResultType("application/vnd.papayaspan.ticket", func() {
-	TypeName("TicketRecord")
-	Attributes(func() {
-		Attribute("number", UInt64, "Ticket number; 0 if refused.")
-		Attribute("client_id", String)
-		Attribute("operator", String)
-		Attribute("note", String)
-		Attribute("status", String, "accepted or refused.")
-		Attribute("filed_at", String, "RFC 3339.")
-		Attribute("problems", ArrayOf(Problem))
-		Attribute("in_force_everywhere", Boolean)
-		Attribute("places", ArrayOf(Place))
-		Attribute("set", Objects)
-		Attribute("remove", ObjectIDs)
-		Required("number", "client_id", "operator", "status", "filed_at")
-	})
-	View("default", func() {
-		Attribute("number")
-		Attribute("client_id")
-		Attribute("operator")
-		Attribute("note")
-		Attribute("status")
-		Attribute("filed_at")
-		Attribute("problems")
-		Attribute("in_force_everywhere")
-		Attribute("places")
-		Attribute("set")
-		Attribute("remove")
-	})
+var TicketRecord = Type("TicketRecord", func() {
+	Description("What became of a ticket.")
+	Attribute("number", UInt64, "Ticket number; 0 if refused before it was numbered.")
+	Attribute("client_id", String)
+	Attribute("operator", String)
+	Attribute("status", String, "accepted or refused.")
+	Attribute("filed_at", String, "RFC 3339.")
+	Attribute("filed_through", String, "VM whose router filed the ticket.", func() { Default("") })
+	Attribute("problems", ArrayOf(Problem))
+	Attribute("in_force_everywhere", Boolean)
+	Attribute("places", ArrayOf(Place))
+	changes()
+	Required("number", "client_id", "operator", "status", "filed_at", "in_force_everywhere")
 })
 
 var Failure = Type("Failure", func() {
@@ -174,11 +190,13 @@
 	Error("unauthorized", Failure)
 	Error("unavailable", Failure)
 	Error("not_found", Failure)
+	Error("conflict", Failure)
 	HTTP(func() {
 		Path("/admin/v1")
 		Response("unauthorized", StatusUnauthorized)
 		Response("unavailable", StatusServiceUnavailable)
 		Response("not_found", StatusNotFound)
+		Response("conflict", StatusConflict)
 	})
 
 	Method("file_ticket", func() {
@@ -186,12 +204,11 @@
 		Payload(func() {
 			APIKey("operator_key", "key", String)
 			Attribute("client_id", String, "The operator's own id of the ticket.")
-			Attribute("note", String)
-			Attribute("set", Objects)
-			Attribute("remove", ObjectIDs)
+			changes()
 			Required("client_id")
 		})
-		Result(TicketResult)
+		Result(TicketRecord)
+
 		HTTP(func() {
 			POST("/tickets")
 			Header("key:X-Operator-Key")
@@ -203,12 +220,12 @@
 		Description("Shows one ticket and where it is in force.")
 		Payload(func() {
 			APIKey("operator_key", "key", String)
-			Attribute("client_id", String)
-			Required("client_id")
+			Attribute("number", UInt64)
+			Required("number")
 		})
-		Result(TicketResult)
+		Result(TicketRecord)
 		HTTP(func() {
-			GET("/tickets/{client_id}")
+			GET("/tickets/{number}")
 			Header("key:X-Operator-Key")
 			Response(StatusOK)
 		})
@@ -218,10 +235,10 @@
 		Description("Lists accepted tickets in the order of their numbers.")
 		Payload(func() {
 			APIKey("operator_key", "key", String)
-			Attribute("after", UInt64, "List tickets with a greater number.")
+			Attribute("after", UInt64, "List tickets with a greater number.", func() { Default(0) })
 			Attribute("limit", Int, "At most so many.", func() { Default(100); Minimum(1); Maximum(1000) })
 		})
-		Result(CollectionOf(TicketResult))
+		Result(ArrayOf(TicketRecord))
 		HTTP(func() {
 			GET("/tickets")
 			Param("after")
--- a/gen/admin/client.go
+++ b/gen/admin/client.go
@@ -38,6 +38,7 @@
 //   - "unauthorized" (type *Failure)
 //   - "unavailable" (type *Failure)
 //   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
 //   - error: internal error
 func (c *Client) FileTicket(ctx context.Context, p *FileTicketPayload) (res *TicketRecord, err error) {
 	var ires any
@@ -53,6 +54,7 @@
 //   - "unauthorized" (type *Failure)
 //   - "unavailable" (type *Failure)
 //   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
 //   - error: internal error
 func (c *Client) ShowTicket(ctx context.Context, p *ShowTicketPayload) (res *TicketRecord, err error) {
 	var ires any
@@ -68,14 +70,15 @@
 //   - "unauthorized" (type *Failure)
 //   - "unavailable" (type *Failure)
 //   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
 //   - error: internal error
-func (c *Client) ListTickets(ctx context.Context, p *ListTicketsPayload) (res TicketRecordCollection, err error) {
+func (c *Client) ListTickets(ctx context.Context, p *ListTicketsPayload) (res []*TicketRecord, err error) {
 	var ires any
 	ires, err = c.ListTicketsEndpoint(ctx, p)
 	if err != nil {
 		return
 	}
-	return ires.(TicketRecordCollection), nil
+	return ires.([]*TicketRecord), nil
 }
 
 // ShowState calls the "show_state" endpoint of the "admin" service.
@@ -83,6 +86,7 @@
 //   - "unauthorized" (type *Failure)
 //   - "unavailable" (type *Failure)
 //   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
 //   - error: internal error
 func (c *Client) ShowState(ctx context.Context, p *ShowStatePayload) (res *State, err error) {
 	var ires any
@@ -98,6 +102,7 @@
 //   - "unauthorized" (type *Failure)
 //   - "unavailable" (type *Failure)
 //   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
 //   - error: internal error
 func (c *Client) Drain(ctx context.Context, p *DrainPayload) (err error) {
 	_, err = c.DrainEndpoint(ctx, p)
--- a/gen/admin/endpoints.go
+++ b/gen/admin/endpoints.go
@@ -64,12 +64,7 @@
 		if err != nil {
 			return nil, err
 		}
-		res, err := s.FileTicket(ctx, p)
-		if err != nil {
-			return nil, err
-		}
-		vres := NewViewedTicketRecord(res, "default")
-		return vres, nil
+		return s.FileTicket(ctx, p)
 	}
 }
 
@@ -92,12 +87,7 @@
 		if err != nil {
 			return nil, err
 		}
-		res, err := s.ShowTicket(ctx, p)
-		if err != nil {
-			return nil, err
-		}
-		vres := NewViewedTicketRecord(res, "default")
-		return vres, nil
+		return s.ShowTicket(ctx, p)
 	}
 }
 
@@ -120,12 +110,7 @@
 		if err != nil {
 			return nil, err
 		}
-		res, err := s.ListTickets(ctx, p)
-		if err != nil {
-			return nil, err
-		}
-		vres := NewViewedTicketRecordCollection(res, "default")
-		return vres, nil
+		return s.ListTickets(ctx, p)
 	}
 }
 
--- a/gen/admin/service.go
+++ b/gen/admin/service.go
@@ -11,7 +11,6 @@
 	"context"
 
 	"goa.design/goa/v3/security"
-	adminviews "papayaspan.dev/papayaspan/gen/admin/views"
 )
 
 // Tickets and the state they lead to.
@@ -21,7 +20,7 @@
 	// Shows one ticket and where it is in force.
 	ShowTicket(context.Context, *ShowTicketPayload) (res *TicketRecord, err error)
 	// Lists accepted tickets in the order of their numbers.
-	ListTickets(context.Context, *ListTicketsPayload) (res TicketRecordCollection, err error)
+	ListTickets(context.Context, *ListTicketsPayload) (res []*TicketRecord, err error)
 	// Shows the configuration in force and the VMs.
 	ShowState(context.Context, *ShowStatePayload) (res *State, err error)
 	// Drains the answering VM: it leaves the addresses, finishes its work and
@@ -58,6 +57,12 @@
 	Contract *Contract
 }
 
+// Objects with their whole new state, and ids to remove.
+type AccountChanges struct {
+	Set    []*Account
+	Remove []string
+}
+
 // A model engine or plain service.
 type BackendServer struct {
 	ID string
@@ -68,9 +73,9 @@
 	// Models that an engine serves.
 	Models []string
 	// Refuses orders with an old fencing number.
-	ChecksFencing *bool
+	ChecksFencing bool
 	// Must get no new work.
-	Leaving *bool
+	Leaving bool
 }
 
 // What a client account may use, counted over all VMs together.
@@ -80,7 +85,7 @@
 	// Capacity of the token bucket in tokens.
 	Burst float64
 	// Share under contention; 0 means 1.
-	Weight *float64
+	Weight float64
 }
 
 // DrainPayload is the payload type of the admin service drain method.
@@ -104,9 +109,13 @@
 	Key *string
 	// The operator's own id of the ticket.
 	ClientID string
-	Note     *string
-	Set      *Objects
-	Remove   *ObjectIDs
+	// Why; kept in the history.
+	Comment  string
+	Accounts *AccountChanges
+	Keys     *KeyChanges
+	Models   *ModelChanges
+	Routes   *RouteChanges
+	Servers  *ServerChanges
 }
 
 // A caller's key. Only the hash of the secret is kept.
@@ -119,12 +128,18 @@
 	Hash string
 }
 
+// Objects with their whole new state, and ids to remove.
+type KeyChanges struct {
+	Set    []*Key
+	Remove []string
+}
+
 // ListTicketsPayload is the payload type of the admin service list_tickets
 // method.
 type ListTicketsPayload struct {
 	Key *string
 	// List tickets with a greater number.
-	After *uint64
+	After uint64
 	// At most so many.
 	Limit int
 }
@@ -135,19 +150,16 @@
 	// Version that engines must run.
 	WeightsVersion string
 	// Least number of engines to hold the model.
-	Replicas *int
+	Replicas int
 }
 
-// Ids of objects to remove.
-type ObjectIDs struct {
-	Accounts []string
-	Keys     []string
-	Models   []string
-	Routes   []string
-	Servers  []string
+// Objects with their whole new state, and ids to remove.
+type ModelChanges struct {
+	Set    []*Model
+	Remove []string
 }
 
-// Objects with their whole new state.
+// All objects of the configuration.
 type Objects struct {
 	Accounts []*Account
 	Keys     []*Key
@@ -159,7 +171,7 @@
 // How far one VM is.
 type Place struct {
 	VM            string
-	FailureDomain *string
+	FailureDomain string
 	// Last ticket in force on the VM.
 	Number  uint64
 	InForce bool
@@ -167,8 +179,10 @@
 
 // One reason for which a ticket is refused.
 type Problem struct {
-	// Kind and id of the object.
+	// Kind and id of the object; empty for the ticket.
 	Object string
+	// Name of the field, if the reason concerns one.
+	Field  string
 	Reason string
 }
 
@@ -179,15 +193,27 @@
 	// Ids of backend servers.
 	Servers []string
 	// Needs no key.
-	Open *bool
+	Open bool
 	// May be retried after it may have run.
-	Idempotent *bool
+	Idempotent bool
 	// Refuse calls without an Idempotency-Key.
-	RequireIdempotencyKey *bool
+	RequireIdempotencyKey bool
 	// lookup, booking, interactive or review.
-	Class *string
+	Class string
 	// Cost of one call against the account's rate.
-	CostTokens *float64
+	CostTokens float64
+}
+
+// Objects with their whole new state, and ids to remove.
+type RouteChanges struct {
+	Set    []*Route
+	Remove []string
+}
+
+// Objects with their whole new state, and ids to remove.
+type ServerChanges struct {
+	Set    []*BackendServer
+	Remove []string
 }
 
 // ShowStatePayload is the payload type of the admin service show_state method.
@@ -198,8 +224,8 @@
 // ShowTicketPayload is the payload type of the admin service show_ticket
 // method.
 type ShowTicketPayload struct {
-	Key      *string
-	ClientID string
+	Key    *string
+	Number uint64
 }
 
 // State is the result type of the admin service show_state method.
@@ -211,26 +237,28 @@
 
 // TicketRecord is the result type of the admin service file_ticket method.
 type TicketRecord struct {
-	// Ticket number; 0 if refused.
+	// Ticket number; 0 if refused before it was numbered.
 	Number   uint64
 	ClientID string
 	Operator string
-	Note     *string
 	// accepted or refused.
 	Status string
 	// RFC 3339.
-	FiledAt           string
+	FiledAt string
+	// VM whose router filed the ticket.
+	FiledThrough      string
 	Problems          []*Problem
-	InForceEverywhere *bool
+	InForceEverywhere bool
 	Places            []*Place
-	Set               *Objects
-	Remove            *ObjectIDs
+	// Why; kept in the history.
+	Comment  string
+	Accounts *AccountChanges
+	Keys     *KeyChanges
+	Models   *ModelChanges
+	Routes   *RouteChanges
+	Servers  *ServerChanges
 }
 
-// TicketRecordCollection is the result type of the admin service list_tickets
-// method.
-type TicketRecordCollection []*TicketRecord
-
 // A virtual machine that runs a router.
 type VM struct {
 	ID            string
@@ -257,624 +285,3 @@
 func (e *Failure) GoaErrorName() string {
 	return e.Name
 }
-
-// NewTicketRecord initializes result type TicketRecord from viewed result type
-// TicketRecord.
-func NewTicketRecord(vres *adminviews.TicketRecord) *TicketRecord {
-	return newTicketRecord(vres.Projected)
-}
-
-// NewViewedTicketRecord initializes viewed result type TicketRecord from
-// result type TicketRecord using the given view.
-func NewViewedTicketRecord(res *TicketRecord, view string) *adminviews.TicketRecord {
-	p := newTicketRecordView(res)
-	return &adminviews.TicketRecord{Projected: p, View: "default"}
-}
-
-// NewTicketRecordCollection initializes result type TicketRecordCollection
-// from viewed result type TicketRecordCollection.
-func NewTicketRecordCollection(vres adminviews.TicketRecordCollection) TicketRecordCollection {
-	return newTicketRecordCollection(vres.Projected)
-}
-
-// NewViewedTicketRecordCollection initializes viewed result type
-// TicketRecordCollection from result type TicketRecordCollection using the
-// given view.
-func NewViewedTicketRecordCollection(res TicketRecordCollection, view string) adminviews.TicketRecordCollection {
-	p := newTicketRecordCollectionView(res)
-	return adminviews.TicketRecordCollection{Projected: p, View: "default"}
-}
-
-// newTicketRecord converts projected type TicketRecord to service type
-// TicketRecord.
-func newTicketRecord(vres *adminviews.TicketRecordView) *TicketRecord {
-	res := &TicketRecord{
-		Note:              vres.Note,
-		InForceEverywhere: vres.InForceEverywhere,
-	}
-	if vres.Number != nil {
-		res.Number = *vres.Number
-	}
-	if vres.ClientID != nil {
-		res.ClientID = *vres.ClientID
-	}
-	if vres.Operator != nil {
-		res.Operator = *vres.Operator
-	}
-	if vres.Status != nil {
-		res.Status = *vres.Status
-	}
-	if vres.FiledAt != nil {
-		res.FiledAt = *vres.FiledAt
-	}
-	if vres.Problems != nil {
-		res.Problems = make([]*Problem, len(vres.Problems))
-		for i, val := range vres.Problems {
-			if val == nil {
-				res.Problems[i] = nil
-				continue
-			}
-			res.Problems[i] = transformAdminviewsProblemViewToProblem(val)
-		}
-	}
-	if vres.Places != nil {
-		res.Places = make([]*Place, len(vres.Places))
-		for i, val := range vres.Places {
-			if val == nil {
-				res.Places[i] = nil
-				continue
-			}
-			res.Places[i] = transformAdminviewsPlaceViewToPlace(val)
-		}
-	}
-	if vres.Set != nil {
-		res.Set = transformAdminviewsObjectsViewToObjects(vres.Set)
-	}
-	if vres.Remove != nil {
-		res.Remove = transformAdminviewsObjectIDsViewToObjectIDs(vres.Remove)
-	}
-	return res
-}
-
-// newTicketRecordView projects result type TicketRecord to projected type
-// TicketRecordView using the "default" view.
-func newTicketRecordView(res *TicketRecord) *adminviews.TicketRecordView {
-	vres := &adminviews.TicketRecordView{
-		Number:            &res.Number,
-		ClientID:          &res.ClientID,
-		Operator:          &res.Operator,
-		Note:              res.Note,
-		Status:            &res.Status,
-		FiledAt:           &res.FiledAt,
-		InForceEverywhere: res.InForceEverywhere,
-	}
-	if res.Problems != nil {
-		vres.Problems = make([]*adminviews.ProblemView, len(res.Problems))
-		for i, val := range res.Problems {
-			if val == nil {
-				vres.Problems[i] = nil
-				continue
-			}
-			vres.Problems[i] = transformProblemToAdminviewsProblemView(val)
-		}
-	}
-	if res.Places != nil {
-		vres.Places = make([]*adminviews.PlaceView, len(res.Places))
-		for i, val := range res.Places {
-			if val == nil {
-				vres.Places[i] = nil
-				continue
-			}
-			vres.Places[i] = transformPlaceToAdminviewsPlaceView(val)
-		}
-	}
-	if res.Set != nil {
-		vres.Set = transformObjectsToAdminviewsObjectsView(res.Set)
-	}
-	if res.Remove != nil {
-		vres.Remove = transformObjectIDsToAdminviewsObjectIDsView(res.Remove)
-	}
-	return vres
-}
-
-// newTicketRecordCollection converts projected type TicketRecordCollection to
-// service type TicketRecordCollection.
-func newTicketRecordCollection(vres adminviews.TicketRecordCollectionView) TicketRecordCollection {
-	res := make(TicketRecordCollection, len(vres))
-	for i, n := range vres {
-		res[i] = newTicketRecord(n)
-	}
-	return res
-}
-
-// newTicketRecordCollectionView projects result type TicketRecordCollection to
-// projected type TicketRecordCollectionView using the "default" view.
-func newTicketRecordCollectionView(res TicketRecordCollection) adminviews.TicketRecordCollectionView {
-	vres := make(adminviews.TicketRecordCollectionView, len(res))
-	for i, n := range res {
-		vres[i] = newTicketRecordView(n)
-	}
-	return vres
-}
-
-// transformAdminviewsProblemViewToProblem builds a value of type *Problem from
-// a value of type *adminviews.ProblemView.
-func transformAdminviewsProblemViewToProblem(v *adminviews.ProblemView) *Problem {
-	if v == nil {
-		return nil
-	}
-	res := &Problem{
-		Object: *v.Object,
-		Reason: *v.Reason,
-	}
-
-	return res
-}
-
-// transformAdminviewsPlaceViewToPlace builds a value of type *Place from a
-// value of type *adminviews.PlaceView.
-func transformAdminviewsPlaceViewToPlace(v *adminviews.PlaceView) *Place {
-	if v == nil {
-		return nil
-	}
-	res := &Place{
-		VM:            *v.VM,
-		FailureDomain: v.FailureDomain,
-		Number:        *v.Number,
-		InForce:       *v.InForce,
-	}
-
-	return res
-}
-
-// transformAdminviewsObjectsViewToObjects builds a value of type *Objects from
-// a value of type *adminviews.ObjectsView.
-func transformAdminviewsObjectsViewToObjects(v *adminviews.ObjectsView) *Objects {
-	if v == nil {
-		return nil
-	}
-	res := &Objects{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*Account, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = transformAdminviewsAccountViewToAccount(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*Key, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = transformAdminviewsKeyViewToKey(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*Model, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = transformAdminviewsModelViewToModel(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*Route, len(v.Routes))
-		for i, val := range v.Routes {
-			if val == nil {
-				res.Routes[i] = nil
-				continue
-			}
-			res.Routes[i] = transformAdminviewsRouteViewToRoute(val)
-		}
-	}
-	if v.Servers != nil {
-		res.Servers = make([]*BackendServer, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = transformAdminviewsBackendServerViewToBackendServer(val)
-		}
-	}
-
-	return res
-}
-
-// transformAdminviewsAccountViewToAccount builds a value of type *Account from
-// a value of type *adminviews.AccountView.
-func transformAdminviewsAccountViewToAccount(v *adminviews.AccountView) *Account {
-	if v == nil {
-		return nil
-	}
-	res := &Account{
-		ID: *v.ID,
-	}
-	if v.Contract != nil {
-		res.Contract = transformAdminviewsContractViewToContract(v.Contract)
-	}
-
-	return res
-}
-
-// transformAdminviewsContractViewToContract builds a value of type *Contract
-// from a value of type *adminviews.ContractView.
-func transformAdminviewsContractViewToContract(v *adminviews.ContractView) *Contract {
-	res := &Contract{
-		Rate:   *v.Rate,
-		Burst:  *v.Burst,
-		Weight: v.Weight,
-	}
-
-	return res
-}
-
-// transformAdminviewsKeyViewToKey builds a value of type *Key from a value of
-// type *adminviews.KeyView.
-func transformAdminviewsKeyViewToKey(v *adminviews.KeyView) *Key {
-	if v == nil {
-		return nil
-	}
-	res := &Key{
-		ID:      *v.ID,
-		Account: *v.Account,
-		Hash:    *v.Hash,
-	}
-
-	return res
-}
-
-// transformAdminviewsModelViewToModel builds a value of type *Model from a
-// value of type *adminviews.ModelView.
-func transformAdminviewsModelViewToModel(v *adminviews.ModelView) *Model {
-	if v == nil {
-		return nil
-	}
-	res := &Model{
-		Name:           *v.Name,
-		WeightsVersion: *v.WeightsVersion,
-		Replicas:       v.Replicas,
-	}
-
-	return res
-}
-
-// transformAdminviewsRouteViewToRoute builds a value of type *Route from a
-// value of type *adminviews.RouteView.
-func transformAdminviewsRouteViewToRoute(v *adminviews.RouteView) *Route {
-	if v == nil {
-		return nil
-	}
-	res := &Route{
-		ID:                    *v.ID,
-		PathPrefix:            *v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
-	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
-	} else {
-		res.Servers = []string{}
-	}
-
-	return res
-}
-
-// transformAdminviewsBackendServerViewToBackendServer builds a value of type
-// *BackendServer from a value of type *adminviews.BackendServerView.
-func transformAdminviewsBackendServerViewToBackendServer(v *adminviews.BackendServerView) *BackendServer {
-	if v == nil {
-		return nil
-	}
-	res := &BackendServer{
-		ID:            *v.ID,
-		Kind:          *v.Kind,
-		URL:           *v.URL,
-		FailureDomain: *v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-
-	return res
-}
-
-// transformAdminviewsObjectIDsViewToObjectIDs builds a value of type
-// *ObjectIDs from a value of type *adminviews.ObjectIDsView.
-func transformAdminviewsObjectIDsViewToObjectIDs(v *adminviews.ObjectIDsView) *ObjectIDs {
-	if v == nil {
-		return nil
-	}
-	res := &ObjectIDs{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
-		}
-	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
-	}
-
-	return res
-}
-
-// transformProblemToAdminviewsProblemView builds a value of type
-// *adminviews.ProblemView from a value of type *Problem.
-func transformProblemToAdminviewsProblemView(v *Problem) *adminviews.ProblemView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.ProblemView{
-		Object: &v.Object,
-		Reason: &v.Reason,
-	}
-
-	return res
-}
-
-// transformPlaceToAdminviewsPlaceView builds a value of type
-// *adminviews.PlaceView from a value of type *Place.
-func transformPlaceToAdminviewsPlaceView(v *Place) *adminviews.PlaceView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.PlaceView{
-		VM:            &v.VM,
-		FailureDomain: v.FailureDomain,
-		Number:        &v.Number,
-		InForce:       &v.InForce,
-	}
-
-	return res
-}
-
-// transformObjectsToAdminviewsObjectsView builds a value of type
-// *adminviews.ObjectsView from a value of type *Objects.
-func transformObjectsToAdminviewsObjectsView(v *Objects) *adminviews.ObjectsView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.ObjectsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*adminviews.AccountView, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = transformAccountToAdminviewsAccountView(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*adminviews.KeyView, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = transformKeyToAdminviewsKeyView(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*adminviews.ModelView, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = transformModelToAdminviewsModelView(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*adminviews.RouteView, len(v.Routes))
-		for i, val := range v.Routes {
-			if val == nil {
-				res.Routes[i] = nil
-				continue
-			}
-			res.Routes[i] = transformRouteToAdminviewsRouteView(val)
-		}
-	}
-	if v.Servers != nil {
-		res.Servers = make([]*adminviews.BackendServerView, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = transformBackendServerToAdminviewsBackendServerView(val)
-		}
-	}
-
-	return res
-}
-
-// transformAccountToAdminviewsAccountView builds a value of type
-// *adminviews.AccountView from a value of type *Account.
-func transformAccountToAdminviewsAccountView(v *Account) *adminviews.AccountView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.AccountView{
-		ID: &v.ID,
-	}
-	if v.Contract != nil {
-		res.Contract = transformContractToAdminviewsContractView(v.Contract)
-	}
-
-	return res
-}
-
-// transformContractToAdminviewsContractView builds a value of type
-// *adminviews.ContractView from a value of type *Contract.
-func transformContractToAdminviewsContractView(v *Contract) *adminviews.ContractView {
-	res := &adminviews.ContractView{
-		Rate:   &v.Rate,
-		Burst:  &v.Burst,
-		Weight: v.Weight,
-	}
-
-	return res
-}
-
-// transformKeyToAdminviewsKeyView builds a value of type *adminviews.KeyView
-// from a value of type *Key.
-func transformKeyToAdminviewsKeyView(v *Key) *adminviews.KeyView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.KeyView{
-		ID:      &v.ID,
-		Account: &v.Account,
-		Hash:    &v.Hash,
-	}
-
-	return res
-}
-
-// transformModelToAdminviewsModelView builds a value of type
-// *adminviews.ModelView from a value of type *Model.
-func transformModelToAdminviewsModelView(v *Model) *adminviews.ModelView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.ModelView{
-		Name:           &v.Name,
-		WeightsVersion: &v.WeightsVersion,
-		Replicas:       v.Replicas,
-	}
-
-	return res
-}
-
-// transformRouteToAdminviewsRouteView builds a value of type
-// *adminviews.RouteView from a value of type *Route.
-func transformRouteToAdminviewsRouteView(v *Route) *adminviews.RouteView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.RouteView{
-		ID:                    &v.ID,
-		PathPrefix:            &v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
-	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
-	} else {
-		res.Servers = []string{}
-	}
-
-	return res
-}
-
-// transformBackendServerToAdminviewsBackendServerView builds a value of type
-// *adminviews.BackendServerView from a value of type *BackendServer.
-func transformBackendServerToAdminviewsBackendServerView(v *BackendServer) *adminviews.BackendServerView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.BackendServerView{
-		ID:            &v.ID,
-		Kind:          &v.Kind,
-		URL:           &v.URL,
-		FailureDomain: &v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-
-	return res
-}
-
-// transformObjectIDsToAdminviewsObjectIDsView builds a value of type
-// *adminviews.ObjectIDsView from a value of type *ObjectIDs.
-func transformObjectIDsToAdminviewsObjectIDsView(v *ObjectIDs) *adminviews.ObjectIDsView {
-	if v == nil {
-		return nil
-	}
-	res := &adminviews.ObjectIDsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
-		}
-	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
-	}
-
-	return res
-}
--- a/gen/http/admin/client/cli.go
+++ b/gen/http/admin/client/cli.go
@@ -24,10 +24,15 @@
 	{
 		err = json.Unmarshal([]byte(adminFileTicketBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"client_id\": \"Repellat aperiam dignissimos qui.\",\n      \"note\": \"Culpa vel in.\",\n      \"remove\": {\n         \"accounts\": [\n            \"Minus quasi.\",\n            \"Qui itaque voluptate consectetur.\",\n            \"Quia omnis dolorum consequuntur quam.\",\n            \"Corrupti quis.\"\n         ],\n         \"keys\": [\n            \"Dolorum et.\",\n            \"Quia molestiae esse labore.\"\n         ],\n         \"models\": [\n            \"Doloremque ut.\",\n            \"Repellat repellat vero repudiandae fugiat nesciunt.\"\n         ],\n         \"routes\": [\n            \"Ea ex facere omnis minus in voluptas.\",\n            \"Ea quo aut molestiae aspernatur.\"\n         ],\n         \"servers\": [\n            \"Saepe et eos est.\",\n            \"Officia est ex ut itaque.\"\n         ]\n      },\n      \"set\": {\n         \"accounts\": [\n            {\n               \"contract\": {\n                  \"burst\": 0.17535895332813267,\n                  \"rate\": 0.6579586017324108,\n                  \"weight\": 0.8049783906804633\n               },\n               \"id\": \"Incidunt cupiditate consequatur occaecati voluptas.\"\n            },\n            {\n               \"contract\": {\n                  \"burst\": 0.17535895332813267,\n                  \"rate\": 0.6579586017324108,\n                  \"weight\": 0.8049783906804633\n               },\n               \"id\": \"Incidunt cupiditate consequatur occaecati voluptas.\"\n            },\n            {\n               \"contract\": {\n                  \"burst\": 0.17535895332813267,\n                  \"rate\": 0.6579586017324108,\n                  \"weight\": 0.8049783906804633\n               },\n               \"id\": \"Incidunt cupiditate consequatur occaecati voluptas.\"\n            }\n         ],\n         \"keys\": [\n            {\n               \"account\": \"Cumque debitis sit tenetur consequatur qui.\",\n               \"hash\": \"Et vitae vel reprehenderit.\",\n               \"id\": \"Occaecati delectus dignissimos.\"\n            },\n            {\n               \"account\": \"Cumque debitis sit tenetur consequatur qui.\",\n               \"hash\": \"Et vitae vel reprehenderit.\",\n               \"id\": \"Occaecati delectus dignissimos.\"\n            },\n            {\n               \"account\": \"Cumque debitis sit tenetur consequatur qui.\",\n               \"hash\": \"Et vitae vel reprehenderit.\",\n               \"id\": \"Occaecati delectus dignissimos.\"\n            }\n         ],\n         \"models\": [\n            {\n               \"name\": \"Dolorum voluptatem et et.\",\n               \"replicas\": 5329787785436432756,\n               \"weights_version\": \"Sit cupiditate deserunt reiciendis.\"\n            },\n            {\n               \"name\": \"Dolorum voluptatem et et.\",\n               \"replicas\": 5329787785436432756,\n               \"weights_version\": \"Sit cupiditate deserunt reiciendis.\"\n            },\n            {\n               \"name\": \"Dolorum voluptatem et et.\",\n               \"replicas\": 5329787785436432756,\n               \"weights_version\": \"Sit cupiditate deserunt reiciendis.\"\n            },\n            {\n               \"name\": \"Dolorum voluptatem et et.\",\n               \"replicas\": 5329787785436432756,\n               \"weights_version\": \"Sit cupiditate deserunt reiciendis.\"\n            }\n         ],\n         \"routes\": [\n            {\n               \"class\": \"Rerum hic delectus ut labore numquam.\",\n               \"cost_tokens\": 0.11366873950120064,\n               \"id\": \"Fugiat dolores voluptas dolor corrupti.\",\n               \"idempotent\": false,\n               \"open\": false,\n               \"path_prefix\": \"Eum perspiciatis est provident.\",\n               \"require_idempotency_key\": true,\n               \"servers\": [\n                  \"Quia nam consequatur soluta aut aut suscipit.\",\n                  \"Soluta ad officia commodi.\",\n                  \"Dolor et ad velit.\"\n               ]\n            },\n            {\n               \"class\": \"Rerum hic delectus ut labore numquam.\",\n               \"cost_tokens\": 0.11366873950120064,\n               \"id\": \"Fugiat dolores voluptas dolor corrupti.\",\n               \"idempotent\": false,\n               \"open\": false,\n               \"path_prefix\": \"Eum perspiciatis est provident.\",\n               \"require_idempotency_key\": true,\n               \"servers\": [\n                  \"Quia nam consequatur soluta aut aut suscipit.\",\n                  \"Soluta ad officia commodi.\",\n                  \"Dolor et ad velit.\"\n               ]\n            }\n         ],\n         \"servers\": [\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Accusamus itaque in ex magnam architecto incidunt.\",\n               \"id\": \"Nostrum commodi rerum molestiae corporis similique ea.\",\n               \"kind\": \"Enim hic ad id id id necessitatibus.\",\n               \"leaving\": true,\n               \"models\": [\n                  \"Voluptatem fugiat mollitia nihil id accusamus.\",\n                  \"Nemo fugit dicta.\",\n                  \"Quos minima est omnis itaque.\"\n               ],\n               \"url\": \"Et qui sed.\"\n            },\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Accusamus itaque in ex magnam architecto incidunt.\",\n               \"id\": \"Nostrum commodi rerum molestiae corporis similique ea.\",\n               \"kind\": \"Enim hic ad id id id necessitatibus.\",\n               \"leaving\": true,\n               \"models\": [\n                  \"Voluptatem fugiat mollitia nihil id accusamus.\",\n                  \"Nemo fugit dicta.\",\n                  \"Quos minima est omnis itaque.\"\n               ],\n               \"url\": \"Et qui sed.\"\n            },\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Accusamus itaque in ex magnam architecto incidunt.\",\n               \"id\": \"Nostrum commodi rerum molestiae corporis similique ea.\",\n               \"kind\": \"Enim hic ad id id id necessitatibus.\",\n               \"leaving\": true,\n               \"models\": [\n                  \"Voluptatem fugiat mollitia nihil id accusamus.\",\n                  \"Nemo fugit dicta.\",\n                  \"Quos minima est omnis itaque.\"\n               ],\n               \"url\": \"Et qui sed.\"\n            },\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Accusamus itaque in ex magnam architecto incidunt.\",\n               \"id\": \"Nostrum commodi rerum molestiae corporis similique ea.\",\n               \"kind\": \"Enim hic ad id id id necessitatibus.\",\n               \"leaving\": true,\n               \"models\": [\n                  \"Voluptatem fugiat mollitia nihil id accusamus.\",\n                  \"Nemo fugit dicta.\",\n                  \"Quos minima est omnis itaque.\"\n               ],\n               \"url\": \"Et qui sed.\"\n            }\n         ]\n      }\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"accounts\": {\n         \"remove\": [\n            \"Voluptas dolor.\",\n            \"Error eum perspiciatis.\"\n         ],\n         \"set\": [\n            {\n               \"contract\": {\n                  \"burst\": 0.8082579164015262,\n                  \"rate\": 0.5778567495856886,\n                  \"weight\": 0.8313544827009932\n               },\n               \"id\": \"Sit cupiditate deserunt reiciendis.\"\n            },\n            {\n               \"contract\": {\n                  \"burst\": 0.8082579164015262,\n                  \"rate\": 0.5778567495856886,\n                  \"weight\": 0.8313544827009932\n               },\n               \"id\": \"Sit cupiditate deserunt reiciendis.\"\n            }\n         ]\n      },\n      \"client_id\": \"Tenetur consequatur qui repudiandae et vitae.\",\n      \"comment\": \"Reprehenderit ut error dolorum voluptatem et.\",\n      \"keys\": {\n         \"remove\": [\n            \"Et ad velit nesciunt.\",\n            \"Quia reprehenderit rerum hic delectus.\",\n            \"Labore numquam aliquid aspernatur quas nostrum commodi.\"\n         ],\n         \"set\": [\n            {\n               \"account\": \"Aut aut suscipit.\",\n               \"hash\": \"Soluta ad officia commodi.\",\n               \"id\": \"Eum est quia nam consequatur.\"\n            },\n            {\n               \"account\": \"Aut aut suscipit.\",\n               \"hash\": \"Soluta ad officia commodi.\",\n               \"id\": \"Eum est quia nam consequatur.\"\n            },\n            {\n               \"account\": \"Aut aut suscipit.\",\n               \"hash\": \"Soluta ad officia commodi.\",\n               \"id\": \"Eum est quia nam consequatur.\"\n            },\n            {\n               \"account\": \"Aut aut suscipit.\",\n               \"hash\": \"Soluta ad officia commodi.\",\n               \"id\": \"Eum est quia nam consequatur.\"\n            }\n         ]\n      },\n      \"models\": {\n         \"remove\": [\n            \"Itaque in.\",\n            \"Magnam architecto incidunt laborum eos voluptatem.\"\n         ],\n         \"set\": [\n            {\n               \"name\": \"Corporis similique ea voluptate enim hic.\",\n               \"replicas\": 1886460982510253141,\n               \"weights_version\": \"Id id id necessitatibus recusandae et qui.\"\n            },\n            {\n               \"name\": \"Corporis similique ea voluptate enim hic.\",\n               \"replicas\": 1886460982510253141,\n               \"weights_version\": \"Id id id necessitatibus recusandae et qui.\"\n            },\n            {\n               \"name\": \"Corporis similique ea voluptate enim hic.\",\n               \"replicas\": 1886460982510253141,\n               \"weights_version\": \"Id id id necessitatibus recusandae et qui.\"\n            }\n         ]\n      },\n      \"routes\": {\n         \"remove\": [\n            \"Quia molestiae esse labore.\",\n            \"Ratione doloremque ut qui repellat.\"\n         ],\n         \"set\": [\n            {\n               \"class\": \"Quis hic sint.\",\n               \"cost_tokens\": 0.6717184859545057,\n               \"id\": \"Nihil id accusamus quia nemo fugit.\",\n               \"idempotent\": true,\n               \"open\": true,\n               \"path_prefix\": \"Est quos minima est omnis.\",\n               \"require_idempotency_key\": false,\n               \"servers\": [\n                  \"Aut culpa placeat minus quasi vitae.\",\n                  \"Itaque voluptate consectetur non quia omnis dolorum.\"\n               ]\n            },\n            {\n               \"class\": \"Quis hic sint.\",\n               \"cost_tokens\": 0.6717184859545057,\n               \"id\": \"Nihil id accusamus quia nemo fugit.\",\n               \"idempotent\": true,\n               \"open\": true,\n               \"path_prefix\": \"Est quos minima est omnis.\",\n               \"require_idempotency_key\": false,\n               \"servers\": [\n                  \"Aut culpa placeat minus quasi vitae.\",\n                  \"Itaque voluptate consectetur non quia omnis dolorum.\"\n               ]\n            },\n            {\n               \"class\": \"Quis hic sint.\",\n               \"cost_tokens\": 0.6717184859545057,\n               \"id\": \"Nihil id accusamus quia nemo fugit.\",\n               \"idempotent\": true,\n               \"open\": true,\n               \"path_prefix\": \"Est quos minima est omnis.\",\n               \"require_idempotency_key\": false,\n               \"servers\": [\n                  \"Aut culpa placeat minus quasi vitae.\",\n                  \"Itaque voluptate consectetur non quia omnis dolorum.\"\n               ]\n            },\n            {\n               \"class\": \"Quis hic sint.\",\n               \"cost_tokens\": 0.6717184859545057,\n               \"id\": \"Nihil id accusamus quia nemo fugit.\",\n               \"idempotent\": true,\n               \"open\": true,\n               \"path_prefix\": \"Est quos minima est omnis.\",\n               \"require_idempotency_key\": false,\n               \"servers\": [\n                  \"Aut culpa placeat minus quasi vitae.\",\n                  \"Itaque voluptate consectetur non quia omnis dolorum.\"\n               ]\n            }\n         ]\n      },\n      \"servers\": {\n         \"remove\": [\n            \"Ea modi.\",\n            \"Perspiciatis qui laudantium aut porro est.\",\n            \"Inventore molestiae qui ea cumque necessitatibus.\",\n            \"Ut consectetur dolore cupiditate.\"\n         ],\n         \"set\": [\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Aut molestiae aspernatur.\",\n               \"id\": \"Repudiandae fugiat.\",\n               \"kind\": \"Officiis nobis ea ex facere.\",\n               \"leaving\": false,\n               \"models\": [\n                  \"Saepe et eos est.\",\n                  \"Officia est ex ut itaque.\"\n               ],\n               \"url\": \"Minus in voluptas aliquam ea.\"\n            },\n            {\n               \"checks_fencing\": true,\n               \"failure_domain\": \"Aut molestiae aspernatur.\",\n               \"id\": \"Repudiandae fugiat.\",\n               \"kind\": \"Officiis nobis ea ex facere.\",\n               \"leaving\": false,\n               \"models\": [\n                  \"Saepe et eos est.\",\n                  \"Officia est ex ut itaque.\"\n               ],\n               \"url\": \"Minus in voluptas aliquam ea.\"\n            }\n         ]\n      }\n   }'")
 		}
-		if body.Set != nil {
-			if err2 := ValidateObjectsRequestBody(body.Set); err2 != nil {
+		if body.Accounts != nil {
+			if err2 := ValidateAccountChangesRequestBody(body.Accounts); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+		if body.Routes != nil {
+			if err2 := ValidateRouteChangesRequestBody(body.Routes); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -43,13 +48,28 @@
 	}
 	v := &admin.FileTicketPayload{
 		ClientID: body.ClientID,
-		Note:     body.Note,
+		Comment:  body.Comment,
+	}
+	{
+		var zero string
+		if v.Comment == zero {
+			v.Comment = ""
+		}
 	}
-	if body.Set != nil {
-		v.Set = marshalObjectsRequestBodyToAdminObjects(body.Set)
+	if body.Accounts != nil {
+		v.Accounts = marshalAccountChangesRequestBodyToAdminAccountChanges(body.Accounts)
 	}
-	if body.Remove != nil {
-		v.Remove = marshalObjectIDsRequestBodyToAdminObjectIDs(body.Remove)
+	if body.Keys != nil {
+		v.Keys = marshalKeyChangesRequestBodyToAdminKeyChanges(body.Keys)
+	}
+	if body.Models != nil {
+		v.Models = marshalModelChangesRequestBodyToAdminModelChanges(body.Models)
+	}
+	if body.Routes != nil {
+		v.Routes = marshalRouteChangesRequestBodyToAdminRouteChanges(body.Routes)
+	}
+	if body.Servers != nil {
+		v.Servers = marshalServerChangesRequestBodyToAdminServerChanges(body.Servers)
 	}
 	v.Key = key
 
@@ -58,10 +78,14 @@
 
 // BuildShowTicketPayload builds the payload for the admin show_ticket endpoint
 // from CLI flags.
-func BuildShowTicketPayload(adminShowTicketClientID string, adminShowTicketKey string) (*admin.ShowTicketPayload, error) {
-	var clientID string
+func BuildShowTicketPayload(adminShowTicketNumber string, adminShowTicketKey string) (*admin.ShowTicketPayload, error) {
+	var err error
+	var number uint64
 	{
-		clientID = adminShowTicketClientID
+		number, err = strconv.ParseUint(adminShowTicketNumber, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("invalid value for number, must be UINT64")
+		}
 	}
 	var key *string
 	{
@@ -70,7 +94,7 @@
 		}
 	}
 	v := &admin.ShowTicketPayload{}
-	v.ClientID = clientID
+	v.Number = number
 	v.Key = key
 
 	return v, nil
@@ -80,11 +104,10 @@
 // endpoint from CLI flags.
 func BuildListTicketsPayload(adminListTicketsAfter string, adminListTicketsLimit string, adminListTicketsKey string) (*admin.ListTicketsPayload, error) {
 	var err error
-	var after *uint64
+	var after uint64
 	{
 		if adminListTicketsAfter != "" {
-			val, err := strconv.ParseUint(adminListTicketsAfter, 10, 64)
-			after = &val
+			after, err = strconv.ParseUint(adminListTicketsAfter, 10, 64)
 			if err != nil {
 				return nil, fmt.Errorf("invalid value for after, must be UINT64")
 			}
--- a/gen/http/admin/client/encode_decode.go
+++ b/gen/http/admin/client/encode_decode.go
@@ -16,8 +16,8 @@
 	"net/url"
 
 	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
 	admin "papayaspan.dev/papayaspan/gen/admin"
-	adminviews "papayaspan.dev/papayaspan/gen/admin/views"
 )
 
 // BuildFileTicketRequest instantiates a HTTP request object with method and
@@ -62,6 +62,7 @@
 //   - "unauthorized" (type *admin.Failure): http.StatusUnauthorized
 //   - "unavailable" (type *admin.Failure): http.StatusServiceUnavailable
 //   - "not_found" (type *admin.Failure): http.StatusNotFound
+//   - "conflict" (type *admin.Failure): http.StatusConflict
 //   - error: internal error
 func DecodeFileTicketResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -87,13 +88,11 @@
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("admin", "file_ticket", err)
 			}
-			p := NewFileTicketTicketRecordOK(&body)
-			view := "default"
-			vres := &adminviews.TicketRecord{Projected: p, View: view}
-			if err = adminviews.ValidateTicketRecord(vres); err != nil {
+			err = ValidateFileTicketResponseBody(&body)
+			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "file_ticket", err)
 			}
-			res := admin.NewTicketRecord(vres)
+			res := NewFileTicketTicketRecordOK(&body)
 			return res, nil
 		case http.StatusUnauthorized:
 			var (
@@ -137,6 +136,20 @@
 				return nil, goahttp.ErrValidationError("admin", "file_ticket", err)
 			}
 			return nil, NewFileTicketNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body FileTicketConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "file_ticket", err)
+			}
+			err = ValidateFileTicketConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "file_ticket", err)
+			}
+			return nil, NewFileTicketConflict(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "file_ticket", resp.StatusCode, string(body))
@@ -148,16 +161,16 @@
 // path set to call the "admin" service "show_ticket" endpoint
 func (c *Client) BuildShowTicketRequest(ctx context.Context, v any) (*http.Request, error) {
 	var (
-		clientID string
+		number uint64
 	)
 	{
 		p, ok := v.(*admin.ShowTicketPayload)
 		if !ok {
 			return nil, goahttp.ErrInvalidType("admin", "show_ticket", "*admin.ShowTicketPayload", v)
 		}
-		clientID = p.ClientID
+		number = p.Number
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ShowTicketAdminPath(clientID)}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ShowTicketAdminPath(number)}
 	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
 		return nil, goahttp.ErrInvalidURL("admin", "show_ticket", u.String(), err)
@@ -192,6 +205,7 @@
 //   - "unauthorized" (type *admin.Failure): http.StatusUnauthorized
 //   - "unavailable" (type *admin.Failure): http.StatusServiceUnavailable
 //   - "not_found" (type *admin.Failure): http.StatusNotFound
+//   - "conflict" (type *admin.Failure): http.StatusConflict
 //   - error: internal error
 func DecodeShowTicketResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -217,13 +231,11 @@
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("admin", "show_ticket", err)
 			}
-			p := NewShowTicketTicketRecordOK(&body)
-			view := "default"
-			vres := &adminviews.TicketRecord{Projected: p, View: view}
-			if err = adminviews.ValidateTicketRecord(vres); err != nil {
+			err = ValidateShowTicketResponseBody(&body)
+			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "show_ticket", err)
 			}
-			res := admin.NewTicketRecord(vres)
+			res := NewShowTicketTicketRecordOK(&body)
 			return res, nil
 		case http.StatusUnauthorized:
 			var (
@@ -267,6 +279,20 @@
 				return nil, goahttp.ErrValidationError("admin", "show_ticket", err)
 			}
 			return nil, NewShowTicketNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ShowTicketConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "show_ticket", err)
+			}
+			err = ValidateShowTicketConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_ticket", err)
+			}
+			return nil, NewShowTicketConflict(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "show_ticket", resp.StatusCode, string(body))
@@ -302,9 +328,7 @@
 			req.Header.Set("X-Operator-Key", head)
 		}
 		values := req.URL.Query()
-		if p.After != nil {
-			values.Add("after", fmt.Sprintf("%v", *p.After))
-		}
+		values.Add("after", fmt.Sprintf("%v", p.After))
 		values.Add("limit", fmt.Sprintf("%v", p.Limit))
 		req.URL.RawQuery = values.Encode()
 		return nil
@@ -318,6 +342,7 @@
 //   - "unauthorized" (type *admin.Failure): http.StatusUnauthorized
 //   - "unavailable" (type *admin.Failure): http.StatusServiceUnavailable
 //   - "not_found" (type *admin.Failure): http.StatusNotFound
+//   - "conflict" (type *admin.Failure): http.StatusConflict
 //   - error: internal error
 func DecodeListTicketsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -336,20 +361,24 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body ListTicketsResponseBody
+				body []*TicketRecordResponse
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("admin", "list_tickets", err)
 			}
-			p := NewListTicketsTicketRecordCollectionOK(body)
-			view := "default"
-			vres := adminviews.TicketRecordCollection{Projected: p, View: view}
-			if err = adminviews.ValidateTicketRecordCollection(vres); err != nil {
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateTicketRecordResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
 				return nil, goahttp.ErrValidationError("admin", "list_tickets", err)
 			}
-			res := admin.NewTicketRecordCollection(vres)
+			res := NewListTicketsTicketRecordOK(body)
 			return res, nil
 		case http.StatusUnauthorized:
 			var (
@@ -393,6 +422,20 @@
 				return nil, goahttp.ErrValidationError("admin", "list_tickets", err)
 			}
 			return nil, NewListTicketsNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ListTicketsConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_tickets", err)
+			}
+			err = ValidateListTicketsConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_tickets", err)
+			}
+			return nil, NewListTicketsConflict(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "list_tickets", resp.StatusCode, string(body))
@@ -438,6 +481,7 @@
 //   - "unauthorized" (type *admin.Failure): http.StatusUnauthorized
 //   - "unavailable" (type *admin.Failure): http.StatusServiceUnavailable
 //   - "not_found" (type *admin.Failure): http.StatusNotFound
+//   - "conflict" (type *admin.Failure): http.StatusConflict
 //   - error: internal error
 func DecodeShowStateResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -511,6 +555,20 @@
 				return nil, goahttp.ErrValidationError("admin", "show_state", err)
 			}
 			return nil, NewShowStateNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body ShowStateConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "show_state", err)
+			}
+			err = ValidateShowStateConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "show_state", err)
+			}
+			return nil, NewShowStateConflict(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "show_state", resp.StatusCode, string(body))
@@ -556,6 +614,7 @@
 //   - "unauthorized" (type *admin.Failure): http.StatusUnauthorized
 //   - "unavailable" (type *admin.Failure): http.StatusServiceUnavailable
 //   - "not_found" (type *admin.Failure): http.StatusNotFound
+//   - "conflict" (type *admin.Failure): http.StatusConflict
 //   - error: internal error
 func DecodeDrainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -616,6 +675,20 @@
 				return nil, goahttp.ErrValidationError("admin", "drain", err)
 			}
 			return nil, NewDrainNotFound(&body)
+		case http.StatusConflict:
+			var (
+				body DrainConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "drain", err)
+			}
+			err = ValidateDrainConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "drain", err)
+			}
+			return nil, NewDrainConflict(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("admin", "drain", resp.StatusCode, string(body))
@@ -623,61 +696,27 @@
 	}
 }
 
-// marshalAdminObjectsToObjectsRequestBody builds a value of type
-// *ObjectsRequestBody from a value of type *admin.Objects.
-func marshalAdminObjectsToObjectsRequestBody(v *admin.Objects) *ObjectsRequestBody {
+// marshalAdminAccountChangesToAccountChangesRequestBody builds a value of type
+// *AccountChangesRequestBody from a value of type *admin.AccountChanges.
+func marshalAdminAccountChangesToAccountChangesRequestBody(v *admin.AccountChanges) *AccountChangesRequestBody {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectsRequestBody{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*AccountRequestBody, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = marshalAdminAccountToAccountRequestBody(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*KeyRequestBody, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = marshalAdminKeyToKeyRequestBody(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*ModelRequestBody, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = marshalAdminModelToModelRequestBody(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*RouteRequestBody, len(v.Routes))
-		for i, val := range v.Routes {
+	res := &AccountChangesRequestBody{}
+	if v.Set != nil {
+		res.Set = make([]*AccountRequestBody, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = marshalAdminRouteToRouteRequestBody(val)
+			res.Set[i] = marshalAdminAccountToAccountRequestBody(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*BackendServerRequestBody, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = marshalAdminBackendServerToBackendServerRequestBody(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
@@ -708,6 +747,39 @@
 		Burst:  v.Burst,
 		Weight: v.Weight,
 	}
+	{
+		var zero float64
+		if res.Weight == zero {
+			res.Weight = 0
+		}
+	}
+
+	return res
+}
+
+// marshalAdminKeyChangesToKeyChangesRequestBody builds a value of type
+// *KeyChangesRequestBody from a value of type *admin.KeyChanges.
+func marshalAdminKeyChangesToKeyChangesRequestBody(v *admin.KeyChanges) *KeyChangesRequestBody {
+	if v == nil {
+		return nil
+	}
+	res := &KeyChangesRequestBody{}
+	if v.Set != nil {
+		res.Set = make([]*KeyRequestBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminKeyToKeyRequestBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
@@ -727,6 +799,33 @@
 	return res
 }
 
+// marshalAdminModelChangesToModelChangesRequestBody builds a value of type
+// *ModelChangesRequestBody from a value of type *admin.ModelChanges.
+func marshalAdminModelChangesToModelChangesRequestBody(v *admin.ModelChanges) *ModelChangesRequestBody {
+	if v == nil {
+		return nil
+	}
+	res := &ModelChangesRequestBody{}
+	if v.Set != nil {
+		res.Set = make([]*ModelRequestBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminModelToModelRequestBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
+
+	return res
+}
+
 // marshalAdminModelToModelRequestBody builds a value of type *ModelRequestBody
 // from a value of type *admin.Model.
 func marshalAdminModelToModelRequestBody(v *admin.Model) *ModelRequestBody {
@@ -738,6 +837,39 @@
 		WeightsVersion: v.WeightsVersion,
 		Replicas:       v.Replicas,
 	}
+	{
+		var zero int
+		if res.Replicas == zero {
+			res.Replicas = 0
+		}
+	}
+
+	return res
+}
+
+// marshalAdminRouteChangesToRouteChangesRequestBody builds a value of type
+// *RouteChangesRequestBody from a value of type *admin.RouteChanges.
+func marshalAdminRouteChangesToRouteChangesRequestBody(v *admin.RouteChanges) *RouteChangesRequestBody {
+	if v == nil {
+		return nil
+	}
+	res := &RouteChangesRequestBody{}
+	if v.Set != nil {
+		res.Set = make([]*RouteRequestBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminRouteToRouteRequestBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
@@ -765,52 +897,80 @@
 	} else {
 		res.Servers = []string{}
 	}
+	{
+		var zero bool
+		if res.Open == zero {
+			res.Open = false
+		}
+	}
+	{
+		var zero bool
+		if res.Idempotent == zero {
+			res.Idempotent = false
+		}
+	}
+	{
+		var zero bool
+		if res.RequireIdempotencyKey == zero {
+			res.RequireIdempotencyKey = false
+		}
+	}
+	{
+		var zero string
+		if res.Class == zero {
+			res.Class = ""
+		}
+	}
+	{
+		var zero float64
+		if res.CostTokens == zero {
+			res.CostTokens = 0
+		}
+	}
 
 	return res
 }
 
-// marshalAdminBackendServerToBackendServerRequestBody builds a value of type
-// *BackendServerRequestBody from a value of type *admin.BackendServer.
-func marshalAdminBackendServerToBackendServerRequestBody(v *admin.BackendServer) *BackendServerRequestBody {
+// marshalAdminServerChangesToServerChangesRequestBody builds a value of type
+// *ServerChangesRequestBody from a value of type *admin.ServerChanges.
+func marshalAdminServerChangesToServerChangesRequestBody(v *admin.ServerChanges) *ServerChangesRequestBody {
 	if v == nil {
 		return nil
 	}
-	res := &BackendServerRequestBody{
-		ID:            v.ID,
-		Kind:          v.Kind,
-		URL:           v.URL,
-		FailureDomain: v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &ServerChangesRequestBody{}
+	if v.Set != nil {
+		res.Set = make([]*BackendServerRequestBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminBackendServerToBackendServerRequestBody(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// marshalAdminObjectIDsToObjectIDsRequestBody builds a value of type
-// *ObjectIDsRequestBody from a value of type *admin.ObjectIDs.
-func marshalAdminObjectIDsToObjectIDsRequestBody(v *admin.ObjectIDs) *ObjectIDsRequestBody {
+// marshalAdminBackendServerToBackendServerRequestBody builds a value of type
+// *BackendServerRequestBody from a value of type *admin.BackendServer.
+func marshalAdminBackendServerToBackendServerRequestBody(v *admin.BackendServer) *BackendServerRequestBody {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectIDsRequestBody{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	res := &BackendServerRequestBody{
+		ID:            v.ID,
+		Kind:          v.Kind,
+		URL:           v.URL,
+		FailureDomain: v.FailureDomain,
+		ChecksFencing: v.ChecksFencing,
+		Leaving:       v.Leaving,
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -818,77 +978,43 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
+	{
+		var zero bool
+		if res.ChecksFencing == zero {
+			res.ChecksFencing = false
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
+	{
+		var zero bool
+		if res.Leaving == zero {
+			res.Leaving = false
 		}
 	}
 
 	return res
 }
 
-// marshalObjectsRequestBodyToAdminObjects builds a value of type
-// *admin.Objects from a value of type *ObjectsRequestBody.
-func marshalObjectsRequestBodyToAdminObjects(v *ObjectsRequestBody) *admin.Objects {
+// marshalAccountChangesRequestBodyToAdminAccountChanges builds a value of type
+// *admin.AccountChanges from a value of type *AccountChangesRequestBody.
+func marshalAccountChangesRequestBodyToAdminAccountChanges(v *AccountChangesRequestBody) *admin.AccountChanges {
 	if v == nil {
 		return nil
 	}
-	res := &admin.Objects{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*admin.Account, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = marshalAccountRequestBodyToAdminAccount(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*admin.Key, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = marshalKeyRequestBodyToAdminKey(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*admin.Model, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = marshalModelRequestBodyToAdminModel(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*admin.Route, len(v.Routes))
-		for i, val := range v.Routes {
+	res := &admin.AccountChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Account, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = marshalRouteRequestBodyToAdminRoute(val)
+			res.Set[i] = marshalAccountRequestBodyToAdminAccount(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*admin.BackendServer, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = marshalBackendServerRequestBodyToAdminBackendServer(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
@@ -919,21 +1045,81 @@
 		Burst:  v.Burst,
 		Weight: v.Weight,
 	}
+	{
+		var zero float64
+		if res.Weight == zero {
+			res.Weight = 0
+		}
+	}
 
 	return res
 }
 
-// marshalKeyRequestBodyToAdminKey builds a value of type *admin.Key from a
-// value of type *KeyRequestBody.
-func marshalKeyRequestBodyToAdminKey(v *KeyRequestBody) *admin.Key {
+// marshalKeyChangesRequestBodyToAdminKeyChanges builds a value of type
+// *admin.KeyChanges from a value of type *KeyChangesRequestBody.
+func marshalKeyChangesRequestBodyToAdminKeyChanges(v *KeyChangesRequestBody) *admin.KeyChanges {
 	if v == nil {
 		return nil
 	}
-	res := &admin.Key{
-		ID:      v.ID,
-		Account: v.Account,
-		Hash:    v.Hash,
-	}
+	res := &admin.KeyChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Key, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalKeyRequestBodyToAdminKey(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
+
+	return res
+}
+
+// marshalKeyRequestBodyToAdminKey builds a value of type *admin.Key from a
+// value of type *KeyRequestBody.
+func marshalKeyRequestBodyToAdminKey(v *KeyRequestBody) *admin.Key {
+	if v == nil {
+		return nil
+	}
+	res := &admin.Key{
+		ID:      v.ID,
+		Account: v.Account,
+		Hash:    v.Hash,
+	}
+
+	return res
+}
+
+// marshalModelChangesRequestBodyToAdminModelChanges builds a value of type
+// *admin.ModelChanges from a value of type *ModelChangesRequestBody.
+func marshalModelChangesRequestBodyToAdminModelChanges(v *ModelChangesRequestBody) *admin.ModelChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.ModelChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Model, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalModelRequestBodyToAdminModel(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
@@ -949,6 +1135,39 @@
 		WeightsVersion: v.WeightsVersion,
 		Replicas:       v.Replicas,
 	}
+	{
+		var zero int
+		if res.Replicas == zero {
+			res.Replicas = 0
+		}
+	}
+
+	return res
+}
+
+// marshalRouteChangesRequestBodyToAdminRouteChanges builds a value of type
+// *admin.RouteChanges from a value of type *RouteChangesRequestBody.
+func marshalRouteChangesRequestBodyToAdminRouteChanges(v *RouteChangesRequestBody) *admin.RouteChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.RouteChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Route, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalRouteRequestBodyToAdminRoute(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
@@ -976,6 +1195,63 @@
 	} else {
 		res.Servers = []string{}
 	}
+	{
+		var zero bool
+		if res.Open == zero {
+			res.Open = false
+		}
+	}
+	{
+		var zero bool
+		if res.Idempotent == zero {
+			res.Idempotent = false
+		}
+	}
+	{
+		var zero bool
+		if res.RequireIdempotencyKey == zero {
+			res.RequireIdempotencyKey = false
+		}
+	}
+	{
+		var zero string
+		if res.Class == zero {
+			res.Class = ""
+		}
+	}
+	{
+		var zero float64
+		if res.CostTokens == zero {
+			res.CostTokens = 0
+		}
+	}
+
+	return res
+}
+
+// marshalServerChangesRequestBodyToAdminServerChanges builds a value of type
+// *admin.ServerChanges from a value of type *ServerChangesRequestBody.
+func marshalServerChangesRequestBodyToAdminServerChanges(v *ServerChangesRequestBody) *admin.ServerChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.ServerChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.BackendServer, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalBackendServerRequestBodyToAdminBackendServer(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
@@ -1000,264 +1276,334 @@
 			res.Models[i] = val
 		}
 	}
+	{
+		var zero bool
+		if res.ChecksFencing == zero {
+			res.ChecksFencing = false
+		}
+	}
+	{
+		var zero bool
+		if res.Leaving == zero {
+			res.Leaving = false
+		}
+	}
 
 	return res
 }
 
-// marshalObjectIDsRequestBodyToAdminObjectIDs builds a value of type
-// *admin.ObjectIDs from a value of type *ObjectIDsRequestBody.
-func marshalObjectIDsRequestBodyToAdminObjectIDs(v *ObjectIDsRequestBody) *admin.ObjectIDs {
+// unmarshalProblemResponseBodyToAdminProblem builds a value of type
+// *admin.Problem from a value of type *ProblemResponseBody.
+func unmarshalProblemResponseBodyToAdminProblem(v *ProblemResponseBody) *admin.Problem {
 	if v == nil {
 		return nil
 	}
-	res := &admin.ObjectIDs{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
+	res := &admin.Problem{
+		Reason: *v.Reason,
 	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	if v.Object != nil {
+		res.Object = *v.Object
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
+	if v.Field != nil {
+		res.Field = *v.Field
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
-		}
+	if v.Object == nil {
+		res.Object = ""
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
+	if v.Field == nil {
+		res.Field = ""
 	}
 
 	return res
 }
 
-// unmarshalProblemResponseBodyToAdminviewsProblemView builds a value of type
-// *adminviews.ProblemView from a value of type *ProblemResponseBody.
-func unmarshalProblemResponseBodyToAdminviewsProblemView(v *ProblemResponseBody) *adminviews.ProblemView {
+// unmarshalPlaceResponseBodyToAdminPlace builds a value of type *admin.Place
+// from a value of type *PlaceResponseBody.
+func unmarshalPlaceResponseBodyToAdminPlace(v *PlaceResponseBody) *admin.Place {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ProblemView{
-		Object: v.Object,
-		Reason: v.Reason,
+	res := &admin.Place{
+		VM:      *v.VM,
+		Number:  *v.Number,
+		InForce: *v.InForce,
+	}
+	if v.FailureDomain != nil {
+		res.FailureDomain = *v.FailureDomain
+	}
+	if v.FailureDomain == nil {
+		res.FailureDomain = ""
 	}
 
 	return res
 }
 
-// unmarshalPlaceResponseBodyToAdminviewsPlaceView builds a value of type
-// *adminviews.PlaceView from a value of type *PlaceResponseBody.
-func unmarshalPlaceResponseBodyToAdminviewsPlaceView(v *PlaceResponseBody) *adminviews.PlaceView {
+// unmarshalAccountChangesResponseBodyToAdminAccountChanges builds a value of
+// type *admin.AccountChanges from a value of type *AccountChangesResponseBody.
+func unmarshalAccountChangesResponseBodyToAdminAccountChanges(v *AccountChangesResponseBody) *admin.AccountChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.PlaceView{
-		VM:            v.VM,
-		FailureDomain: v.FailureDomain,
-		Number:        v.Number,
-		InForce:       v.InForce,
+	res := &admin.AccountChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Account, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalAccountResponseBodyToAdminAccount(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalObjectsResponseBodyToAdminviewsObjectsView builds a value of type
-// *adminviews.ObjectsView from a value of type *ObjectsResponseBody.
-func unmarshalObjectsResponseBodyToAdminviewsObjectsView(v *ObjectsResponseBody) *adminviews.ObjectsView {
+// unmarshalAccountResponseBodyToAdminAccount builds a value of type
+// *admin.Account from a value of type *AccountResponseBody.
+func unmarshalAccountResponseBodyToAdminAccount(v *AccountResponseBody) *admin.Account {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ObjectsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*adminviews.AccountView, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = unmarshalAccountResponseBodyToAdminviewsAccountView(val)
-		}
+	res := &admin.Account{
+		ID: *v.ID,
 	}
-	if v.Keys != nil {
-		res.Keys = make([]*adminviews.KeyView, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = unmarshalKeyResponseBodyToAdminviewsKeyView(val)
-		}
+	res.Contract = unmarshalContractResponseBodyToAdminContract(v.Contract)
+
+	return res
+}
+
+// unmarshalContractResponseBodyToAdminContract builds a value of type
+// *admin.Contract from a value of type *ContractResponseBody.
+func unmarshalContractResponseBodyToAdminContract(v *ContractResponseBody) *admin.Contract {
+	res := &admin.Contract{
+		Rate:  *v.Rate,
+		Burst: *v.Burst,
 	}
-	if v.Models != nil {
-		res.Models = make([]*adminviews.ModelView, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = unmarshalModelResponseBodyToAdminviewsModelView(val)
-		}
+	if v.Weight != nil {
+		res.Weight = *v.Weight
 	}
-	if v.Routes != nil {
-		res.Routes = make([]*adminviews.RouteView, len(v.Routes))
-		for i, val := range v.Routes {
+	if v.Weight == nil {
+		res.Weight = 0
+	}
+
+	return res
+}
+
+// unmarshalKeyChangesResponseBodyToAdminKeyChanges builds a value of type
+// *admin.KeyChanges from a value of type *KeyChangesResponseBody.
+func unmarshalKeyChangesResponseBodyToAdminKeyChanges(v *KeyChangesResponseBody) *admin.KeyChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.KeyChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Key, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = unmarshalRouteResponseBodyToAdminviewsRouteView(val)
+			res.Set[i] = unmarshalKeyResponseBodyToAdminKey(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*adminviews.BackendServerView, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = unmarshalBackendServerResponseBodyToAdminviewsBackendServerView(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// unmarshalAccountResponseBodyToAdminviewsAccountView builds a value of type
-// *adminviews.AccountView from a value of type *AccountResponseBody.
-func unmarshalAccountResponseBodyToAdminviewsAccountView(v *AccountResponseBody) *adminviews.AccountView {
+// unmarshalKeyResponseBodyToAdminKey builds a value of type *admin.Key from a
+// value of type *KeyResponseBody.
+func unmarshalKeyResponseBodyToAdminKey(v *KeyResponseBody) *admin.Key {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.AccountView{
-		ID: v.ID,
+	res := &admin.Key{
+		ID:      *v.ID,
+		Account: *v.Account,
+		Hash:    *v.Hash,
 	}
-	res.Contract = unmarshalContractResponseBodyToAdminviewsContractView(v.Contract)
 
 	return res
 }
 
-// unmarshalContractResponseBodyToAdminviewsContractView builds a value of type
-// *adminviews.ContractView from a value of type *ContractResponseBody.
-func unmarshalContractResponseBodyToAdminviewsContractView(v *ContractResponseBody) *adminviews.ContractView {
-	res := &adminviews.ContractView{
-		Rate:   v.Rate,
-		Burst:  v.Burst,
-		Weight: v.Weight,
+// unmarshalModelChangesResponseBodyToAdminModelChanges builds a value of type
+// *admin.ModelChanges from a value of type *ModelChangesResponseBody.
+func unmarshalModelChangesResponseBodyToAdminModelChanges(v *ModelChangesResponseBody) *admin.ModelChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.ModelChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Model, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalModelResponseBodyToAdminModel(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalKeyResponseBodyToAdminviewsKeyView builds a value of type
-// *adminviews.KeyView from a value of type *KeyResponseBody.
-func unmarshalKeyResponseBodyToAdminviewsKeyView(v *KeyResponseBody) *adminviews.KeyView {
+// unmarshalModelResponseBodyToAdminModel builds a value of type *admin.Model
+// from a value of type *ModelResponseBody.
+func unmarshalModelResponseBodyToAdminModel(v *ModelResponseBody) *admin.Model {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.KeyView{
-		ID:      v.ID,
-		Account: v.Account,
-		Hash:    v.Hash,
+	res := &admin.Model{
+		Name:           *v.Name,
+		WeightsVersion: *v.WeightsVersion,
+	}
+	if v.Replicas != nil {
+		res.Replicas = *v.Replicas
+	}
+	if v.Replicas == nil {
+		res.Replicas = 0
 	}
 
 	return res
 }
 
-// unmarshalModelResponseBodyToAdminviewsModelView builds a value of type
-// *adminviews.ModelView from a value of type *ModelResponseBody.
-func unmarshalModelResponseBodyToAdminviewsModelView(v *ModelResponseBody) *adminviews.ModelView {
+// unmarshalRouteChangesResponseBodyToAdminRouteChanges builds a value of type
+// *admin.RouteChanges from a value of type *RouteChangesResponseBody.
+func unmarshalRouteChangesResponseBodyToAdminRouteChanges(v *RouteChangesResponseBody) *admin.RouteChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ModelView{
-		Name:           v.Name,
-		WeightsVersion: v.WeightsVersion,
-		Replicas:       v.Replicas,
+	res := &admin.RouteChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Route, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalRouteResponseBodyToAdminRoute(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalRouteResponseBodyToAdminviewsRouteView builds a value of type
-// *adminviews.RouteView from a value of type *RouteResponseBody.
-func unmarshalRouteResponseBodyToAdminviewsRouteView(v *RouteResponseBody) *adminviews.RouteView {
+// unmarshalRouteResponseBodyToAdminRoute builds a value of type *admin.Route
+// from a value of type *RouteResponseBody.
+func unmarshalRouteResponseBodyToAdminRoute(v *RouteResponseBody) *admin.Route {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.RouteView{
-		ID:                    v.ID,
-		PathPrefix:            v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
+	res := &admin.Route{
+		ID:         *v.ID,
+		PathPrefix: *v.PathPrefix,
+	}
+	if v.Open != nil {
+		res.Open = *v.Open
+	}
+	if v.Idempotent != nil {
+		res.Idempotent = *v.Idempotent
+	}
+	if v.RequireIdempotencyKey != nil {
+		res.RequireIdempotencyKey = *v.RequireIdempotencyKey
+	}
+	if v.Class != nil {
+		res.Class = *v.Class
+	}
+	if v.CostTokens != nil {
+		res.CostTokens = *v.CostTokens
 	}
 	res.Servers = make([]string, len(v.Servers))
 	for i, val := range v.Servers {
 		res.Servers[i] = val
 	}
+	if v.Open == nil {
+		res.Open = false
+	}
+	if v.Idempotent == nil {
+		res.Idempotent = false
+	}
+	if v.RequireIdempotencyKey == nil {
+		res.RequireIdempotencyKey = false
+	}
+	if v.Class == nil {
+		res.Class = ""
+	}
+	if v.CostTokens == nil {
+		res.CostTokens = 0
+	}
 
 	return res
 }
 
-// unmarshalBackendServerResponseBodyToAdminviewsBackendServerView builds a
-// value of type *adminviews.BackendServerView from a value of type
-// *BackendServerResponseBody.
-func unmarshalBackendServerResponseBodyToAdminviewsBackendServerView(v *BackendServerResponseBody) *adminviews.BackendServerView {
+// unmarshalServerChangesResponseBodyToAdminServerChanges builds a value of
+// type *admin.ServerChanges from a value of type *ServerChangesResponseBody.
+func unmarshalServerChangesResponseBodyToAdminServerChanges(v *ServerChangesResponseBody) *admin.ServerChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.BackendServerView{
-		ID:            v.ID,
-		Kind:          v.Kind,
-		URL:           v.URL,
-		FailureDomain: v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &admin.ServerChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.BackendServer, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalBackendServerResponseBodyToAdminBackendServer(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// unmarshalObjectIDsResponseBodyToAdminviewsObjectIDsView builds a value of
-// type *adminviews.ObjectIDsView from a value of type *ObjectIDsResponseBody.
-func unmarshalObjectIDsResponseBodyToAdminviewsObjectIDsView(v *ObjectIDsResponseBody) *adminviews.ObjectIDsView {
+// unmarshalBackendServerResponseBodyToAdminBackendServer builds a value of
+// type *admin.BackendServer from a value of type *BackendServerResponseBody.
+func unmarshalBackendServerResponseBodyToAdminBackendServer(v *BackendServerResponseBody) *admin.BackendServer {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ObjectIDsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
+	res := &admin.BackendServer{
+		ID:            *v.ID,
+		Kind:          *v.Kind,
+		URL:           *v.URL,
+		FailureDomain: *v.FailureDomain,
 	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	if v.ChecksFencing != nil {
+		res.ChecksFencing = *v.ChecksFencing
+	}
+	if v.Leaving != nil {
+		res.Leaving = *v.Leaving
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -1265,277 +1611,390 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
+	if v.ChecksFencing == nil {
+		res.ChecksFencing = false
+	}
+	if v.Leaving == nil {
+		res.Leaving = false
+	}
+
+	return res
+}
+
+// unmarshalTicketRecordResponseToAdminTicketRecord builds a value of type
+// *admin.TicketRecord from a value of type *TicketRecordResponse.
+func unmarshalTicketRecordResponseToAdminTicketRecord(v *TicketRecordResponse) *admin.TicketRecord {
+	res := &admin.TicketRecord{
+		Number:            *v.Number,
+		ClientID:          *v.ClientID,
+		Operator:          *v.Operator,
+		Status:            *v.Status,
+		FiledAt:           *v.FiledAt,
+		InForceEverywhere: *v.InForceEverywhere,
+	}
+	if v.FiledThrough != nil {
+		res.FiledThrough = *v.FiledThrough
+	}
+	if v.Comment != nil {
+		res.Comment = *v.Comment
+	}
+	if v.FiledThrough == nil {
+		res.FiledThrough = ""
+	}
+	if v.Problems != nil {
+		res.Problems = make([]*admin.Problem, len(v.Problems))
+		for i, val := range v.Problems {
+			if val == nil {
+				res.Problems[i] = nil
+				continue
+			}
+			res.Problems[i] = unmarshalProblemResponseToAdminProblem(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
+	if v.Places != nil {
+		res.Places = make([]*admin.Place, len(v.Places))
+		for i, val := range v.Places {
+			if val == nil {
+				res.Places[i] = nil
+				continue
+			}
+			res.Places[i] = unmarshalPlaceResponseToAdminPlace(val)
+		}
+	}
+	if v.Comment == nil {
+		res.Comment = ""
+	}
+	if v.Accounts != nil {
+		res.Accounts = unmarshalAccountChangesResponseToAdminAccountChanges(v.Accounts)
+	}
+	if v.Keys != nil {
+		res.Keys = unmarshalKeyChangesResponseToAdminKeyChanges(v.Keys)
+	}
+	if v.Models != nil {
+		res.Models = unmarshalModelChangesResponseToAdminModelChanges(v.Models)
+	}
+	if v.Routes != nil {
+		res.Routes = unmarshalRouteChangesResponseToAdminRouteChanges(v.Routes)
+	}
+	if v.Servers != nil {
+		res.Servers = unmarshalServerChangesResponseToAdminServerChanges(v.Servers)
+	}
+
+	return res
+}
+
+// unmarshalProblemResponseToAdminProblem builds a value of type *admin.Problem
+// from a value of type *ProblemResponse.
+func unmarshalProblemResponseToAdminProblem(v *ProblemResponse) *admin.Problem {
+	if v == nil {
+		return nil
+	}
+	res := &admin.Problem{
+		Reason: *v.Reason,
+	}
+	if v.Object != nil {
+		res.Object = *v.Object
+	}
+	if v.Field != nil {
+		res.Field = *v.Field
+	}
+	if v.Object == nil {
+		res.Object = ""
+	}
+	if v.Field == nil {
+		res.Field = ""
+	}
+
+	return res
+}
+
+// unmarshalPlaceResponseToAdminPlace builds a value of type *admin.Place from
+// a value of type *PlaceResponse.
+func unmarshalPlaceResponseToAdminPlace(v *PlaceResponse) *admin.Place {
+	if v == nil {
+		return nil
+	}
+	res := &admin.Place{
+		VM:      *v.VM,
+		Number:  *v.Number,
+		InForce: *v.InForce,
+	}
+	if v.FailureDomain != nil {
+		res.FailureDomain = *v.FailureDomain
+	}
+	if v.FailureDomain == nil {
+		res.FailureDomain = ""
 	}
 
 	return res
 }
 
-// unmarshalTicketRecordResponseToAdminviewsTicketRecordView builds a value of
-// type *adminviews.TicketRecordView from a value of type *TicketRecordResponse.
-func unmarshalTicketRecordResponseToAdminviewsTicketRecordView(v *TicketRecordResponse) *adminviews.TicketRecordView {
-	res := &adminviews.TicketRecordView{
-		Number:            v.Number,
-		ClientID:          v.ClientID,
-		Operator:          v.Operator,
-		Note:              v.Note,
-		Status:            v.Status,
-		FiledAt:           v.FiledAt,
-		InForceEverywhere: v.InForceEverywhere,
-	}
-	if v.Problems != nil {
-		res.Problems = make([]*adminviews.ProblemView, len(v.Problems))
-		for i, val := range v.Problems {
-			if val == nil {
-				res.Problems[i] = nil
-				continue
-			}
-			res.Problems[i] = unmarshalProblemResponseToAdminviewsProblemView(val)
-		}
+// unmarshalAccountChangesResponseToAdminAccountChanges builds a value of type
+// *admin.AccountChanges from a value of type *AccountChangesResponse.
+func unmarshalAccountChangesResponseToAdminAccountChanges(v *AccountChangesResponse) *admin.AccountChanges {
+	if v == nil {
+		return nil
 	}
-	if v.Places != nil {
-		res.Places = make([]*adminviews.PlaceView, len(v.Places))
-		for i, val := range v.Places {
+	res := &admin.AccountChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Account, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Places[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Places[i] = unmarshalPlaceResponseToAdminviewsPlaceView(val)
+			res.Set[i] = unmarshalAccountResponseToAdminAccount(val)
 		}
 	}
-	if v.Set != nil {
-		res.Set = unmarshalObjectsResponseToAdminviewsObjectsView(v.Set)
-	}
 	if v.Remove != nil {
-		res.Remove = unmarshalObjectIDsResponseToAdminviewsObjectIDsView(v.Remove)
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalProblemResponseToAdminviewsProblemView builds a value of type
-// *adminviews.ProblemView from a value of type *ProblemResponse.
-func unmarshalProblemResponseToAdminviewsProblemView(v *ProblemResponse) *adminviews.ProblemView {
+// unmarshalAccountResponseToAdminAccount builds a value of type *admin.Account
+// from a value of type *AccountResponse.
+func unmarshalAccountResponseToAdminAccount(v *AccountResponse) *admin.Account {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ProblemView{
-		Object: v.Object,
-		Reason: v.Reason,
+	res := &admin.Account{
+		ID: *v.ID,
 	}
+	res.Contract = unmarshalContractResponseToAdminContract(v.Contract)
 
 	return res
 }
 
-// unmarshalPlaceResponseToAdminviewsPlaceView builds a value of type
-// *adminviews.PlaceView from a value of type *PlaceResponse.
-func unmarshalPlaceResponseToAdminviewsPlaceView(v *PlaceResponse) *adminviews.PlaceView {
-	if v == nil {
-		return nil
+// unmarshalContractResponseToAdminContract builds a value of type
+// *admin.Contract from a value of type *ContractResponse.
+func unmarshalContractResponseToAdminContract(v *ContractResponse) *admin.Contract {
+	res := &admin.Contract{
+		Rate:  *v.Rate,
+		Burst: *v.Burst,
 	}
-	res := &adminviews.PlaceView{
-		VM:            v.VM,
-		FailureDomain: v.FailureDomain,
-		Number:        v.Number,
-		InForce:       v.InForce,
+	if v.Weight != nil {
+		res.Weight = *v.Weight
+	}
+	if v.Weight == nil {
+		res.Weight = 0
 	}
 
 	return res
 }
 
-// unmarshalObjectsResponseToAdminviewsObjectsView builds a value of type
-// *adminviews.ObjectsView from a value of type *ObjectsResponse.
-func unmarshalObjectsResponseToAdminviewsObjectsView(v *ObjectsResponse) *adminviews.ObjectsView {
+// unmarshalKeyChangesResponseToAdminKeyChanges builds a value of type
+// *admin.KeyChanges from a value of type *KeyChangesResponse.
+func unmarshalKeyChangesResponseToAdminKeyChanges(v *KeyChangesResponse) *admin.KeyChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ObjectsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*adminviews.AccountView, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = unmarshalAccountResponseToAdminviewsAccountView(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*adminviews.KeyView, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = unmarshalKeyResponseToAdminviewsKeyView(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*adminviews.ModelView, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = unmarshalModelResponseToAdminviewsModelView(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*adminviews.RouteView, len(v.Routes))
-		for i, val := range v.Routes {
+	res := &admin.KeyChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Key, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = unmarshalRouteResponseToAdminviewsRouteView(val)
+			res.Set[i] = unmarshalKeyResponseToAdminKey(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*adminviews.BackendServerView, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = unmarshalBackendServerResponseToAdminviewsBackendServerView(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// unmarshalAccountResponseToAdminviewsAccountView builds a value of type
-// *adminviews.AccountView from a value of type *AccountResponse.
-func unmarshalAccountResponseToAdminviewsAccountView(v *AccountResponse) *adminviews.AccountView {
+// unmarshalKeyResponseToAdminKey builds a value of type *admin.Key from a
+// value of type *KeyResponse.
+func unmarshalKeyResponseToAdminKey(v *KeyResponse) *admin.Key {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.AccountView{
-		ID: v.ID,
+	res := &admin.Key{
+		ID:      *v.ID,
+		Account: *v.Account,
+		Hash:    *v.Hash,
 	}
-	res.Contract = unmarshalContractResponseToAdminviewsContractView(v.Contract)
 
 	return res
 }
 
-// unmarshalContractResponseToAdminviewsContractView builds a value of type
-// *adminviews.ContractView from a value of type *ContractResponse.
-func unmarshalContractResponseToAdminviewsContractView(v *ContractResponse) *adminviews.ContractView {
-	res := &adminviews.ContractView{
-		Rate:   v.Rate,
-		Burst:  v.Burst,
-		Weight: v.Weight,
+// unmarshalModelChangesResponseToAdminModelChanges builds a value of type
+// *admin.ModelChanges from a value of type *ModelChangesResponse.
+func unmarshalModelChangesResponseToAdminModelChanges(v *ModelChangesResponse) *admin.ModelChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.ModelChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Model, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalModelResponseToAdminModel(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalKeyResponseToAdminviewsKeyView builds a value of type
-// *adminviews.KeyView from a value of type *KeyResponse.
-func unmarshalKeyResponseToAdminviewsKeyView(v *KeyResponse) *adminviews.KeyView {
+// unmarshalModelResponseToAdminModel builds a value of type *admin.Model from
+// a value of type *ModelResponse.
+func unmarshalModelResponseToAdminModel(v *ModelResponse) *admin.Model {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.KeyView{
-		ID:      v.ID,
-		Account: v.Account,
-		Hash:    v.Hash,
+	res := &admin.Model{
+		Name:           *v.Name,
+		WeightsVersion: *v.WeightsVersion,
+	}
+	if v.Replicas != nil {
+		res.Replicas = *v.Replicas
+	}
+	if v.Replicas == nil {
+		res.Replicas = 0
 	}
 
 	return res
 }
 
-// unmarshalModelResponseToAdminviewsModelView builds a value of type
-// *adminviews.ModelView from a value of type *ModelResponse.
-func unmarshalModelResponseToAdminviewsModelView(v *ModelResponse) *adminviews.ModelView {
+// unmarshalRouteChangesResponseToAdminRouteChanges builds a value of type
+// *admin.RouteChanges from a value of type *RouteChangesResponse.
+func unmarshalRouteChangesResponseToAdminRouteChanges(v *RouteChangesResponse) *admin.RouteChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ModelView{
-		Name:           v.Name,
-		WeightsVersion: v.WeightsVersion,
-		Replicas:       v.Replicas,
+	res := &admin.RouteChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Route, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalRouteResponseToAdminRoute(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// unmarshalRouteResponseToAdminviewsRouteView builds a value of type
-// *adminviews.RouteView from a value of type *RouteResponse.
-func unmarshalRouteResponseToAdminviewsRouteView(v *RouteResponse) *adminviews.RouteView {
+// unmarshalRouteResponseToAdminRoute builds a value of type *admin.Route from
+// a value of type *RouteResponse.
+func unmarshalRouteResponseToAdminRoute(v *RouteResponse) *admin.Route {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.RouteView{
-		ID:                    v.ID,
-		PathPrefix:            v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
+	res := &admin.Route{
+		ID:         *v.ID,
+		PathPrefix: *v.PathPrefix,
+	}
+	if v.Open != nil {
+		res.Open = *v.Open
+	}
+	if v.Idempotent != nil {
+		res.Idempotent = *v.Idempotent
+	}
+	if v.RequireIdempotencyKey != nil {
+		res.RequireIdempotencyKey = *v.RequireIdempotencyKey
+	}
+	if v.Class != nil {
+		res.Class = *v.Class
+	}
+	if v.CostTokens != nil {
+		res.CostTokens = *v.CostTokens
 	}
 	res.Servers = make([]string, len(v.Servers))
 	for i, val := range v.Servers {
 		res.Servers[i] = val
 	}
+	if v.Open == nil {
+		res.Open = false
+	}
+	if v.Idempotent == nil {
+		res.Idempotent = false
+	}
+	if v.RequireIdempotencyKey == nil {
+		res.RequireIdempotencyKey = false
+	}
+	if v.Class == nil {
+		res.Class = ""
+	}
+	if v.CostTokens == nil {
+		res.CostTokens = 0
+	}
 
 	return res
 }
 
-// unmarshalBackendServerResponseToAdminviewsBackendServerView builds a value
-// of type *adminviews.BackendServerView from a value of type
-// *BackendServerResponse.
-func unmarshalBackendServerResponseToAdminviewsBackendServerView(v *BackendServerResponse) *adminviews.BackendServerView {
+// unmarshalServerChangesResponseToAdminServerChanges builds a value of type
+// *admin.ServerChanges from a value of type *ServerChangesResponse.
+func unmarshalServerChangesResponseToAdminServerChanges(v *ServerChangesResponse) *admin.ServerChanges {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.BackendServerView{
-		ID:            v.ID,
-		Kind:          v.Kind,
-		URL:           v.URL,
-		FailureDomain: v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &admin.ServerChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.BackendServer, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalBackendServerResponseToAdminBackendServer(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// unmarshalObjectIDsResponseToAdminviewsObjectIDsView builds a value of type
-// *adminviews.ObjectIDsView from a value of type *ObjectIDsResponse.
-func unmarshalObjectIDsResponseToAdminviewsObjectIDsView(v *ObjectIDsResponse) *adminviews.ObjectIDsView {
+// unmarshalBackendServerResponseToAdminBackendServer builds a value of type
+// *admin.BackendServer from a value of type *BackendServerResponse.
+func unmarshalBackendServerResponseToAdminBackendServer(v *BackendServerResponse) *admin.BackendServer {
 	if v == nil {
 		return nil
 	}
-	res := &adminviews.ObjectIDsView{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
+	res := &admin.BackendServer{
+		ID:            *v.ID,
+		Kind:          *v.Kind,
+		URL:           *v.URL,
+		FailureDomain: *v.FailureDomain,
 	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	if v.ChecksFencing != nil {
+		res.ChecksFencing = *v.ChecksFencing
+	}
+	if v.Leaving != nil {
+		res.Leaving = *v.Leaving
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -1543,17 +2002,11 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
-		}
+	if v.ChecksFencing == nil {
+		res.ChecksFencing = false
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
+	if v.Leaving == nil {
+		res.Leaving = false
 	}
 
 	return res
@@ -1617,109 +2070,6 @@
 	return res
 }
 
-// unmarshalAccountResponseBodyToAdminAccount builds a value of type
-// *admin.Account from a value of type *AccountResponseBody.
-func unmarshalAccountResponseBodyToAdminAccount(v *AccountResponseBody) *admin.Account {
-	if v == nil {
-		return nil
-	}
-	res := &admin.Account{
-		ID: *v.ID,
-	}
-	res.Contract = unmarshalContractResponseBodyToAdminContract(v.Contract)
-
-	return res
-}
-
-// unmarshalContractResponseBodyToAdminContract builds a value of type
-// *admin.Contract from a value of type *ContractResponseBody.
-func unmarshalContractResponseBodyToAdminContract(v *ContractResponseBody) *admin.Contract {
-	res := &admin.Contract{
-		Rate:   *v.Rate,
-		Burst:  *v.Burst,
-		Weight: v.Weight,
-	}
-
-	return res
-}
-
-// unmarshalKeyResponseBodyToAdminKey builds a value of type *admin.Key from a
-// value of type *KeyResponseBody.
-func unmarshalKeyResponseBodyToAdminKey(v *KeyResponseBody) *admin.Key {
-	if v == nil {
-		return nil
-	}
-	res := &admin.Key{
-		ID:      *v.ID,
-		Account: *v.Account,
-		Hash:    *v.Hash,
-	}
-
-	return res
-}
-
-// unmarshalModelResponseBodyToAdminModel builds a value of type *admin.Model
-// from a value of type *ModelResponseBody.
-func unmarshalModelResponseBodyToAdminModel(v *ModelResponseBody) *admin.Model {
-	if v == nil {
-		return nil
-	}
-	res := &admin.Model{
-		Name:           *v.Name,
-		WeightsVersion: *v.WeightsVersion,
-		Replicas:       v.Replicas,
-	}
-
-	return res
-}
-
-// unmarshalRouteResponseBodyToAdminRoute builds a value of type *admin.Route
-// from a value of type *RouteResponseBody.
-func unmarshalRouteResponseBodyToAdminRoute(v *RouteResponseBody) *admin.Route {
-	if v == nil {
-		return nil
-	}
-	res := &admin.Route{
-		ID:                    *v.ID,
-		PathPrefix:            *v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
-	}
-	res.Servers = make([]string, len(v.Servers))
-	for i, val := range v.Servers {
-		res.Servers[i] = val
-	}
-
-	return res
-}
-
-// unmarshalBackendServerResponseBodyToAdminBackendServer builds a value of
-// type *admin.BackendServer from a value of type *BackendServerResponseBody.
-func unmarshalBackendServerResponseBodyToAdminBackendServer(v *BackendServerResponseBody) *admin.BackendServer {
-	if v == nil {
-		return nil
-	}
-	res := &admin.BackendServer{
-		ID:            *v.ID,
-		Kind:          *v.Kind,
-		URL:           *v.URL,
-		FailureDomain: *v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-
-	return res
-}
-
 // unmarshalVMResponseBodyToAdminVM builds a value of type *admin.VM from a
 // value of type *VMResponseBody.
 func unmarshalVMResponseBodyToAdminVM(v *VMResponseBody) *admin.VM {
--- a/gen/http/admin/client/types.go
+++ b/gen/http/admin/client/types.go
@@ -10,61 +10,72 @@
 import (
 	goa "goa.design/goa/v3/pkg"
 	admin "papayaspan.dev/papayaspan/gen/admin"
-	adminviews "papayaspan.dev/papayaspan/gen/admin/views"
 )
 
 // FileTicketRequestBody is the type of the "admin" service "file_ticket"
 // endpoint HTTP request body.
 type FileTicketRequestBody struct {
 	// The operator's own id of the ticket.
-	ClientID string                `form:"client_id" json:"client_id" xml:"client_id"`
-	Note     *string               `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
-	Set      *ObjectsRequestBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove   *ObjectIDsRequestBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	ClientID string `form:"client_id" json:"client_id" xml:"client_id"`
+	// Why; kept in the history.
+	Comment  string                     `form:"comment" json:"comment" xml:"comment"`
+	Accounts *AccountChangesRequestBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesRequestBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesRequestBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesRequestBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesRequestBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // FileTicketResponseBody is the type of the "admin" service "file_ticket"
 // endpoint HTTP response body.
 type FileTicketResponseBody struct {
-	// Ticket number; 0 if refused.
+	// Ticket number; 0 if refused before it was numbered.
 	Number   *uint64 `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
 	ClientID *string `form:"client_id,omitempty" json:"client_id,omitempty" xml:"client_id,omitempty"`
 	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
 	// accepted or refused.
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// RFC 3339.
-	FiledAt           *string                `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	FiledAt *string `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	// VM whose router filed the ticket.
+	FiledThrough      *string                `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
 	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponseBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponseBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  *string                     `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
+	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponseBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponseBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponseBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponseBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // ShowTicketResponseBody is the type of the "admin" service "show_ticket"
 // endpoint HTTP response body.
 type ShowTicketResponseBody struct {
-	// Ticket number; 0 if refused.
+	// Ticket number; 0 if refused before it was numbered.
 	Number   *uint64 `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
 	ClientID *string `form:"client_id,omitempty" json:"client_id,omitempty" xml:"client_id,omitempty"`
 	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
 	// accepted or refused.
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// RFC 3339.
-	FiledAt           *string                `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	FiledAt *string `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	// VM whose router filed the ticket.
+	FiledThrough      *string                `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
 	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponseBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponseBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  *string                     `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
+	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponseBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponseBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponseBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponseBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
-// ListTicketsResponseBody is the type of the "admin" service "list_tickets"
-// endpoint HTTP response body.
-type ListTicketsResponseBody []*TicketRecordResponse
-
 // ShowStateResponseBody is the type of the "admin" service "show_state"
 // endpoint HTTP response body.
 type ShowStateResponseBody struct {
@@ -106,6 +117,17 @@
 	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// FileTicketConflictResponseBody is the type of the "admin" service
+// "file_ticket" endpoint HTTP response body for the "conflict" error.
+type FileTicketConflictResponseBody struct {
+	// Error name.
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// not_run, may_have_run or ran.
+	Verdict           *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ShowTicketUnauthorizedResponseBody is the type of the "admin" service
 // "show_ticket" endpoint HTTP response body for the "unauthorized" error.
 type ShowTicketUnauthorizedResponseBody struct {
@@ -139,6 +161,17 @@
 	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ShowTicketConflictResponseBody is the type of the "admin" service
+// "show_ticket" endpoint HTTP response body for the "conflict" error.
+type ShowTicketConflictResponseBody struct {
+	// Error name.
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// not_run, may_have_run or ran.
+	Verdict           *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ListTicketsUnauthorizedResponseBody is the type of the "admin" service
 // "list_tickets" endpoint HTTP response body for the "unauthorized" error.
 type ListTicketsUnauthorizedResponseBody struct {
@@ -172,6 +205,17 @@
 	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ListTicketsConflictResponseBody is the type of the "admin" service
+// "list_tickets" endpoint HTTP response body for the "conflict" error.
+type ListTicketsConflictResponseBody struct {
+	// Error name.
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// not_run, may_have_run or ran.
+	Verdict           *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ShowStateUnauthorizedResponseBody is the type of the "admin" service
 // "show_state" endpoint HTTP response body for the "unauthorized" error.
 type ShowStateUnauthorizedResponseBody struct {
@@ -205,6 +249,17 @@
 	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ShowStateConflictResponseBody is the type of the "admin" service
+// "show_state" endpoint HTTP response body for the "conflict" error.
+type ShowStateConflictResponseBody struct {
+	// Error name.
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// not_run, may_have_run or ran.
+	Verdict           *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // DrainUnauthorizedResponseBody is the type of the "admin" service "drain"
 // endpoint HTTP response body for the "unauthorized" error.
 type DrainUnauthorizedResponseBody struct {
@@ -238,13 +293,21 @@
 	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
-// ObjectsRequestBody is used to define fields on request body types.
-type ObjectsRequestBody struct {
-	Accounts []*AccountRequestBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyRequestBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelRequestBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteRequestBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerRequestBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// DrainConflictResponseBody is the type of the "admin" service "drain"
+// endpoint HTTP response body for the "conflict" error.
+type DrainConflictResponseBody struct {
+	// Error name.
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// not_run, may_have_run or ran.
+	Verdict           *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	RetryAfterSeconds *int    `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
+// AccountChangesRequestBody is used to define fields on request body types.
+type AccountChangesRequestBody struct {
+	Set    []*AccountRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string              `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountRequestBody is used to define fields on request body types.
@@ -261,7 +324,13 @@
 	// Capacity of the token bucket in tokens.
 	Burst float64 `form:"burst" json:"burst" xml:"burst"`
 	// Share under contention; 0 means 1.
-	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
+	Weight float64 `form:"weight" json:"weight" xml:"weight"`
+}
+
+// KeyChangesRequestBody is used to define fields on request body types.
+type KeyChangesRequestBody struct {
+	Set    []*KeyRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string          `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // KeyRequestBody is used to define fields on request body types.
@@ -274,13 +343,25 @@
 	Hash string `form:"hash" json:"hash" xml:"hash"`
 }
 
+// ModelChangesRequestBody is used to define fields on request body types.
+type ModelChangesRequestBody struct {
+	Set    []*ModelRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string            `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelRequestBody is used to define fields on request body types.
 type ModelRequestBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
 	// Version that engines must run.
 	WeightsVersion string `form:"weights_version" json:"weights_version" xml:"weights_version"`
 	// Least number of engines to hold the model.
-	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
+	Replicas int `form:"replicas" json:"replicas" xml:"replicas"`
+}
+
+// RouteChangesRequestBody is used to define fields on request body types.
+type RouteChangesRequestBody struct {
+	Set    []*RouteRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string            `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // RouteRequestBody is used to define fields on request body types.
@@ -290,15 +371,21 @@
 	// Ids of backend servers.
 	Servers []string `form:"servers" json:"servers" xml:"servers"`
 	// Needs no key.
-	Open *bool `form:"open,omitempty" json:"open,omitempty" xml:"open,omitempty"`
+	Open bool `form:"open" json:"open" xml:"open"`
 	// May be retried after it may have run.
-	Idempotent *bool `form:"idempotent,omitempty" json:"idempotent,omitempty" xml:"idempotent,omitempty"`
+	Idempotent bool `form:"idempotent" json:"idempotent" xml:"idempotent"`
 	// Refuse calls without an Idempotency-Key.
-	RequireIdempotencyKey *bool `form:"require_idempotency_key,omitempty" json:"require_idempotency_key,omitempty" xml:"require_idempotency_key,omitempty"`
+	RequireIdempotencyKey bool `form:"require_idempotency_key" json:"require_idempotency_key" xml:"require_idempotency_key"`
 	// lookup, booking, interactive or review.
-	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
+	Class string `form:"class" json:"class" xml:"class"`
 	// Cost of one call against the account's rate.
-	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
+	CostTokens float64 `form:"cost_tokens" json:"cost_tokens" xml:"cost_tokens"`
+}
+
+// ServerChangesRequestBody is used to define fields on request body types.
+type ServerChangesRequestBody struct {
+	Set    []*BackendServerRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                    `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // BackendServerRequestBody is used to define fields on request body types.
@@ -311,24 +398,17 @@
 	// Models that an engine serves.
 	Models []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
 	// Refuses orders with an old fencing number.
-	ChecksFencing *bool `form:"checks_fencing,omitempty" json:"checks_fencing,omitempty" xml:"checks_fencing,omitempty"`
+	ChecksFencing bool `form:"checks_fencing" json:"checks_fencing" xml:"checks_fencing"`
 	// Must get no new work.
-	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
-}
-
-// ObjectIDsRequestBody is used to define fields on request body types.
-type ObjectIDsRequestBody struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+	Leaving bool `form:"leaving" json:"leaving" xml:"leaving"`
 }
 
 // ProblemResponseBody is used to define fields on response body types.
 type ProblemResponseBody struct {
-	// Kind and id of the object.
+	// Kind and id of the object; empty for the ticket.
 	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+	// Name of the field, if the reason concerns one.
+	Field  *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
@@ -341,13 +421,10 @@
 	InForce *bool   `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
 }
 
-// ObjectsResponseBody is used to define fields on response body types.
-type ObjectsResponseBody struct {
-	Accounts []*AccountResponseBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyResponseBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelResponseBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteResponseBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerResponseBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// AccountChangesResponseBody is used to define fields on response body types.
+type AccountChangesResponseBody struct {
+	Set    []*AccountResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string               `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountResponseBody is used to define fields on response body types.
@@ -367,6 +444,12 @@
 	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
 }
 
+// KeyChangesResponseBody is used to define fields on response body types.
+type KeyChangesResponseBody struct {
+	Set    []*KeyResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string           `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // KeyResponseBody is used to define fields on response body types.
 type KeyResponseBody struct {
 	// Key id; not the secret.
@@ -377,6 +460,12 @@
 	Hash *string `form:"hash,omitempty" json:"hash,omitempty" xml:"hash,omitempty"`
 }
 
+// ModelChangesResponseBody is used to define fields on response body types.
+type ModelChangesResponseBody struct {
+	Set    []*ModelResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string             `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelResponseBody is used to define fields on response body types.
 type ModelResponseBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -386,6 +475,12 @@
 	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
 }
 
+// RouteChangesResponseBody is used to define fields on response body types.
+type RouteChangesResponseBody struct {
+	Set    []*RouteResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string             `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // RouteResponseBody is used to define fields on response body types.
 type RouteResponseBody struct {
 	ID         *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -404,6 +499,12 @@
 	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
 }
 
+// ServerChangesResponseBody is used to define fields on response body types.
+type ServerChangesResponseBody struct {
+	Set    []*BackendServerResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                     `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // BackendServerResponseBody is used to define fields on response body types.
 type BackendServerResponseBody struct {
 	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -419,37 +520,36 @@
 	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
 }
 
-// ObjectIDsResponseBody is used to define fields on response body types.
-type ObjectIDsResponseBody struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
-}
-
 // TicketRecordResponse is used to define fields on response body types.
 type TicketRecordResponse struct {
-	// Ticket number; 0 if refused.
+	// Ticket number; 0 if refused before it was numbered.
 	Number   *uint64 `form:"number,omitempty" json:"number,omitempty" xml:"number,omitempty"`
 	ClientID *string `form:"client_id,omitempty" json:"client_id,omitempty" xml:"client_id,omitempty"`
 	Operator *string `form:"operator,omitempty" json:"operator,omitempty" xml:"operator,omitempty"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
 	// accepted or refused.
 	Status *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
 	// RFC 3339.
-	FiledAt           *string            `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	FiledAt *string `form:"filed_at,omitempty" json:"filed_at,omitempty" xml:"filed_at,omitempty"`
+	// VM whose router filed the ticket.
+	FiledThrough      *string            `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponse `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool              `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
 	Places            []*PlaceResponse   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponse   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponse `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  *string                 `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
+	Accounts *AccountChangesResponse `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponse     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponse   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponse   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponse  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // ProblemResponse is used to define fields on response body types.
 type ProblemResponse struct {
-	// Kind and id of the object.
+	// Kind and id of the object; empty for the ticket.
 	Object *string `form:"object,omitempty" json:"object,omitempty" xml:"object,omitempty"`
+	// Name of the field, if the reason concerns one.
+	Field  *string `form:"field,omitempty" json:"field,omitempty" xml:"field,omitempty"`
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
@@ -462,13 +562,10 @@
 	InForce *bool   `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
 }
 
-// ObjectsResponse is used to define fields on response body types.
-type ObjectsResponse struct {
-	Accounts []*AccountResponse       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyResponse           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelResponse         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteResponse         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerResponse `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// AccountChangesResponse is used to define fields on response body types.
+type AccountChangesResponse struct {
+	Set    []*AccountResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string           `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountResponse is used to define fields on response body types.
@@ -488,6 +585,12 @@
 	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
 }
 
+// KeyChangesResponse is used to define fields on response body types.
+type KeyChangesResponse struct {
+	Set    []*KeyResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string       `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // KeyResponse is used to define fields on response body types.
 type KeyResponse struct {
 	// Key id; not the secret.
@@ -498,6 +601,12 @@
 	Hash *string `form:"hash,omitempty" json:"hash,omitempty" xml:"hash,omitempty"`
 }
 
+// ModelChangesResponse is used to define fields on response body types.
+type ModelChangesResponse struct {
+	Set    []*ModelResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string         `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelResponse is used to define fields on response body types.
 type ModelResponse struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -507,6 +616,12 @@
 	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
 }
 
+// RouteChangesResponse is used to define fields on response body types.
+type RouteChangesResponse struct {
+	Set    []*RouteResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string         `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // RouteResponse is used to define fields on response body types.
 type RouteResponse struct {
 	ID         *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -525,6 +640,12 @@
 	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
 }
 
+// ServerChangesResponse is used to define fields on response body types.
+type ServerChangesResponse struct {
+	Set    []*BackendServerResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                 `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // BackendServerResponse is used to define fields on response body types.
 type BackendServerResponse struct {
 	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -540,13 +661,13 @@
 	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
 }
 
-// ObjectIDsResponse is used to define fields on response body types.
-type ObjectIDsResponse struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// ObjectsResponseBody is used to define fields on response body types.
+type ObjectsResponseBody struct {
+	Accounts []*AccountResponseBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     []*KeyResponseBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   []*ModelResponseBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   []*RouteResponseBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  []*BackendServerResponseBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // VMResponseBody is used to define fields on response body types.
@@ -564,54 +685,89 @@
 func NewFileTicketRequestBody(p *admin.FileTicketPayload) *FileTicketRequestBody {
 	body := &FileTicketRequestBody{
 		ClientID: p.ClientID,
-		Note:     p.Note,
+		Comment:  p.Comment,
+	}
+	{
+		var zero string
+		if body.Comment == zero {
+			body.Comment = ""
+		}
+	}
+	if p.Accounts != nil {
+		body.Accounts = marshalAdminAccountChangesToAccountChangesRequestBody(p.Accounts)
 	}
-	if p.Set != nil {
-		body.Set = marshalAdminObjectsToObjectsRequestBody(p.Set)
+	if p.Keys != nil {
+		body.Keys = marshalAdminKeyChangesToKeyChangesRequestBody(p.Keys)
 	}
-	if p.Remove != nil {
-		body.Remove = marshalAdminObjectIDsToObjectIDsRequestBody(p.Remove)
+	if p.Models != nil {
+		body.Models = marshalAdminModelChangesToModelChangesRequestBody(p.Models)
+	}
+	if p.Routes != nil {
+		body.Routes = marshalAdminRouteChangesToRouteChangesRequestBody(p.Routes)
+	}
+	if p.Servers != nil {
+		body.Servers = marshalAdminServerChangesToServerChangesRequestBody(p.Servers)
 	}
 	return body
 }
 
 // NewFileTicketTicketRecordOK builds a "admin" service "file_ticket" endpoint
 // result from a HTTP "OK" response.
-func NewFileTicketTicketRecordOK(body *FileTicketResponseBody) *adminviews.TicketRecordView {
-	v := &adminviews.TicketRecordView{
-		Number:            body.Number,
-		ClientID:          body.ClientID,
-		Operator:          body.Operator,
-		Note:              body.Note,
-		Status:            body.Status,
-		FiledAt:           body.FiledAt,
-		InForceEverywhere: body.InForceEverywhere,
+func NewFileTicketTicketRecordOK(body *FileTicketResponseBody) *admin.TicketRecord {
+	v := &admin.TicketRecord{
+		Number:            *body.Number,
+		ClientID:          *body.ClientID,
+		Operator:          *body.Operator,
+		Status:            *body.Status,
+		FiledAt:           *body.FiledAt,
+		InForceEverywhere: *body.InForceEverywhere,
+	}
+	if body.FiledThrough != nil {
+		v.FiledThrough = *body.FiledThrough
+	}
+	if body.Comment != nil {
+		v.Comment = *body.Comment
+	}
+	if body.FiledThrough == nil {
+		v.FiledThrough = ""
 	}
 	if body.Problems != nil {
-		v.Problems = make([]*adminviews.ProblemView, len(body.Problems))
+		v.Problems = make([]*admin.Problem, len(body.Problems))
 		for i, val := range body.Problems {
 			if val == nil {
 				v.Problems[i] = nil
 				continue
 			}
-			v.Problems[i] = unmarshalProblemResponseBodyToAdminviewsProblemView(val)
+			v.Problems[i] = unmarshalProblemResponseBodyToAdminProblem(val)
 		}
 	}
 	if body.Places != nil {
-		v.Places = make([]*adminviews.PlaceView, len(body.Places))
+		v.Places = make([]*admin.Place, len(body.Places))
 		for i, val := range body.Places {
 			if val == nil {
 				v.Places[i] = nil
 				continue
 			}
-			v.Places[i] = unmarshalPlaceResponseBodyToAdminviewsPlaceView(val)
+			v.Places[i] = unmarshalPlaceResponseBodyToAdminPlace(val)
 		}
 	}
-	if body.Set != nil {
-		v.Set = unmarshalObjectsResponseBodyToAdminviewsObjectsView(body.Set)
+	if body.Comment == nil {
+		v.Comment = ""
+	}
+	if body.Accounts != nil {
+		v.Accounts = unmarshalAccountChangesResponseBodyToAdminAccountChanges(body.Accounts)
+	}
+	if body.Keys != nil {
+		v.Keys = unmarshalKeyChangesResponseBodyToAdminKeyChanges(body.Keys)
+	}
+	if body.Models != nil {
+		v.Models = unmarshalModelChangesResponseBodyToAdminModelChanges(body.Models)
 	}
-	if body.Remove != nil {
-		v.Remove = unmarshalObjectIDsResponseBodyToAdminviewsObjectIDsView(body.Remove)
+	if body.Routes != nil {
+		v.Routes = unmarshalRouteChangesResponseBodyToAdminRouteChanges(body.Routes)
+	}
+	if body.Servers != nil {
+		v.Servers = unmarshalServerChangesResponseBodyToAdminServerChanges(body.Servers)
 	}
 
 	return v
@@ -656,43 +812,76 @@
 	return v
 }
 
+// NewFileTicketConflict builds a admin service file_ticket endpoint conflict
+// error.
+func NewFileTicketConflict(body *FileTicketConflictResponseBody) *admin.Failure {
+	v := &admin.Failure{
+		Name:              *body.Name,
+		Message:           *body.Message,
+		Verdict:           *body.Verdict,
+		RetryAfterSeconds: body.RetryAfterSeconds,
+	}
+
+	return v
+}
+
 // NewShowTicketTicketRecordOK builds a "admin" service "show_ticket" endpoint
 // result from a HTTP "OK" response.
-func NewShowTicketTicketRecordOK(body *ShowTicketResponseBody) *adminviews.TicketRecordView {
-	v := &adminviews.TicketRecordView{
-		Number:            body.Number,
-		ClientID:          body.ClientID,
-		Operator:          body.Operator,
-		Note:              body.Note,
-		Status:            body.Status,
-		FiledAt:           body.FiledAt,
-		InForceEverywhere: body.InForceEverywhere,
+func NewShowTicketTicketRecordOK(body *ShowTicketResponseBody) *admin.TicketRecord {
+	v := &admin.TicketRecord{
+		Number:            *body.Number,
+		ClientID:          *body.ClientID,
+		Operator:          *body.Operator,
+		Status:            *body.Status,
+		FiledAt:           *body.FiledAt,
+		InForceEverywhere: *body.InForceEverywhere,
+	}
+	if body.FiledThrough != nil {
+		v.FiledThrough = *body.FiledThrough
+	}
+	if body.Comment != nil {
+		v.Comment = *body.Comment
+	}
+	if body.FiledThrough == nil {
+		v.FiledThrough = ""
 	}
 	if body.Problems != nil {
-		v.Problems = make([]*adminviews.ProblemView, len(body.Problems))
+		v.Problems = make([]*admin.Problem, len(body.Problems))
 		for i, val := range body.Problems {
 			if val == nil {
 				v.Problems[i] = nil
 				continue
 			}
-			v.Problems[i] = unmarshalProblemResponseBodyToAdminviewsProblemView(val)
+			v.Problems[i] = unmarshalProblemResponseBodyToAdminProblem(val)
 		}
 	}
 	if body.Places != nil {
-		v.Places = make([]*adminviews.PlaceView, len(body.Places))
+		v.Places = make([]*admin.Place, len(body.Places))
 		for i, val := range body.Places {
 			if val == nil {
 				v.Places[i] = nil
 				continue
 			}
-			v.Places[i] = unmarshalPlaceResponseBodyToAdminviewsPlaceView(val)
+			v.Places[i] = unmarshalPlaceResponseBodyToAdminPlace(val)
 		}
 	}
-	if body.Set != nil {
-		v.Set = unmarshalObjectsResponseBodyToAdminviewsObjectsView(body.Set)
+	if body.Comment == nil {
+		v.Comment = ""
+	}
+	if body.Accounts != nil {
+		v.Accounts = unmarshalAccountChangesResponseBodyToAdminAccountChanges(body.Accounts)
 	}
-	if body.Remove != nil {
-		v.Remove = unmarshalObjectIDsResponseBodyToAdminviewsObjectIDsView(body.Remove)
+	if body.Keys != nil {
+		v.Keys = unmarshalKeyChangesResponseBodyToAdminKeyChanges(body.Keys)
+	}
+	if body.Models != nil {
+		v.Models = unmarshalModelChangesResponseBodyToAdminModelChanges(body.Models)
+	}
+	if body.Routes != nil {
+		v.Routes = unmarshalRouteChangesResponseBodyToAdminRouteChanges(body.Routes)
+	}
+	if body.Servers != nil {
+		v.Servers = unmarshalServerChangesResponseBodyToAdminServerChanges(body.Servers)
 	}
 
 	return v
@@ -737,16 +926,29 @@
 	return v
 }
 
-// NewListTicketsTicketRecordCollectionOK builds a "admin" service
-// "list_tickets" endpoint result from a HTTP "OK" response.
-func NewListTicketsTicketRecordCollectionOK(body ListTicketsResponseBody) adminviews.TicketRecordCollectionView {
-	v := make([]*adminviews.TicketRecordView, len(body))
+// NewShowTicketConflict builds a admin service show_ticket endpoint conflict
+// error.
+func NewShowTicketConflict(body *ShowTicketConflictResponseBody) *admin.Failure {
+	v := &admin.Failure{
+		Name:              *body.Name,
+		Message:           *body.Message,
+		Verdict:           *body.Verdict,
+		RetryAfterSeconds: body.RetryAfterSeconds,
+	}
+
+	return v
+}
+
+// NewListTicketsTicketRecordOK builds a "admin" service "list_tickets"
+// endpoint result from a HTTP "OK" response.
+func NewListTicketsTicketRecordOK(body []*TicketRecordResponse) []*admin.TicketRecord {
+	v := make([]*admin.TicketRecord, len(body))
 	for i, val := range body {
 		if val == nil {
 			v[i] = nil
 			continue
 		}
-		v[i] = unmarshalTicketRecordResponseToAdminviewsTicketRecordView(val)
+		v[i] = unmarshalTicketRecordResponseToAdminTicketRecord(val)
 	}
 
 	return v
@@ -791,6 +993,19 @@
 	return v
 }
 
+// NewListTicketsConflict builds a admin service list_tickets endpoint conflict
+// error.
+func NewListTicketsConflict(body *ListTicketsConflictResponseBody) *admin.Failure {
+	v := &admin.Failure{
+		Name:              *body.Name,
+		Message:           *body.Message,
+		Verdict:           *body.Verdict,
+		RetryAfterSeconds: body.RetryAfterSeconds,
+	}
+
+	return v
+}
+
 // NewShowStateStateOK builds a "admin" service "show_state" endpoint result
 // from a HTTP "OK" response.
 func NewShowStateStateOK(body *ShowStateResponseBody) *admin.State {
@@ -849,6 +1064,19 @@
 	return v
 }
 
+// NewShowStateConflict builds a admin service show_state endpoint conflict
+// error.
+func NewShowStateConflict(body *ShowStateConflictResponseBody) *admin.Failure {
+	v := &admin.Failure{
+		Name:              *body.Name,
+		Message:           *body.Message,
+		Verdict:           *body.Verdict,
+		RetryAfterSeconds: body.RetryAfterSeconds,
+	}
+
+	return v
+}
+
 // NewDrainUnauthorized builds a admin service drain endpoint unauthorized
 // error.
 func NewDrainUnauthorized(body *DrainUnauthorizedResponseBody) *admin.Failure {
@@ -886,86 +1114,239 @@
 	return v
 }
 
-// ValidateShowStateResponseBody runs the validations defined on
-// show_state_response_body
-func ValidateShowStateResponseBody(body *ShowStateResponseBody) (err error) {
+// NewDrainConflict builds a admin service drain endpoint conflict error.
+func NewDrainConflict(body *DrainConflictResponseBody) *admin.Failure {
+	v := &admin.Failure{
+		Name:              *body.Name,
+		Message:           *body.Message,
+		Verdict:           *body.Verdict,
+		RetryAfterSeconds: body.RetryAfterSeconds,
+	}
+
+	return v
+}
+
+// ValidateFileTicketResponseBody runs the validations defined on
+// file_ticket_response_body
+func ValidateFileTicketResponseBody(body *FileTicketResponseBody) (err error) {
 	if body.Number == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
 	}
-	if body.Objects == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("objects", "body"))
+	if body.ClientID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("client_id", "body"))
 	}
-	if body.Vms == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("vms", "body"))
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
 	}
-	if body.Objects != nil {
-		if err2 := ValidateObjectsResponseBody(body.Objects); err2 != nil {
-			err = goa.MergeErrors(err, err2)
-		}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	for _, e := range body.Vms {
+	if body.FiledAt == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("filed_at", "body"))
+	}
+	if body.InForceEverywhere == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force_everywhere", "body"))
+	}
+	for _, e := range body.Problems {
 		if e != nil {
-			if err2 := ValidateVMResponseBody(e); err2 != nil {
+			if err2 := ValidateProblemResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
 	}
-	return
-}
-
-// ValidateFileTicketUnauthorizedResponseBody runs the validations defined on
-// file_ticket_unauthorized_response_body
-func ValidateFileTicketUnauthorizedResponseBody(body *FileTicketUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	for _, e := range body.Places {
+		if e != nil {
+			if err2 := ValidatePlaceResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.Accounts != nil {
+		if err2 := ValidateAccountChangesResponseBody(body.Accounts); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	if body.Verdict == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	if body.Keys != nil {
+		if err2 := ValidateKeyChangesResponseBody(body.Keys); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	return
-}
-
-// ValidateFileTicketUnavailableResponseBody runs the validations defined on
-// file_ticket_unavailable_response_body
-func ValidateFileTicketUnavailableResponseBody(body *FileTicketUnavailableResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	if body.Models != nil {
+		if err2 := ValidateModelChangesResponseBody(body.Models); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.Routes != nil {
+		if err2 := ValidateRouteChangesResponseBody(body.Routes); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	if body.Verdict == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	if body.Servers != nil {
+		if err2 := ValidateServerChangesResponseBody(body.Servers); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateFileTicketNotFoundResponseBody runs the validations defined on
-// file_ticket_not_found_response_body
-func ValidateFileTicketNotFoundResponseBody(body *FileTicketNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+// ValidateShowTicketResponseBody runs the validations defined on
+// show_ticket_response_body
+func ValidateShowTicketResponseBody(body *ShowTicketResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.ClientID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("client_id", "body"))
 	}
-	if body.Verdict == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	if body.Operator == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operator", "body"))
 	}
-	return
-}
-
-// ValidateShowTicketUnauthorizedResponseBody runs the validations defined on
-// show_ticket_unauthorized_response_body
-func ValidateShowTicketUnauthorizedResponseBody(body *ShowTicketUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.FiledAt == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("filed_at", "body"))
+	}
+	if body.InForceEverywhere == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force_everywhere", "body"))
+	}
+	for _, e := range body.Problems {
+		if e != nil {
+			if err2 := ValidateProblemResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Places {
+		if e != nil {
+			if err2 := ValidatePlaceResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.Accounts != nil {
+		if err2 := ValidateAccountChangesResponseBody(body.Accounts); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Keys != nil {
+		if err2 := ValidateKeyChangesResponseBody(body.Keys); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Models != nil {
+		if err2 := ValidateModelChangesResponseBody(body.Models); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Routes != nil {
+		if err2 := ValidateRouteChangesResponseBody(body.Routes); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Servers != nil {
+		if err2 := ValidateServerChangesResponseBody(body.Servers); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateShowStateResponseBody runs the validations defined on
+// show_state_response_body
+func ValidateShowStateResponseBody(body *ShowStateResponseBody) (err error) {
+	if body.Number == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("number", "body"))
+	}
+	if body.Objects == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("objects", "body"))
+	}
+	if body.Vms == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("vms", "body"))
+	}
+	if body.Objects != nil {
+		if err2 := ValidateObjectsResponseBody(body.Objects); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	for _, e := range body.Vms {
+		if e != nil {
+			if err2 := ValidateVMResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateFileTicketUnauthorizedResponseBody runs the validations defined on
+// file_ticket_unauthorized_response_body
+func ValidateFileTicketUnauthorizedResponseBody(body *FileTicketUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
+// ValidateFileTicketUnavailableResponseBody runs the validations defined on
+// file_ticket_unavailable_response_body
+func ValidateFileTicketUnavailableResponseBody(body *FileTicketUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
+// ValidateFileTicketNotFoundResponseBody runs the validations defined on
+// file_ticket_not_found_response_body
+func ValidateFileTicketNotFoundResponseBody(body *FileTicketNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
+// ValidateFileTicketConflictResponseBody runs the validations defined on
+// file_ticket_conflict_response_body
+func ValidateFileTicketConflictResponseBody(body *FileTicketConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
+// ValidateShowTicketUnauthorizedResponseBody runs the validations defined on
+// show_ticket_unauthorized_response_body
+func ValidateShowTicketUnauthorizedResponseBody(body *ShowTicketUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Verdict == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
@@ -1003,6 +1384,21 @@
 	return
 }
 
+// ValidateShowTicketConflictResponseBody runs the validations defined on
+// show_ticket_conflict_response_body
+func ValidateShowTicketConflictResponseBody(body *ShowTicketConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
 // ValidateListTicketsUnauthorizedResponseBody runs the validations defined on
 // list_tickets_unauthorized_response_body
 func ValidateListTicketsUnauthorizedResponseBody(body *ListTicketsUnauthorizedResponseBody) (err error) {
@@ -1048,6 +1444,21 @@
 	return
 }
 
+// ValidateListTicketsConflictResponseBody runs the validations defined on
+// list_tickets_conflict_response_body
+func ValidateListTicketsConflictResponseBody(body *ListTicketsConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
 // ValidateShowStateUnauthorizedResponseBody runs the validations defined on
 // show_state_unauthorized_response_body
 func ValidateShowStateUnauthorizedResponseBody(body *ShowStateUnauthorizedResponseBody) (err error) {
@@ -1093,6 +1504,21 @@
 	return
 }
 
+// ValidateShowStateConflictResponseBody runs the validations defined on
+// show_state_conflict_response_body
+func ValidateShowStateConflictResponseBody(body *ShowStateConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
 // ValidateDrainUnauthorizedResponseBody runs the validations defined on
 // drain_unauthorized_response_body
 func ValidateDrainUnauthorizedResponseBody(body *DrainUnauthorizedResponseBody) (err error) {
@@ -1138,18 +1564,27 @@
 	return
 }
 
-// ValidateObjectsRequestBody runs the validations defined on ObjectsRequestBody
-func ValidateObjectsRequestBody(body *ObjectsRequestBody) (err error) {
-	for _, e := range body.Accounts {
-		if e != nil {
-			if err2 := ValidateAccountRequestBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
+// ValidateDrainConflictResponseBody runs the validations defined on
+// drain_conflict_response_body
+func ValidateDrainConflictResponseBody(body *DrainConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	for _, e := range body.Routes {
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Verdict == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("verdict", "body"))
+	}
+	return
+}
+
+// ValidateAccountChangesRequestBody runs the validations defined on
+// AccountChangesRequestBody
+func ValidateAccountChangesRequestBody(body *AccountChangesRequestBody) (err error) {
+	for _, e := range body.Set {
 		if e != nil {
-			if err2 := ValidateRouteRequestBody(e); err2 != nil {
+			if err2 := ValidateAccountRequestBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -1165,6 +1600,19 @@
 	return
 }
 
+// ValidateRouteChangesRequestBody runs the validations defined on
+// RouteChangesRequestBody
+func ValidateRouteChangesRequestBody(body *RouteChangesRequestBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateRouteRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRouteRequestBody runs the validations defined on RouteRequestBody
 func ValidateRouteRequestBody(body *RouteRequestBody) (err error) {
 	if body.Servers == nil {
@@ -1176,9 +1624,6 @@
 // ValidateProblemResponseBody runs the validations defined on
 // ProblemResponseBody
 func ValidateProblemResponseBody(body *ProblemResponseBody) (err error) {
-	if body.Object == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("object", "body"))
-	}
 	if body.Reason == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
 	}
@@ -1199,44 +1644,16 @@
 	return
 }
 
-// ValidateObjectsResponseBody runs the validations defined on
-// ObjectsResponseBody
-func ValidateObjectsResponseBody(body *ObjectsResponseBody) (err error) {
-	for _, e := range body.Accounts {
+// ValidateAccountChangesResponseBody runs the validations defined on
+// AccountChangesResponseBody
+func ValidateAccountChangesResponseBody(body *AccountChangesResponseBody) (err error) {
+	for _, e := range body.Set {
 		if e != nil {
 			if err2 := ValidateAccountResponseBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
 	}
-	for _, e := range body.Keys {
-		if e != nil {
-			if err2 := ValidateKeyResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Models {
-		if e != nil {
-			if err2 := ValidateModelResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Routes {
-		if e != nil {
-			if err2 := ValidateRouteResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Servers {
-		if e != nil {
-			if err2 := ValidateBackendServerResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
 	return
 }
 
@@ -1269,6 +1686,19 @@
 	return
 }
 
+// ValidateKeyChangesResponseBody runs the validations defined on
+// KeyChangesResponseBody
+func ValidateKeyChangesResponseBody(body *KeyChangesResponseBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateKeyResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateKeyResponseBody runs the validations defined on KeyResponseBody
 func ValidateKeyResponseBody(body *KeyResponseBody) (err error) {
 	if body.ID == nil {
@@ -1283,6 +1713,19 @@
 	return
 }
 
+// ValidateModelChangesResponseBody runs the validations defined on
+// ModelChangesResponseBody
+func ValidateModelChangesResponseBody(body *ModelChangesResponseBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateModelResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateModelResponseBody runs the validations defined on ModelResponseBody
 func ValidateModelResponseBody(body *ModelResponseBody) (err error) {
 	if body.Name == nil {
@@ -1294,6 +1737,19 @@
 	return
 }
 
+// ValidateRouteChangesResponseBody runs the validations defined on
+// RouteChangesResponseBody
+func ValidateRouteChangesResponseBody(body *RouteChangesResponseBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateRouteResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRouteResponseBody runs the validations defined on RouteResponseBody
 func ValidateRouteResponseBody(body *RouteResponseBody) (err error) {
 	if body.ID == nil {
@@ -1308,6 +1764,19 @@
 	return
 }
 
+// ValidateServerChangesResponseBody runs the validations defined on
+// ServerChangesResponseBody
+func ValidateServerChangesResponseBody(body *ServerChangesResponseBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateBackendServerResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateBackendServerResponseBody runs the validations defined on
 // BackendServerResponseBody
 func ValidateBackendServerResponseBody(body *BackendServerResponseBody) (err error) {
@@ -1344,6 +1813,9 @@
 	if body.FiledAt == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("filed_at", "body"))
 	}
+	if body.InForceEverywhere == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force_everywhere", "body"))
+	}
 	for _, e := range body.Problems {
 		if e != nil {
 			if err2 := ValidateProblemResponse(e); err2 != nil {
@@ -1358,8 +1830,28 @@
 			}
 		}
 	}
-	if body.Set != nil {
-		if err2 := ValidateObjectsResponse(body.Set); err2 != nil {
+	if body.Accounts != nil {
+		if err2 := ValidateAccountChangesResponse(body.Accounts); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Keys != nil {
+		if err2 := ValidateKeyChangesResponse(body.Keys); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Models != nil {
+		if err2 := ValidateModelChangesResponse(body.Models); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Routes != nil {
+		if err2 := ValidateRouteChangesResponse(body.Routes); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	if body.Servers != nil {
+		if err2 := ValidateServerChangesResponse(body.Servers); err2 != nil {
 			err = goa.MergeErrors(err, err2)
 		}
 	}
@@ -1368,9 +1860,6 @@
 
 // ValidateProblemResponse runs the validations defined on ProblemResponse
 func ValidateProblemResponse(body *ProblemResponse) (err error) {
-	if body.Object == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("object", "body"))
-	}
 	if body.Reason == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
 	}
@@ -1391,43 +1880,16 @@
 	return
 }
 
-// ValidateObjectsResponse runs the validations defined on ObjectsResponse
-func ValidateObjectsResponse(body *ObjectsResponse) (err error) {
-	for _, e := range body.Accounts {
+// ValidateAccountChangesResponse runs the validations defined on
+// AccountChangesResponse
+func ValidateAccountChangesResponse(body *AccountChangesResponse) (err error) {
+	for _, e := range body.Set {
 		if e != nil {
 			if err2 := ValidateAccountResponse(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
 	}
-	for _, e := range body.Keys {
-		if e != nil {
-			if err2 := ValidateKeyResponse(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Models {
-		if e != nil {
-			if err2 := ValidateModelResponse(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Routes {
-		if e != nil {
-			if err2 := ValidateRouteResponse(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
-	for _, e := range body.Servers {
-		if e != nil {
-			if err2 := ValidateBackendServerResponse(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
-	}
 	return
 }
 
@@ -1458,6 +1920,18 @@
 	return
 }
 
+// ValidateKeyChangesResponse runs the validations defined on KeyChangesResponse
+func ValidateKeyChangesResponse(body *KeyChangesResponse) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateKeyResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateKeyResponse runs the validations defined on KeyResponse
 func ValidateKeyResponse(body *KeyResponse) (err error) {
 	if body.ID == nil {
@@ -1472,6 +1946,19 @@
 	return
 }
 
+// ValidateModelChangesResponse runs the validations defined on
+// ModelChangesResponse
+func ValidateModelChangesResponse(body *ModelChangesResponse) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateModelResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateModelResponse runs the validations defined on ModelResponse
 func ValidateModelResponse(body *ModelResponse) (err error) {
 	if body.Name == nil {
@@ -1483,6 +1970,19 @@
 	return
 }
 
+// ValidateRouteChangesResponse runs the validations defined on
+// RouteChangesResponse
+func ValidateRouteChangesResponse(body *RouteChangesResponse) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateRouteResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRouteResponse runs the validations defined on RouteResponse
 func ValidateRouteResponse(body *RouteResponse) (err error) {
 	if body.ID == nil {
@@ -1497,6 +1997,19 @@
 	return
 }
 
+// ValidateServerChangesResponse runs the validations defined on
+// ServerChangesResponse
+func ValidateServerChangesResponse(body *ServerChangesResponse) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateBackendServerResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateBackendServerResponse runs the validations defined on
 // BackendServerResponse
 func ValidateBackendServerResponse(body *BackendServerResponse) (err error) {
@@ -1515,6 +2028,47 @@
 	return
 }
 
+// ValidateObjectsResponseBody runs the validations defined on
+// ObjectsResponseBody
+func ValidateObjectsResponseBody(body *ObjectsResponseBody) (err error) {
+	for _, e := range body.Accounts {
+		if e != nil {
+			if err2 := ValidateAccountResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Keys {
+		if e != nil {
+			if err2 := ValidateKeyResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Models {
+		if e != nil {
+			if err2 := ValidateModelResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Routes {
+		if e != nil {
+			if err2 := ValidateRouteResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Servers {
+		if e != nil {
+			if err2 := ValidateBackendServerResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateVMResponseBody runs the validations defined on VMResponseBody
 func ValidateVMResponseBody(body *VMResponseBody) (err error) {
 	if body.ID == nil {
