--- a/gen/http/admin/server/encode_decode.go
+++ b/gen/http/admin/server/encode_decode.go
@@ -18,16 +18,15 @@
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 	admin "papayaspan.dev/papayaspan/gen/admin"
-	adminviews "papayaspan.dev/papayaspan/gen/admin/views"
 )
 
 // EncodeFileTicketResponse returns an encoder for responses returned by the
 // admin file_ticket endpoint.
 func EncodeFileTicketResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res := v.(*adminviews.TicketRecord)
+		res, _ := v.(*admin.TicketRecord)
 		enc := encoder(ctx, w)
-		body := NewFileTicketResponseBody(res.Projected)
+		body := NewFileTicketResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
@@ -127,6 +126,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *admin.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewFileTicketConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -137,9 +149,9 @@
 // admin show_ticket endpoint.
 func EncodeShowTicketResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res := v.(*adminviews.TicketRecord)
+		res, _ := v.(*admin.TicketRecord)
 		enc := encoder(ctx, w)
-		body := NewShowTicketResponseBody(res.Projected)
+		body := NewShowTicketResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
@@ -151,17 +163,28 @@
 	return func(r *http.Request) (*admin.ShowTicketPayload, error) {
 		var payload *admin.ShowTicketPayload
 		var (
-			clientID string
-			key      *string
+			number uint64
+			key    *string
+			err    error
 
 			params = mux.Vars(r)
 		)
-		clientID = params["client_id"]
+		{
+			numberRaw := params["number"]
+			v, err2 := strconv.ParseUint(numberRaw, 10, 64)
+			if err2 != nil {
+				err = goa.MergeErrors(err, goa.InvalidFieldTypeError("number", numberRaw, "unsigned integer"))
+			}
+			number = v
+		}
 		keyRaw := r.Header.Get("X-Operator-Key")
 		if keyRaw != "" {
 			key = &keyRaw
 		}
-		payload = NewShowTicketPayload(clientID, key)
+		if err != nil {
+			return payload, err
+		}
+		payload = NewShowTicketPayload(number, key)
 		if payload.Key != nil {
 			if strings.Contains(*payload.Key, " ") {
 				// Remove authorization scheme prefix (e.g. "Bearer")
@@ -223,6 +246,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *admin.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowTicketConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -233,9 +269,9 @@
 // admin list_tickets endpoint.
 func EncodeListTicketsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
 	return func(ctx context.Context, w http.ResponseWriter, v any) error {
-		res := v.(adminviews.TicketRecordCollection)
+		res, _ := v.([]*admin.TicketRecord)
 		enc := encoder(ctx, w)
-		body := NewTicketRecordResponseCollection(res.Projected)
+		body := NewListTicketsResponseBody(res)
 		w.WriteHeader(http.StatusOK)
 		return enc.Encode(body)
 	}
@@ -247,7 +283,7 @@
 	return func(r *http.Request) (*admin.ListTicketsPayload, error) {
 		var payload *admin.ListTicketsPayload
 		var (
-			after *uint64
+			after uint64
 			limit int
 			key   *string
 			err   error
@@ -260,7 +296,7 @@
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("after", afterRaw, "unsigned integer"))
 				}
-				after = &v
+				after = v
 			}
 		}
 		{
@@ -350,6 +386,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *admin.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListTicketsConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -442,6 +491,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *admin.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowStateConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -531,67 +593,46 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusNotFound)
 			return enc.Encode(body)
+		case "conflict":
+			var res *admin.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewDrainConflictResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
 	}
 }
 
-// unmarshalObjectsRequestBodyToAdminObjects builds a value of type
-// *admin.Objects from a value of type *ObjectsRequestBody.
-func unmarshalObjectsRequestBodyToAdminObjects(v *ObjectsRequestBody) *admin.Objects {
+// unmarshalAccountChangesRequestBodyToAdminAccountChanges builds a value of
+// type *admin.AccountChanges from a value of type *AccountChangesRequestBody.
+func unmarshalAccountChangesRequestBodyToAdminAccountChanges(v *AccountChangesRequestBody) *admin.AccountChanges {
 	if v == nil {
 		return nil
 	}
-	res := &admin.Objects{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*admin.Account, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = unmarshalAccountRequestBodyToAdminAccount(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*admin.Key, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = unmarshalKeyRequestBodyToAdminKey(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*admin.Model, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = unmarshalModelRequestBodyToAdminModel(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*admin.Route, len(v.Routes))
-		for i, val := range v.Routes {
+	res := &admin.AccountChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Account, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = unmarshalRouteRequestBodyToAdminRoute(val)
+			res.Set[i] = unmarshalAccountRequestBodyToAdminAccount(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*admin.BackendServer, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = unmarshalBackendServerRequestBodyToAdminBackendServer(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
@@ -616,9 +657,41 @@
 // *admin.Contract from a value of type *ContractRequestBody.
 func unmarshalContractRequestBodyToAdminContract(v *ContractRequestBody) *admin.Contract {
 	res := &admin.Contract{
-		Rate:   *v.Rate,
-		Burst:  *v.Burst,
-		Weight: v.Weight,
+		Rate:  *v.Rate,
+		Burst: *v.Burst,
+	}
+	if v.Weight != nil {
+		res.Weight = *v.Weight
+	}
+	if v.Weight == nil {
+		res.Weight = 0
+	}
+
+	return res
+}
+
+// unmarshalKeyChangesRequestBodyToAdminKeyChanges builds a value of type
+// *admin.KeyChanges from a value of type *KeyChangesRequestBody.
+func unmarshalKeyChangesRequestBodyToAdminKeyChanges(v *KeyChangesRequestBody) *admin.KeyChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.KeyChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Key, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalKeyRequestBodyToAdminKey(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
@@ -639,6 +712,33 @@
 	return res
 }
 
+// unmarshalModelChangesRequestBodyToAdminModelChanges builds a value of type
+// *admin.ModelChanges from a value of type *ModelChangesRequestBody.
+func unmarshalModelChangesRequestBodyToAdminModelChanges(v *ModelChangesRequestBody) *admin.ModelChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.ModelChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Model, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalModelRequestBodyToAdminModel(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
+
+	return res
+}
+
 // unmarshalModelRequestBodyToAdminModel builds a value of type *admin.Model
 // from a value of type *ModelRequestBody.
 func unmarshalModelRequestBodyToAdminModel(v *ModelRequestBody) *admin.Model {
@@ -648,7 +748,39 @@
 	res := &admin.Model{
 		Name:           *v.Name,
 		WeightsVersion: *v.WeightsVersion,
-		Replicas:       v.Replicas,
+	}
+	if v.Replicas != nil {
+		res.Replicas = *v.Replicas
+	}
+	if v.Replicas == nil {
+		res.Replicas = 0
+	}
+
+	return res
+}
+
+// unmarshalRouteChangesRequestBodyToAdminRouteChanges builds a value of type
+// *admin.RouteChanges from a value of type *RouteChangesRequestBody.
+func unmarshalRouteChangesRequestBodyToAdminRouteChanges(v *RouteChangesRequestBody) *admin.RouteChanges {
+	if v == nil {
+		return nil
+	}
+	res := &admin.RouteChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.Route, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalRouteRequestBodyToAdminRoute(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
@@ -661,64 +793,91 @@
 		return nil
 	}
 	res := &admin.Route{
-		ID:                    *v.ID,
-		PathPrefix:            *v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
+		ID:         *v.ID,
+		PathPrefix: *v.PathPrefix,
+	}
+	if v.Open != nil {
+		res.Open = *v.Open
+	}
+	if v.Idempotent != nil {
+		res.Idempotent = *v.Idempotent
+	}
+	if v.RequireIdempotencyKey != nil {
+		res.RequireIdempotencyKey = *v.RequireIdempotencyKey
+	}
+	if v.Class != nil {
+		res.Class = *v.Class
+	}
+	if v.CostTokens != nil {
+		res.CostTokens = *v.CostTokens
 	}
 	res.Servers = make([]string, len(v.Servers))
 	for i, val := range v.Servers {
 		res.Servers[i] = val
 	}
+	if v.Open == nil {
+		res.Open = false
+	}
+	if v.Idempotent == nil {
+		res.Idempotent = false
+	}
+	if v.RequireIdempotencyKey == nil {
+		res.RequireIdempotencyKey = false
+	}
+	if v.Class == nil {
+		res.Class = ""
+	}
+	if v.CostTokens == nil {
+		res.CostTokens = 0
+	}
 
 	return res
 }
 
-// unmarshalBackendServerRequestBodyToAdminBackendServer builds a value of type
-// *admin.BackendServer from a value of type *BackendServerRequestBody.
-func unmarshalBackendServerRequestBodyToAdminBackendServer(v *BackendServerRequestBody) *admin.BackendServer {
+// unmarshalServerChangesRequestBodyToAdminServerChanges builds a value of type
+// *admin.ServerChanges from a value of type *ServerChangesRequestBody.
+func unmarshalServerChangesRequestBodyToAdminServerChanges(v *ServerChangesRequestBody) *admin.ServerChanges {
 	if v == nil {
 		return nil
 	}
-	res := &admin.BackendServer{
-		ID:            *v.ID,
-		Kind:          *v.Kind,
-		URL:           *v.URL,
-		FailureDomain: *v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &admin.ServerChanges{}
+	if v.Set != nil {
+		res.Set = make([]*admin.BackendServer, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = unmarshalBackendServerRequestBodyToAdminBackendServer(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// unmarshalObjectIDsRequestBodyToAdminObjectIDs builds a value of type
-// *admin.ObjectIDs from a value of type *ObjectIDsRequestBody.
-func unmarshalObjectIDsRequestBodyToAdminObjectIDs(v *ObjectIDsRequestBody) *admin.ObjectIDs {
+// unmarshalBackendServerRequestBodyToAdminBackendServer builds a value of type
+// *admin.BackendServer from a value of type *BackendServerRequestBody.
+func unmarshalBackendServerRequestBodyToAdminBackendServer(v *BackendServerRequestBody) *admin.BackendServer {
 	if v == nil {
 		return nil
 	}
-	res := &admin.ObjectIDs{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
+	res := &admin.BackendServer{
+		ID:            *v.ID,
+		Kind:          *v.Kind,
+		URL:           *v.URL,
+		FailureDomain: *v.FailureDomain,
 	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	if v.ChecksFencing != nil {
+		res.ChecksFencing = *v.ChecksFencing
+	}
+	if v.Leaving != nil {
+		res.Leaving = *v.Leaving
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -726,180 +885,252 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
-		}
+	if v.ChecksFencing == nil {
+		res.ChecksFencing = false
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
+	if v.Leaving == nil {
+		res.Leaving = false
 	}
 
 	return res
 }
 
-// marshalAdminviewsProblemViewToProblemResponseBody builds a value of type
-// *ProblemResponseBody from a value of type *adminviews.ProblemView.
-func marshalAdminviewsProblemViewToProblemResponseBody(v *adminviews.ProblemView) *ProblemResponseBody {
+// marshalAdminProblemToProblemResponseBody builds a value of type
+// *ProblemResponseBody from a value of type *admin.Problem.
+func marshalAdminProblemToProblemResponseBody(v *admin.Problem) *ProblemResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &ProblemResponseBody{
-		Object: *v.Object,
-		Reason: *v.Reason,
+		Object: v.Object,
+		Field:  v.Field,
+		Reason: v.Reason,
+	}
+	{
+		var zero string
+		if res.Object == zero {
+			res.Object = ""
+		}
+	}
+	{
+		var zero string
+		if res.Field == zero {
+			res.Field = ""
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsPlaceViewToPlaceResponseBody builds a value of type
-// *PlaceResponseBody from a value of type *adminviews.PlaceView.
-func marshalAdminviewsPlaceViewToPlaceResponseBody(v *adminviews.PlaceView) *PlaceResponseBody {
+// marshalAdminPlaceToPlaceResponseBody builds a value of type
+// *PlaceResponseBody from a value of type *admin.Place.
+func marshalAdminPlaceToPlaceResponseBody(v *admin.Place) *PlaceResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &PlaceResponseBody{
-		VM:            *v.VM,
+		VM:            v.VM,
 		FailureDomain: v.FailureDomain,
-		Number:        *v.Number,
-		InForce:       *v.InForce,
+		Number:        v.Number,
+		InForce:       v.InForce,
+	}
+	{
+		var zero string
+		if res.FailureDomain == zero {
+			res.FailureDomain = ""
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsObjectsViewToObjectsResponseBody builds a value of type
-// *ObjectsResponseBody from a value of type *adminviews.ObjectsView.
-func marshalAdminviewsObjectsViewToObjectsResponseBody(v *adminviews.ObjectsView) *ObjectsResponseBody {
+// marshalAdminAccountChangesToAccountChangesResponseBody builds a value of
+// type *AccountChangesResponseBody from a value of type *admin.AccountChanges.
+func marshalAdminAccountChangesToAccountChangesResponseBody(v *admin.AccountChanges) *AccountChangesResponseBody {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectsResponseBody{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*AccountResponseBody, len(v.Accounts))
-		for i, val := range v.Accounts {
-			if val == nil {
-				res.Accounts[i] = nil
-				continue
-			}
-			res.Accounts[i] = marshalAdminviewsAccountViewToAccountResponseBody(val)
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]*KeyResponseBody, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = marshalAdminviewsKeyViewToKeyResponseBody(val)
-		}
-	}
-	if v.Models != nil {
-		res.Models = make([]*ModelResponseBody, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = marshalAdminviewsModelViewToModelResponseBody(val)
-		}
-	}
-	if v.Routes != nil {
-		res.Routes = make([]*RouteResponseBody, len(v.Routes))
-		for i, val := range v.Routes {
+	res := &AccountChangesResponseBody{}
+	if v.Set != nil {
+		res.Set = make([]*AccountResponseBody, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = marshalAdminviewsRouteViewToRouteResponseBody(val)
+			res.Set[i] = marshalAdminAccountToAccountResponseBody(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*BackendServerResponseBody, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = marshalAdminviewsBackendServerViewToBackendServerResponseBody(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsAccountViewToAccountResponseBody builds a value of type
-// *AccountResponseBody from a value of type *adminviews.AccountView.
-func marshalAdminviewsAccountViewToAccountResponseBody(v *adminviews.AccountView) *AccountResponseBody {
+// marshalAdminAccountToAccountResponseBody builds a value of type
+// *AccountResponseBody from a value of type *admin.Account.
+func marshalAdminAccountToAccountResponseBody(v *admin.Account) *AccountResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &AccountResponseBody{
-		ID: *v.ID,
+		ID: v.ID,
 	}
 	if v.Contract != nil {
-		res.Contract = marshalAdminviewsContractViewToContractResponseBody(v.Contract)
+		res.Contract = marshalAdminContractToContractResponseBody(v.Contract)
 	}
 
 	return res
 }
 
-// marshalAdminviewsContractViewToContractResponseBody builds a value of type
-// *ContractResponseBody from a value of type *adminviews.ContractView.
-func marshalAdminviewsContractViewToContractResponseBody(v *adminviews.ContractView) *ContractResponseBody {
+// marshalAdminContractToContractResponseBody builds a value of type
+// *ContractResponseBody from a value of type *admin.Contract.
+func marshalAdminContractToContractResponseBody(v *admin.Contract) *ContractResponseBody {
 	res := &ContractResponseBody{
-		Rate:   *v.Rate,
-		Burst:  *v.Burst,
+		Rate:   v.Rate,
+		Burst:  v.Burst,
 		Weight: v.Weight,
 	}
+	{
+		var zero float64
+		if res.Weight == zero {
+			res.Weight = 0
+		}
+	}
 
 	return res
 }
 
-// marshalAdminviewsKeyViewToKeyResponseBody builds a value of type
-// *KeyResponseBody from a value of type *adminviews.KeyView.
-func marshalAdminviewsKeyViewToKeyResponseBody(v *adminviews.KeyView) *KeyResponseBody {
+// marshalAdminKeyChangesToKeyChangesResponseBody builds a value of type
+// *KeyChangesResponseBody from a value of type *admin.KeyChanges.
+func marshalAdminKeyChangesToKeyChangesResponseBody(v *admin.KeyChanges) *KeyChangesResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &KeyChangesResponseBody{}
+	if v.Set != nil {
+		res.Set = make([]*KeyResponseBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminKeyToKeyResponseBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
+
+	return res
+}
+
+// marshalAdminKeyToKeyResponseBody builds a value of type *KeyResponseBody
+// from a value of type *admin.Key.
+func marshalAdminKeyToKeyResponseBody(v *admin.Key) *KeyResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &KeyResponseBody{
-		ID:      *v.ID,
-		Account: *v.Account,
-		Hash:    *v.Hash,
+		ID:      v.ID,
+		Account: v.Account,
+		Hash:    v.Hash,
 	}
 
 	return res
 }
 
-// marshalAdminviewsModelViewToModelResponseBody builds a value of type
-// *ModelResponseBody from a value of type *adminviews.ModelView.
-func marshalAdminviewsModelViewToModelResponseBody(v *adminviews.ModelView) *ModelResponseBody {
+// marshalAdminModelChangesToModelChangesResponseBody builds a value of type
+// *ModelChangesResponseBody from a value of type *admin.ModelChanges.
+func marshalAdminModelChangesToModelChangesResponseBody(v *admin.ModelChanges) *ModelChangesResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &ModelChangesResponseBody{}
+	if v.Set != nil {
+		res.Set = make([]*ModelResponseBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminModelToModelResponseBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
+
+	return res
+}
+
+// marshalAdminModelToModelResponseBody builds a value of type
+// *ModelResponseBody from a value of type *admin.Model.
+func marshalAdminModelToModelResponseBody(v *admin.Model) *ModelResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &ModelResponseBody{
-		Name:           *v.Name,
-		WeightsVersion: *v.WeightsVersion,
+		Name:           v.Name,
+		WeightsVersion: v.WeightsVersion,
 		Replicas:       v.Replicas,
 	}
+	{
+		var zero int
+		if res.Replicas == zero {
+			res.Replicas = 0
+		}
+	}
+
+	return res
+}
+
+// marshalAdminRouteChangesToRouteChangesResponseBody builds a value of type
+// *RouteChangesResponseBody from a value of type *admin.RouteChanges.
+func marshalAdminRouteChangesToRouteChangesResponseBody(v *admin.RouteChanges) *RouteChangesResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &RouteChangesResponseBody{}
+	if v.Set != nil {
+		res.Set = make([]*RouteResponseBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminRouteToRouteResponseBody(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
+	}
 
 	return res
 }
 
-// marshalAdminviewsRouteViewToRouteResponseBody builds a value of type
-// *RouteResponseBody from a value of type *adminviews.RouteView.
-func marshalAdminviewsRouteViewToRouteResponseBody(v *adminviews.RouteView) *RouteResponseBody {
+// marshalAdminRouteToRouteResponseBody builds a value of type
+// *RouteResponseBody from a value of type *admin.Route.
+func marshalAdminRouteToRouteResponseBody(v *admin.Route) *RouteResponseBody {
 	if v == nil {
 		return nil
 	}
 	res := &RouteResponseBody{
-		ID:                    *v.ID,
-		PathPrefix:            *v.PathPrefix,
+		ID:                    v.ID,
+		PathPrefix:            v.PathPrefix,
 		Open:                  v.Open,
 		Idempotent:            v.Idempotent,
 		RequireIdempotencyKey: v.RequireIdempotencyKey,
@@ -914,53 +1145,80 @@
 	} else {
 		res.Servers = []string{}
 	}
+	{
+		var zero bool
+		if res.Open == zero {
+			res.Open = false
+		}
+	}
+	{
+		var zero bool
+		if res.Idempotent == zero {
+			res.Idempotent = false
+		}
+	}
+	{
+		var zero bool
+		if res.RequireIdempotencyKey == zero {
+			res.RequireIdempotencyKey = false
+		}
+	}
+	{
+		var zero string
+		if res.Class == zero {
+			res.Class = ""
+		}
+	}
+	{
+		var zero float64
+		if res.CostTokens == zero {
+			res.CostTokens = 0
+		}
+	}
 
 	return res
 }
 
-// marshalAdminviewsBackendServerViewToBackendServerResponseBody builds a value
-// of type *BackendServerResponseBody from a value of type
-// *adminviews.BackendServerView.
-func marshalAdminviewsBackendServerViewToBackendServerResponseBody(v *adminviews.BackendServerView) *BackendServerResponseBody {
+// marshalAdminServerChangesToServerChangesResponseBody builds a value of type
+// *ServerChangesResponseBody from a value of type *admin.ServerChanges.
+func marshalAdminServerChangesToServerChangesResponseBody(v *admin.ServerChanges) *ServerChangesResponseBody {
 	if v == nil {
 		return nil
 	}
-	res := &BackendServerResponseBody{
-		ID:            *v.ID,
-		Kind:          *v.Kind,
-		URL:           *v.URL,
-		FailureDomain: *v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &ServerChangesResponseBody{}
+	if v.Set != nil {
+		res.Set = make([]*BackendServerResponseBody, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminBackendServerToBackendServerResponseBody(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsObjectIDsViewToObjectIDsResponseBody builds a value of type
-// *ObjectIDsResponseBody from a value of type *adminviews.ObjectIDsView.
-func marshalAdminviewsObjectIDsViewToObjectIDsResponseBody(v *adminviews.ObjectIDsView) *ObjectIDsResponseBody {
+// marshalAdminBackendServerToBackendServerResponseBody builds a value of type
+// *BackendServerResponseBody from a value of type *admin.BackendServer.
+func marshalAdminBackendServerToBackendServerResponseBody(v *admin.BackendServer) *BackendServerResponseBody {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectIDsResponseBody{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	res := &BackendServerResponseBody{
+		ID:            v.ID,
+		Kind:          v.Kind,
+		URL:           v.URL,
+		FailureDomain: v.FailureDomain,
+		ChecksFencing: v.ChecksFencing,
+		Leaving:       v.Leaving,
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -968,33 +1226,40 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
+	{
+		var zero bool
+		if res.ChecksFencing == zero {
+			res.ChecksFencing = false
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
+	{
+		var zero bool
+		if res.Leaving == zero {
+			res.Leaving = false
 		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsTicketRecordViewToTicketRecordResponse builds a value of
-// type *TicketRecordResponse from a value of type *adminviews.TicketRecordView.
-func marshalAdminviewsTicketRecordViewToTicketRecordResponse(v *adminviews.TicketRecordView) *TicketRecordResponse {
+// marshalAdminTicketRecordToTicketRecordResponse builds a value of type
+// *TicketRecordResponse from a value of type *admin.TicketRecord.
+func marshalAdminTicketRecordToTicketRecordResponse(v *admin.TicketRecord) *TicketRecordResponse {
 	res := &TicketRecordResponse{
-		Number:            *v.Number,
-		ClientID:          *v.ClientID,
-		Operator:          *v.Operator,
-		Note:              v.Note,
-		Status:            *v.Status,
-		FiledAt:           *v.FiledAt,
+		Number:            v.Number,
+		ClientID:          v.ClientID,
+		Operator:          v.Operator,
+		Status:            v.Status,
+		FiledAt:           v.FiledAt,
+		FiledThrough:      v.FiledThrough,
 		InForceEverywhere: v.InForceEverywhere,
+		Comment:           v.Comment,
+	}
+	{
+		var zero string
+		if res.FiledThrough == zero {
+			res.FiledThrough = ""
+		}
 	}
 	if v.Problems != nil {
 		res.Problems = make([]*ProblemResponse, len(v.Problems))
@@ -1003,7 +1268,7 @@
 				res.Problems[i] = nil
 				continue
 			}
-			res.Problems[i] = marshalAdminviewsProblemViewToProblemResponse(val)
+			res.Problems[i] = marshalAdminProblemToProblemResponse(val)
 		}
 	}
 	if v.Places != nil {
@@ -1013,177 +1278,270 @@
 				res.Places[i] = nil
 				continue
 			}
-			res.Places[i] = marshalAdminviewsPlaceViewToPlaceResponse(val)
+			res.Places[i] = marshalAdminPlaceToPlaceResponse(val)
 		}
 	}
-	if v.Set != nil {
-		res.Set = marshalAdminviewsObjectsViewToObjectsResponse(v.Set)
+	{
+		var zero string
+		if res.Comment == zero {
+			res.Comment = ""
+		}
 	}
-	if v.Remove != nil {
-		res.Remove = marshalAdminviewsObjectIDsViewToObjectIDsResponse(v.Remove)
+	if v.Accounts != nil {
+		res.Accounts = marshalAdminAccountChangesToAccountChangesResponse(v.Accounts)
+	}
+	if v.Keys != nil {
+		res.Keys = marshalAdminKeyChangesToKeyChangesResponse(v.Keys)
+	}
+	if v.Models != nil {
+		res.Models = marshalAdminModelChangesToModelChangesResponse(v.Models)
+	}
+	if v.Routes != nil {
+		res.Routes = marshalAdminRouteChangesToRouteChangesResponse(v.Routes)
+	}
+	if v.Servers != nil {
+		res.Servers = marshalAdminServerChangesToServerChangesResponse(v.Servers)
 	}
 
 	return res
 }
 
-// marshalAdminviewsProblemViewToProblemResponse builds a value of type
-// *ProblemResponse from a value of type *adminviews.ProblemView.
-func marshalAdminviewsProblemViewToProblemResponse(v *adminviews.ProblemView) *ProblemResponse {
+// marshalAdminProblemToProblemResponse builds a value of type *ProblemResponse
+// from a value of type *admin.Problem.
+func marshalAdminProblemToProblemResponse(v *admin.Problem) *ProblemResponse {
 	if v == nil {
 		return nil
 	}
 	res := &ProblemResponse{
-		Object: *v.Object,
-		Reason: *v.Reason,
+		Object: v.Object,
+		Field:  v.Field,
+		Reason: v.Reason,
+	}
+	{
+		var zero string
+		if res.Object == zero {
+			res.Object = ""
+		}
+	}
+	{
+		var zero string
+		if res.Field == zero {
+			res.Field = ""
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsPlaceViewToPlaceResponse builds a value of type
-// *PlaceResponse from a value of type *adminviews.PlaceView.
-func marshalAdminviewsPlaceViewToPlaceResponse(v *adminviews.PlaceView) *PlaceResponse {
+// marshalAdminPlaceToPlaceResponse builds a value of type *PlaceResponse from
+// a value of type *admin.Place.
+func marshalAdminPlaceToPlaceResponse(v *admin.Place) *PlaceResponse {
 	if v == nil {
 		return nil
 	}
 	res := &PlaceResponse{
-		VM:            *v.VM,
+		VM:            v.VM,
 		FailureDomain: v.FailureDomain,
-		Number:        *v.Number,
-		InForce:       *v.InForce,
+		Number:        v.Number,
+		InForce:       v.InForce,
+	}
+	{
+		var zero string
+		if res.FailureDomain == zero {
+			res.FailureDomain = ""
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsObjectsViewToObjectsResponse builds a value of type
-// *ObjectsResponse from a value of type *adminviews.ObjectsView.
-func marshalAdminviewsObjectsViewToObjectsResponse(v *adminviews.ObjectsView) *ObjectsResponse {
+// marshalAdminAccountChangesToAccountChangesResponse builds a value of type
+// *AccountChangesResponse from a value of type *admin.AccountChanges.
+func marshalAdminAccountChangesToAccountChangesResponse(v *admin.AccountChanges) *AccountChangesResponse {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectsResponse{}
-	if v.Accounts != nil {
-		res.Accounts = make([]*AccountResponse, len(v.Accounts))
-		for i, val := range v.Accounts {
+	res := &AccountChangesResponse{}
+	if v.Set != nil {
+		res.Set = make([]*AccountResponse, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Accounts[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Accounts[i] = marshalAdminviewsAccountViewToAccountResponse(val)
+			res.Set[i] = marshalAdminAccountToAccountResponse(val)
 		}
 	}
-	if v.Keys != nil {
-		res.Keys = make([]*KeyResponse, len(v.Keys))
-		for i, val := range v.Keys {
-			if val == nil {
-				res.Keys[i] = nil
-				continue
-			}
-			res.Keys[i] = marshalAdminviewsKeyViewToKeyResponse(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
-	if v.Models != nil {
-		res.Models = make([]*ModelResponse, len(v.Models))
-		for i, val := range v.Models {
-			if val == nil {
-				res.Models[i] = nil
-				continue
-			}
-			res.Models[i] = marshalAdminviewsModelViewToModelResponse(val)
+
+	return res
+}
+
+// marshalAdminAccountToAccountResponse builds a value of type *AccountResponse
+// from a value of type *admin.Account.
+func marshalAdminAccountToAccountResponse(v *admin.Account) *AccountResponse {
+	if v == nil {
+		return nil
+	}
+	res := &AccountResponse{
+		ID: v.ID,
+	}
+	if v.Contract != nil {
+		res.Contract = marshalAdminContractToContractResponse(v.Contract)
+	}
+
+	return res
+}
+
+// marshalAdminContractToContractResponse builds a value of type
+// *ContractResponse from a value of type *admin.Contract.
+func marshalAdminContractToContractResponse(v *admin.Contract) *ContractResponse {
+	res := &ContractResponse{
+		Rate:   v.Rate,
+		Burst:  v.Burst,
+		Weight: v.Weight,
+	}
+	{
+		var zero float64
+		if res.Weight == zero {
+			res.Weight = 0
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]*RouteResponse, len(v.Routes))
-		for i, val := range v.Routes {
+
+	return res
+}
+
+// marshalAdminKeyChangesToKeyChangesResponse builds a value of type
+// *KeyChangesResponse from a value of type *admin.KeyChanges.
+func marshalAdminKeyChangesToKeyChangesResponse(v *admin.KeyChanges) *KeyChangesResponse {
+	if v == nil {
+		return nil
+	}
+	res := &KeyChangesResponse{}
+	if v.Set != nil {
+		res.Set = make([]*KeyResponse, len(v.Set))
+		for i, val := range v.Set {
 			if val == nil {
-				res.Routes[i] = nil
+				res.Set[i] = nil
 				continue
 			}
-			res.Routes[i] = marshalAdminviewsRouteViewToRouteResponse(val)
+			res.Set[i] = marshalAdminKeyToKeyResponse(val)
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]*BackendServerResponse, len(v.Servers))
-		for i, val := range v.Servers {
-			if val == nil {
-				res.Servers[i] = nil
-				continue
-			}
-			res.Servers[i] = marshalAdminviewsBackendServerViewToBackendServerResponse(val)
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsAccountViewToAccountResponse builds a value of type
-// *AccountResponse from a value of type *adminviews.AccountView.
-func marshalAdminviewsAccountViewToAccountResponse(v *adminviews.AccountView) *AccountResponse {
+// marshalAdminKeyToKeyResponse builds a value of type *KeyResponse from a
+// value of type *admin.Key.
+func marshalAdminKeyToKeyResponse(v *admin.Key) *KeyResponse {
 	if v == nil {
 		return nil
 	}
-	res := &AccountResponse{
-		ID: *v.ID,
-	}
-	if v.Contract != nil {
-		res.Contract = marshalAdminviewsContractViewToContractResponse(v.Contract)
+	res := &KeyResponse{
+		ID:      v.ID,
+		Account: v.Account,
+		Hash:    v.Hash,
 	}
 
 	return res
 }
 
-// marshalAdminviewsContractViewToContractResponse builds a value of type
-// *ContractResponse from a value of type *adminviews.ContractView.
-func marshalAdminviewsContractViewToContractResponse(v *adminviews.ContractView) *ContractResponse {
-	res := &ContractResponse{
-		Rate:   *v.Rate,
-		Burst:  *v.Burst,
-		Weight: v.Weight,
+// marshalAdminModelChangesToModelChangesResponse builds a value of type
+// *ModelChangesResponse from a value of type *admin.ModelChanges.
+func marshalAdminModelChangesToModelChangesResponse(v *admin.ModelChanges) *ModelChangesResponse {
+	if v == nil {
+		return nil
+	}
+	res := &ModelChangesResponse{}
+	if v.Set != nil {
+		res.Set = make([]*ModelResponse, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminModelToModelResponse(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsKeyViewToKeyResponse builds a value of type *KeyResponse
-// from a value of type *adminviews.KeyView.
-func marshalAdminviewsKeyViewToKeyResponse(v *adminviews.KeyView) *KeyResponse {
+// marshalAdminModelToModelResponse builds a value of type *ModelResponse from
+// a value of type *admin.Model.
+func marshalAdminModelToModelResponse(v *admin.Model) *ModelResponse {
 	if v == nil {
 		return nil
 	}
-	res := &KeyResponse{
-		ID:      *v.ID,
-		Account: *v.Account,
-		Hash:    *v.Hash,
+	res := &ModelResponse{
+		Name:           v.Name,
+		WeightsVersion: v.WeightsVersion,
+		Replicas:       v.Replicas,
+	}
+	{
+		var zero int
+		if res.Replicas == zero {
+			res.Replicas = 0
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsModelViewToModelResponse builds a value of type
-// *ModelResponse from a value of type *adminviews.ModelView.
-func marshalAdminviewsModelViewToModelResponse(v *adminviews.ModelView) *ModelResponse {
+// marshalAdminRouteChangesToRouteChangesResponse builds a value of type
+// *RouteChangesResponse from a value of type *admin.RouteChanges.
+func marshalAdminRouteChangesToRouteChangesResponse(v *admin.RouteChanges) *RouteChangesResponse {
 	if v == nil {
 		return nil
 	}
-	res := &ModelResponse{
-		Name:           *v.Name,
-		WeightsVersion: *v.WeightsVersion,
-		Replicas:       v.Replicas,
+	res := &RouteChangesResponse{}
+	if v.Set != nil {
+		res.Set = make([]*RouteResponse, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminRouteToRouteResponse(val)
+		}
+	}
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
+		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsRouteViewToRouteResponse builds a value of type
-// *RouteResponse from a value of type *adminviews.RouteView.
-func marshalAdminviewsRouteViewToRouteResponse(v *adminviews.RouteView) *RouteResponse {
+// marshalAdminRouteToRouteResponse builds a value of type *RouteResponse from
+// a value of type *admin.Route.
+func marshalAdminRouteToRouteResponse(v *admin.Route) *RouteResponse {
 	if v == nil {
 		return nil
 	}
 	res := &RouteResponse{
-		ID:                    *v.ID,
-		PathPrefix:            *v.PathPrefix,
+		ID:                    v.ID,
+		PathPrefix:            v.PathPrefix,
 		Open:                  v.Open,
 		Idempotent:            v.Idempotent,
 		RequireIdempotencyKey: v.RequireIdempotencyKey,
@@ -1198,53 +1556,80 @@
 	} else {
 		res.Servers = []string{}
 	}
+	{
+		var zero bool
+		if res.Open == zero {
+			res.Open = false
+		}
+	}
+	{
+		var zero bool
+		if res.Idempotent == zero {
+			res.Idempotent = false
+		}
+	}
+	{
+		var zero bool
+		if res.RequireIdempotencyKey == zero {
+			res.RequireIdempotencyKey = false
+		}
+	}
+	{
+		var zero string
+		if res.Class == zero {
+			res.Class = ""
+		}
+	}
+	{
+		var zero float64
+		if res.CostTokens == zero {
+			res.CostTokens = 0
+		}
+	}
 
 	return res
 }
 
-// marshalAdminviewsBackendServerViewToBackendServerResponse builds a value of
-// type *BackendServerResponse from a value of type
-// *adminviews.BackendServerView.
-func marshalAdminviewsBackendServerViewToBackendServerResponse(v *adminviews.BackendServerView) *BackendServerResponse {
+// marshalAdminServerChangesToServerChangesResponse builds a value of type
+// *ServerChangesResponse from a value of type *admin.ServerChanges.
+func marshalAdminServerChangesToServerChangesResponse(v *admin.ServerChanges) *ServerChangesResponse {
 	if v == nil {
 		return nil
 	}
-	res := &BackendServerResponse{
-		ID:            *v.ID,
-		Kind:          *v.Kind,
-		URL:           *v.URL,
-		FailureDomain: *v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
+	res := &ServerChangesResponse{}
+	if v.Set != nil {
+		res.Set = make([]*BackendServerResponse, len(v.Set))
+		for i, val := range v.Set {
+			if val == nil {
+				res.Set[i] = nil
+				continue
+			}
+			res.Set[i] = marshalAdminBackendServerToBackendServerResponse(val)
+		}
 	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
+	if v.Remove != nil {
+		res.Remove = make([]string, len(v.Remove))
+		for i, val := range v.Remove {
+			res.Remove[i] = val
 		}
 	}
 
 	return res
 }
 
-// marshalAdminviewsObjectIDsViewToObjectIDsResponse builds a value of type
-// *ObjectIDsResponse from a value of type *adminviews.ObjectIDsView.
-func marshalAdminviewsObjectIDsViewToObjectIDsResponse(v *adminviews.ObjectIDsView) *ObjectIDsResponse {
+// marshalAdminBackendServerToBackendServerResponse builds a value of type
+// *BackendServerResponse from a value of type *admin.BackendServer.
+func marshalAdminBackendServerToBackendServerResponse(v *admin.BackendServer) *BackendServerResponse {
 	if v == nil {
 		return nil
 	}
-	res := &ObjectIDsResponse{}
-	if v.Accounts != nil {
-		res.Accounts = make([]string, len(v.Accounts))
-		for i, val := range v.Accounts {
-			res.Accounts[i] = val
-		}
-	}
-	if v.Keys != nil {
-		res.Keys = make([]string, len(v.Keys))
-		for i, val := range v.Keys {
-			res.Keys[i] = val
-		}
+	res := &BackendServerResponse{
+		ID:            v.ID,
+		Kind:          v.Kind,
+		URL:           v.URL,
+		FailureDomain: v.FailureDomain,
+		ChecksFencing: v.ChecksFencing,
+		Leaving:       v.Leaving,
 	}
 	if v.Models != nil {
 		res.Models = make([]string, len(v.Models))
@@ -1252,16 +1637,16 @@
 			res.Models[i] = val
 		}
 	}
-	if v.Routes != nil {
-		res.Routes = make([]string, len(v.Routes))
-		for i, val := range v.Routes {
-			res.Routes[i] = val
+	{
+		var zero bool
+		if res.ChecksFencing == zero {
+			res.ChecksFencing = false
 		}
 	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
+	{
+		var zero bool
+		if res.Leaving == zero {
+			res.Leaving = false
 		}
 	}
 
@@ -1326,115 +1711,6 @@
 	return res
 }
 
-// marshalAdminAccountToAccountResponseBody builds a value of type
-// *AccountResponseBody from a value of type *admin.Account.
-func marshalAdminAccountToAccountResponseBody(v *admin.Account) *AccountResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &AccountResponseBody{
-		ID: v.ID,
-	}
-	if v.Contract != nil {
-		res.Contract = marshalAdminContractToContractResponseBody(v.Contract)
-	}
-
-	return res
-}
-
-// marshalAdminContractToContractResponseBody builds a value of type
-// *ContractResponseBody from a value of type *admin.Contract.
-func marshalAdminContractToContractResponseBody(v *admin.Contract) *ContractResponseBody {
-	res := &ContractResponseBody{
-		Rate:   v.Rate,
-		Burst:  v.Burst,
-		Weight: v.Weight,
-	}
-
-	return res
-}
-
-// marshalAdminKeyToKeyResponseBody builds a value of type *KeyResponseBody
-// from a value of type *admin.Key.
-func marshalAdminKeyToKeyResponseBody(v *admin.Key) *KeyResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &KeyResponseBody{
-		ID:      v.ID,
-		Account: v.Account,
-		Hash:    v.Hash,
-	}
-
-	return res
-}
-
-// marshalAdminModelToModelResponseBody builds a value of type
-// *ModelResponseBody from a value of type *admin.Model.
-func marshalAdminModelToModelResponseBody(v *admin.Model) *ModelResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &ModelResponseBody{
-		Name:           v.Name,
-		WeightsVersion: v.WeightsVersion,
-		Replicas:       v.Replicas,
-	}
-
-	return res
-}
-
-// marshalAdminRouteToRouteResponseBody builds a value of type
-// *RouteResponseBody from a value of type *admin.Route.
-func marshalAdminRouteToRouteResponseBody(v *admin.Route) *RouteResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &RouteResponseBody{
-		ID:                    v.ID,
-		PathPrefix:            v.PathPrefix,
-		Open:                  v.Open,
-		Idempotent:            v.Idempotent,
-		RequireIdempotencyKey: v.RequireIdempotencyKey,
-		Class:                 v.Class,
-		CostTokens:            v.CostTokens,
-	}
-	if v.Servers != nil {
-		res.Servers = make([]string, len(v.Servers))
-		for i, val := range v.Servers {
-			res.Servers[i] = val
-		}
-	} else {
-		res.Servers = []string{}
-	}
-
-	return res
-}
-
-// marshalAdminBackendServerToBackendServerResponseBody builds a value of type
-// *BackendServerResponseBody from a value of type *admin.BackendServer.
-func marshalAdminBackendServerToBackendServerResponseBody(v *admin.BackendServer) *BackendServerResponseBody {
-	if v == nil {
-		return nil
-	}
-	res := &BackendServerResponseBody{
-		ID:            v.ID,
-		Kind:          v.Kind,
-		URL:           v.URL,
-		FailureDomain: v.FailureDomain,
-		ChecksFencing: v.ChecksFencing,
-		Leaving:       v.Leaving,
-	}
-	if v.Models != nil {
-		res.Models = make([]string, len(v.Models))
-		for i, val := range v.Models {
-			res.Models[i] = val
-		}
-	}
-
-	return res
-}
-
 // marshalAdminVMToVMResponseBody builds a value of type *VMResponseBody from a
 // value of type *admin.VM.
 func marshalAdminVMToVMResponseBody(v *admin.VM) *VMResponseBody {
--- a/gen/http/admin/server/paths.go
+++ b/gen/http/admin/server/paths.go
@@ -17,8 +17,8 @@
 }
 
 // ShowTicketAdminPath returns the URL path to the admin service show_ticket HTTP endpoint.
-func ShowTicketAdminPath(clientID string) string {
-	return fmt.Sprintf("/admin/v1/tickets/%v", clientID)
+func ShowTicketAdminPath(number uint64) string {
+	return fmt.Sprintf("/admin/v1/tickets/%v", number)
 }
 
 // ListTicketsAdminPath returns the URL path to the admin service list_tickets HTTP endpoint.
--- a/gen/http/admin/server/server.go
+++ b/gen/http/admin/server/server.go
@@ -54,7 +54,7 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"FileTicket", "POST", "/admin/v1/tickets"},
-			{"ShowTicket", "GET", "/admin/v1/tickets/{client_id}"},
+			{"ShowTicket", "GET", "/admin/v1/tickets/{number}"},
 			{"ListTickets", "GET", "/admin/v1/tickets"},
 			{"ShowState", "GET", "/admin/v1/state"},
 			{"Drain", "POST", "/admin/v1/drain"},
@@ -158,7 +158,7 @@
 			h.ServeHTTP(w, r)
 		}
 	}
-	mux.Handle("GET", "/admin/v1/tickets/{client_id}", f)
+	mux.Handle("GET", "/admin/v1/tickets/{number}", f)
 }
 
 // NewShowTicketHandler creates a HTTP handler which loads the HTTP request and
--- a/gen/http/admin/server/types.go
+++ b/gen/http/admin/server/types.go
@@ -10,60 +10,75 @@
 import (
 	goa "goa.design/goa/v3/pkg"
 	admin "papayaspan.dev/papayaspan/gen/admin"
-	adminviews "papayaspan.dev/papayaspan/gen/admin/views"
 )
 
 // FileTicketRequestBody is the type of the "admin" service "file_ticket"
 // endpoint HTTP request body.
 type FileTicketRequestBody struct {
 	// The operator's own id of the ticket.
-	ClientID *string               `form:"client_id,omitempty" json:"client_id,omitempty" xml:"client_id,omitempty"`
-	Note     *string               `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
-	Set      *ObjectsRequestBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove   *ObjectIDsRequestBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	ClientID *string `form:"client_id,omitempty" json:"client_id,omitempty" xml:"client_id,omitempty"`
+	// Why; kept in the history.
+	Comment  *string                    `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
+	Accounts *AccountChangesRequestBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesRequestBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesRequestBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesRequestBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesRequestBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // FileTicketResponseBody is the type of the "admin" service "file_ticket"
 // endpoint HTTP response body.
 type FileTicketResponseBody struct {
-	// Ticket number; 0 if refused.
-	Number   uint64  `form:"number" json:"number" xml:"number"`
-	ClientID string  `form:"client_id" json:"client_id" xml:"client_id"`
-	Operator string  `form:"operator" json:"operator" xml:"operator"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
+	// Ticket number; 0 if refused before it was numbered.
+	Number   uint64 `form:"number" json:"number" xml:"number"`
+	ClientID string `form:"client_id" json:"client_id" xml:"client_id"`
+	Operator string `form:"operator" json:"operator" xml:"operator"`
 	// accepted or refused.
 	Status string `form:"status" json:"status" xml:"status"`
 	// RFC 3339.
-	FiledAt           string                 `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	FiledAt string `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	// VM whose router filed the ticket.
+	FiledThrough      string                 `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
-	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
+	InForceEverywhere bool                   `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
 	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponseBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponseBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  string                      `form:"comment" json:"comment" xml:"comment"`
+	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponseBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponseBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponseBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponseBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // ShowTicketResponseBody is the type of the "admin" service "show_ticket"
 // endpoint HTTP response body.
 type ShowTicketResponseBody struct {
-	// Ticket number; 0 if refused.
-	Number   uint64  `form:"number" json:"number" xml:"number"`
-	ClientID string  `form:"client_id" json:"client_id" xml:"client_id"`
-	Operator string  `form:"operator" json:"operator" xml:"operator"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
+	// Ticket number; 0 if refused before it was numbered.
+	Number   uint64 `form:"number" json:"number" xml:"number"`
+	ClientID string `form:"client_id" json:"client_id" xml:"client_id"`
+	Operator string `form:"operator" json:"operator" xml:"operator"`
 	// accepted or refused.
 	Status string `form:"status" json:"status" xml:"status"`
 	// RFC 3339.
-	FiledAt           string                 `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	FiledAt string `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	// VM whose router filed the ticket.
+	FiledThrough      string                 `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
-	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
+	InForceEverywhere bool                   `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
 	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponseBody   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponseBody `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  string                      `form:"comment" json:"comment" xml:"comment"`
+	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponseBody     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponseBody   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponseBody   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponseBody  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
-// TicketRecordResponseCollection is the type of the "admin" service
-// "list_tickets" endpoint HTTP response body.
-type TicketRecordResponseCollection []*TicketRecordResponse
+// ListTicketsResponseBody is the type of the "admin" service "list_tickets"
+// endpoint HTTP response body.
+type ListTicketsResponseBody []*TicketRecordResponse
 
 // ShowStateResponseBody is the type of the "admin" service "show_state"
 // endpoint HTTP response body.
@@ -106,6 +121,17 @@
 	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// FileTicketConflictResponseBody is the type of the "admin" service
+// "file_ticket" endpoint HTTP response body for the "conflict" error.
+type FileTicketConflictResponseBody struct {
+	// Error name.
+	Name    string `form:"name" json:"name" xml:"name"`
+	Message string `form:"message" json:"message" xml:"message"`
+	// not_run, may_have_run or ran.
+	Verdict           string `form:"verdict" json:"verdict" xml:"verdict"`
+	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ShowTicketUnauthorizedResponseBody is the type of the "admin" service
 // "show_ticket" endpoint HTTP response body for the "unauthorized" error.
 type ShowTicketUnauthorizedResponseBody struct {
@@ -139,6 +165,17 @@
 	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ShowTicketConflictResponseBody is the type of the "admin" service
+// "show_ticket" endpoint HTTP response body for the "conflict" error.
+type ShowTicketConflictResponseBody struct {
+	// Error name.
+	Name    string `form:"name" json:"name" xml:"name"`
+	Message string `form:"message" json:"message" xml:"message"`
+	// not_run, may_have_run or ran.
+	Verdict           string `form:"verdict" json:"verdict" xml:"verdict"`
+	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ListTicketsUnauthorizedResponseBody is the type of the "admin" service
 // "list_tickets" endpoint HTTP response body for the "unauthorized" error.
 type ListTicketsUnauthorizedResponseBody struct {
@@ -172,6 +209,17 @@
 	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ListTicketsConflictResponseBody is the type of the "admin" service
+// "list_tickets" endpoint HTTP response body for the "conflict" error.
+type ListTicketsConflictResponseBody struct {
+	// Error name.
+	Name    string `form:"name" json:"name" xml:"name"`
+	Message string `form:"message" json:"message" xml:"message"`
+	// not_run, may_have_run or ran.
+	Verdict           string `form:"verdict" json:"verdict" xml:"verdict"`
+	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ShowStateUnauthorizedResponseBody is the type of the "admin" service
 // "show_state" endpoint HTTP response body for the "unauthorized" error.
 type ShowStateUnauthorizedResponseBody struct {
@@ -205,6 +253,17 @@
 	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// ShowStateConflictResponseBody is the type of the "admin" service
+// "show_state" endpoint HTTP response body for the "conflict" error.
+type ShowStateConflictResponseBody struct {
+	// Error name.
+	Name    string `form:"name" json:"name" xml:"name"`
+	Message string `form:"message" json:"message" xml:"message"`
+	// not_run, may_have_run or ran.
+	Verdict           string `form:"verdict" json:"verdict" xml:"verdict"`
+	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // DrainUnauthorizedResponseBody is the type of the "admin" service "drain"
 // endpoint HTTP response body for the "unauthorized" error.
 type DrainUnauthorizedResponseBody struct {
@@ -238,29 +297,39 @@
 	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
 }
 
+// DrainConflictResponseBody is the type of the "admin" service "drain"
+// endpoint HTTP response body for the "conflict" error.
+type DrainConflictResponseBody struct {
+	// Error name.
+	Name    string `form:"name" json:"name" xml:"name"`
+	Message string `form:"message" json:"message" xml:"message"`
+	// not_run, may_have_run or ran.
+	Verdict           string `form:"verdict" json:"verdict" xml:"verdict"`
+	RetryAfterSeconds *int   `form:"retry_after_seconds,omitempty" json:"retry_after_seconds,omitempty" xml:"retry_after_seconds,omitempty"`
+}
+
 // ProblemResponseBody is used to define fields on response body types.
 type ProblemResponseBody struct {
-	// Kind and id of the object.
+	// Kind and id of the object; empty for the ticket.
 	Object string `form:"object" json:"object" xml:"object"`
+	// Name of the field, if the reason concerns one.
+	Field  string `form:"field" json:"field" xml:"field"`
 	Reason string `form:"reason" json:"reason" xml:"reason"`
 }
 
 // PlaceResponseBody is used to define fields on response body types.
 type PlaceResponseBody struct {
-	VM            string  `form:"vm" json:"vm" xml:"vm"`
-	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	VM            string `form:"vm" json:"vm" xml:"vm"`
+	FailureDomain string `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
 	// Last ticket in force on the VM.
 	Number  uint64 `form:"number" json:"number" xml:"number"`
 	InForce bool   `form:"in_force" json:"in_force" xml:"in_force"`
 }
 
-// ObjectsResponseBody is used to define fields on response body types.
-type ObjectsResponseBody struct {
-	Accounts []*AccountResponseBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyResponseBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelResponseBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteResponseBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerResponseBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// AccountChangesResponseBody is used to define fields on response body types.
+type AccountChangesResponseBody struct {
+	Set    []*AccountResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string               `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountResponseBody is used to define fields on response body types.
@@ -277,7 +346,13 @@
 	// Capacity of the token bucket in tokens.
 	Burst float64 `form:"burst" json:"burst" xml:"burst"`
 	// Share under contention; 0 means 1.
-	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
+	Weight float64 `form:"weight" json:"weight" xml:"weight"`
+}
+
+// KeyChangesResponseBody is used to define fields on response body types.
+type KeyChangesResponseBody struct {
+	Set    []*KeyResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string           `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // KeyResponseBody is used to define fields on response body types.
@@ -290,13 +365,25 @@
 	Hash string `form:"hash" json:"hash" xml:"hash"`
 }
 
+// ModelChangesResponseBody is used to define fields on response body types.
+type ModelChangesResponseBody struct {
+	Set    []*ModelResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string             `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelResponseBody is used to define fields on response body types.
 type ModelResponseBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
 	// Version that engines must run.
 	WeightsVersion string `form:"weights_version" json:"weights_version" xml:"weights_version"`
 	// Least number of engines to hold the model.
-	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
+	Replicas int `form:"replicas" json:"replicas" xml:"replicas"`
+}
+
+// RouteChangesResponseBody is used to define fields on response body types.
+type RouteChangesResponseBody struct {
+	Set    []*RouteResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string             `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // RouteResponseBody is used to define fields on response body types.
@@ -306,15 +393,21 @@
 	// Ids of backend servers.
 	Servers []string `form:"servers" json:"servers" xml:"servers"`
 	// Needs no key.
-	Open *bool `form:"open,omitempty" json:"open,omitempty" xml:"open,omitempty"`
+	Open bool `form:"open" json:"open" xml:"open"`
 	// May be retried after it may have run.
-	Idempotent *bool `form:"idempotent,omitempty" json:"idempotent,omitempty" xml:"idempotent,omitempty"`
+	Idempotent bool `form:"idempotent" json:"idempotent" xml:"idempotent"`
 	// Refuse calls without an Idempotency-Key.
-	RequireIdempotencyKey *bool `form:"require_idempotency_key,omitempty" json:"require_idempotency_key,omitempty" xml:"require_idempotency_key,omitempty"`
+	RequireIdempotencyKey bool `form:"require_idempotency_key" json:"require_idempotency_key" xml:"require_idempotency_key"`
 	// lookup, booking, interactive or review.
-	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
+	Class string `form:"class" json:"class" xml:"class"`
 	// Cost of one call against the account's rate.
-	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
+	CostTokens float64 `form:"cost_tokens" json:"cost_tokens" xml:"cost_tokens"`
+}
+
+// ServerChangesResponseBody is used to define fields on response body types.
+type ServerChangesResponseBody struct {
+	Set    []*BackendServerResponseBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                     `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // BackendServerResponseBody is used to define fields on response body types.
@@ -327,61 +420,57 @@
 	// Models that an engine serves.
 	Models []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
 	// Refuses orders with an old fencing number.
-	ChecksFencing *bool `form:"checks_fencing,omitempty" json:"checks_fencing,omitempty" xml:"checks_fencing,omitempty"`
+	ChecksFencing bool `form:"checks_fencing" json:"checks_fencing" xml:"checks_fencing"`
 	// Must get no new work.
-	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
-}
-
-// ObjectIDsResponseBody is used to define fields on response body types.
-type ObjectIDsResponseBody struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+	Leaving bool `form:"leaving" json:"leaving" xml:"leaving"`
 }
 
 // TicketRecordResponse is used to define fields on response body types.
 type TicketRecordResponse struct {
-	// Ticket number; 0 if refused.
-	Number   uint64  `form:"number" json:"number" xml:"number"`
-	ClientID string  `form:"client_id" json:"client_id" xml:"client_id"`
-	Operator string  `form:"operator" json:"operator" xml:"operator"`
-	Note     *string `form:"note,omitempty" json:"note,omitempty" xml:"note,omitempty"`
+	// Ticket number; 0 if refused before it was numbered.
+	Number   uint64 `form:"number" json:"number" xml:"number"`
+	ClientID string `form:"client_id" json:"client_id" xml:"client_id"`
+	Operator string `form:"operator" json:"operator" xml:"operator"`
 	// accepted or refused.
 	Status string `form:"status" json:"status" xml:"status"`
 	// RFC 3339.
-	FiledAt           string             `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	FiledAt string `form:"filed_at" json:"filed_at" xml:"filed_at"`
+	// VM whose router filed the ticket.
+	FiledThrough      string             `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponse `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
-	InForceEverywhere *bool              `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
+	InForceEverywhere bool               `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
 	Places            []*PlaceResponse   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
-	Set               *ObjectsResponse   `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
-	Remove            *ObjectIDsResponse `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+	// Why; kept in the history.
+	Comment  string                  `form:"comment" json:"comment" xml:"comment"`
+	Accounts *AccountChangesResponse `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     *KeyChangesResponse     `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   *ModelChangesResponse   `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   *RouteChangesResponse   `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  *ServerChangesResponse  `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // ProblemResponse is used to define fields on response body types.
 type ProblemResponse struct {
-	// Kind and id of the object.
+	// Kind and id of the object; empty for the ticket.
 	Object string `form:"object" json:"object" xml:"object"`
+	// Name of the field, if the reason concerns one.
+	Field  string `form:"field" json:"field" xml:"field"`
 	Reason string `form:"reason" json:"reason" xml:"reason"`
 }
 
 // PlaceResponse is used to define fields on response body types.
 type PlaceResponse struct {
-	VM            string  `form:"vm" json:"vm" xml:"vm"`
-	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	VM            string `form:"vm" json:"vm" xml:"vm"`
+	FailureDomain string `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
 	// Last ticket in force on the VM.
 	Number  uint64 `form:"number" json:"number" xml:"number"`
 	InForce bool   `form:"in_force" json:"in_force" xml:"in_force"`
 }
 
-// ObjectsResponse is used to define fields on response body types.
-type ObjectsResponse struct {
-	Accounts []*AccountResponse       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyResponse           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelResponse         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteResponse         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerResponse `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// AccountChangesResponse is used to define fields on response body types.
+type AccountChangesResponse struct {
+	Set    []*AccountResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string           `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountResponse is used to define fields on response body types.
@@ -398,7 +487,13 @@
 	// Capacity of the token bucket in tokens.
 	Burst float64 `form:"burst" json:"burst" xml:"burst"`
 	// Share under contention; 0 means 1.
-	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
+	Weight float64 `form:"weight" json:"weight" xml:"weight"`
+}
+
+// KeyChangesResponse is used to define fields on response body types.
+type KeyChangesResponse struct {
+	Set    []*KeyResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string       `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // KeyResponse is used to define fields on response body types.
@@ -411,13 +506,25 @@
 	Hash string `form:"hash" json:"hash" xml:"hash"`
 }
 
+// ModelChangesResponse is used to define fields on response body types.
+type ModelChangesResponse struct {
+	Set    []*ModelResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string         `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelResponse is used to define fields on response body types.
 type ModelResponse struct {
 	Name string `form:"name" json:"name" xml:"name"`
 	// Version that engines must run.
 	WeightsVersion string `form:"weights_version" json:"weights_version" xml:"weights_version"`
 	// Least number of engines to hold the model.
-	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
+	Replicas int `form:"replicas" json:"replicas" xml:"replicas"`
+}
+
+// RouteChangesResponse is used to define fields on response body types.
+type RouteChangesResponse struct {
+	Set    []*RouteResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string         `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // RouteResponse is used to define fields on response body types.
@@ -427,15 +534,21 @@
 	// Ids of backend servers.
 	Servers []string `form:"servers" json:"servers" xml:"servers"`
 	// Needs no key.
-	Open *bool `form:"open,omitempty" json:"open,omitempty" xml:"open,omitempty"`
+	Open bool `form:"open" json:"open" xml:"open"`
 	// May be retried after it may have run.
-	Idempotent *bool `form:"idempotent,omitempty" json:"idempotent,omitempty" xml:"idempotent,omitempty"`
+	Idempotent bool `form:"idempotent" json:"idempotent" xml:"idempotent"`
 	// Refuse calls without an Idempotency-Key.
-	RequireIdempotencyKey *bool `form:"require_idempotency_key,omitempty" json:"require_idempotency_key,omitempty" xml:"require_idempotency_key,omitempty"`
+	RequireIdempotencyKey bool `form:"require_idempotency_key" json:"require_idempotency_key" xml:"require_idempotency_key"`
 	// lookup, booking, interactive or review.
-	Class *string `form:"class,omitempty" json:"class,omitempty" xml:"class,omitempty"`
+	Class string `form:"class" json:"class" xml:"class"`
 	// Cost of one call against the account's rate.
-	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
+	CostTokens float64 `form:"cost_tokens" json:"cost_tokens" xml:"cost_tokens"`
+}
+
+// ServerChangesResponse is used to define fields on response body types.
+type ServerChangesResponse struct {
+	Set    []*BackendServerResponse `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                 `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // BackendServerResponse is used to define fields on response body types.
@@ -448,18 +561,18 @@
 	// Models that an engine serves.
 	Models []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
 	// Refuses orders with an old fencing number.
-	ChecksFencing *bool `form:"checks_fencing,omitempty" json:"checks_fencing,omitempty" xml:"checks_fencing,omitempty"`
+	ChecksFencing bool `form:"checks_fencing" json:"checks_fencing" xml:"checks_fencing"`
 	// Must get no new work.
-	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
+	Leaving bool `form:"leaving" json:"leaving" xml:"leaving"`
 }
 
-// ObjectIDsResponse is used to define fields on response body types.
-type ObjectIDsResponse struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// ObjectsResponseBody is used to define fields on response body types.
+type ObjectsResponseBody struct {
+	Accounts []*AccountResponseBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
+	Keys     []*KeyResponseBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+	Models   []*ModelResponseBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Routes   []*RouteResponseBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
+	Servers  []*BackendServerResponseBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
 }
 
 // VMResponseBody is used to define fields on response body types.
@@ -472,13 +585,10 @@
 	Leaving bool   `form:"leaving" json:"leaving" xml:"leaving"`
 }
 
-// ObjectsRequestBody is used to define fields on request body types.
-type ObjectsRequestBody struct {
-	Accounts []*AccountRequestBody       `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []*KeyRequestBody           `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []*ModelRequestBody         `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []*RouteRequestBody         `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []*BackendServerRequestBody `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
+// AccountChangesRequestBody is used to define fields on request body types.
+type AccountChangesRequestBody struct {
+	Set    []*AccountRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string              `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
 }
 
 // AccountRequestBody is used to define fields on request body types.
@@ -498,6 +608,12 @@
 	Weight *float64 `form:"weight,omitempty" json:"weight,omitempty" xml:"weight,omitempty"`
 }
 
+// KeyChangesRequestBody is used to define fields on request body types.
+type KeyChangesRequestBody struct {
+	Set    []*KeyRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string          `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // KeyRequestBody is used to define fields on request body types.
 type KeyRequestBody struct {
 	// Key id; not the secret.
@@ -508,6 +624,12 @@
 	Hash *string `form:"hash,omitempty" json:"hash,omitempty" xml:"hash,omitempty"`
 }
 
+// ModelChangesRequestBody is used to define fields on request body types.
+type ModelChangesRequestBody struct {
+	Set    []*ModelRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string            `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // ModelRequestBody is used to define fields on request body types.
 type ModelRequestBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -517,6 +639,12 @@
 	Replicas *int `form:"replicas,omitempty" json:"replicas,omitempty" xml:"replicas,omitempty"`
 }
 
+// RouteChangesRequestBody is used to define fields on request body types.
+type RouteChangesRequestBody struct {
+	Set    []*RouteRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string            `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // RouteRequestBody is used to define fields on request body types.
 type RouteRequestBody struct {
 	ID         *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -535,6 +663,12 @@
 	CostTokens *float64 `form:"cost_tokens,omitempty" json:"cost_tokens,omitempty" xml:"cost_tokens,omitempty"`
 }
 
+// ServerChangesRequestBody is used to define fields on request body types.
+type ServerChangesRequestBody struct {
+	Set    []*BackendServerRequestBody `form:"set,omitempty" json:"set,omitempty" xml:"set,omitempty"`
+	Remove []string                    `form:"remove,omitempty" json:"remove,omitempty" xml:"remove,omitempty"`
+}
+
 // BackendServerRequestBody is used to define fields on request body types.
 type BackendServerRequestBody struct {
 	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -550,26 +684,24 @@
 	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
 }
 
-// ObjectIDsRequestBody is used to define fields on request body types.
-type ObjectIDsRequestBody struct {
-	Accounts []string `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
-	Keys     []string `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Routes   []string `form:"routes,omitempty" json:"routes,omitempty" xml:"routes,omitempty"`
-	Servers  []string `form:"servers,omitempty" json:"servers,omitempty" xml:"servers,omitempty"`
-}
-
 // NewFileTicketResponseBody builds the HTTP response body from the result of
 // the "file_ticket" endpoint of the "admin" service.
-func NewFileTicketResponseBody(res *adminviews.TicketRecordView) *FileTicketResponseBody {
+func NewFileTicketResponseBody(res *admin.TicketRecord) *FileTicketResponseBody {
 	body := &FileTicketResponseBody{
-		Number:            *res.Number,
-		ClientID:          *res.ClientID,
-		Operator:          *res.Operator,
-		Note:              res.Note,
-		Status:            *res.Status,
-		FiledAt:           *res.FiledAt,
+		Number:            res.Number,
+		ClientID:          res.ClientID,
+		Operator:          res.Operator,
+		Status:            res.Status,
+		FiledAt:           res.FiledAt,
+		FiledThrough:      res.FiledThrough,
 		InForceEverywhere: res.InForceEverywhere,
+		Comment:           res.Comment,
+	}
+	{
+		var zero string
+		if body.FiledThrough == zero {
+			body.FiledThrough = ""
+		}
 	}
 	if res.Problems != nil {
 		body.Problems = make([]*ProblemResponseBody, len(res.Problems))
@@ -578,7 +710,7 @@
 				body.Problems[i] = nil
 				continue
 			}
-			body.Problems[i] = marshalAdminviewsProblemViewToProblemResponseBody(val)
+			body.Problems[i] = marshalAdminProblemToProblemResponseBody(val)
 		}
 	}
 	if res.Places != nil {
@@ -588,29 +720,51 @@
 				body.Places[i] = nil
 				continue
 			}
-			body.Places[i] = marshalAdminviewsPlaceViewToPlaceResponseBody(val)
+			body.Places[i] = marshalAdminPlaceToPlaceResponseBody(val)
 		}
 	}
-	if res.Set != nil {
-		body.Set = marshalAdminviewsObjectsViewToObjectsResponseBody(res.Set)
+	{
+		var zero string
+		if body.Comment == zero {
+			body.Comment = ""
+		}
+	}
+	if res.Accounts != nil {
+		body.Accounts = marshalAdminAccountChangesToAccountChangesResponseBody(res.Accounts)
+	}
+	if res.Keys != nil {
+		body.Keys = marshalAdminKeyChangesToKeyChangesResponseBody(res.Keys)
 	}
-	if res.Remove != nil {
-		body.Remove = marshalAdminviewsObjectIDsViewToObjectIDsResponseBody(res.Remove)
+	if res.Models != nil {
+		body.Models = marshalAdminModelChangesToModelChangesResponseBody(res.Models)
+	}
+	if res.Routes != nil {
+		body.Routes = marshalAdminRouteChangesToRouteChangesResponseBody(res.Routes)
+	}
+	if res.Servers != nil {
+		body.Servers = marshalAdminServerChangesToServerChangesResponseBody(res.Servers)
 	}
 	return body
 }
 
 // NewShowTicketResponseBody builds the HTTP response body from the result of
 // the "show_ticket" endpoint of the "admin" service.
-func NewShowTicketResponseBody(res *adminviews.TicketRecordView) *ShowTicketResponseBody {
+func NewShowTicketResponseBody(res *admin.TicketRecord) *ShowTicketResponseBody {
 	body := &ShowTicketResponseBody{
-		Number:            *res.Number,
-		ClientID:          *res.ClientID,
-		Operator:          *res.Operator,
-		Note:              res.Note,
-		Status:            *res.Status,
-		FiledAt:           *res.FiledAt,
+		Number:            res.Number,
+		ClientID:          res.ClientID,
+		Operator:          res.Operator,
+		Status:            res.Status,
+		FiledAt:           res.FiledAt,
+		FiledThrough:      res.FiledThrough,
 		InForceEverywhere: res.InForceEverywhere,
+		Comment:           res.Comment,
+	}
+	{
+		var zero string
+		if body.FiledThrough == zero {
+			body.FiledThrough = ""
+		}
 	}
 	if res.Problems != nil {
 		body.Problems = make([]*ProblemResponseBody, len(res.Problems))
@@ -619,7 +773,7 @@
 				body.Problems[i] = nil
 				continue
 			}
-			body.Problems[i] = marshalAdminviewsProblemViewToProblemResponseBody(val)
+			body.Problems[i] = marshalAdminProblemToProblemResponseBody(val)
 		}
 	}
 	if res.Places != nil {
@@ -629,28 +783,43 @@
 				body.Places[i] = nil
 				continue
 			}
-			body.Places[i] = marshalAdminviewsPlaceViewToPlaceResponseBody(val)
+			body.Places[i] = marshalAdminPlaceToPlaceResponseBody(val)
 		}
 	}
-	if res.Set != nil {
-		body.Set = marshalAdminviewsObjectsViewToObjectsResponseBody(res.Set)
+	{
+		var zero string
+		if body.Comment == zero {
+			body.Comment = ""
+		}
+	}
+	if res.Accounts != nil {
+		body.Accounts = marshalAdminAccountChangesToAccountChangesResponseBody(res.Accounts)
+	}
+	if res.Keys != nil {
+		body.Keys = marshalAdminKeyChangesToKeyChangesResponseBody(res.Keys)
 	}
-	if res.Remove != nil {
-		body.Remove = marshalAdminviewsObjectIDsViewToObjectIDsResponseBody(res.Remove)
+	if res.Models != nil {
+		body.Models = marshalAdminModelChangesToModelChangesResponseBody(res.Models)
+	}
+	if res.Routes != nil {
+		body.Routes = marshalAdminRouteChangesToRouteChangesResponseBody(res.Routes)
+	}
+	if res.Servers != nil {
+		body.Servers = marshalAdminServerChangesToServerChangesResponseBody(res.Servers)
 	}
 	return body
 }
 
-// NewTicketRecordResponseCollection builds the HTTP response body from the
-// result of the "list_tickets" endpoint of the "admin" service.
-func NewTicketRecordResponseCollection(res adminviews.TicketRecordCollectionView) TicketRecordResponseCollection {
+// NewListTicketsResponseBody builds the HTTP response body from the result of
+// the "list_tickets" endpoint of the "admin" service.
+func NewListTicketsResponseBody(res []*admin.TicketRecord) ListTicketsResponseBody {
 	body := make([]*TicketRecordResponse, len(res))
 	for i, val := range res {
 		if val == nil {
 			body[i] = nil
 			continue
 		}
-		body[i] = marshalAdminviewsTicketRecordViewToTicketRecordResponse(val)
+		body[i] = marshalAdminTicketRecordToTicketRecordResponse(val)
 	}
 	return body
 }
@@ -715,6 +884,18 @@
 	return body
 }
 
+// NewFileTicketConflictResponseBody builds the HTTP response body from the
+// result of the "file_ticket" endpoint of the "admin" service.
+func NewFileTicketConflictResponseBody(res *admin.Failure) *FileTicketConflictResponseBody {
+	body := &FileTicketConflictResponseBody{
+		Name:              res.Name,
+		Message:           res.Message,
+		Verdict:           res.Verdict,
+		RetryAfterSeconds: res.RetryAfterSeconds,
+	}
+	return body
+}
+
 // NewShowTicketUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "show_ticket" endpoint of the "admin" service.
 func NewShowTicketUnauthorizedResponseBody(res *admin.Failure) *ShowTicketUnauthorizedResponseBody {
@@ -751,6 +932,18 @@
 	return body
 }
 
+// NewShowTicketConflictResponseBody builds the HTTP response body from the
+// result of the "show_ticket" endpoint of the "admin" service.
+func NewShowTicketConflictResponseBody(res *admin.Failure) *ShowTicketConflictResponseBody {
+	body := &ShowTicketConflictResponseBody{
+		Name:              res.Name,
+		Message:           res.Message,
+		Verdict:           res.Verdict,
+		RetryAfterSeconds: res.RetryAfterSeconds,
+	}
+	return body
+}
+
 // NewListTicketsUnauthorizedResponseBody builds the HTTP response body from
 // the result of the "list_tickets" endpoint of the "admin" service.
 func NewListTicketsUnauthorizedResponseBody(res *admin.Failure) *ListTicketsUnauthorizedResponseBody {
@@ -787,6 +980,18 @@
 	return body
 }
 
+// NewListTicketsConflictResponseBody builds the HTTP response body from the
+// result of the "list_tickets" endpoint of the "admin" service.
+func NewListTicketsConflictResponseBody(res *admin.Failure) *ListTicketsConflictResponseBody {
+	body := &ListTicketsConflictResponseBody{
+		Name:              res.Name,
+		Message:           res.Message,
+		Verdict:           res.Verdict,
+		RetryAfterSeconds: res.RetryAfterSeconds,
+	}
+	return body
+}
+
 // NewShowStateUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "show_state" endpoint of the "admin" service.
 func NewShowStateUnauthorizedResponseBody(res *admin.Failure) *ShowStateUnauthorizedResponseBody {
@@ -823,6 +1028,18 @@
 	return body
 }
 
+// NewShowStateConflictResponseBody builds the HTTP response body from the
+// result of the "show_state" endpoint of the "admin" service.
+func NewShowStateConflictResponseBody(res *admin.Failure) *ShowStateConflictResponseBody {
+	body := &ShowStateConflictResponseBody{
+		Name:              res.Name,
+		Message:           res.Message,
+		Verdict:           res.Verdict,
+		RetryAfterSeconds: res.RetryAfterSeconds,
+	}
+	return body
+}
+
 // NewDrainUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "drain" endpoint of the "admin" service.
 func NewDrainUnauthorizedResponseBody(res *admin.Failure) *DrainUnauthorizedResponseBody {
@@ -859,17 +1076,43 @@
 	return body
 }
 
+// NewDrainConflictResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "admin" service.
+func NewDrainConflictResponseBody(res *admin.Failure) *DrainConflictResponseBody {
+	body := &DrainConflictResponseBody{
+		Name:              res.Name,
+		Message:           res.Message,
+		Verdict:           res.Verdict,
+		RetryAfterSeconds: res.RetryAfterSeconds,
+	}
+	return body
+}
+
 // NewFileTicketPayload builds a admin service file_ticket endpoint payload.
 func NewFileTicketPayload(body *FileTicketRequestBody, key *string) *admin.FileTicketPayload {
 	v := &admin.FileTicketPayload{
 		ClientID: *body.ClientID,
-		Note:     body.Note,
 	}
-	if body.Set != nil {
-		v.Set = unmarshalObjectsRequestBodyToAdminObjects(body.Set)
+	if body.Comment != nil {
+		v.Comment = *body.Comment
+	}
+	if body.Comment == nil {
+		v.Comment = ""
+	}
+	if body.Accounts != nil {
+		v.Accounts = unmarshalAccountChangesRequestBodyToAdminAccountChanges(body.Accounts)
+	}
+	if body.Keys != nil {
+		v.Keys = unmarshalKeyChangesRequestBodyToAdminKeyChanges(body.Keys)
+	}
+	if body.Models != nil {
+		v.Models = unmarshalModelChangesRequestBodyToAdminModelChanges(body.Models)
 	}
-	if body.Remove != nil {
-		v.Remove = unmarshalObjectIDsRequestBodyToAdminObjectIDs(body.Remove)
+	if body.Routes != nil {
+		v.Routes = unmarshalRouteChangesRequestBodyToAdminRouteChanges(body.Routes)
+	}
+	if body.Servers != nil {
+		v.Servers = unmarshalServerChangesRequestBodyToAdminServerChanges(body.Servers)
 	}
 	v.Key = key
 
@@ -877,16 +1120,16 @@
 }
 
 // NewShowTicketPayload builds a admin service show_ticket endpoint payload.
-func NewShowTicketPayload(clientID string, key *string) *admin.ShowTicketPayload {
+func NewShowTicketPayload(number uint64, key *string) *admin.ShowTicketPayload {
 	v := &admin.ShowTicketPayload{}
-	v.ClientID = clientID
+	v.Number = number
 	v.Key = key
 
 	return v
 }
 
 // NewListTicketsPayload builds a admin service list_tickets endpoint payload.
-func NewListTicketsPayload(after *uint64, limit int, key *string) *admin.ListTicketsPayload {
+func NewListTicketsPayload(after uint64, limit int, key *string) *admin.ListTicketsPayload {
 	v := &admin.ListTicketsPayload{}
 	v.After = after
 	v.Limit = limit
@@ -917,47 +1160,40 @@
 	if body.ClientID == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("client_id", "body"))
 	}
-	if body.Set != nil {
-		if err2 := ValidateObjectsRequestBody(body.Set); err2 != nil {
+	if body.Accounts != nil {
+		if err2 := ValidateAccountChangesRequestBody(body.Accounts); err2 != nil {
 			err = goa.MergeErrors(err, err2)
 		}
 	}
-	return
-}
-
-// ValidateObjectsRequestBody runs the validations defined on ObjectsRequestBody
-func ValidateObjectsRequestBody(body *ObjectsRequestBody) (err error) {
-	for _, e := range body.Accounts {
-		if e != nil {
-			if err2 := ValidateAccountRequestBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Keys != nil {
+		if err2 := ValidateKeyChangesRequestBody(body.Keys); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
-	for _, e := range body.Keys {
-		if e != nil {
-			if err2 := ValidateKeyRequestBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Models != nil {
+		if err2 := ValidateModelChangesRequestBody(body.Models); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
-	for _, e := range body.Models {
-		if e != nil {
-			if err2 := ValidateModelRequestBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Routes != nil {
+		if err2 := ValidateRouteChangesRequestBody(body.Routes); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
-	for _, e := range body.Routes {
-		if e != nil {
-			if err2 := ValidateRouteRequestBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Servers != nil {
+		if err2 := ValidateServerChangesRequestBody(body.Servers); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
-	for _, e := range body.Servers {
+	return
+}
+
+// ValidateAccountChangesRequestBody runs the validations defined on
+// AccountChangesRequestBody
+func ValidateAccountChangesRequestBody(body *AccountChangesRequestBody) (err error) {
+	for _, e := range body.Set {
 		if e != nil {
-			if err2 := ValidateBackendServerRequestBody(e); err2 != nil {
+			if err2 := ValidateAccountRequestBody(e); err2 != nil {
 				err = goa.MergeErrors(err, err2)
 			}
 		}
@@ -993,6 +1229,19 @@
 	return
 }
 
+// ValidateKeyChangesRequestBody runs the validations defined on
+// KeyChangesRequestBody
+func ValidateKeyChangesRequestBody(body *KeyChangesRequestBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateKeyRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateKeyRequestBody runs the validations defined on KeyRequestBody
 func ValidateKeyRequestBody(body *KeyRequestBody) (err error) {
 	if body.ID == nil {
@@ -1007,6 +1256,19 @@
 	return
 }
 
+// ValidateModelChangesRequestBody runs the validations defined on
+// ModelChangesRequestBody
+func ValidateModelChangesRequestBody(body *ModelChangesRequestBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateModelRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateModelRequestBody runs the validations defined on ModelRequestBody
 func ValidateModelRequestBody(body *ModelRequestBody) (err error) {
 	if body.Name == nil {
@@ -1018,6 +1280,19 @@
 	return
 }
 
+// ValidateRouteChangesRequestBody runs the validations defined on
+// RouteChangesRequestBody
+func ValidateRouteChangesRequestBody(body *RouteChangesRequestBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateRouteRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRouteRequestBody runs the validations defined on RouteRequestBody
 func ValidateRouteRequestBody(body *RouteRequestBody) (err error) {
 	if body.ID == nil {
@@ -1032,6 +1307,19 @@
 	return
 }
 
+// ValidateServerChangesRequestBody runs the validations defined on
+// ServerChangesRequestBody
+func ValidateServerChangesRequestBody(body *ServerChangesRequestBody) (err error) {
+	for _, e := range body.Set {
+		if e != nil {
+			if err2 := ValidateBackendServerRequestBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateBackendServerRequestBody runs the validations defined on
 // BackendServerRequestBody
 func ValidateBackendServerRequestBody(body *BackendServerRequestBody) (err error) {
