--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,194 @@
+// Package admin implements the administration API that design describes.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"goa.design/goa/v3/security"
+
+	gen "papayaspan.dev/papayaspan/gen/admin"
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/settings"
+	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/verdict"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// retryAfterSeconds is when an operator's program should come back while the
+// platform is out of reach.
+const retryAfterSeconds = 5
+
+// Tickets is the numbered history.
+type Tickets interface {
+	File(ctx context.Context, t ticket.Ticket) (ticket.Record, error)
+	Get(ctx context.Context, n config.Number) (ticket.Record, error)
+	List(ctx context.Context, after config.Number, limit int) ([]ticket.Record, error)
+}
+
+// Place is how far one VM is.
+type Place struct {
+	VM     vm.VM
+	Number config.Number
+}
+
+// Fleet tells how far the VMs are.
+type Fleet interface {
+	// Current is the configuration in force on this VM.
+	Current() *config.Snapshot
+	// Places lists the VMs of the roster.
+	Places(ctx context.Context) ([]Place, error)
+	// InForceEverywhere reports whether every VM that may serve has the ticket.
+	InForceEverywhere(ctx context.Context, n config.Number) (bool, error)
+	// Drain starts a graceful shutdown of this VM.
+	Drain()
+}
+
+// Service implements the generated service and its authorization.
+type Service struct {
+	tickets   Tickets
+	fleet     Fleet
+	operators []settings.Operator
+	log       *zap.Logger
+}
+
+var (
+	_ gen.Service = (*Service)(nil)
+	_ gen.Auther  = (*Service)(nil)
+)
+
+// New returns the service.
+func New(tickets Tickets, fleet Fleet, operators []settings.Operator, log *zap.Logger) *Service {
+	return &Service{tickets: tickets, fleet: fleet, operators: operators, log: log}
+}
+
+type operatorKey struct{}
+
+// APIKeyAuth finds the operator whose key it is.
+func (s *Service) APIKeyAuth(ctx context.Context, key string, _ *security.APIKeyScheme) (context.Context, error) {
+	hash := []byte(account.HashSecret(key))
+	for _, o := range s.operators {
+		if subtle.ConstantTimeCompare([]byte(o.KeyHash), hash) == 1 {
+			return context.WithValue(ctx, operatorKey{}, o.Name), nil
+		}
+	}
+	return ctx, &gen.Failure{Name: "unauthorized", Message: "the operator key is not known", Verdict: verdict.NotRun.String()}
+}
+
+func operator(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
+// FileTicket implements gen.Service.
+func (s *Service) FileTicket(ctx context.Context, p *gen.FileTicketPayload) (*gen.TicketRecord, error) {
+	rec, err := s.tickets.File(ctx, toTicket(p, operator(ctx)))
+	if err != nil {
+		s.log.Warn("ticket_failed", zap.String("operator", operator(ctx)), zap.String("client_id", p.ClientID), zap.Error(err))
+		return nil, failure(err, verdict.NotRun)
+	}
+	s.log.Info("ticket_filed",
+		zap.String("operator", operator(ctx)),
+		zap.String("client_id", p.ClientID),
+		zap.Uint64("number", uint64(rec.Number)),
+		zap.String("status", string(rec.Status)),
+		zap.Int("problems", len(rec.Problems)))
+	return s.describe(ctx, rec)
+}
+
+// ShowTicket implements gen.Service.
+func (s *Service) ShowTicket(ctx context.Context, p *gen.ShowTicketPayload) (*gen.TicketRecord, error) {
+	rec, err := s.tickets.Get(ctx, config.Number(p.Number))
+	if err != nil {
+		return nil, failure(err, verdict.NotRun)
+	}
+	return s.describe(ctx, rec)
+}
+
+// ListTickets implements gen.Service.
+func (s *Service) ListTickets(ctx context.Context, p *gen.ListTicketsPayload) ([]*gen.TicketRecord, error) {
+	records, err := s.tickets.List(ctx, config.Number(p.After), p.Limit)
+	if err != nil {
+		return nil, failure(err, verdict.NotRun)
+	}
+	out := make([]*gen.TicketRecord, len(records))
+	for i, r := range records {
+		out[i] = fromRecord(r)
+	}
+	return out, nil
+}
+
+// ShowState implements gen.Service.
+func (s *Service) ShowState(ctx context.Context, _ *gen.ShowStatePayload) (*gen.State, error) {
+	places, err := s.fleet.Places(ctx)
+	if err != nil {
+		return nil, failure(err, verdict.NotRun)
+	}
+	snap := s.fleet.Current()
+	state := &gen.State{Number: uint64(snap.Number), Objects: fromSnapshot(snap)}
+	for _, p := range places {
+		state.Vms = append(state.Vms, &gen.VM{
+			ID:            string(p.VM.ID),
+			FailureDomain: p.VM.FailureDomain,
+			CallerAddress: p.VM.CallerAddress,
+			Number:        uint64(p.Number),
+			Leaving:       p.VM.Leaving,
+		})
+	}
+	return state, nil
+}
+
+// Drain implements gen.Service.
+func (s *Service) Drain(ctx context.Context, _ *gen.DrainPayload) error {
+	s.log.Info("drain_requested", zap.String("operator", operator(ctx)))
+	s.fleet.Drain()
+	return nil
+}
+
+// describe adds where the ticket is in force. The record stands even if that
+// cannot be read.
+func (s *Service) describe(ctx context.Context, rec ticket.Record) (*gen.TicketRecord, error) {
+	out := fromRecord(rec)
+	if rec.Status != ticket.Accepted {
+		return out, nil
+	}
+	everywhere, err := s.fleet.InForceEverywhere(ctx, rec.Number)
+	out.InForceEverywhere = everywhere && err == nil
+	places, err := s.fleet.Places(ctx)
+	if err != nil {
+		s.log.Warn("places_unknown", zap.Error(err))
+		return out, nil
+	}
+	for _, p := range places {
+		out.Places = append(out.Places, &gen.Place{
+			VM:            string(p.VM.ID),
+			FailureDomain: p.VM.FailureDomain,
+			Number:        uint64(p.Number),
+			InForce:       p.Number >= rec.Number,
+		})
+	}
+	return out, nil
+}
+
+// failure maps an error to the API's error. The verdict of an unknown outcome
+// is MayHaveRun; filing the same ticket again is safe and tells which.
+func failure(err error, v verdict.Verdict) *gen.Failure {
+	f := &gen.Failure{Name: "unavailable", Message: err.Error(), Verdict: v.String()}
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		f.Name = "not_found"
+		return f
+	case errors.Is(err, ticket.ErrReused):
+		f.Name = "conflict"
+		return f
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		f.Verdict = verdict.MayHaveRun.String()
+	}
+	after := retryAfterSeconds
+	f.RetryAfterSeconds = &after
+	return f
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+	goahttp "goa.design/goa/v3/http"
+
+	gen "papayaspan.dev/papayaspan/gen/admin"
+	"papayaspan.dev/papayaspan/gen/http/admin/server"
+	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/config"
+)
+
+// Paths of the admin port beside the administration API.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+)
+
+// adminHandler serves the administration API, health, readiness and metrics.
+func (d *Daemon) adminHandler(service *admin.Service) http.Handler {
+	mux := goahttp.NewMuxer()
+	endpoints := gen.NewEndpoints(service)
+	srv := server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	server.Mount(mux, srv)
+	root := http.NewServeMux()
+	root.Handle("/", http.MaxBytesHandler(mux, d.settings.Limits.MaxBodyBytes))
+	root.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	root.HandleFunc("GET "+PathReady, d.serveReady)
+	root.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(d.metrics, w)
+	})
+	return root
+}
+
+// serveReady answers 200 while this VM should get requests.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.router.Draining() || d.router.View().Number == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// fleet gives the administration API its view of the VMs.
+type fleet struct{ d *Daemon }
+
+// Current implements admin.Fleet.
+func (f fleet) Current() *config.Snapshot { return f.d.router.View().Snapshot }
+
+// Places implements admin.Fleet.
+func (f fleet) Places(context.Context) ([]admin.Place, error) {
+	var out []admin.Place
+	for _, v := range f.d.poller.VMs("") {
+		p := admin.Place{VM: v}
+		if v.ID == f.d.Self().ID {
+			p.Number = f.d.router.View().Number
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// InForceEverywhere implements admin.Fleet. It says yes only for what is known.
+func (f fleet) InForceEverywhere(context.Context, config.Number) (bool, error) {
+	return false, nil
+}
+
+// Drain implements admin.Fleet.
+func (f fleet) Drain() { f.d.requestDrain() }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,256 @@
+// Package daemon assembles one router process: it builds the parts, listens,
+// and stops gracefully.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/link"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/router"
+	"papayaspan.dev/papayaspan/internal/settings"
+	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Platform holds the platform's services.
+type Platform struct {
+	Table      platform.Table
+	Objects    platform.Objects
+	Membership platform.Membership
+	Weights    platform.Weights
+}
+
+// Daemon is one router process.
+type Daemon struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	platform Platform
+	metrics  metrics.Registry
+
+	router  *router.Router
+	poller  *poller
+	peers   *grpc.Server
+	pool    *link.Pool
+	servers []*http.Server
+
+	callerListener, peerListener, adminListener net.Listener
+
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+	drainOnce sync.Once
+	drained   chan struct{}
+}
+
+// New builds a router process and listens on its addresses, without serving
+// yet.
+func New(s *settings.Settings, log *zap.Logger, p Platform) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{})}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	targets := []struct {
+		addr string
+		l    *net.Listener
+	}{
+		{d.settings.Listen.Caller, &d.callerListener},
+		{d.settings.Listen.Peer, &d.peerListener},
+		{d.settings.Listen.Admin, &d.adminListener},
+	}
+	for _, t := range targets {
+		l, err := net.Listen("tcp", t.addr)
+		if err != nil {
+			d.closeListeners()
+			return errors.Wrapf(err, "listen on %s", t.addr)
+		}
+		*t.l = l
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callerListener, d.peerListener, d.adminListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Self describes the VM of this process.
+func (d *Daemon) Self() vm.VM {
+	return vm.VM{
+		ID:            vm.ID(d.settings.VM.ID),
+		FailureDomain: d.settings.VM.FailureDomain,
+		CallerAddress: advertised(d.settings.Advertise.Caller, d.callerListener),
+		PeerAddress:   advertised(d.settings.Advertise.Peer, d.peerListener),
+	}
+}
+
+// AdminAddress returns the address of the administration API, host:port.
+func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
+
+func advertised(set string, l net.Listener) string {
+	if set != "" {
+		return set
+	}
+	return l.Addr().String()
+}
+
+func (d *Daemon) build() error {
+	files := link.Files{Cert: d.settings.PeerTLS.CertFile, Key: d.settings.PeerTLS.KeyFile, CA: d.settings.PeerTLS.CAFile}
+	peers, err := link.NewServer(files)
+	if err != nil {
+		return err
+	}
+	pool, err := link.NewPool(files)
+	if err != nil {
+		return err
+	}
+	d.peers, d.pool = peers, pool
+
+	self := d.Self()
+	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
+	d.poller = newPoller(store, d.platform.Membership, d.log)
+	d.router = router.New(router.Options{
+		Settings:   d.settings,
+		Log:        d.log,
+		Metrics:    d.metrics,
+		Dispatcher: dispatch.New(dispatch.Config{}),
+		Evidence:   d.poller,
+		Admitter:   router.AdmitAll{},
+		Balancer:   &router.RoundRobin{},
+		Addresses:  d.poller,
+		Now:        time.Now,
+	})
+	d.poller.publish = d.router.Publish
+	service := admin.New(store, fleet{d}, d.settings.Operators, d.log)
+	return d.buildServers(service)
+}
+
+func (d *Daemon) buildServers(service *admin.Service) error {
+	limits := d.settings.Limits
+	callers := &http.Server{
+		Handler:           d.router.Handler(),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
+		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
+	}
+	if cert := d.settings.CallerTLS; cert.CertFile != "" {
+		load := func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			c, err := tls.LoadX509KeyPair(cert.CertFile, cert.KeyFile)
+			return &c, errors.Wrap(err, "load caller certificate")
+		}
+		if _, err := load(nil); err != nil {
+			return err
+		}
+		callers.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: load, NextProtos: []string{"http/1.1"}}
+	}
+	admins := &http.Server{
+		Handler:           d.adminHandler(service),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
+		ReadTimeout:       limits.BodyTimeout.Std(),
+		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
+	}
+	d.servers = []*http.Server{callers, admins}
+	return nil
+}
+
+// Start serves until Shutdown. It waits for the first configuration for a
+// short time only, because peers and the platform may both be away.
+func (d *Daemon) Start(ctx context.Context) {
+	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d.cancel = cancel
+	d.goLoop(func() { d.poller.run(loopCtx) })
+	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
+	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
+	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
+	self := d.Self()
+	d.log.Info("router_started",
+		zap.String("vm", string(self.ID)),
+		zap.String("failure_domain", self.FailureDomain),
+		zap.String("caller_address", self.CallerAddress),
+		zap.String("peer_address", self.PeerAddress),
+		zap.String("admin_address", d.AdminAddress()))
+}
+
+func (d *Daemon) serveCallers() error {
+	if d.servers[0].TLSConfig != nil {
+		return d.servers[0].ServeTLS(d.callerListener, "", "")
+	}
+	return d.servers[0].Serve(d.callerListener)
+}
+
+func (d *Daemon) goLoop(f func()) {
+	d.loops.Add(1)
+	go func() {
+		defer d.loops.Done()
+		f()
+	}()
+}
+
+func (d *Daemon) ended(server string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("server_ended", zap.String("server", server), zap.Error(err))
+	}
+}
+
+// Drained is closed once a drain that an operator asked for is to begin.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+func (d *Daemon) requestDrain() { d.drainOnce.Do(func() { close(d.drained) }) }
+
+// leaveNotice is how long a leaving VM goes on accepting requests, so that
+// callers with an older address answer and peers learn of it.
+const leaveNotice = 2 * time.Second
+
+// Shutdown leaves the addresses, lets running requests finish within the drain
+// timeout of the settings, and stops.
+func (d *Daemon) Shutdown(ctx context.Context) error {
+	d.router.StartDrain()
+	d.log.Info("drain_started")
+	select {
+	case <-time.After(leaveNotice):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
+	defer cancel()
+	err := d.servers[0].Shutdown(ctx)
+	d.Kill()
+	d.log.Info("router_stopped", zap.Error(err))
+	return errors.Wrap(err, "drain")
+}
+
+// Kill stops at once, as a crash would.
+func (d *Daemon) Kill() {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.peers.Stop()
+	d.pool.Close()
+	d.loops.Wait()
+}
--- /dev/null
+++ b/internal/router/addresses.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// addressTTL is how long callers may keep an answer.
+const addressTTL = 10 * time.Second
+
+// addressList is the answer of GET /v1/addresses.
+type addressList struct {
+	TTLSeconds int            `json:"ttl_seconds"`
+	Addresses  []addressEntry `json:"addresses"`
+}
+
+type addressEntry struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	VM            string `json:"vm"`
+}
+
+// serveAddresses tells a caller which VMs to use. The parameter failure_domain
+// is the caller's own; VMs in it come first. The bearer key is optional and
+// lets the answer begin with the account's home VM.
+func (r *Router) serveAddresses(w http.ResponseWriter, req *http.Request) {
+	domain := req.URL.Query().Get("failure_domain")
+	vms := r.opts.Addresses.VMs(r.addressAccount(req))
+	slices.SortStableFunc(vms, func(a, b vm.VM) int { return nearer(a, b, domain) })
+	list := addressList{TTLSeconds: int(addressTTL.Seconds()), Addresses: []addressEntry{}}
+	for _, v := range vms {
+		list.Addresses = append(list.Addresses, addressEntry{Address: v.CallerAddress, FailureDomain: v.FailureDomain, VM: string(v.ID)})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// addressAccount returns the account of the caller's key, or "".
+func (r *Router) addressAccount(req *http.Request) account.ID {
+	secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	key, _ := r.View().Authenticate(secret)
+	return key.Account
+}
+
+func nearer(a, b vm.VM, domain string) int {
+	switch {
+	case a.FailureDomain == b.FailureDomain:
+		return 0
+	case a.FailureDomain == domain:
+		return -1
+	case b.FailureDomain == domain:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/router/auth.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const staleRetryAfter = 2 * time.Second
+
+// caller is an authenticated caller.
+type caller struct {
+	key     account.Key
+	account account.Account
+}
+
+// authenticate finds the client account whose key came with the request.
+func (r *Router) authenticate(view *config.View, req *http.Request) (caller, *verdict.Error) {
+	secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return caller{}, verdict.Refuse(http.StatusUnauthorized, "key_missing", "the Authorization header holds no bearer key")
+	}
+	if err := r.checkFresh(); err != nil {
+		return caller{}, err
+	}
+	key, ok := view.Authenticate(secret)
+	if !ok {
+		return caller{}, unknownKey()
+	}
+	return caller{key: key, account: view.Accounts[key.Account]}, nil
+}
+
+// checkFresh refuses keyed work while the configuration may be out of date.
+func (r *Router) checkFresh() *verdict.Error {
+	if r.opts.Evidence.Fresh(r.opts.Now()) {
+		return nil
+	}
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, "configuration_stale", "this VM cannot tell whether keys are still valid", staleRetryAfter)
+}
+
+// recheck tells whether the caller's key is still valid now. A request that
+// waited is checked again before it is dispatched.
+func (r *Router) recheck(c caller) *verdict.Error {
+	if err := r.checkFresh(); err != nil {
+		return err
+	}
+	if k, ok := r.View().Keys[c.key.ID]; !ok || k != c.key {
+		return unknownKey()
+	}
+	return nil
+}
+
+func unknownKey() *verdict.Error {
+	return verdict.Refuse(http.StatusUnauthorized, "key_unknown", "the key is not known or was withdrawn")
+}
--- /dev/null
+++ b/internal/router/limits.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const overloadRetryAfter = 1 * time.Second
+
+type requestIDKey struct{}
+
+func requestID(req *http.Request) string {
+	id, _ := req.Context().Value(requestIDKey{}).(string)
+	return id
+}
+
+// limit bounds the number of open requests and the time of each, and gives
+// each an id.
+func (r *Router) limit(next http.Handler) http.Handler {
+	limits := r.opts.Settings.Limits
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(openai.HeaderRequestID, id)
+		if r.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		defer r.open.Add(-1)
+		if r.open.Add(1) > int64(limits.MaxOpenRequests) {
+			r.refuse(w, id, verdict.RefuseUntil(http.StatusServiceUnavailable, "too_many_open_requests", "this VM has too many open requests", overloadRetryAfter))
+			return
+		}
+		ctx, cancel := context.WithTimeout(req.Context(), limits.RequestTimeout.Std())
+		defer cancel()
+		ctx = context.WithValue(ctx, requestIDKey{}, id)
+		next.ServeHTTP(w, req.WithContext(ctx))
+	})
+}
+
+// readBody reads the whole body within the limits of size and time.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *verdict.Error) {
+	limits := r.opts.Settings.Limits
+	// A writer without deadlines, as in some tests, is used as it is.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.MaxBodyBytes))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, "body_too_large", errors.Errorf("the body is larger than %d bytes", limits.MaxBodyBytes).Error())
+	default:
+		return nil, verdict.Refuse(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive whole in time")
+	}
+}
+
+// checkDepth refuses JSON that nests deeper than limit, or is not one value.
+func checkDepth(body []byte, limit int) *verdict.Error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	depth := 0
+	for {
+		tok, err := dec.Token()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return verdict.Refuse(http.StatusBadRequest, "malformed_json", "the body is not JSON")
+		}
+		switch tok {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth > limit {
+			return verdict.Refuse(http.StatusBadRequest, "json_too_deep", errors.Errorf("the body nests deeper than %d", limit).Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/roundrobin.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const noServerRetryAfter = 1 * time.Second
+
+// RoundRobin picks servers in turn. It is the baseline for engines and the
+// choice for plain services.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Engine implements Balancer.
+func (b *RoundRobin) Engine(p Prompt) dispatch.Picker {
+	return turnPicker{b: b, servers: p.View.Engines(p.Model)}
+}
+
+// Service implements Balancer.
+func (b *RoundRobin) Service(view *config.View, route config.Route) dispatch.Picker {
+	var servers []backend.Server
+	for _, id := range route.Servers {
+		if s, ok := view.Servers[id]; ok {
+			servers = append(servers, s)
+		}
+	}
+	return turnPicker{b: b, servers: servers}
+}
+
+type turnPicker struct {
+	b       *RoundRobin
+	servers []backend.Server
+}
+
+// Pick implements dispatch.Picker.
+func (p turnPicker) Pick(_ context.Context, _ dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
+	start := p.b.next.Add(1)
+	for i := range p.servers {
+		s := p.servers[(start+uint64(i))%uint64(len(p.servers))]
+		if !s.Leaving && !a.Excludes(s.ID) {
+			return s, nil
+		}
+	}
+	return backend.Server{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_backend_server", "no backend server can take the request now", noServerRetryAfter)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,84 @@
+// Package router is the request path of one VM: it takes callers' requests
+// through limits, authentication, admission, the choice of a backend server
+// and dispatch, and answers where to connect.
+package router
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/settings"
+)
+
+// Options are the parts that a Router is made of.
+type Options struct {
+	Settings   *settings.Settings
+	Log        *zap.Logger
+	Metrics    metrics.Registry
+	Dispatcher *dispatch.Dispatcher
+	Evidence   Evidence
+	Admitter   Admitter
+	Balancer   Balancer
+	Addresses  AddressBook
+	// Now is the monotonic clock.
+	Now func() time.Time
+}
+
+// Router serves callers.
+type Router struct {
+	opts     Options
+	view     atomic.Pointer[config.View]
+	draining atomic.Bool
+	open     atomic.Int64
+	stats    stats
+}
+
+// New returns a router with an empty configuration.
+func New(opts Options) *Router {
+	r := &Router{opts: opts, stats: newStats(opts.Metrics)}
+	r.Publish(config.Empty())
+	return r
+}
+
+// Publish swaps the configuration whole. An older one than the present is
+// ignored.
+func (r *Router) Publish(s *config.Snapshot) {
+	next := config.NewView(s)
+	for {
+		cur := r.view.Load()
+		if cur != nil && cur.Number >= s.Number && s.Number > 0 {
+			return
+		}
+		if r.view.CompareAndSwap(cur, next) {
+			return
+		}
+	}
+}
+
+// View returns the configuration in force.
+func (r *Router) View() *config.View { return r.view.Load() }
+
+// StartDrain takes this VM out of the addresses and asks callers to reconnect
+// elsewhere. Requests are still served.
+func (r *Router) StartDrain() { r.draining.Store(true) }
+
+// Draining reports whether StartDrain was called.
+func (r *Router) Draining() bool { return r.draining.Load() }
+
+// Handler returns the interface towards callers.
+func (r *Router) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/addresses", r.serveAddresses)
+	mux.HandleFunc("POST "+openai.PathChatCompletions, r.serveCompletion)
+	mux.HandleFunc("POST "+openai.PathCompletions, r.serveCompletion)
+	mux.HandleFunc("GET "+openai.PathModels, r.serveModels)
+	mux.HandleFunc("/", r.serveRoute)
+	return r.limit(mux)
+}
