--- a/internal/router/addresses.go
+++ b/internal/router/addresses.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/account"
@@ -41,11 +40,7 @@
 
 // addressAccount returns the account of the caller's key, or "".
 func (r *Router) addressAccount(req *http.Request) account.ID {
-	secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return ""
-	}
-	key, _ := r.View().Authenticate(secret)
+	key, _ := r.View().Authenticate(bearer(req))
 	return key.Account
 }
 
--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -7,6 +7,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -20,8 +21,8 @@
 
 // authenticate finds the client account whose key came with the request.
 func (r *Router) authenticate(view *config.View, req *http.Request) (caller, *verdict.Error) {
-	secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+	secret := bearer(req)
+	if secret == "" {
 		return caller{}, verdict.Refuse(http.StatusUnauthorized, "key_missing", "the Authorization header holds no bearer key")
 	}
 	if err := r.checkFresh(); err != nil {
@@ -34,6 +35,25 @@
 	return caller{key: key, account: view.Accounts[key.Account]}, nil
 }
 
+// bearer returns the secret that came with the request, or "".
+func bearer(req *http.Request) string {
+	secret, _ := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	return secret
+}
+
+// checkNoKey refuses a request that would carry the caller's key to a backend
+// server in its path or body.
+func checkNoKey(req *http.Request, body []byte) *verdict.Error {
+	_, err := dispatch.SanitizePath(req.URL, bearer(req))
+	if err == nil {
+		err = dispatch.CheckBody(body, bearer(req))
+	}
+	if err == nil {
+		return nil
+	}
+	return verdict.Refuse(http.StatusBadRequest, "key_in_request", "the path or body holds the caller's key")
+}
+
 // checkFresh refuses keyed work while the configuration may be out of date.
 func (r *Router) checkFresh() *verdict.Error {
 	if r.opts.Evidence.Fresh(r.opts.Now()) {
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -77,7 +77,7 @@
 		Model:      c.model.Name,
 		Method:     http.MethodPost,
 		Path:       req.URL.Path,
-		Header:     dispatch.SanitizeRequest(req.Header),
+		Header:     dispatch.SanitizeRequest(req.Header, bearer(req)),
 		Body:       c.body,
 		Stream:     c.parsed.Stream,
 		Idempotent: true, // A completion has no effect but its answer.
@@ -144,6 +144,9 @@
 	if refusal := checkDepth(body, r.opts.Settings.Limits.MaxJSONDepth); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := checkNoKey(req, body); refusal != nil {
+		return nil, refusal
+	}
 	c := &completion{id: id, caller: who, body: body, view: view}
 	if err := json.Unmarshal(body, &c.parsed); err != nil {
 		return nil, verdict.Refuse(http.StatusBadRequest, "malformed_request", "the body is not a completion request")
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -36,6 +36,10 @@
 		r.refuse(w, id, refusal)
 		return
 	}
+	if refusal := checkNoKey(req, body); refusal != nil {
+		r.refuse(w, id, refusal)
+		return
+	}
 	grant, refusal := r.admitRoute(req, id, route, who)
 	if refusal != nil {
 		r.refuse(w, id, refusal)
@@ -104,12 +108,14 @@
 
 func (r *Router) dispatchRoute(w http.ResponseWriter, req *http.Request, c routeCall) {
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
+	// The path was checked before admission.
+	path, _ := dispatch.SanitizePath(req.URL, bearer(req))
 	out, err := r.opts.Dispatcher.Do(req.Context(), dispatch.Request{
 		ID:         c.id,
 		Account:    c.account(),
 		Method:     req.Method,
-		Path:       dispatch.SanitizePath(req.URL),
-		Header:     dispatch.SanitizeRequest(req.Header),
+		Path:       path,
+		Header:     dispatch.SanitizeRequest(req.Header, bearer(req)),
 		Body:       c.body,
 		Idempotent: c.route.Idempotent,
 	}, r.opts.Balancer.Service(c.view, c.route), sink)
