--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,304 @@
+package poison
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/verdict"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+const (
+	// callTimeout bounds one call to another VM. A VM that cannot be reached
+	// for so long is taken as gone.
+	callTimeout = 1 * time.Second
+	// finishTimeout bounds the report of the end of a run, which the home
+	// passes on to the other VMs.
+	finishTimeout = 2 * callTimeout
+	// acquireTimeout is how long a suspect waits for its grant.
+	acquireTimeout = 10 * time.Second
+	// retryPause is between calls that got no final answer.
+	retryPause = 50 * time.Millisecond
+	// pollInterval is how often a home asks whether a suspect still runs.
+	pollInterval = 250 * time.Millisecond
+	// slotWait is how long a suspect waits for a server without another one.
+	slotWait = 2 * time.Second
+	// finishTries is how often the end of a run is reported before it is left
+	// to the home's polling.
+	finishTries = 5
+	// sweepInterval is how often expired evidence is forgotten.
+	sweepInterval = 30 * time.Second
+)
+
+// AcquireRequest asks a home for a grant.
+type AcquireRequest struct {
+	From     vm.ID
+	Version  uint64
+	Content  Content
+	Evidence Evidence
+}
+
+// Peers reaches the other VMs of the roster.
+type Peers interface {
+	Roster() Roster
+	Acquire(ctx context.Context, to vm.ID, r AcquireRequest) (Decision, error)
+	Finish(ctx context.Context, to vm.ID, f Finish) error
+	Announce(ctx context.Context, to vm.ID, a Announcement) (Ack, error)
+	Reserve(ctx context.Context, to vm.ID, server backend.ID, c Content) (bool, error)
+	Suspects(ctx context.Context, to vm.ID) ([]Announcement, error)
+}
+
+// Subject is a request that is about to run.
+type Subject struct {
+	Account account.ID
+	// Content computes the identity; it must keep the result.
+	Content func() Content
+}
+
+// Target is a server chosen for a run.
+type Target struct {
+	Server backend.Server
+	// Incarnation is the server's as known now; empty if unknown.
+	Incarnation backend.Incarnation
+}
+
+// Choose picks a server other than those excluded. Its error ends the request.
+type Choose func(excluded []backend.ID) (Target, error)
+
+// Guard lets runs begin. It drives the state machines of this VM over the
+// network.
+type Guard struct {
+	self  vm.ID
+	peers Peers
+	now   func() time.Time
+
+	mu    sync.Mutex
+	home  *Home
+	local *Local
+	slots *Slots
+	// changed is closed and replaced when the end of a run is recorded.
+	changed chan struct{}
+}
+
+// NewGuard returns the guard of VM self. start is the process's start by the
+// wall clock and orders its grants after those of earlier processes.
+func NewGuard(self vm.ID, peers Peers, now func() time.Time, start time.Time) *Guard {
+	serial := uint64(start.UnixNano())
+	return &Guard{
+		self: self, peers: peers, now: now,
+		home: NewHome(serial), local: NewLocal(self, serial), slots: NewSlots(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Begin waits until the subject may run and chooses the server. Its error is a
+// *verdict.Error with verdict NotRun, or that of choose.
+func (g *Guard) Begin(ctx context.Context, s Subject, choose Choose) (*Run, Target, error) {
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	for {
+		status, evidence, wait := g.check(s)
+		if status == Guilty {
+			return nil, Target{}, refuseGuilty(wait)
+		}
+		target, err := g.choose(ctx, s, status, choose)
+		if err != nil {
+			return nil, Target{}, err
+		}
+		run, err := g.start(ctx, s, status, evidence, target)
+		if run != nil || err != nil {
+			return run, target, err
+		}
+	}
+}
+
+func refuseGuilty(wait time.Duration) *verdict.Error {
+	return verdict.RefuseUntil(http.StatusUnprocessableEntity, "poison_request",
+		"requests with this content have crashed the backend servers that ran them", wait)
+}
+
+func refuseUnverified(cause error) *verdict.Error {
+	e := verdict.RefuseUntil(http.StatusServiceUnavailable, "content_unverified",
+		"a backend server crashed while it ran this content, and the VM that keeps count cannot be asked", callTimeout)
+	e.Cause = cause
+	return e
+}
+
+func (g *Guard) check(s Subject) (Status, Evidence, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.local.Check(g.now(), s.Account, s.Content)
+}
+
+// start begins the run. It returns neither a run nor an error if what is known
+// of the content has changed.
+func (g *Guard) start(ctx context.Context, s Subject, status Status, evidence Evidence, t Target) (*Run, error) {
+	if status == Unsuspected {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.local.Start(g.now(), s.Account, s.Content, t.Server.ID, t.Incarnation), nil
+	}
+	d, err := g.acquire(ctx, s.Content(), evidence)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.local.Learn(g.now(), s.Content(), d.Evidence)
+	if d.Kind != Granted {
+		return nil, nil
+	}
+	return g.local.StartGranted(g.now(), s.Account, s.Content, t.Server.ID, d.Grant), nil
+}
+
+// acquire asks the home until its answer is final.
+func (g *Guard) acquire(ctx context.Context, c Content, evidence Evidence) (Decision, error) {
+	var last error
+	for {
+		roster := g.sync()
+		r := AcquireRequest{From: g.self, Version: roster.Version, Content: c, Evidence: evidence}
+		d, err := g.callAcquire(ctx, HomeOf(roster, c), r)
+		if err == nil && d.Kind >= Granted {
+			return d, nil
+		}
+		last = err
+		if !sleep(ctx, retryPause) {
+			return Decision{}, refuseUnverified(last)
+		}
+	}
+}
+
+func (g *Guard) callAcquire(ctx context.Context, to vm.ID, r AcquireRequest) (Decision, error) {
+	if to == g.self {
+		return g.HandleAcquire(ctx, r), nil
+	}
+	return g.peers.Acquire(ctx, to, r)
+}
+
+// choose picks the server; that of a suspect should run no other suspect.
+func (g *Guard) choose(ctx context.Context, s Subject, status Status, choose Choose) (Target, error) {
+	if status == Unsuspected {
+		return choose(nil)
+	}
+	deadline := g.now().Add(slotWait)
+	var busy []backend.ID
+	for {
+		t, err := choose(busy)
+		switch {
+		case err == nil && g.reserve(ctx, t.Server.ID, s.Content()):
+			return t, nil
+		case err == nil:
+			busy = append(busy, t.Server.ID)
+		case len(busy) == 0:
+			return t, err
+		case !g.now().Before(deadline) || !sleep(ctx, retryPause):
+			return choose(nil)
+		default:
+			busy = nil
+		}
+	}
+}
+
+// reserve asks for the server's slot. It only keeps innocents from being
+// convicted, so that an error does not hold the run back.
+func (g *Guard) reserve(ctx context.Context, server backend.ID, c Content) bool {
+	to := rendezvous(g.sync().Members, string(server))
+	if to == g.self || to == "" {
+		return g.HandleReserve(server, c)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ok, err := g.peers.Reserve(ctx, to, server, c)
+	return ok || err != nil
+}
+
+// End ends a run. After a crash it returns once the home and the other VMs know
+// of it, so that a caller who sends the content again meets the evidence.
+func (g *Guard) End(r *Run, end End) {
+	g.mu.Lock()
+	f, suspect := g.local.End(g.now(), r, end)
+	g.mu.Unlock()
+	if !suspect {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	if end == Crashed && g.finish(ctx, f) == nil {
+		return
+	}
+	go g.finishLater(f)
+}
+
+func (g *Guard) finishLater(f Finish) {
+	for range finishTries {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		err := g.finish(ctx, f)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func (g *Guard) finish(ctx context.Context, f Finish) error {
+	to := HomeOf(g.sync(), f.Content)
+	if to == g.self || to == "" {
+		g.HandleFinish(ctx, f)
+		return nil
+	}
+	return g.peers.Finish(ctx, to, f)
+}
+
+// Restarted records that a server was seen with a new incarnation.
+func (g *Guard) Restarted(server backend.ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.local.Restarted(server)
+}
+
+// sync takes over the present roster.
+func (g *Guard) sync() Roster {
+	r := g.peers.Roster()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.home.SetRoster(r)
+	g.local.SetVersion(r.Version)
+	return r
+}
+
+// HomeOf returns the home VM of a content, or "" if the roster is empty.
+func HomeOf(r Roster, c Content) vm.ID {
+	return rendezvous(r.Members, string(c.Account)+string(c.Digest[:]))
+}
+
+// rendezvous returns the member with the highest hash of key and member
+// (Thaler and Ravishankar, 1996).
+func rendezvous(members []vm.ID, key string) vm.ID {
+	var best vm.ID
+	var top uint64
+	for _, m := range members {
+		if h := xxhash.Sum64String(key + "\x00" + string(m)); best == "" || h > top {
+			best, top = m, h
+		}
+	}
+	return best
+}
+
+// sleep waits and reports whether the context is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
