Prove the whole path with scripted scenarios over real processes

Cause: the promises hold between processes, so the proofs run processes. Peers dial from their own address, so that a link can be cut.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	pool, err := link.NewPool(files)
+	pool, err := link.NewPool(files, d.peerListener.Addr().String())
 	if err != nil {
 		return err
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -2,8 +2,10 @@
 package link
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -76,14 +78,17 @@
 
 // Pool keeps one connection for each peer address.
 type Pool struct {
-	creds credentials.TransportCredentials
+	creds  credentials.TransportCredentials
+	dialer net.Dialer
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool.
-func NewPool(f Files) (*Pool, error) {
+// NewPool returns an empty pool. Connections start from the host part of
+// local, host:port, so that a VM with several addresses uses the one that its
+// settings name.
+func NewPool(f Files, local string) (*Pool, error) {
 	creds := insecure.NewCredentials()
 	if f.enabled() {
 		cfg, err := f.config()
@@ -92,7 +97,15 @@
 		}
 		creds = credentials.NewTLS(cfg)
 	}
-	return &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}}, nil
+	host, _, err := net.SplitHostPort(local)
+	if err != nil {
+		return nil, errors.Wrap(err, "local peer address")
+	}
+	p := &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}}
+	if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return p, nil
 }
 
 // Conn returns the connection to an address, host:port. It is established in
@@ -105,6 +118,7 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(p.creds),
+		grpc.WithContextDialer(p.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
@@ -115,6 +129,10 @@
 	return c, nil
 }
 
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	return p.dialer.DialContext(ctx, "tcp", addr)
+}
+
 // Keep closes the connections to all addresses that are not listed.
 func (p *Pool) Keep(addrs []string) {
 	wanted := map[string]bool{}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -130,6 +130,11 @@
 	return nil
 }
 
+// MarshalJSON writes the string form.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(d.Std().String())
+}
+
 // Std returns the duration as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,238 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/standin/engine"
+	"papayaspan.dev/papayaspan/internal/standin/local"
+	"papayaspan.dev/papayaspan/internal/standin/memplatform"
+	"papayaspan.dev/papayaspan/internal/standin/platformserver"
+	"papayaspan.dev/papayaspan/internal/standin/service"
+)
+
+// firstTicket is read before any script changes its folder.
+var firstTicket, _ = filepath.Abs("testdata/first.ticket.jsonc")
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+// cmdStandins starts the stand-ins: standins ENGINES. It sets the variables
+// ENGINE1, ENGINE2, ... and SERVICE to their URLs, and KEYHASH to the hash of
+// the caller's secret.
+func cmdStandins(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.startStandins(args[0]))
+	for i, url := range w.engineURLs {
+		ts.Setenv("ENGINE"+strconv.Itoa(i+1), url)
+	}
+	ts.Setenv("SERVICE", w.serviceURL)
+	ts.Setenv("MODEL", local.Model)
+	ts.Setenv("WEIGHTS", local.Weights)
+	ts.Setenv("KEYHASH", account.HashSecret(local.CallerSecret))
+}
+
+// cmdVM acts on VMs: vm start|kill|freeze|wake|stop|gone|leaving NAME...
+// stop sends SIGTERM; gone waits until the process has ended; leaving marks
+// the VM on the membership list.
+func cmdVM(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	for _, name := range args[1:] {
+		v := w.vms[name]
+		switch args[0] {
+		case "start":
+			ts.Check(w.startVM(name))
+		case "kill":
+			v.kill()
+		case "freeze":
+			ts.Check(v.signal(syscall.SIGSTOP))
+		case "wake":
+			ts.Check(v.signal(syscall.SIGCONT))
+		case "stop":
+			ts.Check(v.signal(syscall.SIGTERM))
+		case "gone":
+			select {
+			case <-v.exited:
+			case <-time.After(callTimeout):
+				ts.Fatalf("%s still runs", name)
+			}
+		case "leaving":
+			v.member.Leaving = true
+			ts.Check(w.setMember(v.member))
+		default:
+			ts.Fatalf("unknown action %s", args[0])
+		}
+	}
+}
+
+// cmdCut cuts links: cut END END... cuts the first from each other.
+func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
+	for _, other := range args[1:] {
+		worldOf(ts).net.setCut(args[0], other, true)
+	}
+}
+
+// cmdHeal mends links: heal END END...
+func cmdHeal(ts *testscript.TestScript, _ bool, args []string) {
+	for _, other := range args[1:] {
+		worldOf(ts).net.setCut(args[0], other, false)
+	}
+}
+
+// cmdPlatform sets the platform's faults: platform up|down|lose N|drop N.
+func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	var f memplatform.Faults
+	switch args[0] {
+	case "up":
+	case "down":
+		f.Down = true
+	case "lose":
+		f.LoseAnswers = atoi(ts, args[1])
+	case "drop":
+		f.DropWrites = atoi(ts, args[1])
+	default:
+		ts.Fatalf("unknown fault %s", args[0])
+	}
+	ts.Check(w.control(http.MethodPost, w.platformURL+platformserver.PathFaults, f))
+}
+
+// cmdEngine changes an engine: engine N crash | crash-after N | crash-text
+// TEXT | truncate N | wrong-id | stall | unstall. "engine N crashes COUNT"
+// checks how often it crashed.
+func cmdEngine(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	url := w.engineURLs[atoi(ts, args[0])-1] + engine.PathControl
+	var c engine.Control
+	yes, no := true, false
+	switch args[1] {
+	case "crash":
+		c.Crash = true
+	case "crash-after":
+		n := atoi(ts, args[2])
+		c.CrashAfterTokens = &n
+	case "crash-text":
+		c.CrashText = &args[2]
+	case "truncate":
+		n := atoi(ts, args[2])
+		c.TruncateAfterTokens = &n
+	case "wrong-id":
+		c.WrongID = &yes
+	case "stall":
+		c.Stall = &yes
+	case "unstall":
+		c.Stall = &no
+	default:
+		ts.Fatalf("unknown action %s", args[1])
+	}
+	ts.Check(w.control(http.MethodPost, url, c))
+}
+
+// cmdService changes the plain service: service lose N breaks the connection
+// of the next N bookings after they ran.
+func cmdService(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	ts.Check(w.control(http.MethodPost, w.serviceURL+"/control", service.Control{LoseAnswers: atoi(ts, args[1])}))
+}
+
+// cmdFile files a ticket with the command-line tool through a VM: file VM FILE
+// [flags]. Variables in the file are expanded.
+func cmdFile(ts *testscript.TestScript, neg bool, args []string) {
+	fileTicket(ts, neg, args[0], ts.ReadFile(args[1]), args[2:])
+}
+
+// cmdFirst files the ticket of testdata/first.ticket.jsonc: first VM [flags].
+func cmdFirst(ts *testscript.TestScript, neg bool, args []string) {
+	text, err := os.ReadFile(firstTicket)
+	ts.Check(err)
+	fileTicket(ts, neg, args[0], string(text), args[1:])
+}
+
+func fileTicket(ts *testscript.TestScript, neg bool, vm, text string, flags []string) {
+	w := worldOf(ts)
+	file, err := os.CreateTemp(w.dir, "ticket")
+	ts.Check(err)
+	_, err = file.WriteString(os.Expand(text, ts.Getenv))
+	ts.Check(err)
+	ts.Check(file.Close())
+	words := append([]string{"file", "-admin", "http://" + w.vms[vm].admin}, flags...)
+	cmd := exec.Command(filepath.Join(binDir, "papayaspan"), append(words, file.Name())...)
+	cmd.Env = append(os.Environ(), "PAPAYASPAN_OPERATOR_KEY="+operatorKey)
+	out, err := cmd.CombinedOutput()
+	fmt.Fprint(ts.Stdout(), string(out))
+	if (err != nil) != neg {
+		ts.Fatalf("file: %v\n%s", err, out)
+	}
+}
+
+// cmdRequest sends a request: request VM [word=value]...; see call.
+func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	c, err := parseCall(args)
+	ts.Check(err)
+	body, err := c.run(worldOf(ts).vms[c.vm].caller)
+	fmt.Fprint(ts.Stdout(), body)
+	if (err != nil) != neg {
+		ts.Fatalf("request: %v", err)
+	}
+}
+
+// cmdAwait waits until a VM's log has a line with the text: await VM TEXT.
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	v := worldOf(ts).vms[args[0]]
+	ts.Check(until(callTimeout, func() error {
+		if strings.Contains(v.log.String(), args[1]) {
+			return nil
+		}
+		return fmt.Errorf("no %q in the log of %s", args[1], v.name)
+	}))
+}
+
+// cmdBookings checks how often the service ran a booking: bookings BODY COUNT.
+func cmdBookings(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	var s service.Stats
+	ts.Check(w.read(w.serviceURL+"/control", &s))
+	if got := s.Bookings[args[0]]; got != atoi(ts, args[1]) {
+		ts.Fatalf("booking %q ran %d times, want %s", args[0], got, args[1])
+	}
+}
+
+// cmdNoLeaks checks that no backend server saw a caller's key.
+func cmdNoLeaks(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	var s service.Stats
+	ts.Check(w.read(w.serviceURL+"/control", &s))
+	leaked := s.LeakedKeys
+	for _, url := range w.engineURLs {
+		var e engine.Stats
+		ts.Check(w.read(url+engine.PathControl, &e))
+		leaked = append(leaked, e.LeakedKeys...)
+	}
+	if len(leaked) > 0 {
+		ts.Fatalf("backend servers saw %q", leaked)
+	}
+}
+
+// cmdNoSecret checks that no log holds the text: nosecret TEXT.
+func cmdNoSecret(ts *testscript.TestScript, _ bool, args []string) {
+	for _, v := range worldOf(ts).vms {
+		if strings.Contains(v.log.String(), args[0]) {
+			ts.Fatalf("the log of %s holds %q", v.name, args[0])
+		}
+	}
+}
+
+func atoi(ts *testscript.TestScript, s string) int {
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
--- /dev/null
+++ b/scenario/world_test.go
@@ -0,0 +1,287 @@
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/settings"
+	"papayaspan.dev/papayaspan/internal/standin/platformserver"
+)
+
+const (
+	operatorKey  = "operator-secret"
+	startTimeout = 15 * time.Second
+	callTimeout  = 20 * time.Second
+)
+
+type worldKey struct{}
+
+// world is the set of processes of one script.
+type world struct {
+	dir string
+	net *network
+
+	mu          sync.Mutex
+	standins    *exec.Cmd
+	platformURL string
+	serviceURL  string
+	engineURLs  []string
+	vms         map[string]*vmProcess
+	octet       int
+}
+
+// vmProcess is one VM and its router process, which may have been replaced.
+type vmProcess struct {
+	name   string
+	ip     string
+	caller string
+	peer   string
+	admin  string
+	file   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	log    *logBuffer
+	member platform.Member
+}
+
+// logBuffer keeps what a process writes, across restarts.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// worldCount gives each world loopback addresses of its own.
+var worldCount struct {
+	sync.Mutex
+	n int
+}
+
+func newWorld(dir string) *world {
+	worldCount.Lock()
+	defer worldCount.Unlock()
+	worldCount.n++
+	return &world{dir: dir, net: newNetwork(), vms: map[string]*vmProcess{}, octet: worldCount.n}
+}
+
+func (w *world) close() {
+	for _, v := range w.vms {
+		v.kill()
+	}
+	if w.standins != nil {
+		_ = w.standins.Process.Kill()
+		_ = w.standins.Wait()
+	}
+	w.net.close()
+	if testing.Verbose() {
+		for _, v := range w.vms {
+			_ = os.WriteFile(filepath.Join(os.TempDir(), "scenario-"+filepath.Base(w.dir)+"-"+v.name+".log"), []byte(v.log.String()), 0o600)
+		}
+	}
+}
+
+func (w *world) startStandins(engines string) error {
+	w.standins = exec.Command(filepath.Join(binDir, "papayaspan-standins"), "-engines", engines)
+	if _, err := w.standins.StdinPipe(); err != nil {
+		return err
+	}
+	out, err := w.standins.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := w.standins.Start(); err != nil {
+		return err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		return err
+	}
+	var list string
+	if _, err := fmt.Sscanf(line, "standins platform=%s service=%s engines=%s", &w.platformURL, &w.serviceURL, &list); err != nil {
+		return errors.Wrapf(err, "line %q", line)
+	}
+	w.engineURLs = strings.Split(list, ",")
+	return nil
+}
+
+// address gives VM i an address of its own, so that the network knows it by
+// its source.
+func (w *world) address(i int) string { return fmt.Sprintf("127.%d.1.%d", w.octet, i) }
+
+func (w *world) vmByIP(a net.Addr) string {
+	host, _, _ := net.SplitHostPort(a.String())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range w.vms {
+		if v.ip == host {
+			return v.name
+		}
+	}
+	return host
+}
+
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// addVM prepares a VM: its addresses, links and settings file.
+func (w *world) addVM(name string) (*vmProcess, error) {
+	w.mu.Lock()
+	i := len(w.vms) + 1
+	v := &vmProcess{name: name, ip: w.address(i), log: &logBuffer{}}
+	w.vms[name] = v
+	w.mu.Unlock()
+	for _, addr := range []*string{&v.caller, &v.peer, &v.admin} {
+		var err error
+		if *addr, err = freePort(v.ip); err != nil {
+			return nil, err
+		}
+	}
+	peer, err := w.net.forward("127.0.0.1:0", v.peer, name, w.vmByIP)
+	if err != nil {
+		return nil, err
+	}
+	plat, err := w.net.forward("127.0.0.1:0", strings.TrimPrefix(w.platformURL, "http://"), "platform", func(net.Addr) string { return name })
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Default()
+	s.VM = settings.VM{ID: name, FailureDomain: fmt.Sprintf("domain-%c", 'a'+(i-1)%3)}
+	s.Listen = settings.Listen{Caller: v.caller, Peer: v.peer, Admin: v.admin}
+	s.Advertise.Peer = peer
+	s.Platform.URL = "http://" + plat
+	s.Operators = []settings.Operator{{Name: "alice", KeyHash: account.HashSecret(operatorKey)}}
+	s.Log.Level = "debug"
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	v.file = filepath.Join(w.dir, name+".jsonc")
+	v.member = platform.Member{ID: name, FailureDomain: s.VM.FailureDomain, CallerAddress: v.caller, PeerAddress: peer}
+	return v, os.WriteFile(v.file, data, 0o600)
+}
+
+// startVM starts the router process of a VM and waits until it listens.
+func (w *world) startVM(name string) error {
+	v := w.vms[name]
+	if v == nil {
+		var err error
+		if v, err = w.addVM(name); err != nil {
+			return err
+		}
+	}
+	if err := w.setMember(v.member); err != nil {
+		return err
+	}
+	v.cmd = exec.Command(filepath.Join(binDir, "papayaspand"), "serve", "-settings", v.file)
+	v.cmd.Stderr = v.log
+	if err := v.cmd.Start(); err != nil {
+		return err
+	}
+	v.exited = make(chan struct{})
+	go func(c *exec.Cmd, exited chan struct{}) {
+		_ = c.Wait()
+		close(exited)
+	}(v.cmd, v.exited)
+	return until(startTimeout, func() error {
+		c, err := net.Dial("tcp", v.admin)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err
+	})
+}
+
+func (v *vmProcess) signal(s syscall.Signal) error { return v.cmd.Process.Signal(s) }
+
+func (v *vmProcess) kill() {
+	if v.cmd == nil {
+		return
+	}
+	_ = v.cmd.Process.Kill()
+	<-v.exited
+}
+
+func (w *world) setMember(m platform.Member) error {
+	return w.control(http.MethodPut, w.platformURL+platformserver.PathMember+m.ID, m)
+}
+
+// control sends a JSON body to a stand-in.
+func (w *world) control(method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: callTimeout}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("%s: status %d: %s", url, resp.StatusCode, text)
+	}
+	return nil
+}
+
+func (w *world) read(url string, v any) error {
+	client := &http.Client{Timeout: callTimeout}
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// until tries f until it succeeds or the time is over, and returns its last
+// error.
+func until(d time.Duration, f func() error) error {
+	const pause = 20 * time.Millisecond
+	deadline := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
