Ask engines for the usage of each stream and hide it from callers who did not

Cause: the log of a streamed request showed prompt_tokens=0, so refunds and the cache feedback had no count. Ruled out: counting in the router; only the engine knows its tokens and hits. Change: stream_options.include_usage is set towards engines; the usage event is dropped unless the caller asked for it.

--- a/internal/dispatch/cursor.go
+++ b/internal/dispatch/cursor.go
@@ -64,6 +64,9 @@
 	usage                     Usage
 	// resumed is set if the current attempt is not the stream's first.
 	resumed bool
+	// hideUsage is set if the caller did not ask for the usage, which the
+	// router always asks engines for.
+	hideUsage bool
 }
 
 // resume begins another attempt.
@@ -119,6 +122,9 @@
 		repeat = c.finish
 		c.finish = true
 	case ch.Usage != nil:
+		if c.hideUsage {
+			return drop
+		}
 		repeat = c.counted
 		c.counted = true
 	default:
@@ -145,6 +151,20 @@
 	CacheSalt  string
 	Priority   int
 	ResumeFrom int
+	Stream     bool
+}
+
+// streamOptions is the field of this name of a streamed request.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// asksForUsage reports whether the caller wants the usage of its stream.
+func asksForUsage(body []byte) bool {
+	var req struct {
+		StreamOptions streamOptions `json:"stream_options"`
+	}
+	return json.Unmarshal(body, &req) == nil && req.StreamOptions.IncludeUsage
 }
 
 // engineBody returns the body with the router's fields.
@@ -166,5 +186,8 @@
 	if f.ResumeFrom > 0 {
 		set("resume_from", f.ResumeFrom)
 	}
+	if f.Stream {
+		set("stream_options", streamOptions{IncludeUsage: true})
+	}
 	return json.Marshal(object)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,6 +102,7 @@
 	d.cfg.Budget.Earn()
 	c := &call{d: d, req: req, relay: &relay{sink: sink}, begin: d.cfg.Now()}
 	c.relay.cursor.requestID = req.ID
+	c.relay.cursor.hideUsage = !asksForUsage(req.Body)
 	c.attempt.Number = 1
 	c.ran = verdict.NotRun
 	err := c.loop(ctx, p)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -71,6 +71,7 @@
 			CacheSalt:  x.req.CacheSalt,
 			Priority:   x.req.Priority,
 			ResumeFrom: x.relay.cursor.delivered,
+			Stream:     x.req.Stream,
 		})
 		if err != nil {
 			return nil, err
