--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -64,26 +64,32 @@
 	}
 }
 
-// checkDepth refuses JSON that nests deeper than limit, or is not one value.
+// checkDepth refuses what is not one JSON value, or nests deeper than limit.
 func checkDepth(body []byte, limit int) *verdict.Error {
+	if !json.Valid(body) {
+		return verdict.Refuse(http.StatusBadRequest, "malformed_json", "the body is not JSON")
+	}
+	if jsonDepth(body) > limit {
+		return verdict.Refuse(http.StatusBadRequest, "json_too_deep", errors.Errorf("the body nests deeper than %d", limit).Error())
+	}
+	return nil
+}
+
+// jsonDepth returns how deep valid JSON nests.
+func jsonDepth(body []byte) int {
 	dec := json.NewDecoder(bytes.NewReader(body))
-	depth := 0
+	depth, deepest := 0, 0
 	for {
 		tok, err := dec.Token()
-		if err == io.EOF {
-			return nil
-		}
 		if err != nil {
-			return verdict.Refuse(http.StatusBadRequest, "malformed_json", "the body is not JSON")
+			return deepest
 		}
 		switch tok {
 		case json.Delim('{'), json.Delim('['):
 			depth++
+			deepest = max(deepest, depth)
 		case json.Delim('}'), json.Delim(']'):
 			depth--
 		}
-		if depth > limit {
-			return verdict.Refuse(http.StatusBadRequest, "json_too_deep", errors.Errorf("the body nests deeper than %d", limit).Error())
-		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,7 +43,7 @@
 // New returns a router with an empty configuration.
 func New(opts Options) *Router {
 	r := &Router{opts: opts, stats: newStats(opts.Metrics)}
-	r.Publish(config.Empty())
+	r.view.Store(config.NewView(config.Empty()))
 	return r
 }
 
@@ -53,7 +53,7 @@
 	next := config.NewView(s)
 	for {
 		cur := r.view.Load()
-		if cur != nil && cur.Number >= s.Number && s.Number > 0 {
+		if cur.Number >= s.Number {
 			return
 		}
 		if r.view.CompareAndSwap(cur, next) {
