Add budget: one home VM for each account's token bucket

Cause: rate and burst hold over all VMs together, under pauses, restarts, lost messages and lagging rosters, and one VM alone must give the whole rate. Ruled out: rate / N on each VM (wrong in both directions); full refunds, which let a refill be used twice; keeping buckets over missed rosters without proof that nobody else was home; a grant now for tokens that come later, which breaks the bound once an earlier reservation is refunded. Change: a ledger as a state machine: rendezvous home, reservations that debit once, refunds carried forward from the time of the reservation, contracts by ticket, a wait of one staleness bound for a new home, hand-over of the balance credited at most once, bounded memory.

--- /dev/null
+++ b/internal/budget/handover.go
@@ -0,0 +1,79 @@
+package budget
+
+import (
+	"math"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Handover moves an account's bucket to its new home. The old home has given
+// the tokens up before it is sent; the new home takes it at most once.
+type Handover struct {
+	To      vm.VM
+	Account account.ID
+	// Version is the roster that makes To the home.
+	Version uint64
+	// Config is the configuration that was in force at the old home.
+	Config config.Number
+	// Level is the balance in tokens; it may be negative.
+	Level float64
+	Holds []Hold
+}
+
+// Hold is an unsettled reservation within a Handover.
+type Hold struct {
+	ID     ReservationID
+	Tokens float64
+	Age    time.Duration
+	// Room bounds in tokens what may be refunded.
+	Room float64
+}
+
+// Acceptance is the new home's answer to a handover.
+type Acceptance uint8
+
+const (
+	// Later means that this VM does not know the roster or the account yet.
+	Later Acceptance = iota
+	// Accepted means that the bucket is in use here.
+	Accepted
+	// Declined means that the handover came too late.
+	Declined
+)
+
+func (l *Ledger) handOver(id account.ID, b *bucket, to vm.VM, now time.Time) Handover {
+	b.advance(now)
+	h := Handover{To: to, Account: id, Version: l.view.Roster.Version, Config: l.number, Level: b.level}
+	for _, x := range b.holds {
+		h.Holds = append(h.Holds, Hold{ID: x.id, Tokens: x.tokens, Age: now.Sub(x.at), Room: x.room})
+	}
+	return h
+}
+
+// Accept takes over a bucket from the old home, which has stopped. No wait is
+// then needed before the first reservation. A balance from before a change of
+// the contract is declined, since the change may have cut it.
+func (l *Ledger) Accept(h Handover, now time.Time) Acceptance {
+	if !l.isSelf(h.To) {
+		return Declined
+	}
+	if l.view.Roster == nil || l.view.Roster.Version < h.Version || l.number < h.Config {
+		return Later
+	}
+	t := l.tenures[h.Account]
+	if t == nil || t.bucket != nil || h.Version < t.handover || math.IsNaN(h.Level) {
+		return Declined
+	}
+	if h.Config < l.base || h.Config < l.changed[h.Account] {
+		return Declined
+	}
+	t.bucket = newBucket(t.contract, h.Level, now)
+	for _, x := range h.Holds {
+		t.bucket.holds = append(t.bucket.holds, hold{id: x.ID, tokens: x.Tokens, at: now.Add(-x.Age), room: max(0, x.Room)})
+	}
+	t.bucket.noteRoom()
+	return Accepted
+}
