Run a request with an idempotency key at most once

Cause: bookings and awards must not happen twice when a caller repeats a request, when a router dies, or when the table's answer is lost.

Ruled out: claims taken over after a lease (a paused holder dispatches too); deleting a row on release (a delayed commit that expects no row would apply); retention by wall clock (a stepped clock removes rows early); one transaction a claim (several hundred writes a second for the whole fleet).

Change: internal/claim.

--- /dev/null
+++ b/internal/claim/batch.go
@@ -0,0 +1,302 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+// EpochRow is the key of the row that holds the retention epoch.
+const EpochRow = "claim-epoch"
+
+// op is one row transition that waits to be committed.
+type op struct {
+	row string
+	// apply computes the transition. It may run several times; the last run
+	// counts.
+	apply func(Record, Stamp) (next Record, write bool)
+	// assumeAbsent makes the first try skip the read of the row.
+	assumeAbsent bool
+	// until is when a commit with unknown outcome is given up.
+	until time.Time
+	// uncertain is set once a commit of this op had an unknown outcome.
+	uncertain bool
+	// result receives nil once the last run of apply is in force,
+	// platform.ErrUnavailable if the op had no effect, or
+	// platform.ErrOutcomeUnknown.
+	result chan error
+}
+
+// batcher commits ops of one VM in few transactions.
+type batcher struct {
+	table platform.Table
+	now   func() time.Time
+	// maxRows bounds the ops of one transaction.
+	maxRows int
+	// interval is the least time between two transactions.
+	interval func() time.Duration
+	queue    chan *op
+	inFlight sync.WaitGroup
+	slots    chan struct{}
+
+	mu           sync.Mutex
+	epoch        uint64
+	epochVersion platform.Version
+	epochKnown   bool
+}
+
+const (
+	// queueLength bounds the ops that wait for a transaction.
+	queueLength = 4096
+	// maxTransactions bounds the concurrent transactions of one VM.
+	maxTransactions = 4
+	// retryPause is the time between two tries of a batch.
+	retryPause = 20 * time.Millisecond
+)
+
+// run forms batches until ctx ends, then waits for those in flight.
+func (b *batcher) run(ctx context.Context) {
+	defer b.inFlight.Wait()
+	var held []*op
+	for {
+		batch, rest := b.collect(ctx, held)
+		if len(batch) == 0 {
+			return
+		}
+		held = rest
+		b.slots <- struct{}{}
+		b.inFlight.Add(1)
+		go func() {
+			defer b.inFlight.Done()
+			defer func() { <-b.slots }()
+			b.commit(batch)
+		}()
+		sleep(ctx, b.interval())
+	}
+}
+
+// collect takes the ops that wait, at most one for each row. Ops for a row
+// that is already in the batch are returned as rest.
+func (b *batcher) collect(ctx context.Context, held []*op) (batch, rest []*op) {
+	rows := map[string]bool{}
+	add := func(o *op) {
+		if rows[o.row] || len(batch) == b.maxRows {
+			rest = append(rest, o)
+			return
+		}
+		rows[o.row] = true
+		batch = append(batch, o)
+	}
+	for _, o := range held {
+		add(o)
+	}
+	if len(batch) == 0 {
+		select {
+		case o := <-b.queue:
+			add(o)
+		case <-ctx.Done():
+			return b.drain(), nil
+		}
+	}
+	for len(batch) < b.maxRows {
+		select {
+		case o := <-b.queue:
+			add(o)
+		default:
+			return batch, rest
+		}
+	}
+	return batch, rest
+}
+
+// drain refuses the ops that still wait at the end.
+func (b *batcher) drain() []*op {
+	for {
+		select {
+		case o := <-b.queue:
+			o.result <- errors.WithStack(platform.ErrUnavailable)
+		default:
+			return nil
+		}
+	}
+}
+
+// commit brings every op of the batch to its result. After a conflict the
+// batch is read again and split, so that one contended row doesn't hold up
+// the others.
+func (b *batcher) commit(ops []*op) {
+	for first := true; len(ops) > 0; first = false {
+		ops = b.giveUp(ops)
+		rows, err := b.read(ops, first)
+		if err != nil {
+			ops = b.unavailable(ops)
+			time.Sleep(retryPause)
+			continue
+		}
+		pending, checks, writes := b.prepare(ops, rows)
+		if len(pending) == 0 {
+			return
+		}
+		ops = pending
+		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+		err = b.table.Commit(ctx, checks, writes)
+		cancel()
+		switch {
+		case err == nil:
+			finish(ops, nil)
+			return
+		case errors.Is(err, platform.ErrConflict):
+			b.forgetEpoch()
+			if half := len(ops) / 2; half > 0 && !first {
+				b.commit(ops[:half])
+				ops = ops[half:]
+			}
+		case errors.Is(err, platform.ErrUnavailable):
+			ops = b.unavailable(ops)
+			time.Sleep(retryPause)
+		default:
+			for _, o := range ops {
+				o.uncertain = true
+			}
+		}
+	}
+}
+
+// read gets the rows that the ops need, and the epoch if it is not known.
+func (b *batcher) read(ops []*op, first bool) (map[string]platform.Row, error) {
+	var keys []string
+	for _, o := range ops {
+		if !first || !o.assumeAbsent {
+			keys = append(keys, o.row)
+		}
+	}
+	b.mu.Lock()
+	if !b.epochKnown {
+		keys = append(keys, EpochRow)
+	}
+	b.mu.Unlock()
+	got := map[string]platform.Row{}
+	if len(keys) == 0 {
+		return got, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	rows, err := b.table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range rows {
+		if r.Key == EpochRow {
+			if err := b.setEpoch(r); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		got[r.Key] = r
+	}
+	return got, nil
+}
+
+// prepare applies the ops to their rows. Ops that need no write are finished.
+func (b *batcher) prepare(ops []*op, rows map[string]platform.Row) (pending []*op, checks []platform.Check, writes []platform.Write) {
+	b.mu.Lock()
+	stamp := Stamp{Now: b.now(), Epoch: b.epoch}
+	checks = append(checks, platform.Check{Key: EpochRow, Version: b.epochVersion})
+	b.mu.Unlock()
+	for _, o := range ops {
+		row := rows[o.row]
+		rec, err := Decode(row.Value)
+		if err != nil {
+			o.result <- err
+			continue
+		}
+		next, write := o.apply(rec, stamp)
+		if !write {
+			o.result <- nil
+			continue
+		}
+		value, err := next.Encode()
+		if err != nil {
+			o.result <- err
+			continue
+		}
+		pending = append(pending, o)
+		checks = append(checks, platform.Check{Key: o.row, Version: row.Version})
+		writes = append(writes, platform.Write{Key: o.row, Value: value})
+	}
+	return pending, checks, writes
+}
+
+// unavailable finishes the ops that certainly had no effect and returns the
+// others.
+func (b *batcher) unavailable(ops []*op) []*op {
+	var rest []*op
+	for _, o := range ops {
+		if o.uncertain {
+			rest = append(rest, o)
+			continue
+		}
+		o.result <- errors.WithStack(platform.ErrUnavailable)
+	}
+	return rest
+}
+
+// giveUp finishes the uncertain ops whose time is over.
+func (b *batcher) giveUp(ops []*op) []*op {
+	now := b.now()
+	var rest []*op
+	for _, o := range ops {
+		if o.uncertain && now.After(o.until) {
+			o.result <- errors.WithStack(platform.ErrOutcomeUnknown)
+			continue
+		}
+		rest = append(rest, o)
+	}
+	return rest
+}
+
+func (b *batcher) setEpoch(r platform.Row) error {
+	epoch, err := decodeEpoch(r.Value)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.epoch, b.epochVersion, b.epochKnown = epoch, r.Version, true
+	return nil
+}
+
+// decodeEpoch returns the number in the epoch row. The row is absent at first.
+func decodeEpoch(value []byte) (uint64, error) {
+	if value == nil {
+		return 0, nil
+	}
+	epoch, err := strconv.ParseUint(string(value), 10, 64)
+	return epoch, errors.Wrap(err, "decode claim epoch")
+}
+
+func (b *batcher) forgetEpoch() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.epochKnown = false
+}
+
+func finish(ops []*op, err error) {
+	for _, o := range ops {
+		o.result <- err
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,127 @@
+// Package claim makes a request with an idempotency key run at most once. A
+// router writes a claim row to the platform's table before it dispatches such
+// a request. Nobody but the writer of the claim may dispatch, and a claim that
+// a dead router left behind is never taken over: its request may have run.
+//
+// The transitions in transition.go are pure functions. Store commits them in
+// batches.
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Prefix starts the keys of all claim rows.
+const Prefix = "claim/"
+
+// Key identifies a request across its repeats.
+type Key struct {
+	Account     account.ID
+	Idempotency string
+}
+
+// Row returns the key of the table row. Idempotency keys are hashed, which
+// bounds the length of the row key.
+func (k Key) Row() string {
+	sum := sha256.Sum256([]byte(k.Idempotency))
+	return Prefix + string(k.Account) + "/" + base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
+// Digest identifies the content of a request: SHA-256 in base64.
+type Digest string
+
+// DigestOf returns the digest of a request's method, request URI and body.
+func DigestOf(method, uri string, body []byte) Digest {
+	h := sha256.New()
+	h.Write([]byte(method + " " + uri + "\n"))
+	h.Write(body)
+	return Digest(base64.RawStdEncoding.EncodeToString(h.Sum(nil)))
+}
+
+// Nonce is a random value that identifies one attempt.
+type Nonce string
+
+// State is the state of a claim row.
+type State string
+
+const (
+	// Absent means that there is no row.
+	Absent State = ""
+	// Claimed means that the writer of the row may dispatch the request, and
+	// may have done so.
+	Claimed State = "claimed"
+	// Done means that the request ran and Outcome holds its answer.
+	Done State = "done"
+	// Abandoned means that the request may have run and no outcome is known.
+	Abandoned State = "abandoned"
+	// Released means that the attempt is proved not to have run.
+	Released State = "released"
+)
+
+// Owner is the router process that wrote a claim.
+type Owner struct {
+	VM          vm.ID          `json:"vm"`
+	Incarnation vm.Incarnation `json:"inc"`
+}
+
+// Record is the content of a claim row.
+type Record struct {
+	State   State  `json:"s"`
+	Digest  Digest `json:"d"`
+	Attempt uint64 `json:"a"`
+	Nonce   Nonce  `json:"n"`
+	Owner   Owner  `json:"o"`
+	// Epoch is the retention epoch of the last change.
+	Epoch uint64 `json:"e"`
+	// ChangedMS is the wall clock of the last change in Unix milliseconds. It
+	// only decides when a claim is reported as abandoned.
+	ChangedMS int64    `json:"t"`
+	Outcome   *Outcome `json:"r,omitempty"`
+}
+
+// Outcome is the answer of a backend server.
+type Outcome struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	// Body is the answer's body if it is small.
+	Body []byte `json:"body,omitempty"`
+	// Object names the object that holds a large body.
+	Object string `json:"object,omitempty"`
+	// Size is the length of the body in bytes.
+	Size int `json:"size"`
+	// BodyDropped is set if the body was too large to be kept.
+	BodyDropped bool `json:"dropped,omitempty"`
+}
+
+// Hold is the right to dispatch one attempt of a request.
+type Hold struct {
+	Attempt uint64
+	Nonce   Nonce
+}
+
+// Encode returns the row value for a record.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode claim")
+}
+
+// Decode returns the record of a row value. A nil value is an absent row.
+func Decode(value []byte) (Record, error) {
+	var r Record
+	if value == nil {
+		return r, nil
+	}
+	err := json.Unmarshal(value, &r)
+	return r, errors.Wrap(err, "decode claim")
+}
+
+func (r Record) changed() time.Time { return time.UnixMilli(r.ChangedMS) }
--- /dev/null
+++ b/spec/claim/claim_test.go
@@ -0,0 +1,33 @@
+package claim
+
+import (
+	"testing"
+
+	"papayaspan.dev/papayaspan/spec/explore"
+)
+
+func TestAtMostOnce(t *testing.T) {
+	tests := []struct {
+		desc    string
+		variant Variant
+		sound   bool
+	}{
+		{"the product's protocol", Sound, true},
+		{"claim after dispatch", ClaimAfterDispatch, false},
+		{"second dispatch after a lapse", TakeOver, false},
+		{"dispatch after a lost answer", TrustLostAnswer, false},
+		{"release of a request that was sent", ReleaseAfterSend, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			r := explore.Run(Model(tt.variant))
+			t.Log(r)
+			if tt.sound && (r.Violation != nil || !r.Complete) {
+				t.Errorf("want every state sound")
+			}
+			if !tt.sound && r.Violation == nil {
+				t.Errorf("the checker did not refute the variant")
+			}
+		})
+	}
+}
