Predict which engines hold a prompt's prefix

Cause: routing by prefix needs to know what each engine incarnation likely holds, from dispatches, replies and an unreliable event stream.

--- /dev/null
+++ b/internal/prefix/hash.go
@@ -0,0 +1,84 @@
+// Package prefix predicts which engines hold the KV cache of a prompt's
+// prefix. Prompts are cut into blocks of a fixed size; each block's hash covers
+// the block and everything before it.
+package prefix
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayaspan.dev/papayaspan/internal/account"
+)
+
+// DefaultBlockTokens is the default size of a block in tokens.
+const DefaultBlockTokens = 2048
+
+// BytesPerToken is the mean size of a token, used to cut a text into blocks
+// without the model's tokenizer.
+const BytesPerToken = 4
+
+// saltBytes is the part of the SHA-256 sum that is kept as salt.
+const saltBytes = 16
+
+// Hash identifies a block together with all blocks before it, within a Scope.
+type Hash uint64
+
+// Scope separates cache entries: an entry is only ever used for requests of
+// the same client account, model and weights version. The zero Scope matches
+// no request.
+type Scope struct {
+	salt  string
+	seed  uint64
+	check uint64
+}
+
+// NewScope returns the scope of a client account's requests for one version of
+// a model.
+func NewScope(id account.ID, model, weightsVersion string) Scope {
+	sum := sha256.New()
+	for _, part := range []string{string(id), model, weightsVersion} {
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+		sum.Write(size[:])
+		sum.Write([]byte(part))
+	}
+	digest := sum.Sum(nil)
+	salt := hex.EncodeToString(digest[:saltBytes])
+	return Scope{
+		salt:  salt,
+		seed:  xxhash.Sum64String(salt),
+		check: binary.LittleEndian.Uint64(digest[saltBytes:]),
+	}
+}
+
+// Salt is the cache_salt that engines are given. Engines derive the root of
+// their block hashes from it with Root.
+func (s Scope) Salt() string { return s.salt }
+
+// Root is the parent of the first block.
+func (s Scope) Root() Hash { return Hash(s.seed) }
+
+// Root returns the parent of the first block for a cache_salt.
+func Root(salt string) Hash { return Hash(xxhash.Sum64String(salt)) }
+
+// Extend returns the hash of a block that follows the block parent.
+func Extend(parent Hash, block []byte) Hash {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(parent))
+	d.Write(block)
+	return Hash(d.Sum64())
+}
+
+// Chain appends the hashes of the full blocks of text to buf. The last,
+// partial block is left out: engines cache full blocks only.
+func Chain(root Hash, text []byte, blockTokens int, buf []Hash) []Hash {
+	size := blockTokens * BytesPerToken
+	for parent := root; len(text) >= size; text = text[size:] {
+		parent = Extend(parent, text[:size])
+		buf = append(buf, parent)
+	}
+	return buf
+}
