--- /dev/null
+++ b/bench/policies_test.go
@@ -0,0 +1,201 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/prefix"
+	"papayaspan.dev/papayaspan/internal/route"
+)
+
+var pool = route.PoolKey{Model: "model", WeightsVersion: "1"}
+
+const indexBlocks = 300_000
+
+// router is the routing state of one VM: what it knows of the engines, and a
+// policy. All policies get the same reports and the same correction of them.
+type router struct {
+	policy  string
+	rng     *rand.Rand
+	loads   []*route.Load
+	broken  []bool
+	runs    []int // incarnations
+	index   *prefix.Index
+	fleet   *route.Fleet
+	chooser *route.Chooser
+	next    int
+	engines []*engine // for the oracle only
+}
+
+func newRouter(policy string, engines []*engine, seed int64) *router {
+	r := &router{policy: policy, rng: rand.New(rand.NewSource(seed)), engines: engines}
+	r.next = r.rng.Intn(len(engines))
+	r.index = prefix.NewIndex(indexBlocks, start)
+	for range engines {
+		r.loads = append(r.loads, route.NewLoad(nominalRate))
+	}
+	r.broken = make([]bool, len(engines))
+	r.runs = make([]int, len(engines))
+	r.rebuild()
+	healthy := route.Healthy(func(id backend.ID) bool { return r.broken[engineNumber(id)] })
+	r.chooser = route.NewChooser(r.index, blockTokens, healthy)
+	return r
+}
+
+func engineID(i int) backend.ID { return backend.ID(fmt.Sprintf("engine-%03d", i)) }
+
+func engineNumber(id backend.ID) int {
+	n := 0
+	for _, digit := range id[len("engine-"):] {
+		n = 10*n + int(digit-'0')
+	}
+	return n
+}
+
+// rebuild makes the snapshot of the engines anew.
+func (r *router) rebuild() {
+	list := make([]route.Engine, len(r.loads))
+	for i, l := range r.loads {
+		slot := r.index.Attach(engineID(i), backend.Incarnation(fmt.Sprint(r.runs[i])))
+		list[i] = route.Engine{ID: engineID(i), Slot: slot, Pools: []route.PoolKey{pool}, Load: l}
+	}
+	r.fleet = route.NewFleet(list)
+}
+
+// polled takes in an engine's answer to GET /load.
+func (r *router) polled(i, incarnation int, report route.Report, now time.Time) {
+	r.broken[i] = false
+	if r.runs[i] != incarnation {
+		r.runs[i] = incarnation
+		r.loads[i].Reset()
+		r.rebuild()
+	}
+	r.loads[i].Reported(report, now)
+}
+
+// choose returns the engine for a request.
+func (r *router) choose(q *route.Request, now time.Time) (route.Decision, bool) {
+	var d route.Decision
+	i := 0
+	switch r.policy {
+	case "roundrobin":
+		i = r.roundRobin()
+	case "leastload":
+		i = r.leastLoad(q, now)
+	case "prefixhash":
+		i = r.prefixHash(q, now)
+	case "oracle":
+		i = r.oracle(q)
+	default:
+		d, err := r.chooser.Choose(r.fleet, q, now, r.rng)
+		return d, err == nil
+	}
+	if i < 0 {
+		return d, false
+	}
+	e := &r.fleet.Engines()[i]
+	d.Candidate = route.Candidate{Engine: e, Load: e.Load.Estimate(q.Priority, now)}
+	d.MissTokens = q.PromptTokens
+	if n := len(q.Chain); n > 0 {
+		for _, m := range r.index.Lookup(q.Scope, q.Chain, now, nil) {
+			if m.Slot == e.Slot {
+				d.HitBlocks, d.Age = m.Blocks, m.Age
+			}
+		}
+		d.MissTokens -= d.HitBlocks * blockTokens
+	}
+	return d, true
+}
+
+func (r *router) roundRobin() int {
+	for range r.loads {
+		r.next = (r.next + 1) % len(r.loads)
+		if !r.broken[r.next] {
+			return r.next
+		}
+	}
+	return -1
+}
+
+func (r *router) ahead(i int, q *route.Request, now time.Time) float64 {
+	e := r.loads[i].Estimate(q.Priority, now)
+	return e.Ahead + float64(e.Running)*runningTokens
+}
+
+// runningTokens is what a running request adds to the load, in prompt tokens.
+const runningTokens = 20
+
+func (r *router) leastLoad(q *route.Request, now time.Time) int {
+	best, bestLoad := -1, 0.0
+	offset := r.rng.Intn(len(r.loads)) // ties are broken at random
+	for k := range r.loads {
+		i := (k + offset) % len(r.loads)
+		load := r.ahead(i, q, now)
+		if !r.broken[i] && (best < 0 || load < bestLoad) {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+// Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2016).
+const (
+	boundFactor = 1.25
+	boundTokens = 6000
+	hashBlocks  = 5
+)
+
+func (r *router) prefixHash(q *route.Request, now time.Time) int {
+	if len(q.Chain) == 0 {
+		return r.leastLoad(q, now)
+	}
+	total := 0.0
+	for i := range r.loads {
+		total += r.ahead(i, q, now)
+	}
+	bound := boundFactor*total/float64(len(r.loads)) + boundTokens
+	key := uint64(q.Chain[min(len(q.Chain), hashBlocks)-1])
+	best, bestWeight := -1, prefix.Hash(0)
+	for i := range r.loads {
+		weight := prefix.Extend(prefix.Hash(key), []byte(engineID(i)))
+		if r.broken[i] || r.ahead(i, q, now) > bound {
+			continue
+		}
+		if best < 0 || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
+}
+
+// oracle knows every engine's state now. It picks by the same cost.
+func (r *router) oracle(q *route.Request) int {
+	best, bestCost := -1, 0.0
+	for i, e := range r.engines {
+		if e.down {
+			continue
+		}
+		miss := float64(q.PromptTokens - e.held(q.Chain)*blockTokens)
+		// Work that waits for its start on this engine will be held by then.
+		for _, j := range e.waiting {
+			common := 0
+			for common < min(len(j.chain), len(q.Chain)) && j.chain[common] == q.Chain[common] {
+				common++
+			}
+			miss = min(miss, float64(q.PromptTokens-common*blockTokens))
+		}
+		queued := 0.0
+		for p, tokens := range e.report().QueuedTokens {
+			if p <= q.Priority {
+				queued += float64(tokens)
+			}
+		}
+		cost := queued + (1+route.DefaultMissWeight)*miss + runningTokens*float64(len(e.running))
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/route/chooser.go
@@ -0,0 +1,153 @@
+package route
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/prefix"
+)
+
+// ErrNoEngine means that no engine may get the request now.
+var ErrNoEngine = errors.New("no engine serves the model now")
+
+const (
+	// samples is how many engines are drawn at random for each request. Drawing
+	// keeps routers with the same reports from all picking the same engine.
+	samples = 4
+	// affinityBlocks is the depth of the block that selects the rendezvous
+	// choices: requests that share this many blocks share their choices.
+	affinityBlocks = 3
+	// typicalCandidates is the usual bound on candidates.
+	typicalCandidates = 40
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	Scope prefix.Scope
+	Pool  PoolKey
+	// Chain are the hashes of the prompt's full blocks.
+	Chain []prefix.Hash
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// Priority is the level from 0, the first served, to Priorities-1.
+	Priority int
+	// Excluded are engines that the request must avoid.
+	Excluded []backend.ID
+}
+
+// Reason says why an engine was chosen.
+type Reason string
+
+const (
+	// Hit means that the engine likely holds the most of the prefix.
+	Hit Reason = "hit"
+	// Affinity means the prefix's rendezvous choice.
+	Affinity Reason = "affinity"
+	// Spread means that engines that hold more of the prefix are too busy.
+	Spread Reason = "spread"
+	// LeastLoad means that no prefix mattered.
+	LeastLoad Reason = "least-load"
+)
+
+// Decision is the choice of an engine and what it was based on.
+type Decision struct {
+	Candidate
+	Reason Reason
+	// HitTokens and MissTokens are the expected parts of the prompt.
+	HitTokens, MissTokens int
+	// Considered is the number of candidates.
+	Considered int
+}
+
+// Chooser chooses engines for requests. It is safe for concurrent use.
+type Chooser struct {
+	Index       *prefix.Index
+	BlockTokens int
+	Filters     []Filter
+	Scorer      Scorer
+	Picker      Picker
+}
+
+// NewChooser returns the default policy over index.
+func NewChooser(index *prefix.Index, blockTokens int, filters ...Filter) *Chooser {
+	return &Chooser{
+		Index:       index,
+		BlockTokens: blockTokens,
+		Filters:     append([]Filter{NotLeaving, NotExcluded}, filters...),
+		Scorer: CostScorer{
+			BlockTokens:    blockTokens,
+			MissWeight:     DefaultMissWeight,
+			AffinityWeight: DefaultAffinityWeight,
+			RunningDelay:   DefaultRunningDelay,
+		},
+		Picker: LowestScore{},
+	}
+}
+
+// Choose returns the engine for a request. The work does not grow with the
+// number of engines unless all usual candidates are filtered out.
+func (c *Chooser) Choose(f *Fleet, r *Request, now time.Time, rng *rand.Rand) (Decision, error) {
+	p := f.pools[r.Pool]
+	if p == nil {
+		return Decision{}, ErrNoEngine
+	}
+	var space [typicalCandidates]Candidate
+	s := selection{chooser: c, fleet: f, request: r, now: now, list: space[:0]}
+	s.addRanked(p)
+	s.addHolders(p)
+	s.addSampled(p, rng)
+	if len(s.list) == 0 {
+		s.addAll(p)
+	}
+	if len(s.list) == 0 {
+		return Decision{}, ErrNoEngine
+	}
+	for i := range s.list {
+		c.Scorer.Score(r, &s.list[i])
+	}
+	return c.decide(r, s.list), nil
+}
+
+func (c *Chooser) decide(r *Request, list []Candidate) Decision {
+	d := Decision{Candidate: list[c.Picker.Pick(list)], Considered: len(list)}
+	d.HitTokens = d.HitBlocks * c.BlockTokens
+	d.MissTokens = r.PromptTokens - d.HitTokens
+	d.Reason = reason(r, &d.Candidate, list)
+	return d
+}
+
+func reason(r *Request, picked *Candidate, list []Candidate) Reason {
+	best := 0
+	for i := range list {
+		best = max(best, list[i].HitBlocks)
+	}
+	switch {
+	case picked.HitBlocks < best:
+		return Spread
+	case picked.HitBlocks > 0:
+		return Hit
+	case picked.Rank == 0 && len(r.Chain) > 0:
+		return Affinity
+	}
+	return LeastLoad
+}
+
+// Dispatched notes that the request is sent to the chosen engine.
+func (c *Chooser) Dispatched(r *Request, d *Decision, now time.Time) {
+	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, now)
+	d.Engine.Load.Sent(r.Priority, float64(d.MissTokens), now)
+}
+
+// FirstToken notes how long the chosen engine took to the first token.
+func (c *Chooser) FirstToken(d *Decision, took time.Duration) {
+	d.Engine.Load.Answered(d.Load.Ahead+float64(d.MissTokens), took)
+}
+
+// Finished notes the number of prompt tokens that the engine had cached.
+func (c *Chooser) Finished(d *Decision, cachedTokens int) {
+	m := prefix.Match{Slot: d.Engine.Slot, Blocks: d.HitBlocks, Age: d.Age}
+	c.Index.Observe(m, cachedTokens/c.BlockTokens)
+}
--- /dev/null
+++ b/internal/route/load.go
@@ -0,0 +1,150 @@
+package route
+
+import (
+	"sync"
+	"time"
+)
+
+// Priorities is the number of priority levels. Level 0 is served first.
+const Priorities = 4
+
+const (
+	// maxRecent bounds the dispatches kept to correct lagging reports.
+	maxRecent = 128
+	// rateWeight is the weight of one reply in the learnt prefill rate.
+	rateWeight = 0.05
+	// rateRange bounds the learnt rate relative to the configured one.
+	rateRange = 4
+	// minRateTokens is the least work that a rate is learnt from.
+	minRateTokens = 2048
+)
+
+// Report is an engine's own account of its load at a past time.
+type Report struct {
+	// Sampled is when the state was taken.
+	Sampled time.Time
+	// QueuedTokens are prompt tokens not yet computed, by priority.
+	QueuedTokens [Priorities]int
+	// Running is the number of requests that generate tokens.
+	Running int
+}
+
+// send is one dispatch by this router.
+type send struct {
+	at       time.Time
+	priority int
+	tokens   float64
+}
+
+// Load estimates the prefill backlog of one engine: the last report, corrected
+// by what this router has sent since and by what the engine has computed since.
+// It is safe for concurrent use.
+type Load struct {
+	mu       sync.Mutex
+	nominal  float64
+	rate     float64
+	backlog  [Priorities]float64
+	at       time.Time
+	running  int
+	recent   []send
+	reported time.Time
+}
+
+// NewLoad returns the load of an idle engine that computes nominal prompt
+// tokens a second.
+func NewLoad(nominal float64) *Load { return &Load{nominal: nominal, rate: nominal} }
+
+// Estimate is the state of an engine at one moment.
+type Estimate struct {
+	// Ahead are the tokens computed before a new request of the priority.
+	Ahead float64
+	// Rate is the prefill rate in tokens a second.
+	Rate float64
+	// Running is the number of requests that generate tokens.
+	Running int
+}
+
+// Estimate returns the engine's state for a request of the given priority.
+func (l *Load) Estimate(priority int, now time.Time) Estimate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	e := Estimate{Rate: l.rate, Running: l.running}
+	for p := 0; p <= priority; p++ {
+		e.Ahead += l.backlog[p]
+	}
+	return e
+}
+
+// Sent notes a dispatch with tokens that the engine has to compute.
+func (l *Load) Sent(priority int, tokens float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	l.backlog[priority] += tokens
+	if len(l.recent) == maxRecent {
+		l.recent = append(l.recent[:0], l.recent[1:]...)
+	}
+	l.recent = append(l.recent, send{at: now, priority: priority, tokens: tokens})
+}
+
+// Reported takes in an engine's report. Reports that are older than the last
+// one are ignored.
+func (l *Load) Reported(r Report, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Sampled.Before(l.reported) {
+		return
+	}
+	l.reported = r.Sampled
+	l.running = r.Running
+	l.at = r.Sampled
+	for p, tokens := range r.QueuedTokens {
+		l.backlog[p] = float64(tokens)
+	}
+	kept := l.recent[:0]
+	for _, s := range l.recent {
+		if s.at.Before(r.Sampled) {
+			continue
+		}
+		l.advance(s.at)
+		l.backlog[s.priority] += s.tokens
+		kept = append(kept, s)
+	}
+	l.recent = kept
+	l.advance(now)
+}
+
+// Answered learns the prefill rate from a first token: tokens were computed in
+// the time between the dispatch and the token.
+func (l *Load) Answered(tokens float64, took time.Duration) {
+	if tokens < minRateTokens || took <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate += rateWeight * (tokens/took.Seconds() - l.rate)
+	l.rate = min(max(l.rate, l.nominal/rateRange), l.nominal*rateRange)
+}
+
+// Reset forgets all work, for an engine that came back with a new incarnation.
+func (l *Load) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*l = Load{nominal: l.nominal, rate: l.nominal, at: l.at}
+}
+
+// advance drains the backlog up to now, the highest priority first. The caller
+// holds l.mu.
+func (l *Load) advance(now time.Time) {
+	if !now.After(l.at) {
+		return
+	}
+	budget := l.rate * now.Sub(l.at).Seconds()
+	l.at = now
+	for p := range l.backlog {
+		done := min(budget, l.backlog[p])
+		l.backlog[p] -= done
+		budget -= done
+	}
+}
--- /dev/null
+++ b/internal/route/scorer.go
@@ -0,0 +1,68 @@
+package route
+
+import "time"
+
+// Candidate is an engine under consideration for a request.
+type Candidate struct {
+	Engine *Engine
+	// Rank is the position in the prefix's rendezvous order, or Unranked.
+	Rank int
+	// HitBlocks is the number of leading blocks that the engine likely holds.
+	HitBlocks int
+	// Age is the time since the engine used the last of those blocks.
+	Age time.Duration
+	// Load is the engine's estimated state.
+	Load Estimate
+	// Queue is the estimated wait before the prefill starts.
+	Queue time.Duration
+	// TTFT is the estimated time to first token.
+	TTFT time.Duration
+	// Score is the cost that the picker compares, lower is better.
+	Score time.Duration
+}
+
+// Unranked is the rank of engines outside the rendezvous order.
+const Unranked = choices
+
+// Weights of the default policy; see CostScorer.
+const (
+	DefaultMissWeight     = 1.0
+	DefaultAffinityWeight = 0.5
+	DefaultRunningDelay   = 2 * time.Millisecond
+)
+
+// Scorer fills in the estimates and the score of a candidate.
+type Scorer interface {
+	Score(r *Request, c *Candidate)
+}
+
+// CostScorer scores by the estimated time to first token, plus what the
+// request's misses cost the requests after it.
+type CostScorer struct {
+	// BlockTokens is the size of a block in tokens.
+	BlockTokens int
+	// MissWeight is the cost to others of a second spent on recomputation.
+	MissWeight float64
+	// AffinityWeight is the part of a prefix's computation that the first
+	// rendezvous choice is credited with when it isn't known to hold it:
+	// another router may have sent the prefix there.
+	AffinityWeight float64
+	// RunningDelay is what each request that generates tokens adds.
+	RunningDelay time.Duration
+}
+
+// Score implements Scorer.
+func (s CostScorer) Score(r *Request, c *Candidate) {
+	miss := float64(r.PromptTokens - c.HitBlocks*s.BlockTokens)
+	compute := seconds(miss / c.Load.Rate)
+	c.Queue = seconds(c.Load.Ahead / c.Load.Rate)
+	c.TTFT = c.Queue + compute
+	c.Score = c.TTFT + time.Duration(s.MissWeight*float64(compute))
+	c.Score += time.Duration(c.Load.Running) * s.RunningDelay
+	if c.Rank == 0 {
+		unknown := float64((len(r.Chain) - c.HitBlocks) * s.BlockTokens)
+		c.Score -= seconds(s.AffinityWeight * unknown / c.Load.Rate)
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
