--- a/internal/prefix/events.go
+++ b/internal/prefix/events.go
@@ -26,6 +26,8 @@
 	Incarnation backend.Incarnation `json:"incarnation"`
 	Type        EventType           `json:"type"`
 	Hashes      []Hash              `json:"hashes,omitempty"`
+	// Salt is the cache_salt of the blocks, if the engine tells it.
+	Salt string `json:"salt,omitempty"`
 }
 
 const (
@@ -36,7 +38,7 @@
 	// removal that arrives sooner after a dispatch is taken to precede it.
 	maxEventDelay = time.Second
 	// streamTimeout is how long a stream without events counts as unbroken.
-	streamTimeout = 5 * time.Second
+	streamTimeout = 30 * time.Second
 )
 
 // stream is the state of an engine's event stream.
@@ -72,8 +74,9 @@
 
 // Apply takes in a cache event of an engine and returns the engine's slot,
 // which is a new one after a cleared cache. Events of another incarnation are
-// dropped. Blocks that no request through this index had are ignored: their
-// scope is unknown.
+// dropped. Blocks that no request through this index had are ignored, unless
+// the event tells their scope and requests of that scope came through this
+// index lately.
 func (x *Index) Apply(engine backend.ID, e Event, now time.Time) Slot {
 	o := x.slots.find(engine)
 	if o == nil {
@@ -87,12 +90,26 @@
 	if e.Type == Cleared {
 		return x.slots.renew(o.slot)
 	}
+	scope := scopeOf(e.Salt)
+	add := e.Type == Stored && e.Salt != "" && x.recent.contains(scope, at)
 	for _, h := range e.Hashes {
+		if add {
+			x.learn(scope, h, o.slot, at)
+			continue
+		}
 		x.applyBlock(o.slot, e.Type, h, at)
 	}
 	return o.slot
 }
 
+// learn records a block that another router's request stored.
+func (x *Index) learn(scope Scope, h Hash, slot Slot, at uint32) {
+	s := x.shard(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.hold(s.touch(h, scope.check, at, x.perShard), slot, at)
+}
+
 func (x *Index) applyBlock(slot Slot, t EventType, h Hash, at uint32) {
 	s := x.shard(h)
 	s.mu.Lock()
--- a/internal/prefix/hash.go
+++ b/internal/prefix/hash.go
@@ -20,6 +20,9 @@
 // without the model's tokenizer.
 const BytesPerToken = 4
 
+// checkSeed makes a scope's check independent of its root hash.
+const checkSeed = 1
+
 // saltBytes is the part of the SHA-256 sum that is kept as salt.
 const saltBytes = 16
 
@@ -45,13 +48,15 @@
 		sum.Write(size[:])
 		sum.Write([]byte(part))
 	}
-	digest := sum.Sum(nil)
-	salt := hex.EncodeToString(digest[:saltBytes])
-	return Scope{
-		salt:  salt,
-		seed:  xxhash.Sum64String(salt),
-		check: binary.LittleEndian.Uint64(digest[saltBytes:]),
-	}
+	return scopeOf(hex.EncodeToString(sum.Sum(nil)[:saltBytes]))
+}
+
+// scopeOf returns the scope with a salt.
+func scopeOf(salt string) Scope {
+	var check xxhash.Digest
+	check.ResetWithSeed(checkSeed)
+	check.WriteString(salt)
+	return Scope{salt: salt, seed: xxhash.Sum64String(salt), check: check.Sum64()}
 }
 
 // Salt is the cache_salt that engines are given. Engines derive the root of
@@ -62,7 +67,7 @@
 func (s Scope) Root() Hash { return Hash(s.seed) }
 
 // Root returns the parent of the first block for a cache_salt.
-func Root(salt string) Hash { return Hash(xxhash.Sum64String(salt)) }
+func Root(salt string) Hash { return scopeOf(salt).Root() }
 
 // Extend returns the hash of a block that follows the block parent.
 func Extend(parent Hash, block []byte) Hash {
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -20,7 +20,8 @@
 // holder is an engine that likely holds a block.
 type holder struct {
 	slot Slot
-	// used is when the engine last used the block, in ticks.
+	// used is when the engine last used the block, in ticks. A time in the
+	// future is when a dispatched prompt's block is expected to be computed.
 	used uint32
 }
 
@@ -46,6 +47,7 @@
 	epoch    time.Time
 	perShard int
 	slots    *slots
+	recent   scopeSet
 	shards   [shardCount]shard
 }
 
@@ -54,6 +56,9 @@
 	Slot Slot
 	// Blocks is the number of leading blocks that the engine likely holds.
 	Blocks int
+	// Ready is the number of them that are computed already. The others belong
+	// to prompts that the engine is expected to compute soon.
+	Ready int
 	// Age is the time since the engine used the last of them.
 	Age time.Duration
 }
@@ -93,47 +98,50 @@
 	return n
 }
 
-// Record notes that the engine in slot was sent a prompt with these blocks. A
-// retired slot is ignored.
-func (x *Index) Record(scope Scope, chain []Hash, slot Slot, now time.Time) {
+// Record notes that the engine in slot was sent a prompt with these blocks. It
+// is taken to hold the first held blocks, and to have computed the others at
+// the time ready. A retired slot is ignored.
+func (x *Index) Record(scope Scope, chain []Hash, slot Slot, held int, now, ready time.Time) {
 	if x.slots.current(slot) == nil {
 		return
 	}
 	at := x.ticks(now)
-	for _, h := range chain {
+	later := max(at, x.ticks(ready))
+	x.recent.add(scope, at)
+	for i, h := range chain {
+		used := at
+		if i >= held {
+			used = later
+		}
 		s := x.shard(h)
 		s.mu.Lock()
-		b := s.touch(h, scope.check, at, x.perShard)
-		x.hold(b, slot, at)
+		x.hold(s.touch(h, scope.check, at, x.perShard), slot, used)
 		s.mu.Unlock()
 	}
 }
 
 // Lookup appends to buf the engines that likely hold leading blocks of chain.
+// An engine that holds a block is taken to hold all blocks before it: a hash
+// covers the whole prefix, and engines evict the end of a prefix first.
 func (x *Index) Lookup(scope Scope, chain []Hash, now time.Time, buf []Match) []Match {
 	at := x.ticks(now)
 	table := *x.slots.table.Load()
 	start := len(buf)
-	for i, h := range chain {
-		var extended bool
-		buf, extended = x.extend(scope, h, i, at, table, buf, start)
-		if !extended {
-			break
-		}
+	for depth := len(chain); depth > 0; depth-- {
+		buf = x.collect(scope, chain[depth-1], depth, at, table, buf, start)
 	}
 	return buf
 }
 
-// extend lengthens the matches of depth blocks by the block h.
-func (x *Index) extend(scope Scope, h Hash, depth int, at uint32, table []*occupant, buf []Match, start int) ([]Match, bool) {
+// collect adds the holders of the block h at a depth to the matches buf[start:].
+func (x *Index) collect(scope Scope, h Hash, depth int, at uint32, table []*occupant, buf []Match, start int) []Match {
 	s := x.shard(h)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	i, known := s.byHash[h]
 	if !known || s.blocks[i].check != scope.check {
-		return buf, false
+		return buf
 	}
-	extended := false
 	for _, held := range s.blocks[i].holders {
 		o := currentIn(table, held.slot)
 		if o == nil {
@@ -143,27 +151,35 @@
 		if age > o.lifetime(held.used) {
 			continue
 		}
-		if depth == 0 {
-			buf = append(buf, Match{Slot: held.slot, Blocks: 1, Age: age})
-			extended = true
-			continue
+		j := find(buf[start:], held.slot)
+		if j < 0 {
+			buf = append(buf, Match{Slot: held.slot, Blocks: depth, Age: age})
+			j = len(buf) - 1 - start
 		}
-		for j := start; j < len(buf); j++ {
-			if buf[j].Slot == held.slot && buf[j].Blocks == depth {
-				buf[j].Blocks, buf[j].Age = depth+1, age
-				extended = true
-				break
-			}
+		m := &buf[start+j]
+		if m.Ready == 0 && held.used <= at {
+			m.Ready = depth
+		}
+	}
+	return buf
+}
+
+// find returns the index of the match of a slot, or -1.
+func find(matches []Match, slot Slot) int {
+	for j := range matches {
+		if matches[j].Slot == slot {
+			return j
 		}
 	}
-	return buf, extended
+	return -1
 }
 
 // Observe compares a match that was used for a dispatch with the number of
-// blocks that the engine reported as cached.
+// blocks that the engine reported as cached. Matches with blocks that were not
+// computed yet teach nothing about retention.
 func (x *Index) Observe(m Match, cachedBlocks int) {
 	o := x.slots.current(m.Slot)
-	if o == nil || m.Blocks == 0 {
+	if o == nil || m.Blocks == 0 || m.Ready < m.Blocks {
 		return
 	}
 	if cachedBlocks < m.Blocks {
--- a/internal/prefix/retention.go
+++ b/internal/prefix/retention.go
@@ -7,10 +7,10 @@
 
 const (
 	initialRetention = time.Minute
-	minRetention     = 500 * time.Millisecond
+	minRetention     = 2 * time.Second
 	maxRetention     = 10 * time.Minute
 	// missWeight is how far one contradicted entry moves the estimate.
-	missWeight = 0.3
+	missWeight = 0.1
 	// hitGrowth is the factor by which one confirmed old entry raises it.
 	hitGrowth = 1.1
 )
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -32,8 +32,8 @@
 	Chain []prefix.Hash
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
-	// Priority is the level from 0, the first served, to Priorities-1.
-	Priority int
+	// Background is set if nobody waits for the first token.
+	Background bool
 	// Excluded are engines that the request must avoid.
 	Excluded []backend.ID
 }
@@ -137,17 +137,18 @@
 
 // Dispatched notes that the request is sent to the chosen engine.
 func (c *Chooser) Dispatched(r *Request, d *Decision, now time.Time) {
-	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, now)
-	d.Engine.Load.Sent(r.Priority, float64(d.MissTokens), now)
+	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, d.ReadyBlocks, now, now.Add(d.TTFT))
+	d.Engine.Load.Sent(d.Level, float64(d.MissTokens), now)
 }
 
-// FirstToken notes how long the chosen engine took to the first token.
-func (c *Chooser) FirstToken(d *Decision, took time.Duration) {
-	d.Engine.Load.Answered(d.Load.Ahead+float64(d.MissTokens), took)
+// FirstToken notes the first token at the time now, after took.
+func (c *Chooser) FirstToken(r *Request, d *Decision, now time.Time, took time.Duration) {
+	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, len(r.Chain), now, now)
+	d.Engine.Load.Answered(d.Load.Ahead(d.Level)+float64(d.MissTokens), took)
 }
 
 // Finished notes the number of prompt tokens that the engine had cached.
 func (c *Chooser) Finished(d *Decision, cachedTokens int) {
-	m := prefix.Match{Slot: d.Engine.Slot, Blocks: d.HitBlocks, Age: d.Age}
+	m := prefix.Match{Slot: d.Engine.Slot, Blocks: d.HitBlocks, Ready: d.ReadyBlocks, Age: d.Age}
 	c.Index.Observe(m, cachedTokens/c.BlockTokens)
 }
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// Priorities is the number of priority levels. Level 0 is served first.
-const Priorities = 4
-
 const (
 	// maxRecent bounds the dispatches kept to correct lagging reports.
 	maxRecent = 128
@@ -17,33 +14,38 @@
 	rateRange = 4
 	// minRateTokens is the least work that a rate is learnt from.
 	minRateTokens = 2048
+	// mixWeight is the weight of one dispatch in the mix of levels.
+	mixWeight = 0.05
 )
 
 // Report is an engine's own account of its load at a past time.
 type Report struct {
 	// Sampled is when the state was taken.
 	Sampled time.Time
-	// QueuedTokens are prompt tokens not yet computed, by priority.
-	QueuedTokens [Priorities]int
+	// QueuedTokens are prompt tokens not yet computed.
+	QueuedTokens int
 	// Running is the number of requests that generate tokens.
 	Running int
 }
 
 // send is one dispatch by this router.
 type send struct {
-	at       time.Time
-	priority int
-	tokens   float64
+	at     time.Time
+	level  Level
+	tokens float64
 }
 
 // Load estimates the prefill backlog of one engine: the last report, corrected
 // by what this router has sent since and by what the engine has computed since.
 // It is safe for concurrent use.
 type Load struct {
-	mu       sync.Mutex
-	nominal  float64
-	rate     float64
-	backlog  [Priorities]float64
+	mu      sync.Mutex
+	nominal float64
+	rate    float64
+	backlog [Levels]float64
+	// mix is the mean of dispatched tokens by level. Reports don't tell levels
+	// apart; their tokens are split by the mix.
+	mix      [Levels]float64
 	at       time.Time
 	running  int
 	recent   []send
@@ -56,36 +58,45 @@
 
 // Estimate is the state of an engine at one moment.
 type Estimate struct {
-	// Ahead are the tokens computed before a new request of the priority.
-	Ahead float64
+	// Backlog are the prompt tokens not yet computed, by level.
+	Backlog [Levels]float64
 	// Rate is the prefill rate in tokens a second.
 	Rate float64
 	// Running is the number of requests that generate tokens.
 	Running int
 }
 
-// Estimate returns the engine's state for a request of the given priority.
-func (l *Load) Estimate(priority int, now time.Time) Estimate {
+// Ahead returns the tokens that are computed before a new request of a level.
+func (e *Estimate) Ahead(level Level) float64 {
+	sum := 0.0
+	for l := Level(0); l <= level; l++ {
+		sum += e.Backlog[l]
+	}
+	return sum
+}
+
+// Estimate returns the engine's state.
+func (l *Load) Estimate(now time.Time) Estimate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	e := Estimate{Rate: l.rate, Running: l.running}
-	for p := 0; p <= priority; p++ {
-		e.Ahead += l.backlog[p]
-	}
-	return e
+	return Estimate{Backlog: l.backlog, Rate: l.rate, Running: l.running}
 }
 
 // Sent notes a dispatch with tokens that the engine has to compute.
-func (l *Load) Sent(priority int, tokens float64, now time.Time) {
+func (l *Load) Sent(level Level, tokens float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	l.backlog[priority] += tokens
+	l.backlog[level] += tokens
+	for i := range l.mix {
+		l.mix[i] *= 1 - mixWeight
+	}
+	l.mix[level] += mixWeight * tokens
 	if len(l.recent) == maxRecent {
 		l.recent = append(l.recent[:0], l.recent[1:]...)
 	}
-	l.recent = append(l.recent, send{at: now, priority: priority, tokens: tokens})
+	l.recent = append(l.recent, send{at: now, level: level, tokens: tokens})
 }
 
 // Reported takes in an engine's report. Reports that are older than the last
@@ -99,16 +110,14 @@
 	l.reported = r.Sampled
 	l.running = r.Running
 	l.at = r.Sampled
-	for p, tokens := range r.QueuedTokens {
-		l.backlog[p] = float64(tokens)
-	}
+	l.split(float64(r.QueuedTokens))
 	kept := l.recent[:0]
 	for _, s := range l.recent {
 		if s.at.Before(r.Sampled) {
 			continue
 		}
 		l.advance(s.at)
-		l.backlog[s.priority] += s.tokens
+		l.backlog[s.level] += s.tokens
 		kept = append(kept, s)
 	}
 	l.recent = kept
@@ -134,7 +143,23 @@
 	*l = Load{nominal: l.nominal, rate: l.nominal, at: l.at}
 }
 
-// advance drains the backlog up to now, the highest priority first. The caller
+// split sets the backlog to tokens by the mix of levels. The caller holds l.mu.
+func (l *Load) split(tokens float64) {
+	sum := 0.0
+	for _, t := range l.mix {
+		sum += t
+	}
+	l.backlog = [Levels]float64{}
+	if sum == 0 {
+		l.backlog[LevelLong] = tokens
+		return
+	}
+	for i, t := range l.mix {
+		l.backlog[i] = tokens * t / sum
+	}
+}
+
+// advance drains the backlog up to now, the lowest level first. The caller
 // holds l.mu.
 func (l *Load) advance(now time.Time) {
 	if !now.After(l.at) {
@@ -142,9 +167,9 @@
 	}
 	budget := l.rate * now.Sub(l.at).Seconds()
 	l.at = now
-	for p := range l.backlog {
-		done := min(budget, l.backlog[p])
-		l.backlog[p] -= done
+	for i := range l.backlog {
+		done := min(budget, l.backlog[i])
+		l.backlog[i] -= done
 		budget -= done
 	}
 }
--- a/internal/route/scorer.go
+++ b/internal/route/scorer.go
@@ -9,8 +9,12 @@
 	Rank int
 	// HitBlocks is the number of leading blocks that the engine likely holds.
 	HitBlocks int
+	// ReadyBlocks is the number of those that are computed already.
+	ReadyBlocks int
 	// Age is the time since the engine used the last of those blocks.
 	Age time.Duration
+	// Level is the request's place in the engine's queue.
+	Level Level
 	// Load is the engine's estimated state.
 	Load Estimate
 	// Queue is the estimated wait before the prefill starts.
@@ -53,9 +57,11 @@
 
 // Score implements Scorer.
 func (s CostScorer) Score(r *Request, c *Candidate) {
-	miss := float64(r.PromptTokens - c.HitBlocks*s.BlockTokens)
-	compute := seconds(miss / c.Load.Rate)
-	c.Queue = seconds(c.Load.Ahead / c.Load.Rate)
+	miss := r.PromptTokens - c.HitBlocks*s.BlockTokens
+	compute := seconds(float64(miss) / c.Load.Rate)
+	// A request must not overtake the one that computes its prefix.
+	c.Level = levelOf(r.Background, r.PromptTokens-c.ReadyBlocks*s.BlockTokens)
+	c.Queue = seconds(c.Load.Ahead(c.Level) / c.Load.Rate)
 	c.TTFT = c.Queue + compute
 	c.Score = c.TTFT + time.Duration(s.MissWeight*float64(compute))
 	c.Score += time.Duration(c.Load.Running) * s.RunningDelay
--- a/internal/route/selection.go
+++ b/internal/route/selection.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if c := s.add(i, Unranked); c != nil {
-			c.HitBlocks, c.Age = m.Blocks, m.Age
+			c.HitBlocks, c.ReadyBlocks, c.Age = m.Blocks, m.Ready, m.Age
 		}
 	}
 }
@@ -79,7 +79,7 @@
 	s.list = append(s.list, Candidate{
 		Engine: e,
 		Rank:   rank,
-		Load:   e.Load.Estimate(s.request.Priority, s.now),
+		Load:   e.Load.Estimate(s.now),
 	})
 	return &s.list[len(s.list)-1]
 }
