--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,11 +15,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/router"
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/ticket"
@@ -43,6 +45,7 @@
 
 	router  *router.Router
 	poller  *poller
+	guard   *poison.Guard
 	peers   *grpc.Server
 	pool    *link.Pool
 	servers []*http.Server
@@ -132,16 +135,21 @@
 	self := d.Self()
 	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
 	d.poller = newPoller(store, d.platform.Membership, d.log)
+	directory := peerDirectory{self: self, members: d.poller.allVMs, pool: pool}
+	d.guard = poison.NewGuard(self.ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.router = router.New(router.Options{
-		Settings:   d.settings,
-		Log:        d.log,
-		Metrics:    d.metrics,
-		Dispatcher: dispatch.New(dispatch.Config{}),
-		Evidence:   d.poller,
-		Admitter:   router.AdmitAll{},
-		Balancer:   &router.RoundRobin{},
-		Addresses:  d.poller,
-		Now:        time.Now,
+		Settings:    d.settings,
+		Log:         d.log,
+		Metrics:     d.metrics,
+		Dispatcher:  dispatch.New(dispatch.Config{}),
+		Evidence:    d.poller,
+		Admitter:    router.AdmitAll{},
+		Balancer:    &router.RoundRobin{},
+		Addresses:   d.poller,
+		Guard:       d.guard,
+		ContentSalt: []byte(d.settings.Routing.ContentSalt),
+		Now:         time.Now,
 	})
 	d.poller.publish = d.router.Publish
 	service := admin.New(store, fleet{d}, d.settings.Operators, d.log)
@@ -183,8 +191,12 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.poller.run(loopCtx) })
+	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
-	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
+	d.goLoop(func() {
+		d.learnSuspects(loopCtx)
+		d.ended("callers", d.serveCallers())
+	})
 	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
 	self := d.Self()
 	d.log.Info("router_started",
--- a/internal/daemon/poll.go
+++ b/internal/daemon/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +32,8 @@
 	mu      sync.Mutex
 	current *config.Snapshot
 	readAt  time.Time
-	vms     []vm.VM
+	// vms are the listed VMs, with those that leave.
+	vms []vm.VM
 }
 
 func newPoller(store *ticket.Store, members platform.Membership, log *zap.Logger) *poller {
@@ -70,10 +72,7 @@
 func (p *poller) setMembers(list []platform.Member) {
 	var vms []vm.VM
 	for _, m := range list {
-		if m.Leaving {
-			continue
-		}
-		vms = append(vms, vm.VM{ID: vm.ID(m.ID), FailureDomain: m.FailureDomain, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress})
+		vms = append(vms, vm.VM{ID: vm.ID(m.ID), FailureDomain: m.FailureDomain, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Leaving: m.Leaving})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,7 +88,12 @@
 
 // VMs implements router.AddressBook.
 func (p *poller) VMs(account.ID) []vm.VM {
+	return slices.DeleteFunc(p.allVMs(), func(v vm.VM) bool { return v.Leaving })
+}
+
+// allVMs returns the listed VMs, with those that leave.
+func (p *poller) allVMs() []vm.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]vm.VM(nil), p.vms...)
+	return slices.Clone(p.vms)
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -17,7 +17,7 @@
 const (
 	dialTimeout         = 2 * time.Second
 	tlsHandshakeTimeout = 2 * time.Second
-	idleConnTimeout     = 60 * time.Second
+	idleConnTimeout     = 15 * time.Second
 	maxIdleConnsPerHost = 64
 	maxHeaderBytes      = 64 << 10
 )
@@ -65,6 +65,8 @@
 	// untracked is set if a byte may have been written to a connection that
 	// is no longer followed.
 	untracked bool
+	// reused is set if the connection was idle before.
+	reused bool
 }
 
 func (t *connTrace) gotConn(info httptrace.GotConnInfo) {
@@ -73,6 +75,7 @@
 	if t.conn != nil && t.conn.seal() {
 		t.untracked = true
 	}
+	t.reused = info.Reused
 	t.conn = asTracked(info.Conn)
 	if t.conn == nil {
 		t.untracked = true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,8 +32,6 @@
 	HoldBytes int
 	// TLS is the configuration towards backend servers. May be nil.
 	TLS *tls.Config
-	// Observer may be nil.
-	Observer Observer
 	// Now is the monotonic clock.
 	Now func() time.Time
 	// Random returns a number in [0, 1) and may be called concurrently.
@@ -67,9 +65,6 @@
 	setDefault(&cfg.MaxEventBytes, sse.MaxEventBytes)
 	setDefault(&cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&cfg.HoldBytes, DefaultHoldBytes)
-	if cfg.Observer == nil {
-		cfg.Observer = noObserver{}
-	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -85,9 +80,11 @@
 	}
 }
 
+// noObserver is used for pickers that are no observers.
 type noObserver struct{}
 
 func (noObserver) Started(Request, Attempt, backend.Server) {}
+func (noObserver) Answered(Request, Result)                 {}
 func (noObserver) Ended(Request, Result)                    {}
 
 // Close closes idle connections.
@@ -104,6 +101,10 @@
 	c.relay.cursor.requestID = req.ID
 	c.relay.cursor.hideUsage = !asksForUsage(req.Body)
 	c.attempt.Number = 1
+	c.observer = noObserver{}
+	if o, ok := p.(Observer); ok {
+		c.observer = o
+	}
 	c.ran = verdict.NotRun
 	err := c.loop(ctx, p)
 	c.out.Started = c.relay.started
@@ -124,6 +125,8 @@
 	begin   time.Time
 	attempt Attempt
 	out     Outcome
+	// observer is told of each attempt.
+	observer Observer
 	// ran is NotRun until an attempt may have run.
 	ran verdict.Verdict
 }
@@ -157,10 +160,10 @@
 // try makes one attempt.
 func (c *call) try(ctx context.Context, server backend.Server) *attemptError {
 	c.attempt.Delivered = c.relay.cursor.delivered
-	c.d.cfg.Observer.Started(c.req, c.attempt, server)
+	c.observer.Started(c.req, c.attempt, server)
 	result := Result{Attempt: c.attempt, Server: server}
 	begin := c.d.cfg.Now()
-	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin}
+	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin, observer: c.observer}
 	failure := x.run()
 
 	result.Duration = c.d.cfg.Now().Sub(begin)
@@ -170,7 +173,7 @@
 		result.Failure = failure.failure
 		result.Err = failure
 	}
-	c.d.cfg.Observer.Ended(c.req, result)
+	c.observer.Ended(c.req, result)
 	c.record(result, begin)
 	return failure
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -263,8 +264,8 @@
 
 func (e *floodEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get(HeaderRequestID)
-	w.Header().Set(HeaderRequestID, id)
+	id := r.Header.Get(openai.HeaderRequestID)
+	w.Header().Set(openai.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	text := strings.Repeat("x", 32<<10)
 	for i := 0; r.Context().Err() == nil; i++ {
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -66,8 +67,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
-	w.Header().Set(HeaderWeightsVersion, "w1")
+	w.Header().Set(openai.HeaderRequestID, r.Header.Get(openai.HeaderRequestID))
+	w.Header().Set(openai.HeaderWeightsVersion, "w1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	switch e.plan.fault {
 	case faultNotRun:
@@ -81,15 +82,15 @@
 		reset(w)
 		return
 	case faultCrossedHeader:
-		w.Header().Set(HeaderRequestID, "req-2")
+		w.Header().Set(openai.HeaderRequestID, "req-2")
 	case faultOtherWeights:
-		w.Header().Set(HeaderWeightsVersion, "w2")
+		w.Header().Set(openai.HeaderWeightsVersion, "w2")
 	}
 	e.stream(w, r, body.ResumeFrom)
 }
 
 func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from int) {
-	id := r.Header.Get(HeaderRequestID)
+	id := r.Header.Get(openai.HeaderRequestID)
 	send := func(format string, args ...any) {
 		fmt.Fprintf(w, "data: "+format+"\n\n", args...)
 		w.(http.Flusher).Flush()
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -14,8 +14,11 @@
 const (
 	// None means that the attempt succeeded.
 	None Failure = iota
-	// ConnectFailed means that no byte was written to a connection.
+	// ConnectFailed means that no connection could be established.
 	ConnectFailed
+	// NotSent means that idle connections were closed before a byte was
+	// written.
+	NotSent
 	// Refused means that the server's contract says that it did not run the
 	// request.
 	Refused
@@ -40,7 +43,7 @@
 )
 
 var failureNames = [...]string{
-	"none", "connect_failed", "refused", "connection_lost", "truncated", "stalled",
+	"none", "connect_failed", "not_sent", "refused", "connection_lost", "truncated", "stalled",
 	"crossed", "bad_answer", "server_error", "bad_request", "caller_gone", "caller_failed",
 }
 
@@ -87,7 +90,7 @@
 		Cause:      e,
 	}
 	switch e.failure {
-	case ConnectFailed, Refused:
+	case ConnectFailed, NotSent, Refused:
 		out.Status = http.StatusServiceUnavailable
 	case BadRequest:
 		out.Status = http.StatusBadRequest
--- a/internal/dispatch/header.go
+++ b/internal/dispatch/header.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/openai"
 )
 
 // ErrKeyInRequest means that the caller's key stands in a part of the request
@@ -35,7 +37,7 @@
 
 // responseOnly are further headers that no caller gets.
 var responseOnly = []string{
-	"Server", HeaderIncarnation, HeaderWeightsVersion, HeaderNotRun,
+	"Server", openai.HeaderIncarnation, openai.HeaderWeightsVersion, HeaderNotRun,
 }
 
 // keyNames are names of query parameters and headers that carry keys, in lower
--- a/internal/dispatch/httpsink.go
+++ b/internal/dispatch/httpsink.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -61,26 +62,14 @@
 	return s.rc.Flush()
 }
 
-// errorBody is the OpenAI error object with the verdict.
-type errorBody struct {
-	Error errorObject `json:"error"`
-}
-
-type errorObject struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Code    string `json:"code"`
-	Verdict string `json:"verdict"`
-}
-
 // Fail ends the answer with an error. Before the answer has started it is
 // written as the response. Afterwards an event stream gets an error event, and
 // the connection is broken off by panicking with http.ErrAbortHandler, so that
 // the answer does not look complete.
 func (s *HTTPSink) Fail(e *verdict.Error) {
-	body, _ := json.Marshal(errorBody{Error: errorObject{
+	body, _ := json.Marshal(openai.ErrorBody{Error: openai.ErrorDetail{
 		Message: e.Message,
-		Type:    errorType(e.Status),
+		Type:    openai.ErrorType(e.Status),
 		Code:    e.Code,
 		Verdict: e.Verdict.String(),
 	}})
@@ -98,14 +87,3 @@
 	s.w.WriteHeader(e.Status)
 	_ = s.Body(body)
 }
-
-func errorType(status int) string {
-	switch {
-	case status == http.StatusTooManyRequests:
-		return "rate_limit_error"
-	case status < http.StatusInternalServerError:
-		return "invalid_request_error"
-	default:
-		return "server_error"
-	}
-}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -13,15 +13,9 @@
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
-// Headers of the engine protocol.
-const (
-	HeaderRequestID      = "X-Request-Id"
-	HeaderIncarnation    = "X-Engine-Incarnation"
-	HeaderWeightsVersion = "X-Weights-Version"
-	// HeaderNotRun, set to "true" on a 429 or 503 answer of an engine, is the
-	// engine's promise that the request did not run.
-	HeaderNotRun = "X-Not-Run"
-)
+// HeaderNotRun, set to "true" on a 429 or 503 answer of an engine, is the
+// engine's promise that the request did not run.
+const HeaderNotRun = "X-Not-Run"
 
 // Request is one request on its way to a backend server.
 type Request struct {
@@ -70,10 +64,12 @@
 	return false
 }
 
-// Picker chooses the backend server of each attempt.
+// Picker chooses the backend server of each attempt. A Picker that is also an
+// Observer learns of the attempts of its request.
 type Picker interface {
 	// Pick returns a server, preferably one that was not tried before. Its
-	// error ends the request; it should be a *verdict.Error.
+	// error ends the request; it should be a *verdict.Error. It may be called
+	// several times for one attempt: Started tells that the attempt is made.
 	Pick(ctx context.Context, req Request, a Attempt) (backend.Server, error)
 }
 
@@ -130,6 +126,9 @@
 // goroutine that called Do.
 type Observer interface {
 	Started(req Request, a Attempt, s backend.Server)
+	// Answered is called when a regular answer begins. Result holds what is
+	// known by then.
+	Answered(req Request, r Result)
 	Ended(req Request, r Result)
 }
 
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -27,10 +28,11 @@
 	server backend.Server
 	relay  *relay
 	// parent is the caller's context. Its end is not the server's failure.
-	parent context.Context
-	result *Result
-	begin  time.Time
-	watch  *watchdog
+	parent   context.Context
+	result   *Result
+	begin    time.Time
+	watch    *watchdog
+	observer Observer
 }
 
 // run makes the attempt. It returns nil when the answer was relayed whole.
@@ -44,16 +46,15 @@
 	if err != nil {
 		return notRun(BadRequest, err)
 	}
-	trace := &connTrace{}
-	resp, err := x.d.transport.RoundTrip(out.WithContext(trace.withContext(ctx)))
-	if err != nil {
-		return x.sendError(ctx, err, trace.mayHaveWritten())
+	resp, failure := x.roundTrip(ctx, out)
+	if failure != nil {
+		return x.explain(ctx, failure)
 	}
 	defer resp.Body.Close()
 	x.watch.reset(x.d.cfg.StallTimeout)
 	x.result.Status = resp.StatusCode
-	x.result.Incarnation = backend.Incarnation(resp.Header.Get(HeaderIncarnation))
-	x.result.WeightsVersion = resp.Header.Get(HeaderWeightsVersion)
+	x.result.Incarnation = backend.Incarnation(resp.Header.Get(openai.HeaderIncarnation))
+	x.result.WeightsVersion = resp.Header.Get(openai.HeaderWeightsVersion)
 	if failure := x.relayAnswer(resp); failure != nil {
 		return x.explain(ctx, failure)
 	}
@@ -81,7 +82,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	header.Set(HeaderRequestID, x.req.ID)
+	header.Set(openai.HeaderRequestID, x.req.ID)
 	return &http.Request{
 		Method:        x.req.Method,
 		URL:           u,
@@ -95,13 +96,28 @@
 	}, nil
 }
 
-// sendError classifies an error before the answer's header.
-func (x *exchange) sendError(ctx context.Context, err error, wrote bool) *attemptError {
-	failure := failed(ConnectionLost, err)
-	if !wrote {
-		failure = notRun(ConnectFailed, err)
+// staleConnTries is how many idle connections may turn out to be closed before
+// the attempt is given up.
+const staleConnTries = 3
+
+// roundTrip sends the request and returns the answer's header. If an idle
+// connection turns out to be closed before the first byte, the request is sent
+// on another one.
+func (x *exchange) roundTrip(ctx context.Context, out *http.Request) (*http.Response, *attemptError) {
+	for try := 1; ; try++ {
+		trace := &connTrace{}
+		resp, err := x.d.transport.RoundTrip(out.WithContext(trace.withContext(ctx)))
+		switch {
+		case err == nil:
+			return resp, nil
+		case trace.mayHaveWritten():
+			return nil, failed(ConnectionLost, err)
+		case !trace.reused:
+			return nil, notRun(ConnectFailed, err)
+		case try == staleConnTries || ctx.Err() != nil:
+			return nil, notRun(NotSent, err)
+		}
 	}
-	return x.explain(ctx, failure)
 }
 
 // explain replaces the failure's kind if the attempt was canceled.
@@ -113,23 +129,24 @@
 		e.failure = CallerGone
 		return e
 	}
-	if context.Cause(ctx) == errStalled && e.failure != ConnectFailed {
+	if context.Cause(ctx) == errStalled && e.verdict != verdict.NotRun {
 		e.failure = Stalled
 	}
 	return e
 }
 
 func (x *exchange) relayAnswer(resp *http.Response) *attemptError {
+	if x.isServerError(resp) {
+		return failed(ServerError, errors.Errorf("status %d", resp.StatusCode))
+	}
 	if x.server.Kind == backend.Engine {
 		if failure := x.checkEngineHead(resp); failure != nil {
 			return failure
 		}
-	} else if id := resp.Header.Get(HeaderRequestID); id != "" && id != x.req.ID {
+	} else if id := resp.Header.Get(openai.HeaderRequestID); id != "" && id != x.req.ID {
 		return failed(Crossed, errors.Errorf("answer to request %q", id))
 	}
-	if x.isServerError(resp.StatusCode) {
-		return failed(ServerError, errors.Errorf("status %d", resp.StatusCode))
-	}
+	x.observer.Answered(x.req, *x.result)
 	body := &timedReader{r: resp.Body, x: x}
 	if x.req.Stream && resp.StatusCode == http.StatusOK {
 		return x.relayStream(resp, body)
@@ -143,12 +160,12 @@
 // isServerError reports whether an answer with this status is a failed attempt
 // and not the answer for the caller. A 404 of an engine means that the engine
 // has unloaded the model.
-func (x *exchange) isServerError(status int) bool {
-	if x.server.Kind == backend.Engine && status == http.StatusNotFound {
-		return true
+func (x *exchange) isServerError(resp *http.Response) bool {
+	status := resp.StatusCode
+	if x.server.Kind == backend.Engine {
+		return status == http.StatusNotFound || status >= http.StatusInternalServerError && !refusedByContract(resp)
 	}
-	retried := x.server.Kind == backend.Engine || x.req.Idempotent
-	return retried && status >= http.StatusInternalServerError
+	return x.req.Idempotent && status >= http.StatusInternalServerError
 }
 
 // checkEngineHead checks the header of an engine's answer.
@@ -158,7 +175,7 @@
 		e.retryAfter = retryAfter(resp.Header)
 		return e
 	}
-	if id := resp.Header.Get(HeaderRequestID); id != x.req.ID {
+	if id := resp.Header.Get(openai.HeaderRequestID); id != x.req.ID {
 		return failed(Crossed, errors.Errorf("answer to request %q", id))
 	}
 	if !x.relay.sameWeights(x.result.WeightsVersion) {
--- a/internal/health/breaker.go
+++ b/internal/health/breaker.go
@@ -72,6 +72,31 @@
 	return slowStartFloor + (1-slowStartFloor)*float64(max(age, 0))/float64(slowStart)
 }
 
+// Grade says how well a server may take a request; higher is better.
+type Grade uint8
+
+const (
+	// Shut means that the breaker is open.
+	Shut Grade = iota
+	// Slow means that the server starts slowly and its share is used up.
+	Slow
+	// Ready means that nothing is against it.
+	Ready
+)
+
+// Grade returns the server's grade for a request. Draw is a random number in
+// [0, 1) of the request, by which a server in its slow start gets its share.
+func (b Breaker) Grade(now time.Time, draw float64) Grade {
+	switch {
+	case !b.Allows(now):
+		return Shut
+	case draw >= b.Share(now):
+		return Slow
+	default:
+		return Ready
+	}
+}
+
 // Started records that a request was sent.
 func (b Breaker) Started(now time.Time) Breaker {
 	if b.opens > 0 {
--- a/internal/health/breaker_test.go
+++ b/internal/health/breaker_test.go
@@ -90,28 +90,25 @@
 	properties.TestingRun(t)
 }
 
-func TestFilter(t *testing.T) {
+func TestGrade(t *testing.T) {
 	table := NewTable()
-	fatal := func(b Breaker) Breaker { return b.Failed(at(0), at(0), true, 0.5) }
-	returned := func(b Breaker) Breaker { return b.Seen(at(0), at(0), "a").Seen(at(1), at(1), "b") }
-	table.Update("dead", fatal)
-	table.Update("back", returned)
-	servers := []backend.Server{{ID: "dead"}, {ID: "back"}, {ID: "well"}}
+	table.Update("dead", func(b Breaker) Breaker { return b.Failed(at(0), at(0), true, 0.5) })
+	table.Update("back", func(b Breaker) Breaker { return b.Seen(at(0), at(0), "a").Seen(at(1), at(1), "b") })
 	tests := []struct {
-		desc    string
-		servers []backend.Server
-		draw    float64
-		want    int
+		desc string
+		id   backend.ID
+		draw float64
+		want Grade
 	}{
-		{"a returning server gets a low draw", servers, 0.05, 2},
-		{"but not a high one", servers, 0.5, 1},
-		{"unless there is no other", servers[:2], 0.5, 1},
-		{"all are open", servers[:1], 0.5, 1},
+		{"unknown server", "new", 0.99, Ready},
+		{"open breaker", "dead", 0, Shut},
+		{"slow start, low draw", "back", 0.05, Ready},
+		{"slow start, high draw", "back", 0.5, Slow},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			if got := table.Filter(tt.servers, at(2), tt.draw); len(got) != tt.want {
-				t.Errorf("got %v", got)
+			if got := table.Get(tt.id).Grade(at(2), tt.draw); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
 	}
--- /dev/null
+++ b/internal/health/probe.go
@@ -0,0 +1,93 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
+)
+
+const (
+	// probeCallTimeout bounds one probe.
+	probeCallTimeout = 200 * time.Millisecond
+	// serviceProbeDelay lets a crashed process close its listener.
+	serviceProbeDelay = 20 * time.Millisecond
+	maxLoadBytes      = 64 << 10
+)
+
+// Prober tells a crashed server from a broken connection.
+type Prober struct {
+	client *http.Client
+	dialer net.Dialer
+}
+
+// NewProber returns a Prober.
+func NewProber() *Prober {
+	return &Prober{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Crashed reports whether the server may have crashed since it had the known
+// incarnation. An engine has not if it still reports that incarnation, and a
+// service, which reports none, has not if it accepts connections.
+func (p *Prober) Crashed(ctx context.Context, s backend.Server, known backend.Incarnation) bool {
+	if s.Kind == backend.Service {
+		return !p.accepts(ctx, s)
+	}
+	if known == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeCallTimeout)
+	defer cancel()
+	return p.incarnation(ctx, s) != known
+}
+
+// incarnation returns the engine's incarnation, or "" if it does not answer.
+func (p *Prober) incarnation(ctx context.Context, s backend.Server) backend.Incarnation {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(s.URL, "/")+"/load", nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var load openai.Load
+	if json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load) != nil {
+		return ""
+	}
+	return backend.Incarnation(load.Incarnation)
+}
+
+func (p *Prober) accepts(ctx context.Context, s backend.Server) bool {
+	u, err := url.Parse(s.URL)
+	if err != nil {
+		return false
+	}
+	time.Sleep(serviceProbeDelay)
+	ctx, cancel := context.WithTimeout(ctx, probeCallTimeout)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", hostPort(u))
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+func hostPort(u *url.URL) string {
+	if u.Port() != "" {
+		return u.Host
+	}
+	if u.Scheme == "https" {
+		return net.JoinHostPort(u.Hostname(), "443")
+	}
+	return net.JoinHostPort(u.Hostname(), "80")
+}
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
 )
@@ -53,31 +52,3 @@
 		return true
 	})
 }
-
-// Filter returns the servers that may get a request. A server in its slow start
-// is left out of a part of the requests: draw is a random number in [0, 1) of
-// the request. If no server is left, those with a closed breaker are returned,
-// and if there is none, all: a request that would be refused for certain may as
-// well be the probe.
-func (t *Table) Filter(servers []backend.Server, now time.Time, draw float64) []backend.Server {
-	allowed := make([]backend.Server, 0, len(servers))
-	warm := make([]backend.Server, 0, len(servers))
-	for _, s := range servers {
-		b := t.Get(s.ID)
-		if !b.Allows(now) {
-			continue
-		}
-		allowed = append(allowed, s)
-		if draw < b.Share(now) {
-			warm = append(warm, s)
-		}
-	}
-	switch {
-	case len(warm) > 0:
-		return warm
-	case len(allowed) > 0:
-		return allowed
-	default:
-		return servers
-	}
-}
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strings"
 )
 
@@ -144,6 +145,20 @@
 	RequestID string `json:"request_id,omitempty"`
 }
 
+// ErrorType returns the error type for an HTTP status.
+func ErrorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
 // Load is an engine's load report.
 type Load struct {
 	Incarnation   string            `json:"incarnation"`
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -28,7 +30,7 @@
 	// pollInterval is how often a home asks whether a suspect still runs.
 	pollInterval = 250 * time.Millisecond
 	// slotWait is how long a suspect waits for a server without another one.
-	slotWait = 2 * time.Second
+	slotWait = 1 * time.Second
 	// finishTries is how often the end of a run is reported before it is left
 	// to the home's polling.
 	finishTries = 5
@@ -181,6 +183,9 @@
 	return g.peers.Acquire(ctx, to, r)
 }
 
+// errAllBusy means that every server runs another suspect.
+var errAllBusy = errors.New("every server runs a suspect")
+
 // choose picks the server; that of a suspect should run no other suspect.
 func (g *Guard) choose(ctx context.Context, s Subject, status Status, choose Choose) (Target, error) {
 	if status == Unsuspected {
@@ -190,6 +195,9 @@
 	var busy []backend.ID
 	for {
 		t, err := choose(busy)
+		if err == nil && slices.Contains(busy, t.Server.ID) {
+			err = errAllBusy
+		}
 		switch {
 		case err == nil && g.reserve(ctx, t.Server.ID, s.Content()):
 			return t, nil
--- a/internal/poison/slots.go
+++ b/internal/poison/slots.go
@@ -8,7 +8,7 @@
 
 // slotTTL is how long a suspect keeps other suspects off its server. A server
 // that crashes under a request does so early in most cases.
-const slotTTL = 3 * time.Second
+const slotTTL = 1 * time.Second
 
 // Slots keeps suspects on different servers, so that a second crash points to
 // one of them only. It is a state machine; its caller serializes the calls.
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -70,6 +70,7 @@
 		Class:          c.class,
 		View:           c.view,
 	})
+	picker = r.withGuards(picker, c.caller.account.ID, c.model.Name, c.body)
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
 	out, err := r.opts.Dispatcher.Do(req.Context(), dispatch.Request{
 		ID:         c.id,
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -17,27 +17,13 @@
 	}
 	writeJSON(w, e.Status, openai.ErrorBody{Error: openai.ErrorDetail{
 		Message:   e.Message,
-		Type:      errorType(e.Status),
+		Type:      openai.ErrorType(e.Status),
 		Code:      e.Code,
 		Verdict:   e.Verdict.String(),
 		RequestID: requestID,
 	}})
 }
 
-// errorType returns the OpenAI error type for a status.
-func errorType(status int) string {
-	switch {
-	case status == http.StatusUnauthorized:
-		return "authentication_error"
-	case status == http.StatusTooManyRequests:
-		return "rate_limit_error"
-	case status < http.StatusInternalServerError:
-		return "invalid_request_error"
-	default:
-		return "server_error"
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,8 +13,11 @@
 
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/settings"
+	"papayaspan.dev/papayaspan/internal/vm"
 )
 
 // Options are the parts that a Router is made of.
@@ -27,6 +30,14 @@
 	Admitter   Admitter
 	Balancer   Balancer
 	Addresses  AddressBook
+	// Health holds the breakers of the backend servers. Nil means a new table.
+	Health *health.Table
+	// Guard holds poison requests back. Nil means that of a single VM.
+	Guard *poison.Guard
+	// Prober tells crashes from broken connections. Nil means a new one.
+	Prober *health.Prober
+	// ContentSalt salts the digests of contents; the same on all VMs.
+	ContentSalt []byte
 	// Now is the monotonic clock.
 	Now func() time.Time
 }
@@ -42,11 +53,25 @@
 
 // New returns a router with an empty configuration.
 func New(opts Options) *Router {
+	opts.setDefaults()
 	r := &Router{opts: opts, stats: newStats(opts.Metrics)}
 	r.view.Store(config.NewView(config.Empty()))
 	return r
 }
 
+func (o *Options) setDefaults() {
+	if o.Health == nil {
+		o.Health = health.NewTable()
+	}
+	if o.Guard == nil {
+		self := vm.ID(o.Settings.VM.ID)
+		o.Guard = poison.NewGuard(self, poison.Alone(self), o.Now, time.Now())
+	}
+	if o.Prober == nil {
+		o.Prober = health.NewProber()
+	}
+}
+
 // Publish swaps the configuration whole. An older one than the present is
 // ignored.
 func (r *Router) Publish(s *config.Snapshot) {
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -110,6 +110,7 @@
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
 	// The path was checked before admission.
 	path, _ := dispatch.SanitizePath(req.URL, bearer(req))
+	picker := r.withGuards(r.opts.Balancer.Service(c.view, c.route), c.account(), req.Method+" "+path, c.body)
 	out, err := r.opts.Dispatcher.Do(req.Context(), dispatch.Request{
 		ID:         c.id,
 		Account:    c.account(),
@@ -118,7 +119,7 @@
 		Header:     dispatch.SanitizeRequest(req.Header, bearer(req)),
 		Body:       c.body,
 		Idempotent: c.route.Idempotent,
-	}, r.opts.Balancer.Service(c.view, c.route), sink)
+	}, picker, sink)
 	used := c.route.CostTokens
 	if out.Verdict == verdict.NotRun {
 		used = 0
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -16,6 +16,8 @@
 	MetricFailed     = "router.failed"
 	MetricFirstToken = "router.first_token_ms"
 	MetricOpen       = "router.open_requests"
+	MetricRetries    = "router.retries"
+	MetricResumes    = "router.resumes"
 )
 
 // sampleSize is the reservoir of the first-token histogram.
@@ -26,6 +28,7 @@
 
 type stats struct {
 	requests, refused, failed metrics.Meter
+	retries, resumes          metrics.Meter
 	firstToken                metrics.Histogram
 }
 
@@ -34,6 +37,8 @@
 		requests:   metrics.GetOrRegisterMeter(MetricRequests, reg),
 		refused:    metrics.GetOrRegisterMeter(MetricRefused, reg),
 		failed:     metrics.GetOrRegisterMeter(MetricFailed, reg),
+		retries:    metrics.GetOrRegisterMeter(MetricRetries, reg),
+		resumes:    metrics.GetOrRegisterMeter(MetricResumes, reg),
 		firstToken: metrics.GetOrRegisterHistogram(MetricFirstToken, reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,9 @@
 	// DefaultOutputTokens is the output reserved for a request that declares no
 	// maximum. Default 1024.
 	DefaultOutputTokens int `json:"default_output_tokens" validate:"min=1,max=1048576"`
+	// ContentSalt salts the digests by which VMs name the contents that may
+	// crash backend servers. It must be the same on all VMs. Default empty.
+	ContentSalt string `json:"content_salt" validate:"max=128"`
 }
 
 // Log sets the log.
