Refuse null objects in tickets; tell no connection from an unknown outcome

Cause: a ticket with a null object made the conversion dereference nil, and the tool called a refused connection an unknown outcome. Change: a null becomes the zero object, which validation refuses with reasons; a failed dial exits with the code for not run. Before: FuzzReadTicket's seed with a null led to a panic in the service.

--- a/internal/admin/convert.go
+++ b/internal/admin/convert.go
@@ -24,28 +24,40 @@
 	return out
 }
 
+// values maps the objects of a request. A null becomes the zero value, which
+// the ticket's validation refuses with its reason.
+func values[A, B any](list []*A, f func(*A) B) []B {
+	return each(list, func(a *A) B {
+		if a == nil {
+			var zero B
+			return zero
+		}
+		return f(a)
+	})
+}
+
 func convert[A, B ~string](a A) B { return B(a) }
 
 func toTicket(p *gen.FileTicketPayload, operator string) ticket.Ticket {
 	t := ticket.Ticket{ClientID: p.ClientID, Operator: operator, Comment: p.Comment}
 	if c := p.Accounts; c != nil {
-		t.Accounts.Set = each(c.Set, toAccount)
+		t.Accounts.Set = values(c.Set, toAccount)
 		t.Accounts.Remove = each(c.Remove, convert[string, account.ID])
 	}
 	if c := p.Keys; c != nil {
-		t.Keys.Set = each(c.Set, toKey)
+		t.Keys.Set = values(c.Set, toKey)
 		t.Keys.Remove = each(c.Remove, convert[string, account.KeyID])
 	}
 	if c := p.Models; c != nil {
-		t.Models.Set = each(c.Set, toModel)
+		t.Models.Set = values(c.Set, toModel)
 		t.Models.Remove = c.Remove
 	}
 	if c := p.Routes; c != nil {
-		t.Routes.Set = each(c.Set, toRoute)
+		t.Routes.Set = values(c.Set, toRoute)
 		t.Routes.Remove = c.Remove
 	}
 	if c := p.Servers; c != nil {
-		t.Servers.Set = each(c.Set, toServer)
+		t.Servers.Set = values(c.Set, toServer)
 		t.Servers.Remove = each(c.Remove, convert[string, backend.ID])
 	}
 	return t
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -74,12 +75,22 @@
 }
 
 // describe returns the exit code and the text for an error. An error without a
-// verdict is a transport failure after which the outcome is unknown.
+// verdict is a transport failure after which the outcome is unknown, unless
+// there was no connection at all.
 func describe(err error) (int, string) {
 	var f *gen.Failure
-	if !errors.As(err, &f) {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &f):
+		return describeFailure(f)
+	case errors.As(err, &op) && op.Op == "dial":
+		return ExitNotRun, "not run: " + err.Error()
+	default:
 		return ExitMayHaveRun, "outcome unknown: " + err.Error()
 	}
+}
+
+func describeFailure(f *gen.Failure) (int, string) {
 	text := fmt.Sprintf("%s (%s): %s", f.Name, f.Verdict, f.Message)
 	if f.RetryAfterSeconds != nil {
 		text += fmt.Sprintf("; come back in %d s", *f.RetryAfterSeconds)
