--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -56,6 +56,7 @@
 			"request":    cmdRequest,
 			"await":      cmdAwait,
 			"background": cmdBackground,
+			"flood":      cmdFlood,
 			"wait":       cmdWait,
 			"crashes":    cmdCrashes,
 			"bookings":   cmdBookings,
