Choose engines by prefix in the request path

Cause: the daemon sent model requests round robin, whatever the caches held. Change: PrefixBalancer feeds the chooser from dispatch results, polled load reports and cache events; enginewatch follows the engines with a bounded number of polls a second; one log line for each choice. The cache salt is the scope's: account, model and version joined by slashes made some pairs alike. The stand-in engine hashes blocks as routers do, and reports evictions. Found on the way: Load.Reset overwrote its locked mutex.

--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -178,7 +178,7 @@
 	key := uint64(q.Chain[min(len(q.Chain), hashBlocks)-1])
 	best, bestWeight := -1, prefix.Hash(0)
 	for i := range r.loads {
-		weight := prefix.Extend(prefix.Hash(key), []byte(engineID(i)))
+		weight := prefix.Extend(prefix.Hash(key), string(engineID(i)))
 		if r.broken[i] || r.ahead(i, q, now) > bound {
 			continue
 		}
--- a/bench/workload_test.go
+++ b/bench/workload_test.go
@@ -208,7 +208,7 @@
 	for tokens > 0 {
 		n := min(tokens, blockTokens-p.tokens%blockTokens)
 		binary.LittleEndian.PutUint64(offset[:], uint64(n))
-		p.hash = prefix.Extend(p.hash, append([]byte(part), offset[:]...))
+		p.hash = prefix.Extend(p.hash, part+string(offset[:]))
 		p.tokens += n
 		tokens -= n
 		if p.tokens%blockTokens == 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,11 +41,12 @@
 	platform Platform
 	metrics  metrics.Registry
 
-	router  *router.Router
-	poller  *poller
-	peers   *grpc.Server
-	pool    *link.Pool
-	servers []*http.Server
+	router   *router.Router
+	balancer *router.PrefixBalancer
+	poller   *poller
+	peers    *grpc.Server
+	pool     *link.Pool
+	servers  []*http.Server
 
 	callerListener, peerListener, adminListener net.Listener
 
@@ -132,14 +133,15 @@
 	self := d.Self()
 	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
 	d.poller = newPoller(store, d.platform.Membership, d.log)
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
 	d.router = router.New(router.Options{
 		Settings:   d.settings,
 		Log:        d.log,
 		Metrics:    d.metrics,
-		Dispatcher: dispatch.New(dispatch.Config{}),
+		Dispatcher: dispatch.New(dispatch.Config{Observer: d.balancer}),
 		Evidence:   d.poller,
 		Admitter:   router.AdmitAll{},
-		Balancer:   &router.RoundRobin{},
+		Balancer:   d.balancer,
 		Addresses:  d.poller,
 		Now:        time.Now,
 	})
@@ -183,6 +185,7 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.poller.run(loopCtx) })
+	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
 	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
--- /dev/null
+++ b/internal/enginewatch/watch.go
@@ -0,0 +1,237 @@
+// Package enginewatch follows the engines' load reports and cache events.
+package enginewatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/sse"
+)
+
+const (
+	pathLoad   = "/load"
+	pathEvents = "/events"
+
+	// minPollInterval is the shortest time between two load reports of one
+	// engine.
+	minPollInterval = 250 * time.Millisecond
+	// maxPollsPerSecond bounds the load reports of all engines together.
+	maxPollsPerSecond = 80
+	// failuresUntilLost is how many reports in a row must fail.
+	failuresUntilLost = 2
+
+	loadTimeout       = time.Second
+	maxLoadBytes      = 64 << 10
+	reconnectDelay    = time.Second
+	reconcileInterval = 200 * time.Millisecond
+)
+
+// Sink takes in what engines report. Its methods may be called concurrently.
+type Sink interface {
+	// Loaded gets a load report that was asked for at the time asked.
+	Loaded(id backend.ID, l openai.Load, asked, now time.Time)
+	// Lost is called when an engine stops reporting.
+	Lost(id backend.ID)
+	// CacheEvent gets the next event of an engine's stream.
+	CacheEvent(id backend.ID, e openai.CacheEvent, now time.Time)
+}
+
+// Watcher follows engines.
+type Watcher struct {
+	client *http.Client
+	sink   Sink
+	log    *zap.Logger
+
+	mu      sync.Mutex
+	engines map[backend.ID]watched
+	wg      sync.WaitGroup
+}
+
+// watched is an engine that is followed.
+type watched struct {
+	url  string
+	stop context.CancelFunc
+}
+
+// New returns a Watcher that follows no engine yet.
+func New(sink Sink, log *zap.Logger) *Watcher {
+	return &Watcher{client: &http.Client{}, sink: sink, log: log, engines: map[backend.ID]watched{}}
+}
+
+// Run follows the engines that servers lists until ctx ends.
+func (w *Watcher) Run(ctx context.Context, servers func() []backend.Server) {
+	defer w.wg.Wait()
+	tick := time.NewTicker(reconcileInterval)
+	defer tick.Stop()
+	for {
+		w.reconcile(ctx, servers())
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reconcile starts and stops following engines.
+func (w *Watcher) reconcile(ctx context.Context, servers []backend.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	listed := map[backend.ID]bool{}
+	for _, s := range servers {
+		if s.Kind != backend.Engine {
+			continue
+		}
+		listed[s.ID] = true
+		old, known := w.engines[s.ID]
+		if known && old.url == s.URL {
+			continue
+		}
+		if known {
+			old.stop()
+		}
+		w.follow(ctx, s)
+	}
+	for id, e := range w.engines {
+		if !listed[id] {
+			e.stop()
+			delete(w.engines, id)
+		}
+	}
+}
+
+// follow starts following an engine. The caller holds w.mu.
+func (w *Watcher) follow(ctx context.Context, s backend.Server) {
+	ctx, stop := context.WithCancel(ctx)
+	w.engines[s.ID] = watched{url: s.URL, stop: stop}
+	w.wg.Add(2)
+	go func() {
+		defer w.wg.Done()
+		w.pollLoad(ctx, s)
+	}()
+	go func() {
+		defer w.wg.Done()
+		w.readEvents(ctx, s)
+	}()
+}
+
+// interval is the time between two load reports of one engine.
+func (w *Watcher) interval() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spread := time.Duration(len(w.engines)) * time.Second / maxPollsPerSecond
+	return max(spread, minPollInterval)
+}
+
+func (w *Watcher) pollLoad(ctx context.Context, s backend.Server) {
+	failures := 0
+	for {
+		asked := time.Now()
+		l, err := w.load(ctx, s)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			failures = 0
+			w.sink.Loaded(s.ID, l, asked, time.Now())
+		default:
+			failures++
+		}
+		if failures == failuresUntilLost {
+			w.log.Warn("engine_lost", zap.String("engine", string(s.ID)), zap.Error(err))
+			w.sink.Lost(s.ID)
+		}
+		if !pause(ctx, w.interval()) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) load(ctx context.Context, s backend.Server) (openai.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var l openai.Load
+	body, err := w.get(ctx, s, pathLoad)
+	if err != nil {
+		return l, err
+	}
+	defer body.Close()
+	err = json.NewDecoder(io.LimitReader(body, maxLoadBytes)).Decode(&l)
+	return l, errors.Wrap(err, "decode load report")
+}
+
+// readEvents reads an engine's cache events and connects again when the stream
+// breaks. What was lost meanwhile shows as a gap.
+func (w *Watcher) readEvents(ctx context.Context, s backend.Server) {
+	for {
+		err := w.readStream(ctx, s)
+		if ctx.Err() != nil {
+			return
+		}
+		w.log.Debug("cache_events_ended", zap.String("engine", string(s.ID)), zap.Error(err))
+		if !pause(ctx, reconnectDelay) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) readStream(ctx context.Context, s backend.Server) error {
+	body, err := w.get(ctx, s, pathEvents)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	r := sse.NewReader(body, 0)
+	for {
+		ev, err := r.Next()
+		if err != nil {
+			return err
+		}
+		var e openai.CacheEvent
+		if err := json.Unmarshal(ev.Data, &e); err != nil {
+			return errors.Wrap(err, "decode cache event")
+		}
+		w.sink.CacheEvent(s.ID, e, time.Now())
+	}
+}
+
+func (w *Watcher) get(ctx context.Context, s backend.Server, path string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(s.URL, "/")+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "get "+path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.Errorf("get %s: status %d", path, resp.StatusCode)
+	}
+	return resp.Body, nil
+}
+
+// pause waits for about d and reports whether ctx is still live. The jitter
+// keeps routers from polling in step.
+func pause(ctx context.Context, d time.Duration) bool {
+	d = d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -173,4 +173,6 @@
 	// Type is "stored", "removed" or "cleared".
 	Type   string   `json:"type"`
 	Hashes []uint64 `json:"hashes"`
+	// Salt is the cache_salt of stored blocks, if the engine tells it.
+	Salt string `json:"salt,omitempty"`
 }
--- a/internal/prefix/hash.go
+++ b/internal/prefix/hash.go
@@ -70,16 +70,16 @@
 func Root(salt string) Hash { return scopeOf(salt).Root() }
 
 // Extend returns the hash of a block that follows the block parent.
-func Extend(parent Hash, block []byte) Hash {
+func Extend(parent Hash, block string) Hash {
 	var d xxhash.Digest
 	d.ResetWithSeed(uint64(parent))
-	d.Write(block)
+	d.WriteString(block)
 	return Hash(d.Sum64())
 }
 
 // Chain appends the hashes of the full blocks of text to buf. The last,
 // partial block is left out: engines cache full blocks only.
-func Chain(root Hash, text []byte, blockTokens int, buf []Hash) []Hash {
+func Chain(root Hash, text string, blockTokens int, buf []Hash) []Hash {
 	size := blockTokens * BytesPerToken
 	for parent := root; len(text) >= size; text = text[size:] {
 		parent = Extend(parent, text[:size])
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,7 +95,7 @@
 
 func TestLookup(t *testing.T) {
 	scope := NewScope("a", "m", "1")
-	chain := Chain(scope.Root(), make([]byte, 10*BytesPerToken), 2, nil)
+	chain := Chain(scope.Root(), strings.Repeat("x", 10*BytesPerToken), 2, nil)
 	if len(chain) != 5 {
 		t.Fatalf("got %d blocks, want 5", len(chain))
 	}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -140,7 +140,10 @@
 func (l *Load) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	*l = Load{nominal: l.nominal, rate: l.nominal, at: l.at}
+	l.rate = l.nominal
+	l.backlog = [Levels]float64{}
+	l.running = 0
+	l.recent = l.recent[:0]
 }
 
 // split sets the backlog to tokens by the mix of levels. The caller holds l.mu.
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -82,7 +82,7 @@
 		Stream:     c.parsed.Stream,
 		Idempotent: true, // A completion has no effect but its answer.
 		MaxTokens:  c.output,
-		CacheSalt:  cacheSalt(c),
+		CacheSalt:  CacheSalt(c.caller.account.ID, c.model),
 		Priority:   priority(c.class),
 	}, picker, sink)
 	grant.Done(usedTokens(c, out))
@@ -192,11 +192,6 @@
 	}
 }
 
-// cacheSalt isolates the engine's prefix cache by client account and weights.
-func cacheSalt(c *completion) string {
-	return string(c.caller.account.ID) + "/" + c.model.Name + "/" + c.model.WeightsVersion
-}
-
 func (r *Router) serveModels(w http.ResponseWriter, req *http.Request) {
 	view := r.View()
 	if _, refusal := r.authenticate(view, req); refusal != nil {
--- /dev/null
+++ b/internal/router/prefixbalancer.go
@@ -0,0 +1,228 @@
+package router
+
+import (
+	"context"
+	"math/rand"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/prefix"
+	"papayaspan.dev/papayaspan/internal/route"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const (
+	// nominalPrefillRate is the prefill rate that is assumed of an engine
+	// before its replies show it, in tokens a second.
+	nominalPrefillRate = 8000
+	// maxIndexBlocks bounds the prefix index, in blocks.
+	maxIndexBlocks = 320_000
+)
+
+// PrefixBalancer chooses engines by the estimated time to first token. It
+// learns from its own dispatches (as dispatch.Observer) and from the engines'
+// reports (as enginewatch.Sink).
+type PrefixBalancer struct {
+	services RoundRobin
+	log      *zap.Logger
+	block    int
+	index    *prefix.Index
+	chooser  *route.Chooser
+	table    *engineTable
+	view     atomic.Pointer[config.View]
+	random   sync.Pool
+	// flights are the attempts under way, *flight by request ID.
+	flights sync.Map
+}
+
+// flight is an attempt under way.
+type flight struct {
+	request  *route.Request
+	decision route.Decision
+}
+
+// NewPrefixBalancer returns a balancer that knows no engine yet. Blocks have
+// blockTokens tokens.
+func NewPrefixBalancer(blockTokens int, log *zap.Logger) *PrefixBalancer {
+	index := prefix.NewIndex(maxIndexBlocks, time.Now())
+	b := &PrefixBalancer{log: log, block: blockTokens, index: index, table: newEngineTable(index)}
+	healthy := route.Healthy(func(id backend.ID) bool { return !b.table.allows(id) })
+	b.chooser = route.NewChooser(index, blockTokens, healthy)
+	b.random.New = func() any { return rand.New(rand.NewSource(rand.Int63())) }
+	return b
+}
+
+// CacheSalt is the cache_salt of a client account's requests for a model.
+func CacheSalt(id account.ID, m config.Model) string {
+	return prefix.NewScope(id, m.Name, m.WeightsVersion).Salt()
+}
+
+// Service implements Balancer.
+func (b *PrefixBalancer) Service(view *config.View, route config.Route) dispatch.Picker {
+	return b.services.Service(view, route)
+}
+
+// Engine implements Balancer.
+func (b *PrefixBalancer) Engine(p Prompt) dispatch.Picker {
+	b.note(p.View)
+	scope := prefix.NewScope(p.Account, p.Model, p.WeightsVersion)
+	return &enginePicker{
+		b:      b,
+		prompt: p,
+		request: route.Request{
+			Scope:        scope,
+			Pool:         route.PoolKey{Model: p.Model, WeightsVersion: p.WeightsVersion},
+			Chain:        prefix.Chain(scope.Root(), p.Text, b.block, nil),
+			PromptTokens: len(p.Text)/prefix.BytesPerToken + 1,
+			Background:   p.Class == config.Review,
+		},
+	}
+}
+
+// enginePicker picks the engines for one request.
+type enginePicker struct {
+	b       *PrefixBalancer
+	prompt  Prompt
+	request route.Request
+}
+
+// Pick implements dispatch.Picker. A server that was tried before is picked
+// only if there is no other.
+func (p *enginePicker) Pick(_ context.Context, req dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
+	r := p.request
+	r.Excluded = a.Tried
+	r.PromptTokens += a.Delivered
+	d, err := p.b.choose(p.prompt.View, &r)
+	if err != nil && len(a.Tried) > 0 {
+		r.Excluded = nil
+		d, err = p.b.choose(p.prompt.View, &r)
+	}
+	if err != nil {
+		refusal := verdict.RefuseUntil(http.StatusServiceUnavailable, "no_backend_server", "no backend server can take the request now", noServerRetryAfter)
+		refusal.Cause = err
+		return backend.Server{}, refusal
+	}
+	p.b.logChoice(req, a, &d)
+	now := time.Now()
+	p.b.chooser.Dispatched(&r, &d, now)
+	p.b.flights.Store(req.ID, &flight{request: &r, decision: d})
+	return p.prompt.View.Servers[d.Engine.ID], nil
+}
+
+func (b *PrefixBalancer) choose(view *config.View, r *route.Request) (route.Decision, error) {
+	rng := b.random.Get().(*rand.Rand)
+	defer b.random.Put(rng)
+	return b.chooser.Choose(b.table.current(view), r, time.Now(), rng)
+}
+
+func (b *PrefixBalancer) logChoice(req dispatch.Request, a dispatch.Attempt, d *route.Decision) {
+	b.log.Info("engine_chosen",
+		zap.String("request_id", req.ID),
+		zap.String("account", string(req.Account)),
+		zap.String("model", req.Model),
+		zap.Int("attempt", a.Number),
+		zap.String("engine", string(d.Engine.ID)),
+		zap.String("reason", string(d.Reason)),
+		zap.Int("hit_tokens", d.HitTokens),
+		zap.Int("miss_tokens", d.MissTokens),
+		zap.Int("running", d.Load.Running),
+		zap.Duration("queue", d.Queue),
+		zap.Duration("ttft", d.TTFT),
+		zap.Int("considered", d.Considered))
+}
+
+// Started implements dispatch.Observer.
+func (b *PrefixBalancer) Started(dispatch.Request, dispatch.Attempt, backend.Server) {}
+
+// Ended implements dispatch.Observer.
+func (b *PrefixBalancer) Ended(req dispatch.Request, r dispatch.Result) {
+	v, ok := b.flights.LoadAndDelete(req.ID)
+	if !ok {
+		return
+	}
+	f := v.(*flight)
+	switch r.Failure {
+	case dispatch.ConnectFailed, dispatch.ConnectionLost:
+		b.table.setLost(r.Server.ID)
+		return
+	}
+	if r.FirstByte > 0 && req.Stream {
+		b.chooser.FirstToken(f.request, &f.decision, time.Now(), r.FirstByte)
+	}
+	if r.Err == nil && r.Usage.PromptTokens > 0 {
+		b.chooser.Finished(&f.decision, r.Usage.CachedTokens)
+	}
+}
+
+// Loaded implements enginewatch.Sink.
+func (b *PrefixBalancer) Loaded(id backend.ID, l openai.Load, asked, now time.Time) {
+	if b.table.loaded(id, l, asked, now) {
+		b.rebuild()
+	}
+}
+
+// Lost implements enginewatch.Sink.
+func (b *PrefixBalancer) Lost(id backend.ID) { b.table.setLost(id) }
+
+// CacheEvent implements enginewatch.Sink.
+func (b *PrefixBalancer) CacheEvent(id backend.ID, e openai.CacheEvent, now time.Time) {
+	hashes := make([]prefix.Hash, len(e.Hashes))
+	for i, h := range e.Hashes {
+		hashes[i] = prefix.Hash(h)
+	}
+	slot := b.index.Apply(id, prefix.Event{
+		Seq:         e.Seq,
+		Incarnation: backend.Incarnation(e.Incarnation),
+		Type:        prefix.EventType(e.Type),
+		Hashes:      hashes,
+		Salt:        e.Salt,
+	}, now)
+	if e.Type == string(prefix.Cleared) && b.table.renewed(id, slot) {
+		b.rebuild()
+	}
+}
+
+// Watched lists the engines to follow.
+func (b *PrefixBalancer) Watched(view *config.View) []backend.Server {
+	b.note(view)
+	b.table.current(view)
+	var list []backend.Server
+	for _, s := range view.Servers {
+		if s.Kind == backend.Engine {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// note keeps the latest view of the configuration.
+func (b *PrefixBalancer) note(view *config.View) {
+	for {
+		old := b.view.Load()
+		if old != nil && old.Number >= view.Number {
+			return
+		}
+		if b.view.CompareAndSwap(old, view) {
+			return
+		}
+	}
+}
+
+// rebuild makes the fleet anew from the latest view.
+func (b *PrefixBalancer) rebuild() {
+	if b.view.Load() == nil {
+		return
+	}
+	b.table.mu.Lock()
+	defer b.table.mu.Unlock()
+	b.table.build(b.view.Load())
+}
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -1,31 +1,34 @@
 package engine
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/prefix"
 )
 
 // blockCache is a prefix cache in limited memory with least-recently-used
 // eviction.
 type blockCache struct {
-	blocks *lru.Cache[uint64, struct{}]
+	blocks  *lru.Cache[uint64, struct{}]
+	evicted []uint64
 }
 
 func newBlockCache(size int) *blockCache {
-	blocks, err := lru.New[uint64, struct{}](max(1, size))
+	c := &blockCache{}
+	evict := func(h uint64, _ struct{}) { c.evicted = append(c.evicted, h) }
+	blocks, err := lru.NewWithEvict(max(1, size), evict)
 	if err != nil {
 		panic(err)
 	}
-	return &blockCache{blocks: blocks}
+	c.blocks = blocks
+	return c
 }
 
 func (c *blockCache) len() int { return c.blocks.Len() }
@@ -40,23 +43,24 @@
 	return len(chain)
 }
 
-func (c *blockCache) store(chain []uint64) {
-	for _, h := range chain {
+// store caches a chain, the end of it to be evicted first, and returns the
+// blocks that made room.
+func (c *blockCache) store(chain []uint64) []uint64 {
+	c.evicted = nil
+	for _, h := range slices.Backward(chain) {
 		c.blocks.Add(h, struct{}{})
 	}
+	return c.evicted
 }
 
-// chainHashes returns the chained hashes of the whole blocks of a prompt.
-func chainHashes(salt string, tokens []string, blockTokens int) []uint64 {
-	h := xxhash.Sum64String(salt)
-	var chain []uint64
-	for i := 0; i+blockTokens <= len(tokens); i += blockTokens {
-		var prev [8]byte
-		binary.LittleEndian.PutUint64(prev[:], h)
-		h = xxhash.Sum64String(string(prev[:]) + strings.Join(tokens[i:i+blockTokens], " "))
-		chain = append(chain, h)
+// chainHashes returns the chained hashes of the whole blocks of a prompt, as
+// routers compute them.
+func chainHashes(salt, prompt string, blockTokens int) []uint64 {
+	var hashes []uint64
+	for _, h := range prefix.Chain(prefix.Root(salt), prompt, blockTokens, nil) {
+		hashes = append(hashes, uint64(h))
 	}
-	return chain
+	return hashes
 }
 
 // eventLog hands cache events to the subscribers of one incarnation.
@@ -73,12 +77,15 @@
 	return &eventLog{incarnation: incarnation, subs: map[chan openai.CacheEvent]bool{}}
 }
 
-// stored publishes one event. A subscriber whose buffer is full misses it.
-func (l *eventLog) stored(hashes []uint64) {
+// publish sends one event. A subscriber whose buffer is full misses it.
+func (l *eventLog) publish(ev openai.CacheEvent) {
+	if len(ev.Hashes) == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seq++
-	ev := openai.CacheEvent{Seq: l.seq, Incarnation: l.incarnation, Type: "stored", Hashes: hashes}
+	ev.Seq, ev.Incarnation = l.seq, l.incarnation
 	for ch := range l.subs {
 		select {
 		case ch <- ev:
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/prefix"
 )
 
 const defaultOutputTokens = 16
@@ -87,11 +88,11 @@
 }
 
 func (e *Engine) start(r *http.Request, req openai.Request, prompt string, down chan struct{}) *run {
-	tokens := strings.Fields(prompt)
-	chain := chainHashes(req.CacheSalt+"\x00"+req.Model, tokens, e.opts.BlockTokens)
+	tokens := len(prompt)/prefix.BytesPerToken + 1
+	chain := chainHashes(req.CacheSalt, prompt, e.opts.BlockTokens)
 	e.mu.Lock()
 	hit := e.cache.lookup(chain)
-	e.cache.store(chain)
+	evicted := e.cache.store(chain)
 	log := e.events
 	rn := &run{e: e, req: req, prompt: prompt, down: down, chat: r.URL.Path == openai.PathChatCompletions}
 	rn.id = r.Header.Get(openai.HeaderRequestID)
@@ -102,10 +103,11 @@
 		rn.truncate = n
 	}
 	e.mu.Unlock()
-	log.stored(chain)
+	log.publish(openai.CacheEvent{Type: string(prefix.Removed), Hashes: evicted})
+	log.publish(openai.CacheEvent{Type: string(prefix.Stored), Salt: req.CacheSalt, Hashes: chain})
 	cached := hit * e.opts.BlockTokens
-	rn.usage = openai.Usage{PromptTokens: len(tokens), PromptTokensDetails: &openai.PromptTokensDetails{CachedTokens: cached}}
-	rn.pause(r, time.Duration(len(tokens)-cached)*e.opts.PrefillPerToken)
+	rn.usage = openai.Usage{PromptTokens: tokens, PromptTokensDetails: &openai.PromptTokensDetails{CachedTokens: cached}}
+	rn.pause(r, time.Duration(tokens-cached)*e.opts.PrefillPerToken)
 	return rn
 }
 
