Let a restarted process stay the home that the roster names

Cause: a restart may leave the roster as it was, under the incarnation of the process before; a ledger that insists on its own incarnation would then serve nobody, and one that ignores it would obey a replaced process. Ruled out: the VM's name alone (a paused process and its successor both serve). Change: the first roster's incarnation of this VM is adopted; a handover is accepted only from a roster newer than the one that the earlier process left, because that process may have taken it. Evidence is aged by the larger of the monotonic and the wall clock, as a frozen VM's monotonic clock stands still. Needs: two processes never start under one VM name at the same time.

--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -74,7 +74,10 @@
 // state machine and not safe for concurrent use.
 type Ledger struct {
 	self vm.VM
-	view View
+	// adopted is the incarnation that the first roster gave this VM: that of
+	// an earlier process if a restart left the roster as it was.
+	adopted vm.Incarnation
+	view    View
 	// learned is when this VM learned of the roster.
 	learned time.Time
 	// least is the least roster version of a handover to a new tenure.
@@ -114,18 +117,41 @@
 	}
 	l.startAll()
 	continuous := l.continuous(v.Roster, now)
+	if old.Roster == nil {
+		l.adopt(v.Roster)
+	}
+	l.least = l.leastHandover(v.Roster, continuous)
 	l.view = v
 	l.learned = now
-	l.least = v.Roster.Version
-	if continuous {
-		l.least = old.Roster.Version + 1
-	}
-	if v.Roster.Version == firstVersion {
+	if v.Roster.Version == firstVersion && l.adopted == l.self.Incarnation {
 		l.learned = time.Time{}
 	}
 	return l.rehome(continuous, now)
 }
 
+func (l *Ledger) adopt(r *Roster) {
+	l.adopted = l.self.Incarnation
+	for _, v := range r.VMs {
+		if v.ID == l.self.ID {
+			l.adopted = v.Incarnation
+		}
+	}
+}
+
+// leastHandover returns the least roster version of a handover that a tenure
+// which begins with the next roster may accept. An earlier process of this VM
+// may have accepted those up to the roster that it left behind.
+func (l *Ledger) leastHandover(next *Roster, continuous bool) uint64 {
+	switch {
+	case continuous:
+		return l.view.Roster.Version + 1
+	case l.view.Roster == nil && l.adopted != l.self.Incarnation:
+		return next.Version + 1
+	default:
+		return next.Version
+	}
+}
+
 // continuous reports whether no other VM can have become a home between the
 // present roster and the next one.
 func (l *Ledger) continuous(next *Roster, now time.Time) bool {
@@ -136,7 +162,7 @@
 }
 
 func (l *Ledger) fresh(now time.Time) bool {
-	return l.view.Roster != nil && now.Sub(l.view.Evidence) < Staleness
+	return l.view.Roster != nil && age(l.view.Evidence, now) < Staleness
 }
 
 // rehome brings the tenures in line with a new roster.
@@ -306,5 +332,11 @@
 }
 
 func (l *Ledger) isSelf(v vm.VM) bool {
-	return v.ID == l.self.ID && v.Incarnation == l.self.Incarnation
+	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || v.Incarnation == l.adopted)
+}
+
+// age returns the time since at, by the larger of the monotonic and the wall
+// clock: the monotonic clock stands still while a VM is frozen.
+func age(at, now time.Time) time.Duration {
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
