--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/poison"
@@ -43,12 +44,14 @@
 	platform Platform
 	metrics  metrics.Registry
 
-	router  *router.Router
-	poller  *poller
-	guard   *poison.Guard
-	peers   *grpc.Server
-	pool    *link.Pool
-	servers []*http.Server
+	router   *router.Router
+	balancer *router.PrefixBalancer
+	poller   *poller
+	guard    *poison.Guard
+	health   *health.Table
+	peers    *grpc.Server
+	pool     *link.Pool
+	servers  []*http.Server
 
 	callerListener, peerListener, adminListener net.Listener
 
@@ -138,15 +141,18 @@
 	directory := peerDirectory{self: self, members: d.poller.allVMs, pool: pool}
 	d.guard = poison.NewGuard(self.ID, poison.Client{Directory: directory}, time.Now, time.Now())
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
+	d.health = health.NewTable()
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Dispatcher:  dispatch.New(dispatch.Config{}),
+		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
 		Evidence:    d.poller,
 		Admitter:    router.AdmitAll{},
-		Balancer:    &router.RoundRobin{},
+		Balancer:    d.balancer,
 		Addresses:   d.poller,
+		Health:      d.health,
 		Guard:       d.guard,
 		ContentSalt: []byte(d.settings.Routing.ContentSalt),
 		Now:         time.Now,
@@ -192,6 +198,7 @@
 	d.cancel = cancel
 	d.goLoop(func() { d.poller.run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
+	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() {
 		d.learnSuspects(loopCtx)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	HoldBytes int
 	// TLS is the configuration towards backend servers. May be nil.
 	TLS *tls.Config
+	// Observer learns of the attempts of all requests. May be nil.
+	Observer Observer
 	// Now is the monotonic clock.
 	Now func() time.Time
 	// Random returns a number in [0, 1) and may be called concurrently.
@@ -80,13 +82,6 @@
 	}
 }
 
-// noObserver is used for pickers that are no observers.
-type noObserver struct{}
-
-func (noObserver) Started(Request, Attempt, backend.Server) {}
-func (noObserver) Answered(Request, Result)                 {}
-func (noObserver) Ended(Request, Result)                    {}
-
 // Close closes idle connections.
 func (d *Dispatcher) Close() { d.transport.CloseIdleConnections() }
 
@@ -101,10 +96,7 @@
 	c.relay.cursor.requestID = req.ID
 	c.relay.cursor.hideUsage = !asksForUsage(req.Body)
 	c.attempt.Number = 1
-	c.observer = noObserver{}
-	if o, ok := p.(Observer); ok {
-		c.observer = o
-	}
+	c.observers = d.observers(p)
 	c.ran = verdict.NotRun
 	err := c.loop(ctx, p)
 	c.out.Started = c.relay.started
@@ -119,14 +111,13 @@
 
 // call is the state of one request over its attempts.
 type call struct {
-	d       *Dispatcher
-	req     Request
-	relay   *relay
-	begin   time.Time
-	attempt Attempt
-	out     Outcome
-	// observer is told of each attempt.
-	observer Observer
+	d         *Dispatcher
+	req       Request
+	relay     *relay
+	begin     time.Time
+	attempt   Attempt
+	out       Outcome
+	observers observers
 	// ran is NotRun until an attempt may have run.
 	ran verdict.Verdict
 }
@@ -160,10 +151,10 @@
 // try makes one attempt.
 func (c *call) try(ctx context.Context, server backend.Server) *attemptError {
 	c.attempt.Delivered = c.relay.cursor.delivered
-	c.observer.Started(c.req, c.attempt, server)
+	c.observers.Started(c.req, c.attempt, server)
 	result := Result{Attempt: c.attempt, Server: server}
 	begin := c.d.cfg.Now()
-	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin, observer: c.observer}
+	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin, observers: c.observers}
 	failure := x.run()
 
 	result.Duration = c.d.cfg.Now().Sub(begin)
@@ -173,7 +164,7 @@
 		result.Failure = failure.failure
 		result.Err = failure
 	}
-	c.observer.Ended(c.req, result)
+	c.observers.Ended(c.req, result)
 	c.record(result, begin)
 	return failure
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -28,11 +28,11 @@
 	server backend.Server
 	relay  *relay
 	// parent is the caller's context. Its end is not the server's failure.
-	parent   context.Context
-	result   *Result
-	begin    time.Time
-	watch    *watchdog
-	observer Observer
+	parent    context.Context
+	result    *Result
+	begin     time.Time
+	watch     *watchdog
+	observers observers
 }
 
 // run makes the attempt. It returns nil when the answer was relayed whole.
@@ -146,7 +146,7 @@
 	} else if id := resp.Header.Get(openai.HeaderRequestID); id != "" && id != x.req.ID {
 		return failed(Crossed, errors.Errorf("answer to request %q", id))
 	}
-	x.observer.Answered(x.req, *x.result)
+	x.observers.Answered(x.req, *x.result)
 	body := &timedReader{r: resp.Body, x: x}
 	if x.req.Stream && resp.StatusCode == http.StatusOK {
 		return x.relayStream(resp, body)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -46,9 +46,10 @@
 // Pick implements dispatch.Picker.
 func (a *attempts) Pick(ctx context.Context, req dispatch.Request, at dispatch.Attempt) (backend.Server, error) {
 	run, target, err := a.r.opts.Guard.Begin(ctx, a.subject, func(excluded []backend.ID) (poison.Target, error) {
+		patient := at.Number > 1 && len(excluded) == 0
 		at := at
 		at.Tried = slices.Concat(at.Tried, excluded)
-		return a.choose(ctx, req, at)
+		return a.choose(ctx, req, at, patient)
 	})
 	if err != nil {
 		a.r.opts.Log.Info("attempt_refused",
@@ -62,12 +63,13 @@
 	return target.Server, nil
 }
 
-// choose returns the best-graded of a few servers that the balancer offers.
-func (a *attempts) choose(ctx context.Context, req dispatch.Request, at dispatch.Attempt) (poison.Target, error) {
+// choose returns the best-graded of a few servers that the balancer offers. If
+// patient it waits for a first one.
+func (a *attempts) choose(ctx context.Context, req dispatch.Request, at dispatch.Attempt, patient bool) (poison.Target, error) {
 	var best poison.Target
 	var bestGrade health.Grade
 	for n := range maxOffers {
-		s, err := a.inner.Pick(ctx, req, at)
+		s, err := a.offer(ctx, req, at, patient && n == 0)
 		if err != nil && n == 0 {
 			return poison.Target{}, err
 		}
@@ -88,6 +90,29 @@
 	return best, nil
 }
 
+const (
+	// serverWait is how long a request whose attempt failed waits for a server
+	// that can take it: engines come back within seconds.
+	serverWait = 5 * time.Second
+	serverPoll = 50 * time.Millisecond
+)
+
+// offer asks the balancer for a server, again and again if patient.
+func (a *attempts) offer(ctx context.Context, req dispatch.Request, at dispatch.Attempt, patient bool) (backend.Server, error) {
+	deadline := a.r.opts.Now().Add(serverWait)
+	for {
+		s, err := a.inner.Pick(ctx, req, at)
+		if err == nil || !patient || a.r.opts.Now().After(deadline) {
+			return s, err
+		}
+		select {
+		case <-time.After(serverPoll):
+		case <-ctx.Done():
+			return s, err
+		}
+	}
+}
+
 // Started implements dispatch.Observer.
 func (a *attempts) Started(req dispatch.Request, at dispatch.Attempt, s backend.Server) {
 	a.began = a.r.opts.Now()
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -199,9 +199,9 @@
 	w.background[args[0]] = result
 }
 
-// cmdWait waits for a background request and checks that it ended as wanted:
-// wait NAME.
-func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
+// cmdJoin waits for a background request and checks that it ended as wanted:
+// join NAME. (The name wait is taken by testscript.)
+func cmdJoin(ts *testscript.TestScript, _ bool, args []string) {
 	select {
 	case err := <-worldOf(ts).background[args[0]]:
 		ts.Check(err)
