--- a/internal/standin/local/routers.go
+++ b/internal/standin/local/routers.go
@@ -20,6 +20,7 @@
 	out := settings.Default()
 	out.VM = settings.VM{ID: fmt.Sprintf("vm-%d", i), FailureDomain: fmt.Sprintf("qc-centre-%c", 'a'+(i-1)%3)}
 	out.Listen = settings.Listen{Caller: free, Peer: free, Admin: free}
+	out.Routing.PieceTokens = EngineOptions().BlockTokens
 	out.Platform.URL = s.PlatformURL
 	out.Operators = []settings.Operator{{Name: OperatorName, KeyHash: account.HashSecret(OperatorKey)}}
 	return &out
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -22,6 +22,7 @@
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/settings"
+	"papayaspan.dev/papayaspan/internal/standin/local"
 	"papayaspan.dev/papayaspan/internal/standin/platformserver"
 )
 
@@ -186,6 +187,7 @@
 	s.Advertise.Peer = peer
 	s.Platform.URL = "http://" + plat
 	s.Operators = []settings.Operator{{Name: "alice", KeyHash: account.HashSecret(operatorKey)}}
+	s.Routing.PieceTokens = local.EngineOptions().BlockTokens
 	s.Log.Level = "debug"
 	data, err := json.Marshal(s)
 	if err != nil {
