--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -236,23 +236,36 @@
 	}
 }
 
-// TestCallerLeaves checks that the engine is canceled at once.
+// TestCallerLeaves checks that the engine is canceled at once when a caller
+// closes its connection.
 func TestCallerLeaves(t *testing.T) {
 	engine := &fakeEngine{plan: plan{faultStall, 1}, closed: make(chan struct{}, 1)}
 	srv := httptest.NewServer(engine)
 	defer srv.Close()
-	ctx, leave := context.WithTimeout(context.Background(), 30*time.Millisecond)
-	defer leave()
 	d := New(Config{StallTimeout: time.Minute})
-	p := listPicker{{ID: "e", Kind: backend.Engine, URL: srv.URL}}
-	_, err := d.Do(ctx, streamRequest(), p, &memorySink{})
-	if e := verdict.AsError(err); e.Code != "deadline_exceeded" || e.Verdict != verdict.MayHaveRun {
-		t.Errorf("error %v", err)
+	result := make(chan error, 1)
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p := listPicker{{ID: "e", Kind: backend.Engine, URL: srv.URL}}
+		_, err := d.Do(r.Context(), streamRequest(), p, NewHTTPSink(w, time.Second))
+		result <- err
+	}))
+	defer front.Close()
+	resp, err := http.Get(front.URL)
+	if err != nil {
+		t.Fatal(err)
 	}
+	resp.Body.Close()
+	left := time.Now()
 	select {
 	case <-engine.closed:
-	case <-time.After(time.Second):
-		t.Error("the engine still runs the request")
+	case <-time.After(5 * time.Second):
+		t.Fatal("the engine still runs the request")
+	}
+	if took := time.Since(left); took > time.Second {
+		t.Errorf("the engine was canceled after %v", took)
+	}
+	if e := verdict.AsError(<-result); e.Code != "deadline_exceeded" || e.Verdict != verdict.MayHaveRun {
+		t.Errorf("error %v", e)
 	}
 }
 
