--- /dev/null
+++ b/internal/roster/plan.go
@@ -0,0 +1,152 @@
+package roster
+
+import (
+	"hash/fnv"
+	"math/rand"
+	"slices"
+	"strconv"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Change is a planned change of the roster.
+type Change struct {
+	Admit  []vm.VM
+	Remove []vm.ID
+	// Expel is the part of Remove that did not ask to leave.
+	Expel []vm.ID
+}
+
+// Empty reports whether there is nothing to change.
+func (c Change) Empty() bool { return len(c.Admit) == 0 && len(c.Remove) == 0 }
+
+// Plan decides which VMs join, leave or are expelled, from one scan of the
+// presence rows that the watch has observed too.
+func Plan(r *Roster, rows []Presence, w *Watch, now time.Time) Change {
+	var c Change
+	present := map[vm.ID]bool{}
+	for _, p := range rows {
+		id := p.VM.ID
+		present[id] = true
+		member, isMember := r.Get(id)
+		expired := w.Expired(p, now)
+		switch {
+		case isMember && p.Left:
+			c.Remove = append(c.Remove, id)
+		case isMember && expired:
+			c.Remove = append(c.Remove, id)
+			c.Expel = append(c.Expel, id)
+		case p.Left || expired || now.Sub(p.RenewedAt) >= expiry:
+		case !isMember && !p.VM.Leaving:
+			c.Admit = append(c.Admit, p.VM)
+		case isMember && moved(member, p.VM):
+			c.Admit = append(c.Admit, p.VM)
+		}
+	}
+	for _, m := range r.Members {
+		if !present[m.ID] {
+			c.Remove = append(c.Remove, m.ID)
+		}
+	}
+	return c
+}
+
+// moved reports whether the addresses or the leaving mark changed. The
+// incarnation alone does not count, so that a restart changes no roster.
+func moved(a, b vm.VM) bool {
+	b.Incarnation = a.Incarnation
+	return a != b
+}
+
+const (
+	// sweepSlot is how long the same members keep the duty to sweep.
+	sweepSlot = 30 * time.Second
+	// sweepers is the number of members with the duty at a time.
+	sweepers = 2
+	// sweepCost spreads the scans of a large roster, per member.
+	sweepCost = 15 * time.Millisecond
+	// minSweepInterval is the interval in a small fleet.
+	minSweepInterval = 1 * time.Second
+)
+
+// SweepInterval returns how often a sweeper scans the presence rows.
+func SweepInterval(members int) time.Duration {
+	return max(minSweepInterval, time.Duration(members)*sweepCost)
+}
+
+// Sweeper reports whether this VM scans the presence rows now. The duty
+// rotates by rendezvous hashing over wall-clock slots; overlap is harmless. A
+// VM that waits for admission, candidates of them in all, sometimes sweeps as
+// well, so that a roster of dead members is replaced.
+func Sweeper(r *Roster, self vm.ID, candidates int, now time.Time, rng *rand.Rand) bool {
+	if !r.Contains(self) {
+		return rng.Intn(max(1, candidates/2)) == 0
+	}
+	slot := strconv.FormatInt(now.UnixNano()/int64(sweepSlot), 10)
+	mine := rank(slot, self)
+	ahead := 0
+	for _, m := range r.Members {
+		if m.ID != self && rank(slot, m.ID) > mine {
+			ahead++
+		}
+	}
+	return ahead < sweepers
+}
+
+func rank(slot string, id vm.ID) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(slot))
+	h.Write([]byte{0})
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of MurmurHash3 (Appleby, public domain): FNV alone
+// spreads short similar inputs badly.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// goneAfter is how long a member must be missing from the platform's
+// membership list, with its presence not renewed, before it counts as no
+// longer existing.
+const goneAfter = 30 * time.Second
+
+// Absence remembers since when members have been missing from the platform's
+// membership list.
+type Absence struct {
+	since map[vm.ID]time.Time
+}
+
+// Observe records one answer of the platform's membership service.
+func (a *Absence) Observe(r *Roster, listed []vm.ID, now time.Time) {
+	next := map[vm.ID]time.Time{}
+	for _, m := range r.Members {
+		if slices.Contains(listed, m.ID) {
+			continue
+		}
+		next[m.ID] = now
+		if old, ok := a.since[m.ID]; ok {
+			next[m.ID] = old
+		}
+	}
+	a.since = next
+}
+
+// Electorate returns the members whose majority a commit needs: those that the
+// platform has not reported gone for long.
+func (a *Absence) Electorate(r *Roster, now time.Time) []vm.ID {
+	var ids []vm.ID
+	for _, m := range r.Members {
+		since, absent := a.since[m.ID]
+		if !absent || now.Sub(since) < goneAfter {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/roster/presence.go
@@ -0,0 +1,86 @@
+package roster
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// presencePrefix is the prefix of the presence rows' keys.
+const presencePrefix = "vm/"
+
+// PresenceKey returns the key of a VM's presence row.
+func PresenceKey(id vm.ID) string { return presencePrefix + string(id) }
+
+// Presence is the row that a VM renews while it runs.
+type Presence struct {
+	VM vm.VM `json:"vm"`
+	// Head is what the VM has in force: its acknowledgement.
+	Head head.Head `json:"head"`
+	// Left is set by a VM that has stopped serving for good.
+	Left bool `json:"left,omitempty"`
+	// RenewedAt is the wall-clock time at the VM.
+	RenewedAt time.Time `json:"renewed_at"`
+}
+
+// DecodePresence parses a presence row.
+func DecodePresence(row platform.Row) (Presence, error) {
+	var p Presence
+	err := json.Unmarshal(row.Value, &p)
+	return p, errors.Wrapf(err, "decode %s", row.Key)
+}
+
+const (
+	// renewals is the rate of presence renewals over all VMs together, a
+	// second.
+	renewals = 140
+	// minRenewInterval is the renewal interval of a small fleet.
+	minRenewInterval = 1 * time.Second
+)
+
+// RenewInterval returns how often a VM renews its presence row.
+func RenewInterval(members int) time.Duration {
+	return max(minRenewInterval, time.Duration(members)*time.Second/renewals)
+}
+
+// expiry is how old a presence may be before the VM is expelled.
+const expiry = 15 * time.Second
+
+// settled is how long a row must have been watched unchanged, so that one VM's
+// wrong wall clock alone does not expel it.
+const settled = 5 * time.Second
+
+// Watch remembers when each presence row last changed. Its zero value is
+// ready for use.
+type Watch struct {
+	seen map[vm.ID]watched
+}
+
+type watched struct {
+	renewedAt time.Time
+	since     time.Time
+}
+
+// Observe records a scan of the presence rows.
+func (w *Watch) Observe(rows []Presence, now time.Time) {
+	next := make(map[vm.ID]watched, len(rows))
+	for _, p := range rows {
+		old, ok := w.seen[p.VM.ID]
+		if !ok || !old.renewedAt.Equal(p.RenewedAt) {
+			old = watched{renewedAt: p.RenewedAt, since: now}
+		}
+		next[p.VM.ID] = old
+	}
+	w.seen = next
+}
+
+// Expired reports whether the VM's presence is old and was watched unchanged.
+func (w *Watch) Expired(p Presence, now time.Time) bool {
+	s, ok := w.seen[p.VM.ID]
+	return ok && now.Sub(s.since) >= settled && now.Sub(p.RenewedAt) >= expiry
+}
