Spread configuration and roster between routers; commit with a majority

Cause: each router polled the platform alone, so one cut off from it, or any router in an outage, refused keyed work, and nothing said where a ticket was in force.

Connections between routers are tried again within a second and close when idle.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,7 +9,6 @@
 	gen "papayaspan.dev/papayaspan/gen/admin"
 	"papayaspan.dev/papayaspan/gen/http/admin/server"
 	"papayaspan.dev/papayaspan/internal/admin"
-	"papayaspan.dev/papayaspan/internal/config"
 )
 
 // Paths of the admin port beside the administration API.
@@ -47,30 +45,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// fleet gives the administration API its view of the VMs.
-type fleet struct{ d *Daemon }
-
-// Current implements admin.Fleet.
-func (f fleet) Current() *config.Snapshot { return f.d.router.View().Snapshot }
-
-// Places implements admin.Fleet.
-func (f fleet) Places(context.Context) ([]admin.Place, error) {
-	var out []admin.Place
-	for _, v := range f.d.poller.VMs("") {
-		p := admin.Place{VM: v}
-		if v.ID == f.d.Self().ID {
-			p.Number = f.d.router.View().Number
-		}
-		out = append(out, p)
-	}
-	return out, nil
-}
-
-// InForceEverywhere implements admin.Fleet. It says yes only for what is known.
-func (f fleet) InForceEverywhere(context.Context, config.Number) (bool, error) {
-	return false, nil
-}
-
-// Drain implements admin.Fleet.
-func (f fleet) Drain() { f.d.requestDrain() }
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+
+	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/spread"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// newSpreader returns the part that keeps the configuration current.
+func (d *Daemon) newSpreader() *spread.Spreader {
+	return spread.New(spread.Options{
+		Self:       d.Self(),
+		Table:      d.platform.Table,
+		Objects:    d.platform.Objects,
+		Membership: d.platform.Membership,
+		Peers:      spread.PoolPeers{Pool: d.pool},
+		Log:        d.log,
+		Publish:    func(s *config.Snapshot) { d.router.Publish(s) },
+	})
+}
+
+// Spread returns the part that keeps the configuration current.
+func (d *Daemon) Spread() *spread.Spreader { return d.spread }
+
+// fleet gives the administration API its view of the VMs.
+type fleet struct{ d *Daemon }
+
+// Current implements admin.Fleet.
+func (f fleet) Current() *config.Snapshot { return f.d.router.View().Snapshot }
+
+// Places implements admin.Fleet. A VM whose presence cannot be read is shown
+// with number 0.
+func (f fleet) Places(ctx context.Context) ([]admin.Place, error) {
+	view := f.d.spread.View()
+	_, rows, err := f.d.spread.InForce(ctx, view.Head.Number)
+	acknowledged := map[vm.ID]config.Number{f.d.Self().ID: view.Head.Number}
+	for _, p := range rows {
+		acknowledged[p.VM.ID] = max(p.Head.Number, acknowledged[p.VM.ID])
+	}
+	var out []admin.Place
+	for _, m := range view.Roster.Members {
+		out = append(out, admin.Place{VM: m, Number: acknowledged[m.ID]})
+	}
+	return out, err
+}
+
+// InForceEverywhere implements admin.Fleet. It says yes only for what is known.
+func (f fleet) InForceEverywhere(ctx context.Context, n config.Number) (bool, error) {
+	force, _, err := f.d.spread.InForce(ctx, n)
+	if force.Rule != roster.NotYet {
+		return true, nil
+	}
+	return false, err
+}
+
+// Drain implements admin.Fleet.
+func (f fleet) Drain() { f.d.requestDrain() }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,14 +15,14 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/dispatch"
-	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/router"
 	"papayaspan.dev/papayaspan/internal/settings"
-	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -43,7 +43,7 @@
 
 	router   *router.Router
 	balancer *router.PrefixBalancer
-	poller   *poller
+	spread   *spread.Spreader
 	peers    *grpc.Server
 	pool     *link.Pool
 	servers  []*http.Server
@@ -130,23 +130,21 @@
 	}
 	d.peers, d.pool = peers, pool
 
-	self := d.Self()
-	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
-	d.poller = newPoller(store, d.platform.Membership, d.log)
+	d.spread = d.newSpreader()
+	peer.RegisterControlServer(d.peers, d.spread)
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
 	d.router = router.New(router.Options{
 		Settings:   d.settings,
 		Log:        d.log,
 		Metrics:    d.metrics,
 		Dispatcher: dispatch.New(dispatch.Config{Observer: d.balancer}),
-		Evidence:   d.poller,
+		Evidence:   d.spread,
 		Admitter:   router.AdmitAll{},
 		Balancer:   d.balancer,
-		Addresses:  d.poller,
+		Addresses:  d.spread,
 		Now:        time.Now,
 	})
-	d.poller.publish = d.router.Publish
-	service := admin.New(store, fleet{d}, d.settings.Operators, d.log)
+	service := admin.New(d.spread.Tickets(), fleet{d}, d.settings.Operators, d.log)
 	return d.buildServers(service)
 }
 
@@ -184,7 +182,7 @@
 func (d *Daemon) Start(ctx context.Context) {
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
-	d.goLoop(func() { d.poller.run(loopCtx) })
+	d.goLoop(func() { d.spread.Run(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
@@ -233,6 +231,7 @@
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.router.StartDrain()
 	d.log.Info("drain_started")
+	d.spread.StartLeaving(ctx)
 	select {
 	case <-time.After(leaveNotice):
 	case <-ctx.Done():
@@ -240,6 +239,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
+	d.spread.Leave(ctx)
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
 	return errors.Wrap(err, "drain")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -20,6 +21,13 @@
 const (
 	keepaliveTime    = 20 * time.Second
 	keepaliveTimeout = 5 * time.Second
+	// idleTimeout closes connections that carry no calls.
+	idleTimeout = 2 * time.Minute
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = 1 * time.Second
+	// maxReconnectDelay bounds the pause between attempts to connect, so that
+	// a peer that comes back is found within the staleness bound.
+	maxReconnectDelay = 1 * time.Second
 	// MaxMessageBytes bounds one message between routers.
 	MaxMessageBytes = 64 << 20
 )
@@ -76,6 +84,12 @@
 	return grpc.NewServer(opts...), nil
 }
 
+// reconnect is how a connection is tried again.
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay},
+	MinConnectTimeout: connectTimeout,
+}
+
 // Pool keeps one connection for each peer address.
 type Pool struct {
 	creds  credentials.TransportCredentials
@@ -119,6 +133,8 @@
 	c, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithContextDialer(p.dial),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithConnectParams(reconnect),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -119,7 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, err = peer.NewControlClient(conn).Snapshot(ctx, &peer.SnapshotRequest{})
+	_, err = peer.NewControlClient(conn).Exchange(ctx, &peer.ExchangeRequest{})
 	return status.Code(err)
 }
 
--- a/internal/roster/inforce.go
+++ b/internal/roster/inforce.go
@@ -31,6 +31,15 @@
 	Missing []vm.ID `json:"missing,omitempty"`
 }
 
+// ForceRecord is the history entry of when a ticket was first known to be in
+// force everywhere.
+type ForceRecord struct {
+	Number config.Number `json:"number"`
+	Force  Force         `json:"force"`
+	// KnownAt is the wall-clock time at the VM that found out.
+	KnownAt time.Time `json:"known_at"`
+}
+
 // Everywhere reports whether no VM serves keyed requests by an older
 // configuration.
 func (f Force) Everywhere() bool { return f.Rule != NotYet }
--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -52,6 +52,18 @@
 	return c
 }
 
+// Stale returns the VMs whose presence rows are of no more use: they are not
+// on the roster and have not been renewed for long.
+func Stale(r *Roster, rows []Presence, now time.Time) []vm.ID {
+	var ids []vm.ID
+	for _, p := range rows {
+		if !r.Contains(p.VM.ID) && now.Sub(p.RenewedAt) >= expiry {
+			ids = append(ids, p.VM.ID)
+		}
+	}
+	return ids
+}
+
 // moved reports whether the addresses or the leaving mark changed. The
 // incarnation alone does not count, so that a restart changes no roster.
 func moved(a, b vm.VM) bool {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/vm"
 )
 
 // scanLimit bounds the rows of one scan.
@@ -72,6 +75,64 @@
 	return errors.Wrap(err, "renew presence")
 }
 
+// Forget deletes presence rows. A VM that lives after all writes its row again.
+func (s Store) Forget(ctx context.Context, ids []vm.ID) error {
+	var writes []platform.Write
+	for _, id := range ids {
+		writes = append(writes, platform.Write{Key: PresenceKey(id), Delete: true})
+	}
+	return errors.Wrap(s.Table.Commit(ctx, nil, writes), "delete presence rows")
+}
+
+// forcePrefix is the prefix of the keys of force records.
+const forcePrefix = "ticket-force/"
+
+func forceKey(n config.Number) string { return fmt.Sprintf("%s%020d", forcePrefix, n) }
+
+// RecordForce writes a force record. It returns platform.ErrConflict if there
+// is one for the ticket.
+func (s Store) RecordForce(ctx context.Context, r ForceRecord) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode force record")
+	}
+	key := forceKey(r.Number)
+	err = s.Table.Commit(ctx, []platform.Check{{Key: key}}, []platform.Write{{Key: key, Value: value}})
+	return errors.Wrap(err, "write force record")
+}
+
+// Force returns the force record of a ticket, or platform.ErrNotFound.
+func (s Store) Force(ctx context.Context, n config.Number) (ForceRecord, error) {
+	rows, err := s.Table.Get(ctx, forceKey(n))
+	if err != nil {
+		return ForceRecord{}, errors.Wrap(err, "read force record")
+	}
+	if rows[0].Version == 0 {
+		return ForceRecord{}, errors.Wrapf(platform.ErrNotFound, "ticket %d", n)
+	}
+	var r ForceRecord
+	err = json.Unmarshal(rows[0].Value, &r)
+	return r, errors.Wrap(err, "decode force record")
+}
+
+// LastForce returns the ticket from which force records are missing: the
+// newest with a record among the last before newest, or the one before these.
+func (s Store) LastForce(ctx context.Context, newest config.Number) (config.Number, error) {
+	last := newest - min(newest, scanLimit)
+	rows, err := s.Table.Scan(ctx, forcePrefix, forceKey(last), scanLimit)
+	if err != nil {
+		return 0, errors.Wrap(err, "read force records")
+	}
+	for _, row := range rows {
+		var r ForceRecord
+		if err := json.Unmarshal(row.Value, &r); err != nil {
+			return 0, errors.Wrap(err, "decode force record")
+		}
+		last = max(last, r.Number)
+	}
+	return last, nil
+}
+
 // Apply commits a change on top of the roster that was read together with
 // base, and deletes the presence rows of removed VMs. It returns the new
 // roster and head.
--- /dev/null
+++ b/internal/spread/commit.go
@@ -0,0 +1,176 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/api/peer"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/freshness"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// supportTimeout bounds the wait for a member's support.
+const supportTimeout = 600 * time.Millisecond
+
+// ErrNoMajority means that too few routers could be asked to support a
+// commit. Nothing was written.
+var ErrNoMajority = errors.Wrap(platform.ErrUnavailable, "no majority of the routers can be reached")
+
+// Commit implements head.Committer: it commits with the support of a majority
+// of the roster.
+func (s *Spreader) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
+	electorate, err := s.electorate(ctx, base.Head)
+	if err != nil {
+		return err
+	}
+	id := freshness.ProposalID(rand.Uint64())
+	proposal := freshness.NewProposal(id, base.Head, ids(electorate), time.Now())
+	s.gather(ctx, proposal, electorate)
+	if !proposal.MaySend(time.Now()) {
+		s.withdraw(ctx, id, electorate)
+		return ErrNoMajority
+	}
+	sendCtx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	err = head.Direct{Table: s.opts.Table}.Commit(sendCtx, base, next, checks, writes)
+	switch {
+	case err == nil:
+		s.update(func(st *state, now time.Time) { st.observe(next, sent, now) })
+		s.wakePoll()
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+		s.withdraw(ctx, id, electorate)
+	}
+	return err
+}
+
+// electorate returns the members that may support a commit on top of base.
+func (s *Spreader) electorate(ctx context.Context, base head.Head) ([]vm.VM, error) {
+	s.mu.Lock()
+	r := s.state.roster
+	s.mu.Unlock()
+	if r.Version != base.Roster {
+		var err error
+		var read head.Read
+		read, r, err = s.roster.Read(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if read.Head != base {
+			return nil, errors.Wrap(platform.ErrConflict, "the head has changed")
+		}
+	}
+	return s.present(r), nil
+}
+
+// present returns the members that the platform has not reported gone.
+func (s *Spreader) present(r *roster.Roster) []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []vm.VM
+	for _, id := range s.state.absence.Electorate(r, time.Now()) {
+		m, _ := r.Get(id)
+		out = append(out, m)
+	}
+	return out
+}
+
+func ids(vms []vm.VM) []vm.ID {
+	out := make([]vm.ID, len(vms))
+	for i, v := range vms {
+		out[i] = v.ID
+	}
+	return out
+}
+
+// gather asks the electorate for support until a majority has given it.
+func (s *Spreader) gather(ctx context.Context, p *freshness.Proposal, electorate []vm.VM) {
+	ctx, cancel := context.WithTimeout(ctx, supportTimeout)
+	defer cancel()
+	votes := make(chan vm.ID, len(electorate))
+	var wg sync.WaitGroup
+	for _, m := range electorate {
+		wg.Go(func() {
+			if by, err := s.ask(ctx, p, m); err == nil {
+				votes <- by
+			}
+		})
+	}
+	go func() {
+		wg.Wait()
+		close(votes)
+	}()
+	for by := range votes {
+		p.Supported(by)
+		if p.MaySend(time.Now()) {
+			return
+		}
+	}
+}
+
+func (s *Spreader) ask(ctx context.Context, p *freshness.Proposal, m vm.VM) (vm.ID, error) {
+	request := &peer.SupportRequest{Proposal: uint64(p.ID), BaseNumber: uint64(p.Base.Number), BaseRoster: uint64(p.Base.Roster)}
+	if m.ID == s.opts.Self.ID {
+		_, err := s.Support(ctx, request)
+		return m.ID, err
+	}
+	client, err := s.opts.Peers.Control(m.PeerAddress)
+	if err != nil {
+		return "", err
+	}
+	reply, err := client.Support(ctx, request)
+	if err != nil {
+		return "", errors.Wrap(err, "ask for support")
+	}
+	return vm.ID(reply.GetVm()), nil
+}
+
+// withdraw tells the electorate in the background that a commit failed.
+// Supports that cannot be withdrawn lapse.
+func (s *Spreader) withdraw(ctx context.Context, id freshness.ProposalID, electorate []vm.VM) {
+	request := &peer.WithdrawRequest{Proposal: uint64(id)}
+	ctx = context.WithoutCancel(ctx)
+	for _, m := range electorate {
+		if m.ID == s.opts.Self.ID {
+			_, _ = s.Withdraw(ctx, request)
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			client, err := s.opts.Peers.Control(m.PeerAddress)
+			if err == nil {
+				_, err = client.Withdraw(ctx, request)
+			}
+			if err != nil {
+				s.opts.Log.Debug("support_not_withdrawn", zap.String("peer", string(m.ID)), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// Support implements peer.ControlServer.
+func (s *Spreader) Support(_ context.Context, req *peer.SupportRequest) (*peer.SupportReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	base := head.Head{Number: config.Number(req.GetBaseNumber()), Roster: head.RosterVersion(req.GetBaseRoster())}
+	s.state.supporter.Support(freshness.ProposalID(req.GetProposal()), base, time.Now())
+	return &peer.SupportReply{Vm: string(s.opts.Self.ID)}, nil
+}
+
+// Withdraw implements peer.ControlServer.
+func (s *Spreader) Withdraw(_ context.Context, req *peer.WithdrawRequest) (*peer.WithdrawReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.supporter.Withdraw(freshness.ProposalID(req.GetProposal()), time.Now())
+	return &peer.WithdrawReply{}, nil
+}
--- /dev/null
+++ b/internal/spread/fetch.go
@@ -0,0 +1,177 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/api/peer"
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+const (
+	// peerTimeout bounds a call to a peer.
+	peerTimeout = 1 * time.Second
+	// fetchTimeout bounds the transfer of a whole configuration.
+	fetchTimeout = 5 * time.Second
+	// bootPeers is the number of peers that a new process asks before it turns
+	// to the store.
+	bootPeers = 3
+	// bootTimeout bounds how long it waits for them.
+	bootTimeout = 2 * time.Second
+	// herdSpacing spreads the first reads of a herd of new processes, per VM
+	// on the membership list.
+	herdSpacing = 5 * time.Millisecond
+)
+
+// boot asks a few peers for the configuration. What they do not have the poll
+// loop reads from the platform, after a delay that spreads a herd.
+func (s *Spreader) boot(ctx context.Context) {
+	bootCtx, cancel := context.WithTimeout(ctx, bootTimeout)
+	defer cancel()
+	s.readMembers(bootCtx)
+	candidates := s.candidates()
+	s.exchangeAll(bootCtx, pick(candidates, bootPeers))
+	if s.View().Head.Number > 0 {
+		return
+	}
+	select {
+	case <-time.After(rand.N(1 + time.Duration(len(candidates))*herdSpacing)):
+	case <-ctx.Done():
+	}
+}
+
+// fetchFrom asks a peer for what is missing here, unless another peer is being
+// asked.
+func (s *Spreader) fetchFrom(ctx context.Context, p vm.VM) error {
+	if !s.fetching.TryLock() {
+		return nil
+	}
+	defer s.fetching.Unlock()
+	client, err := s.opts.Peers.Control(p.PeerAddress)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	own, base := s.state.evidence.Head(), s.state.config
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := client.Fetch(ctx, &peer.FetchRequest{ConfigNumber: uint64(own.Number), RosterVersion: uint64(own.Roster)})
+	if err != nil {
+		return errors.Wrap(err, "fetch")
+	}
+	snap, records, err := decodeConfig(base, reply)
+	if err != nil {
+		return err
+	}
+	var r *roster.Roster
+	if len(reply.GetRoster()) > 0 {
+		r = &roster.Roster{}
+		if err := json.Unmarshal(reply.GetRoster(), r); err != nil {
+			return errors.Wrap(err, "decode roster")
+		}
+	}
+	s.tickets.Remember(snap)
+	s.update(func(st *state, now time.Time) {
+		st.installConfig(snap, records)
+		if r != nil {
+			s.installRoster(st, r, now)
+		}
+		st.takeStatus(reply.GetStatus(), sent, now)
+	})
+	return nil
+}
+
+// decodeConfig returns the configuration that a reply leads to from base.
+func decodeConfig(base *config.Snapshot, reply *peer.FetchReply) (*config.Snapshot, []ticket.Record, error) {
+	if len(reply.GetSnapshot()) > 0 {
+		snap, err := ticket.DecodeSnapshot(reply.GetSnapshot())
+		return snap, nil, err
+	}
+	var records []ticket.Record
+	for _, data := range reply.GetRecords() {
+		var r ticket.Record
+		if err := json.Unmarshal(data, &r); err != nil {
+			return nil, nil, errors.Wrap(err, "decode ticket")
+		}
+		records = append(records, r)
+	}
+	snap, err := ticket.Replay(base, records)
+	return snap, records, err
+}
+
+// Fetch implements peer.ControlServer.
+func (s *Spreader) Fetch(_ context.Context, req *peer.FetchRequest) (*peer.FetchReply, error) {
+	s.mu.Lock()
+	now := time.Now()
+	reply := &peer.FetchReply{Status: s.state.status(now)}
+	snap, r := s.state.config, s.state.roster
+	records, kept := s.state.recordsAfter(config.Number(req.GetConfigNumber()))
+	s.mu.Unlock()
+	var err error
+	if !kept {
+		if reply.Snapshot, err = json.Marshal(snap); err != nil {
+			return nil, errors.Wrap(err, "encode snapshot")
+		}
+	}
+	for _, rec := range records {
+		data, err := json.Marshal(rec)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode ticket")
+		}
+		reply.Records = append(reply.Records, data)
+	}
+	if uint64(r.Version) > req.GetRosterVersion() {
+		if reply.Roster, err = json.Marshal(r); err != nil {
+			return nil, errors.Wrap(err, "encode roster")
+		}
+	}
+	return reply, nil
+}
+
+// candidates returns the VMs to talk to: the roster and the platform's
+// membership list. A VM whose addresses differ between the two is in it twice.
+func (s *Spreader) candidates() []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []vm.VM
+	for _, m := range s.state.roster.Members {
+		if m.ID != s.opts.Self.ID {
+			out = append(out, m)
+		}
+	}
+	for _, m := range s.state.listed {
+		v := vm.VM{ID: vm.ID(m.ID), FailureDomain: m.FailureDomain, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress}
+		known, ok := s.state.roster.Get(v.ID)
+		if v.ID != s.opts.Self.ID && !(ok && known.PeerAddress == v.PeerAddress) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// VMs returns the VMs that callers may be led to, for any client account.
+func (s *Spreader) VMs(account.ID) []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaving := map[vm.ID]bool{}
+	for _, m := range s.state.listed {
+		leaving[vm.ID(m.ID)] = m.Leaving
+	}
+	var out []vm.VM
+	for _, m := range s.state.roster.Members {
+		if !m.Leaving && !leaving[m.ID] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/spread/inforce.go
@@ -0,0 +1,73 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
+)
+
+// InForce returns where a ticket is in force. Without the store it still knows
+// when every VM that lacks the ticket has lost its right to serve.
+func (s *Spreader) InForce(ctx context.Context, n config.Number) (roster.Force, []roster.Presence, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	rows, err := s.roster.Presences(ctx)
+	var read head.Read
+	var r *roster.Roster
+	if err == nil {
+		read, r, err = s.roster.Read(ctx)
+	}
+	if err != nil {
+		return s.force(n, s.View().Roster, nil, time.Now()), nil, err
+	}
+	if read.Head.Number < n {
+		return roster.Force{}, rows, errors.Wrapf(platform.ErrNotFound, "ticket %d", n)
+	}
+	return s.force(n, r, rows, time.Now()), rows, nil
+}
+
+// force decides where a ticket is in force, with what this process has seen.
+func (s *Spreader) force(n config.Number, r *roster.Roster, rows []roster.Presence, now time.Time) roster.Force {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rosterFor time.Duration
+	if r.Version == s.state.roster.Version {
+		rosterFor = now.Sub(s.state.rosterAt)
+	}
+	return roster.InForce(n, r, rows, s.state.knownFor(n, now), rosterFor)
+}
+
+// recordForce writes into the history which tickets up to newest have come to
+// be in force everywhere, at most a few in one sweep. The roster must have been
+// read together with newest.
+func (s *Spreader) recordForce(ctx context.Context, newest config.Number, r *roster.Roster, rows []roster.Presence, now time.Time) {
+	const most = 16
+	d := &s.duties
+	if !d.forceKnown {
+		last, err := s.roster.LastForce(ctx, newest)
+		if err != nil {
+			return
+		}
+		d.forceKnown, d.forceRecorded = true, last
+	}
+	for n := d.forceRecorded + 1; n <= min(newest, d.forceRecorded+most); n++ {
+		f := s.force(n, r, rows, now)
+		if !f.Everywhere() {
+			return
+		}
+		err := s.roster.RecordForce(ctx, roster.ForceRecord{Number: n, Force: f, KnownAt: now.UTC().Round(0)})
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			s.opts.Log.Debug("force_not_recorded", zap.Error(err))
+			return
+		}
+		s.opts.Log.Info("ticket_in_force", zap.Uint64("number", uint64(n)), zap.String("rule", string(f.Rule)))
+		d.forceRecorded = n
+	}
+}
--- /dev/null
+++ b/internal/spread/presence.go
@@ -0,0 +1,102 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// joinInterval is how often a VM that waits for admission looks after it.
+const joinInterval = 300 * time.Millisecond
+
+func (s *Spreader) renewInterval() time.Duration {
+	return roster.RenewInterval(len(s.View().Roster.Members))
+}
+
+func (s *Spreader) sweepInterval() time.Duration {
+	if v := s.View(); v.Member {
+		return roster.SweepInterval(len(v.Roster.Members))
+	}
+	return joinInterval
+}
+
+// presence describes this VM for its row.
+func (s *Spreader) presence() roster.Presence {
+	self := s.opts.Self
+	self.Leaving = s.leaving.Load()
+	return roster.Presence{
+		VM:        self,
+		Head:      s.View().Head,
+		Left:      s.left.Load(),
+		RenewedAt: time.Now().UTC().Round(0),
+	}
+}
+
+// renew writes the presence row, which acknowledges the head in force.
+func (s *Spreader) renew(ctx context.Context) {
+	if s.left.Load() {
+		return
+	}
+	s.writePresence(ctx)
+}
+
+func (s *Spreader) writePresence(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	if err := s.roster.Renew(ctx, s.presence()); err != nil {
+		s.opts.Log.Debug("presence_not_renewed", zap.Error(err))
+	}
+}
+
+// StartLeaving marks this VM as leaving, so that callers are led elsewhere. It
+// serves on.
+func (s *Spreader) StartLeaving(ctx context.Context) {
+	s.leaving.Store(true)
+	s.writePresence(ctx)
+	s.change(ctx, func(_ head.Head, r *roster.Roster, _ []roster.Presence) roster.Change {
+		self, ok := r.Get(s.opts.Self.ID)
+		if !ok {
+			return roster.Change{}
+		}
+		self.Leaving = true
+		return roster.Change{Admit: []vm.VM{self}}
+	})
+}
+
+// Leave takes this VM off the roster, once it serves no more. If that cannot
+// be done now, a sweeper does it later.
+func (s *Spreader) Leave(ctx context.Context) {
+	s.left.Store(true)
+	s.writePresence(ctx)
+	s.change(ctx, func(_ head.Head, r *roster.Roster, _ []roster.Presence) roster.Change {
+		if !r.Contains(s.opts.Self.ID) {
+			return roster.Change{}
+		}
+		return roster.Change{Remove: []vm.ID{s.opts.Self.ID}}
+	})
+}
+
+// readMembers reads the platform's membership list.
+func (s *Spreader) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	list, err := s.opts.Membership.Members(ctx)
+	if err != nil {
+		s.opts.Log.Debug("membership_unread", zap.Error(err))
+		return
+	}
+	listed := make([]vm.ID, len(list))
+	for i, m := range list {
+		listed[i] = vm.ID(m.ID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.listed = list
+	s.state.absence.Observe(s.state.roster, listed, time.Now())
+}
--- /dev/null
+++ b/internal/spread/spread.go
@@ -0,0 +1,161 @@
+// Package spread runs the loops that keep one router's configuration and
+// roster current: it polls the head row, exchanges status with peers, fetches
+// what is missing, renews the presence row, and gathers the support of the
+// roster for commits. What follows from the answers is decided in the packages
+// freshness and roster.
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/api/peer"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Peers gives clients of the other routers' control service.
+type Peers interface {
+	// Control returns a client for the peer address, host:port.
+	Control(addr string) (peer.ControlClient, error)
+}
+
+// Options are the parts that a Spreader works with.
+type Options struct {
+	Self       vm.VM
+	Table      platform.Table
+	Objects    platform.Objects
+	Membership platform.Membership
+	Peers      Peers
+	Log        *zap.Logger
+	// Publish puts a configuration in force on this router. It is called
+	// before any evidence for it counts.
+	Publish func(*config.Snapshot)
+}
+
+// View is what the request path knows. It is immutable.
+type View struct {
+	Head   head.Head
+	Roster *roster.Roster
+	// EvidenceAt is when Head was known to be current, or the zero time. Only
+	// evidence that lets this process serve is shown.
+	EvidenceAt time.Time
+	// Member is set if this VM is on the roster.
+	Member bool
+}
+
+// Spreader keeps one router current. It implements peer.ControlServer and
+// head.Committer.
+type Spreader struct {
+	peer.UnimplementedControlServer
+
+	opts    Options
+	tickets *ticket.Store
+	roster  roster.Store
+
+	view  atomic.Pointer[View]
+	mu    sync.Mutex
+	state state
+
+	// wake asks the poll loop to read the head row now.
+	wake chan struct{}
+	// hints are peers whose evidence is newer than ours.
+	hints chan vm.ID
+	// leaving and left go into the presence row.
+	leaving, left atomic.Bool
+	// fetching is held while a peer is asked for its configuration.
+	fetching sync.Mutex
+	// duties is what the sweep loop remembers.
+	duties duties
+}
+
+// New returns a spreader with an empty configuration. Run starts it.
+func New(opts Options) *Spreader {
+	s := &Spreader{
+		opts:  opts,
+		state: newState(opts.Self.ID, time.Now()),
+		wake:  make(chan struct{}, 1),
+		hints: make(chan vm.ID, hintQueue),
+	}
+	s.tickets = ticket.NewStore(opts.Table, opts.Objects, s, opts.Self.ID, time.Now)
+	s.roster = roster.Store{Table: opts.Table, Committer: s}
+	s.view.Store(s.state.view())
+	return s
+}
+
+// Tickets returns the ticket store, whose commits have the roster's support.
+func (s *Spreader) Tickets() *ticket.Store { return s.tickets }
+
+// View returns what is known now.
+func (s *Spreader) View() *View { return s.view.Load() }
+
+// Fresh reports whether keyed requests may be served: this VM is on the roster
+// and its configuration is known to be current.
+func (s *Spreader) Fresh(now time.Time) bool {
+	return s.View().Fresh(now)
+}
+
+const (
+	pollInterval     = 1 * time.Second
+	exchangeInterval = 1 * time.Second
+	collectInterval  = 250 * time.Millisecond
+	memberInterval   = 2 * time.Second
+	// jitter is the part of an interval by which it varies.
+	jitter = 0.2
+	// hintQueue bounds the hints that wait.
+	hintQueue = 16
+)
+
+// Run loads the configuration and keeps it current until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	s.boot(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { s.loop(ctx, fixed(pollInterval), s.wake, s.poll) })
+	loops.Go(func() { s.loop(ctx, fixed(exchangeInterval), nil, s.exchangeSome) })
+	loops.Go(func() { s.loop(ctx, fixed(collectInterval), nil, s.collect) })
+	loops.Go(func() { s.loop(ctx, fixed(memberInterval), nil, s.readMembers) })
+	loops.Go(func() { s.loop(ctx, s.renewInterval, nil, s.renew) })
+	loops.Go(func() { s.loop(ctx, s.sweepInterval, nil, s.sweep) })
+	loops.Go(func() { s.followHints(ctx) })
+	loops.Wait()
+}
+
+func fixed(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
+// loop calls step at once and then after each interval, or earlier when woken.
+func (s *Spreader) loop(ctx context.Context, interval func() time.Duration, wake <-chan struct{}, step func(context.Context)) {
+	for ctx.Err() == nil {
+		step(ctx)
+		timer := time.NewTimer(jittered(interval()))
+		select {
+		case <-timer.C:
+		case <-wake:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1)))
+}
+
+// wakePoll makes the poll loop read now.
+func (s *Spreader) wakePoll() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/ticket/checkpoint.go
+++ b/internal/ticket/checkpoint.go
@@ -11,8 +11,8 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 )
 
-// checkpointInterval is the number of tickets between checkpoints.
-const checkpointInterval = 64
+// CheckpointInterval is the least number of tickets between checkpoints.
+const CheckpointInterval = 64
 
 // checkpointKey is the row that names the newest checkpoint.
 const checkpointKey = "checkpoint"
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	if snap.Number < last.Number+checkpointInterval {
+	if snap.Number < last.Number+CheckpointInterval {
 		return nil
 	}
 	data, err := json.Marshal(snap)
--- a/internal/ticket/history.go
+++ b/internal/ticket/history.go
@@ -67,7 +67,7 @@
 // it. The result is never older than from.
 func (s *Store) Load(ctx context.Context, from *config.Snapshot) (*config.Snapshot, error) {
 	if from != nil {
-		s.remember(from)
+		s.Remember(from)
 	}
 	h, err := head.Get(ctx, s.table)
 	if err != nil {
@@ -87,7 +87,7 @@
 		// Another goroutine of this router has moved on.
 		return nil, errors.Wrap(platform.ErrConflict, "the configuration changed during the read")
 	}
-	if n-snap.Number > checkpointInterval {
+	if n-snap.Number > CheckpointInterval {
 		snap = s.newer(ctx, snap)
 	}
 	for snap.Number < n {
@@ -106,7 +106,7 @@
 	if snap.Number != n {
 		return nil, errors.Wrap(platform.ErrConflict, "the configuration changed during the read")
 	}
-	s.remember(snap)
+	s.Remember(snap)
 	return snap, nil
 }
 
@@ -117,8 +117,9 @@
 	return s.latest
 }
 
-// remember keeps the snapshot unless a newer one is known.
-func (s *Store) remember(snap *config.Snapshot) {
+// Remember keeps the snapshot, as a base for what follows, unless a newer one
+// is known.
+func (s *Store) Remember(snap *config.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snap.Number > s.latest.Number {
--- a/internal/ticket/store.go
+++ b/internal/ticket/store.go
@@ -143,7 +143,7 @@
 	if err := s.committer.Commit(ctx, base, nextHead, checks, writes); err != nil {
 		return Record{}, err
 	}
-	s.remember(next)
+	s.Remember(next)
 	return rec, nil
 }
 
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -154,11 +154,11 @@
 	if err != nil || len(got.Problems) != 1 {
 		t.Errorf("get: %+v, %v", got, err)
 	}
-	for i := range 3 * checkpointInterval {
+	for i := range 3 * CheckpointInterval {
 		if _, err := s.File(ctx, keyTicket(i)); err != nil {
 			t.Fatal(err)
 		}
-		if i == 2*checkpointInterval {
+		if i == 2*CheckpointInterval {
 			if err := s.Checkpoint(ctx, s.Latest()); err != nil {
 				t.Fatal(err)
 			}
@@ -166,7 +166,7 @@
 	}
 	fresh := newTestStore(f, "vm3")
 	snap, err := fresh.Load(ctx, nil)
-	if err != nil || snap.Number != 2+3*checkpointInterval || len(snap.Keys) != 1+3*checkpointInterval {
+	if err != nil || snap.Number != 2+3*CheckpointInterval || len(snap.Keys) != 1+3*CheckpointInterval {
 		t.Fatalf("load: %v", err)
 	}
 	if len(f.objects) != 1 {
