Give one router at a time the right to order engines

Cause: a paused holder that wakes after its lease sends old orders, and some engines don't check who sends them.

--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,131 @@
+package lease
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+// renewals is the number of renewals that a holder tries within one lease.
+const renewals = 3
+
+// Keeper competes for one lease and renews it while it holds it.
+type Keeper struct {
+	table   platform.Table
+	row     string
+	ttl     time.Duration
+	now     func() time.Time
+	watcher *Watcher
+	term    atomic.Pointer[Term]
+}
+
+// NewKeeper returns a Keeper for a resource.
+func NewKeeper(table platform.Table, resource string, holder Holder, ttl time.Duration) *Keeper {
+	k := &Keeper{
+		table:   table,
+		row:     Prefix + resource,
+		ttl:     ttl,
+		now:     time.Now,
+		watcher: NewWatcher(holder, ttl),
+	}
+	k.term.Store(&Term{})
+	return k
+}
+
+// Term returns the term as last known. The caller checks Valid before each
+// action. It is safe for concurrent use.
+func (k *Keeper) Term() Term { return *k.term.Load() }
+
+// Run competes for the lease until ctx ends, then releases it.
+func (k *Keeper) Run(ctx context.Context) {
+	tick := time.NewTicker(k.ttl / renewals)
+	defer tick.Stop()
+	for {
+		k.Step(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			k.release()
+			return
+		}
+	}
+}
+
+// Step reads the row and commits one renewal or take-over if that is due. A
+// failure is met by the next step.
+func (k *Keeper) Step(ctx context.Context) {
+	defer k.publish()
+	row, err := k.read(ctx)
+	if err != nil {
+		return
+	}
+	k.watcher.Observe(row, k.now())
+	a, ok := k.watcher.Next(k.now())
+	if !ok {
+		return
+	}
+	sent := k.now()
+	err = k.commit(ctx, a.Next, a.Version)
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		err = k.readBack(ctx, a)
+	}
+	if err == nil {
+		k.watcher.Committed(a, sent, k.now())
+	}
+}
+
+func (k *Keeper) read(ctx context.Context) (Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	rows, err := k.table.Get(ctx, k.row)
+	if err != nil {
+		return Row{}, err
+	}
+	return decode(rows[0])
+}
+
+func (k *Keeper) commit(ctx context.Context, r Record, version platform.Version) error {
+	value, err := encode(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return k.table.Commit(ctx,
+		[]platform.Check{{Key: k.row, Version: version}},
+		[]platform.Write{{Key: k.row, Value: value}})
+}
+
+// readBack returns nil if the row shows that the attempt was applied.
+func (k *Keeper) readBack(ctx context.Context, a Attempt) error {
+	row, err := k.read(ctx)
+	if err != nil {
+		return err
+	}
+	if !a.Applied(row) {
+		return errors.WithStack(platform.ErrOutcomeUnknown)
+	}
+	return nil
+}
+
+// release gives the lease up, so that the next holder need not wait.
+func (k *Keeper) release() {
+	term := k.Term()
+	k.term.Store(&Term{})
+	if term.Fencing == 0 {
+		return
+	}
+	seen := k.watcher.seen
+	r := seen.Record
+	r.Holder = ""
+	_ = k.commit(context.Background(), r, seen.Version)
+}
+
+func (k *Keeper) publish() {
+	t := k.watcher.Term()
+	k.term.Store(&t)
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,155 @@
+// Package lease gives one holder at a time the right to act on a resource. A
+// lease is one row in the platform's table. Its fencing number grows with every
+// change of holder.
+//
+// No wall clock is compared with another: the holder counts its time from
+// before the send of the last renewal that is known to have been applied, and a
+// taker waits until it has seen the row unchanged for a whole lease. Both use
+// their own monotonic clocks.
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+// Prefix starts the keys of all lease rows.
+const Prefix = "lease/"
+
+// Holder names a process. It must be unique to one run of it.
+type Holder string
+
+// Fencing is the fencing number of a lease. It starts at 1.
+type Fencing uint64
+
+// Record is the content of a lease row.
+type Record struct {
+	// Holder is empty once the lease is released.
+	Holder  Holder  `json:"holder"`
+	Fencing Fencing `json:"fencing"`
+	// Renewals counts the renewals by this holder.
+	Renewals uint64 `json:"renewals"`
+	// TTL is how long the holder may act after a renewal.
+	TTL time.Duration `json:"ttl"`
+}
+
+// Row is a lease row as it was read.
+type Row struct {
+	Record  Record
+	Version platform.Version
+}
+
+// Term is the right to act, as the holder knows it.
+type Term struct {
+	Fencing Fencing
+	// Since is when the term was known to have begun.
+	Since time.Time
+	// Until is when the right ends unless it is renewed.
+	Until time.Time
+}
+
+// Valid reports whether the holder may start an action that takes up to
+// margin. The holder asks right before each action.
+func (t Term) Valid(now time.Time, margin time.Duration) bool {
+	return t.Fencing != 0 && now.Add(margin).Before(t.Until)
+}
+
+// clockDrift is how much faster, in parts of the lease, the clock of a taker
+// may run than that of the holder.
+const clockDrift = 0.01
+
+// Wait returns how long a taker must see a row unchanged.
+func Wait(ttl time.Duration) time.Duration {
+	return ttl + time.Duration(float64(ttl)*clockDrift)
+}
+
+// Watcher decides for one process when it may take or renew a lease.
+type Watcher struct {
+	holder Holder
+	ttl    time.Duration
+	seen   Row
+	// seenAt is when the first read that showed seen had returned.
+	seenAt time.Time
+	term   Term
+}
+
+// NewWatcher returns a Watcher that holds nothing.
+func NewWatcher(holder Holder, ttl time.Duration) *Watcher {
+	return &Watcher{holder: holder, ttl: ttl}
+}
+
+// Holder returns the process that the Watcher acts for.
+func (w *Watcher) Holder() Holder { return w.holder }
+
+// Term returns the current term; its zero value is valid never.
+func (w *Watcher) Term() Term { return w.term }
+
+// Observe notes a row that was read. returned is when the read had returned.
+func (w *Watcher) Observe(row Row, returned time.Time) {
+	if w.seenAt.IsZero() || row.Version != w.seen.Version {
+		w.seen, w.seenAt = row, returned
+	}
+	mine := row.Record.Holder == w.holder && row.Record.Fencing == w.term.Fencing
+	if w.term.Fencing != 0 && !mine {
+		w.term = Term{}
+	}
+}
+
+// Attempt is a change of the lease row that the process may commit.
+type Attempt struct {
+	Next    Record
+	Version platform.Version
+}
+
+// Next returns the change to commit now: a renewal or a take-over. It returns
+// false while another holder's lease may be in force.
+func (w *Watcher) Next(now time.Time) (Attempt, bool) {
+	r := w.seen.Record
+	a := Attempt{Version: w.seen.Version, Next: Record{Holder: w.holder, TTL: w.ttl}}
+	if r.Holder == w.holder {
+		a.Next.Fencing = r.Fencing
+		a.Next.Renewals = r.Renewals + 1
+		return a, true
+	}
+	free := r.Holder == ""
+	if !free && now.Sub(w.seenAt) < Wait(r.TTL) {
+		return Attempt{}, false
+	}
+	a.Next.Fencing = r.Fencing + 1
+	return a, true
+}
+
+// Committed notes that an attempt is known to have been applied. sent is when
+// its commit was sent, known is when that became known.
+func (w *Watcher) Committed(a Attempt, sent, known time.Time) {
+	if w.term.Fencing != a.Next.Fencing {
+		w.term = Term{Fencing: a.Next.Fencing, Since: known}
+	}
+	if until := sent.Add(w.ttl); until.After(w.term.Until) {
+		w.term.Until = until
+	}
+	w.seen = Row{Record: a.Next, Version: a.Version + 1}
+	w.seenAt = known
+}
+
+// Applied reports whether a row that was read shows that an attempt with a
+// lost answer was applied.
+func (a Attempt) Applied(row Row) bool { return row.Record == a.Next }
+
+func encode(r Record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode lease")
+}
+
+func decode(row platform.Row) (Row, error) {
+	r := Row{Version: row.Version}
+	if row.Value == nil {
+		return r, nil
+	}
+	err := json.Unmarshal(row.Value, &r.Record)
+	return r, errors.Wrap(err, "decode lease")
+}
