Order requests on engines with shorter allowances; count free cache blocks

Cause: with an allowance of 4 s, long prefills were overtaken until they waited for seconds. Change: allowances of 300 ms and 1 s; the scorer adds the wait for cache blocks.

--- a/bench/engine_test.go
+++ b/bench/engine_test.go
@@ -309,7 +309,8 @@
 
 // report is the engine's current load.
 func (e *engine) report() route.Report {
-	r := route.Report{Sampled: vtime(e.clock.now), Running: len(e.running)}
+	r := route.Report{Sampled: vtime(e.clock.now), Running: len(e.running), TotalBlocks: cacheBlocks}
+	r.FreeBlocks = cacheBlocks - e.private - (len(e.cache) - e.lru.Len())
 	for _, j := range e.waiting {
 		left := j.prompt - j.done
 		if !j.started {
--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -42,19 +41,9 @@
 	r.rebuild()
 	healthy := route.Healthy(func(id backend.ID) bool { return r.broken[engineNumber(id)] })
 	r.chooser = route.NewChooser(r.index, blockTokens, healthy)
-	sc := r.chooser.Scorer.(route.CostScorer)
-	envf("MW", &sc.MissWeight)
-	envf("AW", &sc.AffinityWeight)
-	r.chooser.Scorer = sc
 	return r
 }
 
-func envf(n string, f *float64) {
-	if v := os.Getenv(n); v != "" {
-		fmt.Sscan(v, f)
-	}
-}
-
 func engineID(i int) backend.ID { return backend.ID(fmt.Sprintf("engine-%03d", i)) }
 
 func engineNumber(id backend.ID) int {
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -138,7 +138,7 @@
 // Dispatched notes that the request is sent to the chosen engine.
 func (c *Chooser) Dispatched(r *Request, d *Decision, now time.Time) {
 	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, d.ReadyBlocks, now, now.Add(d.TTFT))
-	d.Engine.Load.Sent(d.Level, float64(d.MissTokens), now)
+	d.Engine.Load.Sent(d.Level, float64(d.MissTokens), float64(d.MissTokens/c.BlockTokens+1), now)
 }
 
 // FirstToken notes the first token at the time now, after took.
--- a/internal/route/level.go
+++ b/internal/route/level.go
@@ -28,8 +28,8 @@
 // allowance is how long a level gives way to level 0.
 var allowance = [Levels]time.Duration{
 	LevelHit:        0,
-	LevelShort:      time.Second,
-	LevelLong:       4 * time.Second,
+	LevelShort:      300 * time.Millisecond,
+	LevelLong:       time.Second,
 	LevelBackground: 20 * time.Second,
 }
 
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -26,6 +26,9 @@
 	QueuedTokens int
 	// Running is the number of requests that generate tokens.
 	Running int
+	// FreeBlocks is the number of cache blocks that running requests don't use.
+	// It counts if TotalBlocks is not 0.
+	FreeBlocks, TotalBlocks int
 }
 
 // send is one dispatch by this router.
@@ -33,6 +36,7 @@
 	at     time.Time
 	level  Level
 	tokens float64
+	blocks float64
 }
 
 // Load estimates the prefill backlog of one engine: the last report, corrected
@@ -48,6 +52,8 @@
 	mix      [Levels]float64
 	at       time.Time
 	running  int
+	free     float64 // blocks
+	total    int
 	recent   []send
 	reported time.Time
 }
@@ -64,6 +70,9 @@
 	Rate float64
 	// Running is the number of requests that generate tokens.
 	Running int
+	// FreeBlocks and UsedBlocks are the cache blocks that running requests
+	// leave and use.
+	FreeBlocks, UsedBlocks float64
 }
 
 // Ahead returns the tokens that are computed before a new request of a level.
@@ -80,15 +89,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	return Estimate{Backlog: l.backlog, Rate: l.rate, Running: l.running}
+	return Estimate{
+		Backlog: l.backlog, Rate: l.rate, Running: l.running,
+		FreeBlocks: l.free, UsedBlocks: float64(l.total) - l.free,
+	}
 }
 
-// Sent notes a dispatch with tokens that the engine has to compute.
-func (l *Load) Sent(level Level, tokens float64, now time.Time) {
+// Sent notes a dispatch with tokens that the engine has to compute and blocks
+// that it has to find room for.
+func (l *Load) Sent(level Level, tokens, blocks float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
 	l.backlog[level] += tokens
+	l.free -= blocks
 	for i := range l.mix {
 		l.mix[i] *= 1 - mixWeight
 	}
@@ -96,7 +110,7 @@
 	if len(l.recent) == maxRecent {
 		l.recent = append(l.recent[:0], l.recent[1:]...)
 	}
-	l.recent = append(l.recent, send{at: now, level: level, tokens: tokens})
+	l.recent = append(l.recent, send{at: now, level: level, tokens: tokens, blocks: blocks})
 }
 
 // Reported takes in an engine's report. Reports that are older than the last
@@ -109,6 +123,7 @@
 	}
 	l.reported = r.Sampled
 	l.running = r.Running
+	l.free, l.total = float64(r.FreeBlocks), r.TotalBlocks
 	l.at = r.Sampled
 	l.split(float64(r.QueuedTokens))
 	kept := l.recent[:0]
@@ -118,6 +133,7 @@
 		}
 		l.advance(s.at)
 		l.backlog[s.level] += s.tokens
+		l.free -= s.blocks
 		kept = append(kept, s)
 	}
 	l.recent = kept
@@ -142,7 +158,7 @@
 	defer l.mu.Unlock()
 	l.rate = l.nominal
 	l.backlog = [Levels]float64{}
-	l.running = 0
+	l.running, l.free, l.total = 0, 0, 0
 	l.recent = l.recent[:0]
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -144,7 +144,7 @@
 	}{
 		{"a missing prefix is computed once", func(*Chooser, *Fleet, *Decision) {}, r, true, Hit},
 		{"a busy holder is left for another engine", func(_ *Chooser, _ *Fleet, d *Decision) {
-			d.Engine.Load.Sent(LevelHit, 100*blockTokens, epoch)
+			d.Engine.Load.Sent(LevelHit, 100*blockTokens, 0, epoch)
 		}, r, false, Spread},
 		{"another client account gets no hit", func(_ *Chooser, _ *Fleet, d *Decision) {}, other, true, Affinity},
 		{"a restarted engine has no hit", func(c *Chooser, _ *Fleet, d *Decision) {
@@ -181,13 +181,13 @@
 		do   func(l *Load)
 		want float64
 	}{
-		{"own dispatches count at once", func(l *Load) { l.Sent(LevelHit, 16000, at(0)) }, 16000 - rate},
+		{"own dispatches count at once", func(l *Load) { l.Sent(LevelHit, 16000, 0, at(0)) }, 16000 - rate},
 		{"a report does not hide what was sent after its sample", func(l *Load) {
-			l.Sent(LevelHit, 16000, at(900))
+			l.Sent(LevelHit, 16000, 0, at(900))
 			l.Reported(Report{Sampled: at(800), QueuedTokens: 800}, at(1000))
 		}, 16000 - 0.1*rate},
 		{"a report replaces what was sent before its sample", func(l *Load) {
-			l.Sent(LevelHit, 16000, at(100))
+			l.Sent(LevelHit, 16000, 0, at(100))
 			l.Reported(Report{Sampled: at(800), QueuedTokens: 4000}, at(1000))
 		}, 4000 - 0.2*rate},
 		{"an older report is ignored", func(l *Load) {
--- a/internal/route/scorer.go
+++ b/internal/route/scorer.go
@@ -35,6 +35,9 @@
 	DefaultRunningDelay   = 2 * time.Millisecond
 )
 
+// holdTime is the mean time for which a request uses its blocks.
+const holdTime = 6 * time.Second
+
 // Scorer fills in the estimates and the score of a candidate.
 type Scorer interface {
 	Score(r *Request, c *Candidate)
@@ -62,6 +65,7 @@
 	// A request must not overtake the one that computes its prefix.
 	c.Level = levelOf(r.Background, r.PromptTokens-c.ReadyBlocks*s.BlockTokens)
 	c.Queue = seconds(c.Load.Ahead(c.Level) / c.Load.Rate)
+	c.Queue += s.memoryWait(miss, &c.Load)
 	c.TTFT = c.Queue + compute
 	c.Score = c.TTFT + time.Duration(s.MissWeight*float64(compute))
 	c.Score += time.Duration(c.Load.Running) * s.RunningDelay
@@ -71,4 +75,17 @@
 	}
 }
 
+// memoryWait estimates how long running requests take to free the blocks that
+// the request needs.
+func (s CostScorer) memoryWait(miss int, l *Estimate) time.Duration {
+	if l.FreeBlocks+l.UsedBlocks == 0 {
+		return 0
+	}
+	lack := float64(miss/s.BlockTokens+1) - l.FreeBlocks
+	if lack <= 0 {
+		return 0
+	}
+	return time.Duration(lack / max(l.UsedBlocks, 1) * float64(holdTime))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
