Pass the order of requests to engines as their priority

Cause: engines were told the class alone. Change: a picker may set the priority; the balancer's is the deadline in milliseconds: arrival, the level's allowance, and the delay of an account that runs ahead of its rate. VMs' clocks need to agree to well under the allowances. Conclusion: TestPriority and the scenarios pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -135,6 +135,9 @@
 		if err != nil {
 			return c.pickFailed(err, last)
 		}
+		if pr, ok := p.(Prioritizer); ok {
+			c.req.Priority = pr.Priority()
+		}
 		last = c.try(ctx, server)
 		if last == nil {
 			return nil
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -77,6 +77,12 @@
 	Pick(ctx context.Context, req Request, a Attempt) (backend.Server, error)
 }
 
+// Prioritizer is a Picker that also orders requests on the engine.
+type Prioritizer interface {
+	// Priority returns the priority for the server picked last.
+	Priority() int
+}
+
 // Head is the beginning of an answer.
 type Head struct {
 	Status int
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -14,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/fairshare"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
@@ -37,6 +38,7 @@
 	block    int
 	index    *prefix.Index
 	chooser  *route.Chooser
+	clocks   *fairshare.Clocks
 	table    *engineTable
 	view     atomic.Pointer[config.View]
 	random   sync.Pool
@@ -54,7 +56,7 @@
 // blockTokens tokens.
 func NewPrefixBalancer(blockTokens int, log *zap.Logger) *PrefixBalancer {
 	index := prefix.NewIndex(maxIndexBlocks, time.Now())
-	b := &PrefixBalancer{log: log, block: blockTokens, index: index, table: newEngineTable(index)}
+	b := &PrefixBalancer{log: log, block: blockTokens, index: index, table: newEngineTable(index), clocks: fairshare.New()}
 	healthy := route.Healthy(func(id backend.ID) bool { return !b.table.allows(id) })
 	b.chooser = route.NewChooser(index, blockTokens, healthy)
 	b.random.New = func() any { return rand.New(rand.NewSource(rand.Int63())) }
@@ -75,14 +77,19 @@
 func (b *PrefixBalancer) Engine(p Prompt) dispatch.Picker {
 	b.note(p.View)
 	scope := prefix.NewScope(p.Account, p.Model, p.WeightsVersion)
+	tokens := len(p.Text)/prefix.BytesPerToken + 1
+	now := time.Now()
+	rate := p.View.Accounts[p.Account].Contract.Rate
+	delay := b.clocks.Delay(p.Account, rate, float64(tokens+p.MaxTokens), now)
 	return &enginePicker{
-		b:      b,
-		prompt: p,
+		b:       b,
+		prompt:  p,
+		ordered: now.Add(delay),
 		request: route.Request{
 			Scope:        scope,
 			Pool:         route.PoolKey{Model: p.Model, WeightsVersion: p.WeightsVersion},
 			Chain:        prefix.Chain(scope.Root(), p.Text, b.block, nil),
-			PromptTokens: len(p.Text)/prefix.BytesPerToken + 1,
+			PromptTokens: tokens,
 			Background:   p.Class == config.Review,
 		},
 	}
@@ -93,8 +100,15 @@
 	b       *PrefixBalancer
 	prompt  Prompt
 	request route.Request
+	// ordered is the arrival, put back if the account runs ahead of its rate.
+	ordered time.Time
+	level   route.Level
 }
 
+// Priority implements dispatch.Prioritizer: the time, in milliseconds, by which
+// engines order their queues. All levels age alike.
+func (p *enginePicker) Priority() int { return int(p.level.Deadline(p.ordered).UnixMilli()) }
+
 // Pick implements dispatch.Picker. A server that was tried before is picked
 // only if there is no other.
 func (p *enginePicker) Pick(_ context.Context, req dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
@@ -111,6 +125,7 @@
 		refusal.Cause = err
 		return backend.Server{}, refusal
 	}
+	p.level = d.Level
 	p.b.logChoice(req, a, &d)
 	now := time.Now()
 	p.b.chooser.Dispatched(&r, &d, now)
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -92,6 +92,25 @@
 	}
 }
 
+// TestPriority checks the order in which engines are to serve requests.
+func TestPriority(t *testing.T) {
+	w := newBalanced(t, 3)
+	long := strings.Repeat("a tenancy file, ", 5000)
+	priority := func(class config.Class, text string) int {
+		p := w.b.Engine(Prompt{Account: "a", Model: "m", WeightsVersion: "1", Text: text, Class: class, View: w.view})
+		if _, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1}); err != nil {
+			t.Fatal(err)
+		}
+		return p.(dispatch.Prioritizer).Priority()
+	}
+	review := priority(config.Review, "")
+	missed := priority(config.Interactive, long)
+	short := priority(config.Interactive, "a note")
+	if !(short < missed && missed < review) {
+		t.Errorf("short %d, missed %d, review %d: not in this order", short, missed, review)
+	}
+}
+
 func TestPrefixBalancer(t *testing.T) {
 	w := newBalanced(t, 6)
 	prompt := strings.Repeat("winding history of a motor, ", 100)
