--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,6 @@
 	// affinityBlocks is the depth of the block that selects the rendezvous
 	// choices: requests that share this many blocks share their choices.
 	affinityBlocks = 3
-	// typicalCandidates is the usual bound on candidates.
-	typicalCandidates = 40
 )
 
 // Request is what the choice depends on.
@@ -69,6 +68,7 @@
 	Filters     []Filter
 	Scorer      Scorer
 	Picker      Picker
+	scratch     sync.Pool // of *selection
 }
 
 // NewChooser returns the default policy over index.
@@ -94,8 +94,9 @@
 	if p == nil {
 		return Decision{}, ErrNoEngine
 	}
-	var space [typicalCandidates]Candidate
-	s := selection{chooser: c, fleet: f, request: r, now: now, list: space[:0]}
+	s := c.selection()
+	defer c.scratch.Put(s)
+	s.fleet, s.request, s.now = f, r, now
 	s.addRanked(p)
 	s.addHolders(p)
 	s.addSampled(p, rng)
@@ -111,6 +112,16 @@
 	return c.decide(r, s.list), nil
 }
 
+// selection returns an empty selection to be put back into c.scratch.
+func (c *Chooser) selection() *selection {
+	s, ok := c.scratch.Get().(*selection)
+	if !ok {
+		s = &selection{chooser: c}
+	}
+	s.list, s.matches = s.list[:0], s.matches[:0]
+	return s
+}
+
 func (c *Chooser) decide(r *Request, list []Candidate) Decision {
 	d := Decision{Candidate: list[c.Picker.Pick(list)], Considered: len(list)}
 	d.HitTokens = d.HitBlocks * c.BlockTokens
--- a/internal/route/selection.go
+++ b/internal/route/selection.go
@@ -14,6 +14,7 @@
 	request *Request
 	now     time.Time
 	list    []Candidate
+	matches []prefix.Match
 }
 
 // addRanked adds the rendezvous choices of the prompt's prefix.
@@ -32,9 +33,8 @@
 
 // addHolders adds the engines that likely hold a part of the prefix.
 func (s *selection) addHolders(p *pool) {
-	var space [typicalCandidates]prefix.Match
-	matches := s.chooser.Index.Lookup(s.request.Scope, s.request.Chain, s.now, space[:0])
-	for _, m := range matches {
+	s.matches = s.chooser.Index.Lookup(s.request.Scope, s.request.Chain, s.now, s.matches)
+	for _, m := range s.matches {
 		i := s.fleet.inSlot(m.Slot)
 		if i < 0 || !p.has(i) {
 			continue
