--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/fairshare"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
 )
@@ -26,12 +26,13 @@
 	index   *prefix.Index
 	fleet   *route.Fleet
 	chooser *route.Chooser
+	clocks  *fairshare.Clocks
 	next    int
 	engines []*engine // for the oracle only
 }
 
 func newRouter(policy string, engines []*engine, seed int64) *router {
-	r := &router{policy: policy, rng: rand.New(rand.NewSource(seed)), engines: engines}
+	r := &router{policy: policy, rng: rand.New(rand.NewSource(seed)), engines: engines, clocks: fairshare.New()}
 	r.next = r.rng.Intn(len(engines))
 	r.index = prefix.NewIndex(indexBlocks, start)
 	for range engines {
@@ -42,19 +43,9 @@
 	r.rebuild()
 	healthy := route.Healthy(func(id backend.ID) bool { return r.broken[engineNumber(id)] })
 	r.chooser = route.NewChooser(r.index, blockTokens, healthy)
-	sc := r.chooser.Scorer.(route.CostScorer)
-	envf("MW", &sc.MissWeight)
-	envf("AW", &sc.AffinityWeight)
-	r.chooser.Scorer = sc
 	return r
 }
 
-func envf(n string, f *float64) {
-	if v := os.Getenv(n); v != "" {
-		fmt.Sscan(v, f)
-	}
-}
-
 func engineID(i int) backend.ID { return backend.ID(fmt.Sprintf("engine-%03d", i)) }
 
 func engineNumber(id backend.ID) int {
