--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,14 +18,13 @@
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/dispatch"
-	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/router"
 	"papayaspan.dev/papayaspan/internal/settings"
-	"papayaspan.dev/papayaspan/internal/ticket"
+	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -46,7 +45,7 @@
 
 	router   *router.Router
 	balancer *router.PrefixBalancer
-	poller   *poller
+	spread   *spread.Spreader
 	guard    *poison.Guard
 	health   *health.Table
 	peers    *grpc.Server
@@ -135,11 +134,10 @@
 	}
 	d.peers, d.pool = peers, pool
 
-	self := d.Self()
-	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
-	d.poller = newPoller(store, d.platform.Membership, d.log)
-	directory := peerDirectory{self: self, members: d.poller.allVMs, pool: pool}
-	d.guard = poison.NewGuard(self.ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	d.spread = d.newSpreader()
+	peer.RegisterControlServer(d.peers, d.spread)
+	directory := peerDirectory{self: d.Self(), members: d.members, pool: pool}
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
@@ -148,17 +146,16 @@
 		Log:         d.log,
 		Metrics:     d.metrics,
 		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
-		Evidence:    d.poller,
+		Evidence:    d.spread,
 		Admitter:    router.AdmitAll{},
 		Balancer:    d.balancer,
-		Addresses:   d.poller,
+		Addresses:   d.spread,
 		Health:      d.health,
 		Guard:       d.guard,
 		ContentSalt: []byte(d.settings.Routing.ContentSalt),
 		Now:         time.Now,
 	})
-	d.poller.publish = d.router.Publish
-	service := admin.New(store, fleet{d}, d.settings.Operators, d.log)
+	service := admin.New(d.spread.Tickets(), fleet{d}, d.settings.Operators, d.log)
 	return d.buildServers(service)
 }
 
@@ -196,7 +193,7 @@
 func (d *Daemon) Start(ctx context.Context) {
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
-	d.goLoop(func() { d.poller.run(loopCtx) })
+	d.goLoop(func() { d.spread.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
@@ -249,6 +246,7 @@
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.router.StartDrain()
 	d.log.Info("drain_started")
+	d.spread.StartLeaving(ctx)
 	select {
 	case <-time.After(leaveNotice):
 	case <-ctx.Done():
@@ -256,6 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
+	d.spread.Leave(ctx)
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
 	return errors.Wrap(err, "drain")
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -24,7 +24,7 @@
 // learnSuspects asks the other VMs which contents crash backend servers. It
 // returns soon also if neither the platform nor a peer answers.
 func (d *Daemon) learnSuspects(ctx context.Context) {
-	for waited := time.Duration(0); waited < memberWait && len(d.poller.allVMs()) == 0; waited += memberPoll {
+	for waited := time.Duration(0); waited < memberWait && len(d.members()) == 0; waited += memberPoll {
 		select {
 		case <-time.After(memberPoll):
 		case <-ctx.Done():
@@ -34,6 +34,9 @@
 	d.guard.Learn(ctx)
 }
 
+// members lists the VMs of the roster, with those that leave.
+func (d *Daemon) members() []vm.VM { return d.spread.View().Roster.Members }
+
 // peerDirectory finds the VMs that may run requests, for the poison guard.
 type peerDirectory struct {
 	self vm.VM
