Import from the KV cache store; pace bursts; count aged work as ahead

Change: blocks that were computed before are imported where that is faster, at a rate learnt from own imports; an account's burst leaves the VM at 1.2 times its rate; work of later levels counts as ahead once it has waited for longer than it gives way.

--- a/bench/engine_test.go
+++ b/bench/engine_test.go
@@ -18,6 +18,8 @@
 	stepPerToken  = 100 * time.Microsecond
 	chunkTokens   = 1024
 	maxSequences  = 32
+	importRate    = 30_000 // prompt tokens a second into one engine
+	storeRate     = 80_000 // prompt tokens a second out of the KV cache store
 	cacheBlocks   = 160
 	nominalRate   = 8000 // prompt tokens a second
 	engineRestart = 5 * time.Second
@@ -77,6 +79,8 @@
 	generated      int
 	cancelled      bool
 	started        bool
+	imports        int           // blocks to import after the cached ones
+	importedBy     time.Duration // when they have arrived
 	firstToken     func(cached int)
 	finished       func()
 	failed         func()
@@ -103,6 +107,8 @@
 	busy        time.Duration        // in steps that compute prompts
 	computed    map[prefix.Hash]bool // by any engine, shared
 	recomputed  *int
+	imported    *int
+	store       *time.Duration // when the KV cache store is free, shared
 	publish     func(t prefix.EventType, salt string, hashes []prefix.Hash)
 }
 
@@ -121,14 +127,28 @@
 func (e *engine) next() *job {
 	var best *job
 	for _, j := range e.waiting {
-		if j.done < j.prompt && (best == nil || j.deadline.Before(best.deadline)) {
+		if j.done < j.prompt && j.importedBy <= e.clock.now && (best == nil || j.deadline.Before(best.deadline)) {
 			best = j
 		}
 	}
 	return best
 }
 
+// abort drops the cancelled jobs that have not started to generate.
+func (e *engine) abort() {
+	for _, j := range append([]*job(nil), e.waiting...) {
+		if !j.cancelled {
+			continue
+		}
+		e.drop(j)
+		if j.started {
+			e.release(j)
+		}
+	}
+}
+
 func (e *engine) step() {
+	e.abort()
 	e.stepping = true
 	took := stepBase + time.Duration(len(e.running))*stepPerSeq
 	budget := chunkTokens
@@ -138,6 +158,9 @@
 		if j == nil || !j.started && !e.start(j) {
 			break
 		}
+		if j.importedBy > e.clock.now {
+			continue
+		}
 		n := min(budget, j.prompt-j.done)
 		j.done += n
 		budget -= n
@@ -196,10 +219,6 @@
 // start reserves memory for a job and looks up its prefix. It returns false if
 // the job has to wait.
 func (e *engine) start(j *job) bool {
-	if j.cancelled {
-		e.drop(j)
-		return e.next() != nil && e.start(e.next())
-	}
 	active := len(e.running)
 	for _, w := range e.waiting {
 		if w.started {
@@ -232,9 +251,46 @@
 	e.evict()
 	j.done = min(hits*blockTokens, j.prompt-1)
 	j.cached = j.done
+	e.load(j, hits)
 	return true
 }
 
+// load starts the import of blocks from the KV cache store, which holds every
+// block that was ever computed.
+func (e *engine) load(j *job, hits int) {
+	n := 0
+	for n < min(j.imports, len(j.chain)-hits) && e.computed[j.chain[hits+n]] {
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	tokens := time.Duration(n*blockTokens) * time.Second
+	*e.store = max(*e.store, e.clock.now) + tokens/storeRate
+	j.importedBy = max(*e.store, e.clock.now+tokens/importRate)
+	j.done = min((hits+n)*blockTokens, j.prompt-1)
+	*e.imported += n * blockTokens
+	run := e.incarnation
+	e.clock.after(j.importedBy-e.clock.now, func() {
+		if e.incarnation == run {
+			e.arrived(j, hits+n)
+		}
+	})
+}
+
+// arrived adds imported blocks to the cache.
+func (e *engine) arrived(j *job, blocks int) {
+	if j.cancelled {
+		return
+	}
+	recomputed := *e.recomputed
+	done := j.done
+	j.done = blocks * blockTokens
+	e.register(j)
+	j.done, *e.recomputed = done, recomputed
+	e.kick()
+}
+
 // evict makes room by dropping the longest unused blocks.
 func (e *engine) evict() {
 	var removed []prefix.Hash
--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -43,6 +44,9 @@
 	r.rebuild()
 	healthy := route.Healthy(func(id backend.ID) bool { return r.broken[engineNumber(id)] })
 	r.chooser = route.NewChooser(r.index, blockTokens, healthy)
+	if policy == "papayaspan" || strings.HasSuffix(policy, "-import") {
+		r.chooser.Imports = route.NewImports(importRate)
+	}
 	return r
 }
 
@@ -86,9 +90,9 @@
 		i = r.roundRobin()
 	case "leastload":
 		i = r.leastLoad(q, now)
-	case "prefixhash":
+	case "prefixhash", "prefixhash-import":
 		i = r.prefixHash(q, now)
-	case "oracle":
+	case "oracle", "oracle-import":
 		i = r.oracle(q)
 	default:
 		d, err := r.chooser.Choose(r.fleet, q, now, r.rng)
@@ -106,7 +110,11 @@
 				d.HitBlocks, d.Age = m.Blocks, m.Age
 			}
 		}
-		d.MissTokens -= d.HitBlocks * blockTokens
+		if strings.HasSuffix(r.policy, "-import") {
+			d.ImportBlocks = max(0, r.index.Computed(q.Scope, q.Chain)-d.HitBlocks)
+			d.ImportTokens = d.ImportBlocks * blockTokens
+		}
+		d.MissTokens -= (d.HitBlocks + d.ImportBlocks) * blockTokens
 	}
 	return d, true
 }
--- a/bench/policy_test.go
+++ b/bench/policy_test.go
@@ -8,7 +8,11 @@
 
 var faults = []string{"none", "flood", "crash", "gaps", "hotshift", "restart"}
 
-var policies = []string{"roundrobin", "leastload", "prefixhash", "papayaspan"}
+var policies = []string{"roundrobin", "leastload", "prefixhash", "prefixhash-import", "papayaspan"}
+
+// variants show what the KV cache store contributes, and what an all-knowing
+// router gets.
+var variants = []string{"papayaspan-noimport", "oracle", "oracle-import"}
 
 // seed is the value of BENCH_SEED, 1 by default.
 func seed(b *testing.B) int64 {
@@ -32,7 +36,7 @@
 				b.Run(fault, func(b *testing.B) {
 					run := policies
 					if fault == "none" {
-						run = append(run[:len(run):len(run)], "oracle")
+						run = append(run[:len(run):len(run)], variants...)
 					}
 					for _, policy := range run {
 						b.Run(policy, func(b *testing.B) { measure(b, d, fault, policy) })
@@ -65,6 +69,7 @@
 	b.ReportMetric(quantile(all, 0.50), "ttft_p50_ms")
 	b.ReportMetric(quantile(all, 0.99), "ttft_p99_ms")
 	b.ReportMetric(float64(w.recomputed), "recomputed_tokens")
+	b.ReportMetric(float64(w.imported), "imported_tokens")
 	b.ReportMetric(worst, "worst_account_p99_ms")
 	b.ReportMetric(float64(w.wrongful), "wrongful_refusals")
 	b.ReportMetric(w.overRate, "over_rate_tokens")
--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -46,6 +46,8 @@
 // result collects the measures of a run.
 type result struct {
 	prompt, cached, recomputed int
+	imported                   int
+	store                      time.Duration
 	ttft                       [][]float64 // ms, by account
 	reviews                    []float64
 	refused, wrongful          int
@@ -67,7 +69,7 @@
 	computed := map[prefix.Hash]bool{}
 	for i := range d.engines {
 		e := &engine{clock: &w.clock, cache: map[prefix.Hash]*cachedBlock{}, lru: list.New(),
-			computed: computed, recomputed: &w.recomputed}
+			computed: computed, recomputed: &w.recomputed, imported: &w.imported, store: &w.store}
 		var seq uint64
 		e.publish = func(t prefix.EventType, salt string, hashes []prefix.Hash) {
 			seq++
@@ -241,10 +243,18 @@
 			w.queues[v].Release(id, float64(c.prompt+c.output), vtime(w.now))
 			w.dequeue(v)
 		}
-		w.dispatch(c, 0)
+		w.hold(c)
 	}
 }
 
+// hold dispatches a call once its account's pace allows it.
+func (w *world) hold(c *call) {
+	rate := w.contracts[c.account].rate
+	d := w.routers[c.vm].clocks.Delays(accountID(c.account), rate, c.reserve(), vtime(w.now))
+	c.delay = d.Order
+	w.after(d.Hold, func() { w.dispatch(c, 0) })
+}
+
 // admit asks the ledger, and compares its answer with the contract.
 func (w *world) admit(c *call) bool {
 	excess := w.contracts[c.account].excess(c.reserve(), w.now)
@@ -268,9 +278,6 @@
 		Scope: w.scopes[c.account], Pool: pool, Chain: c.chain,
 		PromptTokens: c.prompt + generated, Background: c.priority == priorityReview,
 	}
-	if generated == 0 {
-		c.delay = r.clocks.Delay(accountID(c.account), w.contracts[c.account].rate, c.reserve(), vtime(w.now))
-	}
 	d, ok := r.choose(q, vtime(w.now))
 	if !ok {
 		w.after(50*time.Millisecond, func() { w.dispatch(c, generated) })
@@ -279,7 +286,7 @@
 	sent := w.now
 	i := engineNumber(d.Engine.ID)
 	r.chooser.Dispatched(q, &d, vtime(sent))
-	j := &job{salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived + c.delay))}
+	j := &job{imports: d.ImportBlocks, salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived + c.delay))}
 	f := &flight{call: c, job: j}
 	w.flights[c.vm][f] = true
 	cachedTokens := 0
@@ -303,6 +310,9 @@
 		w.after(hop, func() {
 			delete(w.flights[c.vm], f)
 			r.broken[i] = true
+			if !c.answered {
+				r.chooser.Failed(&d, vtime(w.now))
+			}
 			w.dispatch(c, min(generated+j.generated, c.output-1))
 		})
 	}
--- a/internal/fairshare/clock_test.go
+++ b/internal/fairshare/clock_test.go
@@ -21,19 +21,19 @@
 	holds := func(gaps []int) bool {
 		c := New()
 		now := epoch
-		var last time.Duration
+		var last Delays
 		for _, ms := range gaps {
 			now = now.Add(time.Duration(ms) * time.Millisecond)
-			tokens := rate * rateShare * float64(ms) / 1000
-			if c.Delay("steady", rate, tokens, now) > 0 {
+			tokens := rate * orderShare * float64(ms) / 1000
+			if c.Delays("steady", rate, tokens, now) != (Delays{}) {
 				return false
 			}
-			last = c.Delay("flood", rate, 10*tokens+1000, now)
-			if last > maxDelay {
+			last = c.Delays("flood", rate, 10*tokens+1000, now)
+			if last.Order > maxDelay || last.Hold > last.Order {
 				return false
 			}
 		}
-		return len(gaps) < 10 || last > 0
+		return len(gaps) < 10 || last.Hold > 0
 	}
 	properties := gopter.NewProperties(gopter.DefaultTestParameters())
 	properties.Property("only the sender is delayed", prop.ForAll(holds, gen.SliceOf(gen.IntRange(1, 900))))
@@ -43,9 +43,9 @@
 func TestSweep(t *testing.T) {
 	c := New()
 	for i := range 10 * minSweep {
-		c.Delay(account.ID(rune(i)), 1000, 1, epoch.Add(time.Duration(i)*time.Second))
+		c.Delays(account.ID(rune(i)), 1000, 1, epoch.Add(time.Duration(i)*time.Second))
 	}
-	if n := len(c.clocks); n > minSweep {
+	if n := len(c.accounts); n > minSweep {
 		t.Errorf("%d clocks are kept, want at most %d", n, minSweep)
 	}
 }
--- a/internal/prefix/events.go
+++ b/internal/prefix/events.go
@@ -107,7 +107,9 @@
 	s := x.shard(h)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x.hold(s.touch(h, scope.check, at, x.perShard), slot, at)
+	b := s.touch(h, scope.check, at, x.perShard)
+	b.computed = true
+	x.hold(b, slot, at)
 }
 
 func (x *Index) applyBlock(slot Slot, t EventType, h Hash, at uint32) {
@@ -120,6 +122,7 @@
 	}
 	b := &s.blocks[i]
 	if t == Stored {
+		b.computed = true
 		x.hold(b, slot, at)
 		return
 	}
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -27,10 +27,12 @@
 
 // block is one known block. It may have no holders.
 type block struct {
-	hash    Hash
-	check   uint64
-	used    uint32
-	holders []holder
+	hash  Hash
+	check uint64
+	used  uint32
+	// computed is set once an engine is known to have computed the block.
+	computed bool
+	holders  []holder
 }
 
 // shard holds the blocks of a part of the hash space.
@@ -115,7 +117,9 @@
 		}
 		s := x.shard(h)
 		s.mu.Lock()
-		x.hold(s.touch(h, scope.check, at, x.perShard), slot, used)
+		b := s.touch(h, scope.check, at, x.perShard)
+		b.computed = b.computed || i < held
+		x.hold(b, slot, used)
 		s.mu.Unlock()
 	}
 }
@@ -133,6 +137,25 @@
 	return buf
 }
 
+// Computed returns the number of leading blocks of chain that some engine has
+// computed, whether it still holds them or not.
+func (x *Index) Computed(scope Scope, chain []Hash) int {
+	for depth := len(chain); depth > 0; depth-- {
+		if x.computed(scope, chain[depth-1]) {
+			return depth
+		}
+	}
+	return 0
+}
+
+func (x *Index) computed(scope Scope, h Hash) bool {
+	s := x.shard(h)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	i, known := s.byHash[h]
+	return known && s.blocks[i].check == scope.check && s.blocks[i].computed
+}
+
 // collect adds the holders of the block h at a depth to the matches buf[start:].
 func (x *Index) collect(scope Scope, h Hash, depth int, at uint32, table []*occupant, buf []Match, start int) []Match {
 	s := x.shard(h)
@@ -249,7 +272,7 @@
 	if i, known := s.byHash[h]; known {
 		b := &s.blocks[i]
 		if b.check != check {
-			b.check, b.holders = check, b.holders[:0]
+			b.check, b.computed, b.holders = check, false, b.holders[:0]
 		}
 		b.used = at
 		return b
@@ -262,7 +285,7 @@
 	i := s.victim()
 	b := &s.blocks[i]
 	delete(s.byHash, b.hash)
-	b.hash, b.check, b.used, b.holders = h, check, at, b.holders[:0]
+	b.hash, b.check, b.used, b.computed, b.holders = h, check, at, false, b.holders[:0]
 	s.byHash[h] = int32(i)
 	return b
 }
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -29,6 +29,12 @@
 	Pool  PoolKey
 	// Chain are the hashes of the prompt's full blocks.
 	Chain []prefix.Hash
+	// ComputedBlocks is the number of leading blocks that were computed before,
+	// so that the KV cache store may have them. Choose sets it and the next two.
+	ComputedBlocks int
+	// ImportRate and ImportPending are the tokens a second that the KV cache
+	// store gives this router and the tokens that it waits for.
+	ImportRate, ImportPending float64
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
 	// Background is set if nobody waits for the first token.
@@ -55,8 +61,9 @@
 type Decision struct {
 	Candidate
 	Reason Reason
-	// HitTokens and MissTokens are the expected parts of the prompt.
-	HitTokens, MissTokens int
+	// HitTokens, ImportTokens and MissTokens are the expected parts of the
+	// prompt: cached by the engine, in the KV cache store, and to be computed.
+	HitTokens, ImportTokens, MissTokens int
 	// Considered is the number of candidates.
 	Considered int
 }
@@ -68,7 +75,9 @@
 	Filters     []Filter
 	Scorer      Scorer
 	Picker      Picker
-	scratch     sync.Pool // of *selection
+	// Imports is nil without a KV cache store.
+	Imports *Imports
+	scratch sync.Pool // of *selection
 }
 
 // NewChooser returns the default policy over index.
@@ -77,13 +86,8 @@
 		Index:       index,
 		BlockTokens: blockTokens,
 		Filters:     append([]Filter{NotLeaving, NotExcluded}, filters...),
-		Scorer: CostScorer{
-			BlockTokens:    blockTokens,
-			MissWeight:     DefaultMissWeight,
-			AffinityWeight: DefaultAffinityWeight,
-			RunningDelay:   DefaultRunningDelay,
-		},
-		Picker: LowestScore{},
+		Scorer:      DefaultScorer(blockTokens),
+		Picker:      LowestScore{},
 	}
 }
 
@@ -97,6 +101,7 @@
 	s := c.selection()
 	defer c.scratch.Put(s)
 	s.fleet, s.request, s.now = f, r, now
+	c.prepareImport(r, now)
 	s.addRanked(p)
 	s.addHolders(p)
 	s.addSampled(p, rng)
@@ -112,6 +117,15 @@
 	return c.decide(r, s.list), nil
 }
 
+// prepareImport fills in what the scorer needs to weigh imports.
+func (c *Chooser) prepareImport(r *Request, now time.Time) {
+	if c.Imports == nil {
+		return
+	}
+	r.ComputedBlocks = c.Index.Computed(r.Scope, r.Chain)
+	r.ImportRate, r.ImportPending = c.Imports.Rate(now)
+}
+
 // selection returns an empty selection to be put back into c.scratch.
 func (c *Chooser) selection() *selection {
 	s, ok := c.scratch.Get().(*selection)
@@ -125,7 +139,8 @@
 func (c *Chooser) decide(r *Request, list []Candidate) Decision {
 	d := Decision{Candidate: list[c.Picker.Pick(list)], Considered: len(list)}
 	d.HitTokens = d.HitBlocks * c.BlockTokens
-	d.MissTokens = r.PromptTokens - d.HitTokens
+	d.ImportTokens = d.ImportBlocks * c.BlockTokens
+	d.MissTokens = r.PromptTokens - d.HitTokens - d.ImportTokens
 	d.Reason = reason(r, &d.Candidate, list)
 	return d
 }
@@ -149,13 +164,29 @@
 // Dispatched notes that the request is sent to the chosen engine.
 func (c *Chooser) Dispatched(r *Request, d *Decision, now time.Time) {
 	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, d.ReadyBlocks, now, now.Add(d.TTFT))
+	if c.Imports != nil {
+		c.Imports.Started(d.ImportTokens)
+	}
 	d.Engine.Load.Sent(d.Level, float64(d.MissTokens), float64(d.MissTokens/c.BlockTokens+1), now)
 }
 
 // FirstToken notes the first token at the time now, after took.
 func (c *Chooser) FirstToken(r *Request, d *Decision, now time.Time, took time.Duration) {
 	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, len(r.Chain), now, now)
-	d.Engine.Load.Answered(d.Load.Ahead(d.Level)+float64(d.MissTokens), took)
+	tokens := d.Load.Ahead(d.Level) + float64(d.MissTokens)
+	if d.ImportTokens == 0 {
+		d.Engine.Load.Answered(tokens, took)
+		return
+	}
+	computing := seconds(tokens / d.Load.Rate)
+	c.Imports.Ended(d.ImportTokens, max(took-computing, 1), now)
+}
+
+// Failed notes that the request ended before its first token.
+func (c *Chooser) Failed(d *Decision, now time.Time) {
+	if c.Imports != nil {
+		c.Imports.Ended(d.ImportTokens, 0, now)
+	}
 }
 
 // Finished notes the number of prompt tokens that the engine had cached.
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -76,10 +76,12 @@
 }
 
 // Ahead returns the tokens that are computed before a new request of a level.
+// Of later levels it is what has waited for longer than they give way.
 func (e *Estimate) Ahead(level Level) float64 {
 	sum := 0.0
-	for l := Level(0); l <= level; l++ {
-		sum += e.Backlog[l]
+	for l, tokens := range e.Backlog {
+		gives := max(0, allowance[l]-allowance[level])
+		sum += max(0, tokens-e.Rate*gives.Seconds())
 	}
 	return sum
 }
--- a/internal/route/scorer.go
+++ b/internal/route/scorer.go
@@ -17,6 +17,9 @@
 	Level Level
 	// Load is the engine's estimated state.
 	Load Estimate
+	// ImportBlocks is the number of blocks after those that the engine should
+	// import from the KV cache store.
+	ImportBlocks int
 	// Queue is the estimated wait before the prefill starts.
 	Queue time.Duration
 	// TTFT is the estimated time to first token.
@@ -58,23 +61,51 @@
 	RunningDelay time.Duration
 }
 
+// DefaultScorer returns the scorer of the default policy.
+func DefaultScorer(blockTokens int) CostScorer {
+	return CostScorer{
+		BlockTokens:    blockTokens,
+		MissWeight:     DefaultMissWeight,
+		AffinityWeight: DefaultAffinityWeight,
+		RunningDelay:   DefaultRunningDelay,
+	}
+}
+
 // Score implements Scorer.
 func (s CostScorer) Score(r *Request, c *Candidate) {
 	miss := r.PromptTokens - c.HitBlocks*s.BlockTokens
-	compute := seconds(float64(miss) / c.Load.Rate)
+	imported, importing := s.imports(r, c)
+	miss -= imported
+	compute := seconds(float64(miss)/c.Load.Rate) + importing
 	// A request must not overtake the one that computes its prefix.
-	c.Level = levelOf(r.Background, r.PromptTokens-c.ReadyBlocks*s.BlockTokens)
+	c.Level = levelOf(r.Background, miss+(c.HitBlocks-c.ReadyBlocks)*s.BlockTokens)
 	c.Queue = seconds(c.Load.Ahead(c.Level) / c.Load.Rate)
 	c.Queue += s.memoryWait(miss, &c.Load)
 	c.TTFT = c.Queue + compute
 	c.Score = c.TTFT + time.Duration(s.MissWeight*float64(compute))
 	c.Score += time.Duration(c.Load.Running) * s.RunningDelay
 	if c.Rank == 0 {
-		unknown := float64((len(r.Chain) - c.HitBlocks) * s.BlockTokens)
+		unknown := float64((len(r.Chain) - c.HitBlocks - c.ImportBlocks) * s.BlockTokens)
 		c.Score -= seconds(s.AffinityWeight * unknown / c.Load.Rate)
 	}
 }
 
+// imports sets the blocks to import, if that is faster than computing them, and
+// returns their tokens and the time that the import takes.
+func (s CostScorer) imports(r *Request, c *Candidate) (tokens int, took time.Duration) {
+	blocks := r.ComputedBlocks - c.HitBlocks
+	if r.ImportRate == 0 || blocks <= 0 {
+		return 0, 0
+	}
+	tokens = blocks * s.BlockTokens
+	took = seconds((float64(tokens) + r.ImportPending) / r.ImportRate)
+	if took >= seconds(float64(tokens)/c.Load.Rate) {
+		return 0, 0
+	}
+	c.ImportBlocks = blocks
+	return tokens, took
+}
+
 // memoryWait estimates how long running requests take to free the blocks that
 // the request needs.
 func (s CostScorer) memoryWait(miss int, l *Estimate) time.Duration {
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -25,6 +25,8 @@
 	// nominalPrefillRate is the prefill rate that is assumed of an engine
 	// before its replies show it, in tokens a second.
 	nominalPrefillRate = 8000
+	// statusCallerLeft is the conventional status for a closed connection.
+	statusCallerLeft = 499
 	// maxIndexBlocks bounds the prefix index, in blocks.
 	maxIndexBlocks = 320_000
 )
@@ -80,11 +82,12 @@
 	tokens := len(p.Text)/prefix.BytesPerToken + 1
 	now := time.Now()
 	rate := p.View.Accounts[p.Account].Contract.Rate
-	delay := b.clocks.Delay(p.Account, rate, float64(tokens+p.MaxTokens), now)
+	delays := b.clocks.Delays(p.Account, rate, float64(tokens+p.MaxTokens), now)
 	return &enginePicker{
 		b:       b,
 		prompt:  p,
-		ordered: now.Add(delay),
+		hold:    delays.Hold,
+		ordered: now.Add(delays.Order),
 		request: route.Request{
 			Scope:        scope,
 			Pool:         route.PoolKey{Model: p.Model, WeightsVersion: p.WeightsVersion},
@@ -100,6 +103,8 @@
 	b       *PrefixBalancer
 	prompt  Prompt
 	request route.Request
+	// hold is the time to wait before the first attempt.
+	hold time.Duration
 	// ordered is the arrival, put back if the account runs ahead of its rate.
 	ordered time.Time
 	level   route.Level
@@ -111,7 +116,12 @@
 
 // Pick implements dispatch.Picker. A server that was tried before is picked
 // only if there is no other.
-func (p *enginePicker) Pick(_ context.Context, req dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
+func (p *enginePicker) Pick(ctx context.Context, req dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
+	if a.Number == 1 && p.hold > 0 {
+		if err := wait(ctx, p.hold); err != nil {
+			return backend.Server{}, err
+		}
+	}
 	r := p.request
 	r.Excluded = a.Tried
 	r.PromptTokens += a.Delivered
@@ -133,6 +143,18 @@
 	return p.prompt.View.Servers[d.Engine.ID], nil
 }
 
+// wait waits for d unless the caller leaves.
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return verdict.Refuse(statusCallerLeft, "caller_left", "the caller left before the request ran")
+	}
+}
+
 func (b *PrefixBalancer) choose(view *config.View, r *route.Request) (route.Decision, error) {
 	rng := b.random.Get().(*rand.Rand)
 	defer b.random.Put(rng)
