Let engines import whatever the KV cache store has

Cause: a router asked for imports of blocks that it knew to be computed; after a restart it knew none, and engines computed what the store had. Change: the request says that the engine should import; the known blocks are the estimate alone. The same for prefixhash-import.

--- a/bench/engine_test.go
+++ b/bench/engine_test.go
@@ -79,7 +79,7 @@
 	generated      int
 	cancelled      bool
 	started        bool
-	imports        int           // blocks to import after the cached ones
+	imports        bool          // import blocks after the cached ones
 	importedBy     time.Duration // when they have arrived
 	firstToken     func(cached int)
 	finished       func()
@@ -259,10 +259,10 @@
 // block that was ever computed.
 func (e *engine) load(j *job, hits int) {
 	n := 0
-	for n < min(j.imports, len(j.chain)-hits) && e.computed[j.chain[hits+n]] {
+	for n < len(j.chain)-hits && e.computed[j.chain[hits+n]] {
 		n++
 	}
-	if n == 0 {
+	if n == 0 || !j.imports {
 		return
 	}
 	tokens := time.Duration(n*blockTokens) * time.Second
--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -111,6 +111,7 @@
 			}
 		}
 		if strings.HasSuffix(r.policy, "-import") {
+			d.Import = true
 			d.ImportBlocks = max(0, r.index.Computed(q.Scope, q.Chain)-d.HitBlocks)
 			d.ImportTokens = d.ImportBlocks * blockTokens
 		}
--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -286,7 +286,7 @@
 	sent := w.now
 	i := engineNumber(d.Engine.ID)
 	r.chooser.Dispatched(q, &d, vtime(sent))
-	j := &job{imports: d.ImportBlocks, salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived + c.delay))}
+	j := &job{imports: d.Import, salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived + c.delay))}
 	f := &flight{call: c, job: j}
 	w.flights[c.vm][f] = true
 	cachedTokens := 0
--- a/internal/route/scorer.go
+++ b/internal/route/scorer.go
@@ -17,8 +17,10 @@
 	Level Level
 	// Load is the engine's estimated state.
 	Load Estimate
-	// ImportBlocks is the number of blocks after those that the engine should
-	// import from the KV cache store.
+	// Import tells the engine to import the blocks after those from the KV
+	// cache store as far as it has them.
+	Import bool
+	// ImportBlocks is the number of blocks that the store is expected to have.
 	ImportBlocks int
 	// Queue is the estimated wait before the prefill starts.
 	Queue time.Duration
@@ -90,19 +92,23 @@
 	}
 }
 
-// imports sets the blocks to import, if that is faster than computing them, and
-// returns their tokens and the time that the import takes.
+// imports decides whether the engine should import blocks that it doesn't hold,
+// which is so if that is faster than computing them, and returns the tokens
+// that the store is expected to have and the time that their import takes.
 func (s CostScorer) imports(r *Request, c *Candidate) (tokens int, took time.Duration) {
-	blocks := r.ComputedBlocks - c.HitBlocks
-	if r.ImportRate == 0 || blocks <= 0 {
+	if r.ImportRate == 0 {
 		return 0, 0
 	}
-	tokens = blocks * s.BlockTokens
+	tokens = max(0, r.ComputedBlocks-c.HitBlocks) * s.BlockTokens
 	took = seconds((float64(tokens) + r.ImportPending) / r.ImportRate)
-	if took >= seconds(float64(tokens)/c.Load.Rate) {
+	if took > seconds(float64(max(tokens, s.BlockTokens))/c.Load.Rate) {
+		return 0, 0
+	}
+	c.Import = true
+	c.ImportBlocks = tokens / s.BlockTokens
+	if tokens == 0 {
 		return 0, 0
 	}
-	c.ImportBlocks = blocks
 	return tokens, took
 }
 
