Give a starting router what a peer knows of the caches

Cause: a restarted router spread prefixes over engines that did not hold them. Change: Index.Export and Import of the latest used blocks with scope check, engine run and age; the bench's restarted VMs ask one peer for 20000 blocks. Conclusion: a restart now costs little; the wire between routers is still to come.

--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -19,6 +19,8 @@
 	reportLag  = 150 * time.Millisecond
 	vmRestart  = time.Second
 	retryDelay = time.Second
+	warmDelay  = 100 * time.Millisecond
+	warmBlocks = 20_000
 )
 
 // world is one run: engines, VMs with a router each, and the exact ledger.
@@ -132,8 +134,12 @@
 // restart replaces a VM's router by an empty one. Its callers come again.
 func (w *world) restart(v int) {
 	w.downVM[v] = true
-	w.after(vmRestart, func() { w.downVM[v] = false })
-	w.routers[v] = newRouter(w.policy, w.engines, w.seed*100+int64(v)+50)
+	fresh := newRouter(w.policy, w.engines, w.seed*100+int64(v)+50)
+	w.routers[v] = fresh
+	w.after(vmRestart, func() {
+		w.downVM[v] = false
+		w.warm(fresh, w.routers[(v+1)%w.d.vms])
+	})
 	lost := w.flights[v]
 	w.flights[v] = map[*flight]bool{}
 	var calls []*call
@@ -155,6 +161,12 @@
 	}
 }
 
+// warm gives a started router what a peer knows of the caches.
+func (w *world) warm(fresh, peer *router) {
+	export := peer.index.Export(warmBlocks, vtime(w.now))
+	w.after(warmDelay, func() { fresh.index.Import(export, vtime(w.now)) })
+}
+
 // poll reads an engine's load with a lag.
 func (w *world) poll(v, i int) {
 	e := w.engines[i]
--- /dev/null
+++ b/internal/prefix/export.go
@@ -0,0 +1,110 @@
+package prefix
+
+import (
+	"slices"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+)
+
+// Run is one run of an engine.
+type Run struct {
+	Engine      backend.ID
+	Incarnation backend.Incarnation
+}
+
+// ExportedHolder is a holder of an exported block.
+type ExportedHolder struct {
+	// Run is an index into Export.Runs.
+	Run int
+	// Age is the time since the engine used the block.
+	Age time.Duration
+}
+
+// ExportedBlock is one block of an Export.
+type ExportedBlock struct {
+	Hash Hash
+	// Check tells scopes with equal hashes apart.
+	Check    uint64
+	Computed bool
+	Holders  []ExportedHolder
+}
+
+// Export is the part of an index that a router gives to a peer that starts.
+type Export struct {
+	Runs   []Run
+	Blocks []ExportedBlock
+}
+
+// Export returns at most limit blocks, the latest used of each shard.
+func (x *Index) Export(limit int, now time.Time) Export {
+	at := x.ticks(now)
+	table := *x.slots.table.Load()
+	var e Export
+	runs := make([]int, len(table))
+	for i, o := range table {
+		runs[i] = len(e.Runs)
+		if o != nil {
+			e.Runs = append(e.Runs, Run{o.engine, o.incarnation})
+		}
+	}
+	for i := range x.shards {
+		e.Blocks = append(e.Blocks, x.shards[i].export(limit/shardCount, at, table, runs)...)
+	}
+	return e
+}
+
+func (s *shard) export(limit int, at uint32, table []*occupant, runs []int) []ExportedBlock {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	order := make([]int, len(s.blocks))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return int(s.blocks[b].used) - int(s.blocks[a].used) })
+	var out []ExportedBlock
+	for _, i := range order[:min(limit, len(order))] {
+		b := &s.blocks[i]
+		eb := ExportedBlock{Hash: b.hash, Check: b.check, Computed: b.computed}
+		for _, h := range b.holders {
+			if currentIn(table, h.slot) != nil && h.used <= at {
+				eb.Holders = append(eb.Holders, ExportedHolder{runs[h.slot.Position], age(at, h.used)})
+			}
+		}
+		out = append(out, eb)
+	}
+	return out
+}
+
+// Import adds a peer's blocks. Blocks and holders that are known already are
+// left as they are, and so are runs of engines that are not the present ones.
+func (x *Index) Import(e Export, now time.Time) {
+	at := x.ticks(now)
+	slots := make([]Slot, len(e.Runs))
+	for i, r := range e.Runs {
+		if o := x.slots.find(r.Engine); o != nil && o.incarnation == r.Incarnation {
+			slots[i] = o.slot
+		}
+	}
+	for i := range e.Blocks {
+		x.importBlock(&e.Blocks[i], slots, at)
+	}
+}
+
+func (x *Index) importBlock(b *ExportedBlock, slots []Slot, at uint32) {
+	s := x.shard(b.Hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.byHash[b.Hash]; known {
+		return
+	}
+	added := s.touch(b.Hash, b.Check, at, x.perShard)
+	added.computed = b.Computed
+	for _, h := range b.Holders {
+		if h.Run < 0 || h.Run >= len(slots) || slots[h.Run] == (Slot{}) {
+			continue
+		}
+		used := at - min(at, uint32(max(0, h.Age)/tick))
+		x.hold(added, slots[h.Run], used)
+	}
+}
