--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -180,6 +180,9 @@
 // Started implements dispatch.Observer.
 func (b *PrefixBalancer) Started(dispatch.Request, dispatch.Attempt, backend.Server) {}
 
+// Answered implements dispatch.Observer.
+func (b *PrefixBalancer) Answered(dispatch.Request, dispatch.Result) {}
+
 // Ended implements dispatch.Observer.
 func (b *PrefixBalancer) Ended(req dispatch.Request, r dispatch.Result) {
 	v, ok := b.flights.LoadAndDelete(req.ID)
