--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,8 +18,10 @@
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/router"
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/spread"
@@ -44,6 +46,8 @@
 	router   *router.Router
 	balancer *router.PrefixBalancer
 	spread   *spread.Spreader
+	guard    *poison.Guard
+	health   *health.Table
 	peers    *grpc.Server
 	pool     *link.Pool
 	servers  []*http.Server
@@ -132,17 +136,24 @@
 
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
+	directory := peerDirectory{self: d.Self(), members: d.members, pool: pool}
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
+	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
 	d.router = router.New(router.Options{
-		Settings:   d.settings,
-		Log:        d.log,
-		Metrics:    d.metrics,
-		Dispatcher: dispatch.New(dispatch.Config{Observer: d.balancer}),
-		Evidence:   d.spread,
-		Admitter:   router.AdmitAll{},
-		Balancer:   d.balancer,
-		Addresses:  d.spread,
-		Now:        time.Now,
+		Settings:    d.settings,
+		Log:         d.log,
+		Metrics:     d.metrics,
+		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
+		Evidence:    d.spread,
+		Admitter:    router.AdmitAll{},
+		Balancer:    d.balancer,
+		Addresses:   d.spread,
+		Health:      d.health,
+		Guard:       d.guard,
+		ContentSalt: []byte(d.settings.Routing.ContentSalt),
+		Now:         time.Now,
 	})
 	service := admin.New(d.spread.Tickets(), fleet{d}, d.settings.Operators, d.log)
 	return d.buildServers(service)
@@ -183,9 +194,13 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.spread.Run(loopCtx) })
+	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
-	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
+	d.goLoop(func() {
+		d.learnSuspects(loopCtx)
+		d.ended("callers", d.serveCallers())
+	})
 	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
 	self := d.Self()
 	d.log.Info("router_started",
