--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -63,7 +63,13 @@
 }
 
 // recheck tells whether the caller's key is still valid now. A request that
-// waited is checked again before it is dispatched.
+// waited is checked again before it is dispatched, as is each request on a kept
+// connection.
+//
+// A stream that runs when its key is withdrawn runs to its end: it was admitted
+// and reserved while the key was valid, and cutting it would break the promise
+// that every stream arrives whole. Its length is bounded by the declared maximum
+// of tokens and the request time limit.
 func (r *Router) recheck(c caller) *verdict.Error {
 	if err := r.checkFresh(); err != nil {
 		return err
