Leave only members out of a majority that neither list nor presence shows

Cause: a VM that the platform's list omits but that lives could attest with others like it, apart from every supporter of a commit. Change: roster.Electorate asks for an old presence row as well. Tests of the roster's decisions.

--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"math/rand"
-	"slices"
 	"strconv"
 	"time"
 
@@ -123,42 +122,3 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-// goneAfter is how long a member must be missing from the platform's
-// membership list, with its presence not renewed, before it counts as no
-// longer existing.
-const goneAfter = 30 * time.Second
-
-// Absence remembers since when members have been missing from the platform's
-// membership list.
-type Absence struct {
-	since map[vm.ID]time.Time
-}
-
-// Observe records one answer of the platform's membership service.
-func (a *Absence) Observe(r *Roster, listed []vm.ID, now time.Time) {
-	next := map[vm.ID]time.Time{}
-	for _, m := range r.Members {
-		if slices.Contains(listed, m.ID) {
-			continue
-		}
-		next[m.ID] = now
-		if old, ok := a.since[m.ID]; ok {
-			next[m.ID] = old
-		}
-	}
-	a.since = next
-}
-
-// Electorate returns the members whose majority a commit needs: those that the
-// platform has not reported gone for long.
-func (a *Absence) Electorate(r *Roster, now time.Time) []vm.ID {
-	var ids []vm.ID
-	for _, m := range r.Members {
-		since, absent := a.since[m.ID]
-		if !absent || now.Sub(since) < goneAfter {
-			ids = append(ids, m.ID)
-		}
-	}
-	return ids
-}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,148 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/freshness"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func members(ids ...vm.ID) *Roster {
+	r := &Roster{Version: 1}
+	for _, id := range ids {
+		r.Members = append(r.Members, vm.VM{ID: id})
+	}
+	return r
+}
+
+func row(id vm.ID, age time.Duration) Presence {
+	return Presence{VM: vm.VM{ID: id}, RenewedAt: t0.Add(-age)}
+}
+
+func TestPlan(t *testing.T) {
+	left := row("a", 0)
+	left.Left = true
+	leaving := row("a", 0)
+	leaving.VM.Leaving = true
+	restarted := row("a", 0)
+	restarted.VM.Incarnation = 7
+	moved := row("a", 0)
+	moved.VM.PeerAddress = "127.0.0.1:1"
+	tests := []struct {
+		desc    string
+		roster  *Roster
+		rows    []Presence
+		watched time.Duration
+		want    Change
+	}{
+		{"first VM", members(), []Presence{row("a", 0)}, 0, Change{Admit: []vm.VM{{ID: "a"}}}},
+		{"old row of a stranger", members(), []Presence{row("a", expiry)}, 0, Change{}},
+		{"left", members("a"), []Presence{left}, 0, Change{Remove: []vm.ID{"a"}}},
+		{"left and not a member", members(), []Presence{left}, 0, Change{}},
+		{"leaving", members("a"), []Presence{leaving}, 0, Change{Admit: []vm.VM{leaving.VM}}},
+		{"leaving and not a member", members(), []Presence{leaving}, 0, Change{}},
+		{"restarted", members("a"), []Presence{restarted}, 0, Change{}},
+		{"moved", members("a"), []Presence{moved}, 0, Change{Admit: []vm.VM{moved.VM}}},
+		{"not renewed", members("a"), []Presence{row("a", expiry)}, settled, Change{Remove: []vm.ID{"a"}, Expel: []vm.ID{"a"}}},
+		{"not renewed, watched for a short time", members("a"), []Presence{row("a", expiry)}, settled / 2, Change{}},
+		{"wrong wall clock at the VM", members("a"), []Presence{row("a", -time.Hour)}, settled, Change{}},
+		{"without a row", members("a"), nil, 0, Change{Remove: []vm.ID{"a"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var w Watch
+			w.Observe(tt.rows, t0.Add(-tt.watched))
+			w.Observe(tt.rows, t0)
+			if got := Plan(tt.roster, tt.rows, &w, t0); !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestInForce(t *testing.T) {
+	acked := func(id vm.ID, n uint64) Presence {
+		return Presence{VM: vm.VM{ID: id}, Head: head.Head{Number: config.Number(n)}}
+	}
+	long := freshness.Bound
+	tests := []struct {
+		desc      string
+		rows      []Presence
+		committed time.Duration
+		roster    time.Duration
+		want      Rule
+	}{
+		{"all acknowledged", []Presence{acked("a", 5), acked("b", 6)}, 0, long, Acknowledged},
+		{"one is behind", []Presence{acked("a", 5), acked("b", 4)}, 0, long, NotYet},
+		{"one has no row", []Presence{acked("a", 5)}, 0, long, NotYet},
+		{"the roster is young", []Presence{acked("a", 5), acked("b", 5)}, 0, long - 1, NotYet},
+		{"the bound has passed", []Presence{acked("a", 5)}, long, 0, BoundPassed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			if got := InForce(5, members("a", "b"), tt.rows, tt.committed, tt.roster); got.Rule != tt.want {
+				t.Errorf("got %+v, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestElectorate lets members count until they have been missing from the
+// platform's list without a break.
+func TestElectorate(t *testing.T) {
+	r := members("a", "b")
+	var a Absence
+	a.Observe(r, []vm.ID{"a"}, t0)
+	a.Observe(r, []vm.ID{"a"}, t0.Add(goneAfter))
+	gone := a.Gone(t0.Add(goneAfter))
+	if got := Electorate(r, gone, []Presence{row("b", goneAfter)}, t0); len(got) != 1 {
+		t.Errorf("gone: %v", got)
+	}
+	if got := Electorate(r, gone, []Presence{row("b", time.Second)}, t0); len(got) != 2 {
+		t.Errorf("not listed, but renews its presence: %v", got)
+	}
+	a.Observe(r, []vm.ID{"a", "b"}, t0.Add(goneAfter))
+	a.Observe(r, []vm.ID{"a"}, t0.Add(goneAfter+1))
+	if got := a.Gone(t0.Add(2 * goneAfter)); len(got) != 0 {
+		t.Errorf("after it was listed again: %v", got)
+	}
+}
+
+// TestSweepersAreFew checks that the duty goes round over large and small
+// rosters.
+func TestSweepersAreFew(t *testing.T) {
+	for _, n := range []int{1, 3, 350} {
+		var ids []vm.ID
+		for i := range n {
+			ids = append(ids, vm.ID(fmt.Sprintf("%03d", i)))
+		}
+		r := members(ids...)
+		rng := rand.New(rand.NewSource(1))
+		served := map[vm.ID]int{}
+		const slots = 40
+		for slot := range slots {
+			now := t0.Add(time.Duration(slot) * sweepSlot)
+			duty := 0
+			for _, id := range ids {
+				if Sweeper(r, id, n, now, rng) {
+					duty++
+					served[id]++
+				}
+			}
+			if duty != min(n, sweepers) {
+				t.Fatalf("%d VMs: %d sweepers", n, duty)
+			}
+		}
+		if len(served) < min(n, slots) {
+			t.Errorf("%d VMs: only %d ever swept", n, len(served))
+		}
+	}
+}
--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -69,19 +69,17 @@
 			return nil, errors.Wrap(platform.ErrConflict, "the head has changed")
 		}
 	}
-	return s.present(r), nil
-}
-
-// present returns the members that the platform has not reported gone.
-func (s *Spreader) present(r *roster.Roster) []vm.VM {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []vm.VM
-	for _, id := range s.state.absence.Electorate(r, time.Now()) {
-		m, _ := r.Get(id)
-		out = append(out, m)
+	gone := s.state.absence.Gone(time.Now())
+	s.mu.Unlock()
+	if len(gone) == 0 {
+		return r.Members, nil
 	}
-	return out
+	rows, err := s.roster.Presences(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return roster.Electorate(r, gone, rows, time.Now()), nil
 }
 
 func ids(vms []vm.VM) []vm.ID {
