--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math/rand"
 	"strconv"
 	"time"
 
@@ -76,7 +75,7 @@
 	// sweepers is the number of members with the duty at a time.
 	sweepers = 2
 	// sweepCost spreads the scans of a large roster, per member.
-	sweepCost = 15 * time.Millisecond
+	sweepCost = 40 * time.Millisecond
 	// minSweepInterval is the interval in a small fleet.
 	minSweepInterval = 1 * time.Second
 )
@@ -88,11 +87,11 @@
 
 // Sweeper reports whether this VM scans the presence rows now. The duty
 // rotates by rendezvous hashing over wall-clock slots; overlap is harmless. A
-// VM that waits for admission, candidates of them in all, sometimes sweeps as
-// well, so that a roster of dead members is replaced.
-func Sweeper(r *Roster, self vm.ID, candidates int, now time.Time, rng *rand.Rand) bool {
+// VM that waits for admission sweeps as well: it need not wait for the members,
+// who may all be dead.
+func Sweeper(r *Roster, self vm.ID, now time.Time) bool {
 	if !r.Contains(self) {
-		return rng.Intn(max(1, candidates/2)) == 0
+		return true
 	}
 	slot := strconv.FormatInt(now.UnixNano()/int64(sweepSlot), 10)
 	mine := rank(slot, self)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand"
 	"reflect"
 	"testing"
 	"time"
@@ -125,14 +124,13 @@
 			ids = append(ids, vm.ID(fmt.Sprintf("%03d", i)))
 		}
 		r := members(ids...)
-		rng := rand.New(rand.NewSource(1))
 		served := map[vm.ID]int{}
 		const slots = 40
 		for slot := range slots {
 			now := t0.Add(time.Duration(slot) * sweepSlot)
 			duty := 0
 			for _, id := range ids {
-				if Sweeper(r, id, n, now, rng) {
+				if Sweeper(r, id, now) {
 					duty++
 					served[id]++
 				}
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -42,10 +42,7 @@
 	if s.View().Head.Number > 0 {
 		return
 	}
-	select {
-	case <-time.After(rand.N(1 + time.Duration(len(candidates))*herdSpacing)):
-	case <-ctx.Done():
-	}
+	s.pause(ctx, rand.N(1+time.Duration(len(candidates))*herdSpacing))
 }
 
 // fetchFrom asks a peer for what is missing here, unless another peer is being
--- a/internal/spread/presence.go
+++ b/internal/spread/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +13,13 @@
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-// joinInterval is how often a VM that waits for admission looks after it.
-const joinInterval = 300 * time.Millisecond
+const (
+	// joinInterval is how often a VM that waits for admission looks after it.
+	joinInterval = 200 * time.Millisecond
+	// joinSpacing lengthens the interval at random, per other VM, so that one
+	// VM of a herd admits the others.
+	joinSpacing = 10 * time.Millisecond
+)
 
 func (s *Spreader) renewInterval() time.Duration {
 	return roster.RenewInterval(len(s.View().Roster.Members))
@@ -23,7 +29,7 @@
 	if v := s.View(); v.Member {
 		return roster.SweepInterval(len(v.Roster.Members))
 	}
-	return joinInterval
+	return joinInterval + rand.N(1+time.Duration(len(s.candidates()))*joinSpacing)
 }
 
 // presence describes this VM for its row.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -124,7 +124,10 @@
 	loops.Go(func() { s.loop(ctx, fixed(collectInterval), nil, s.collect) })
 	loops.Go(func() { s.loop(ctx, fixed(memberInterval), nil, s.readMembers) })
 	loops.Go(func() { s.loop(ctx, s.renewInterval, nil, s.renew) })
-	loops.Go(func() { s.loop(ctx, s.sweepInterval, nil, s.sweep) })
+	loops.Go(func() {
+		s.pause(ctx, rand.N(1+time.Duration(len(s.candidates()))*joinSpacing))
+		s.loop(ctx, s.sweepInterval, nil, s.sweep)
+	})
 	loops.Go(func() { s.followHints(ctx) })
 	loops.Wait()
 }
@@ -148,6 +151,14 @@
 	}
 }
 
+// pause waits, or less if the context ends.
+func (s *Spreader) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1)))
 }
--- a/internal/spread/state.go
+++ b/internal/spread/state.go
@@ -101,8 +101,15 @@
 	return 0
 }
 
-// attest records this router's own attestation and extends the evidence.
+// attestAge is the age of evidence from which attestations are evaluated.
+const attestAge = 1 * time.Second
+
+// attest records this router's own attestation and extends the evidence, if
+// that is getting old.
 func (st *state) attest(now time.Time) {
+	if freshness.Age(st.evidence.At(), now) < attestAge {
+		return
+	}
 	if quietFor, ok := st.supporter.Attest(now); ok {
 		att := freshness.Attestation{QuietFor: quietFor, Head: st.evidence.Target()}
 		st.attestations.Add(st.self, att, now, now)
--- a/internal/spread/sweep.go
+++ b/internal/spread/sweep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand"
 	"strings"
 	"time"
 
@@ -30,9 +29,7 @@
 
 // sweep looks after the roster if it is this VM's turn.
 func (s *Spreader) sweep(ctx context.Context) {
-	rng := rand.New(rand.NewSource(rand.Int63()))
-	v := s.View()
-	if !roster.Sweeper(v.Roster, s.opts.Self.ID, len(s.candidates()), time.Now(), rng) {
+	if !roster.Sweeper(s.View().Roster, s.opts.Self.ID, time.Now()) {
 		return
 	}
 	s.change(ctx, func(base head.Head, r *roster.Roster, rows []roster.Presence) roster.Change {
