--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	goahttp "goa.design/goa/v3/http"
@@ -37,9 +38,10 @@
 	return root
 }
 
-// serveReady answers 200 while this VM should get requests.
+// serveReady answers 200 while this VM should get requests: it has a
+// configuration, knows it to be current and does not drain.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if d.router.Draining() || d.router.View().Number == 0 {
+	if d.router.Draining() || d.router.View().Number == 0 || !d.spread.Fresh(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,6 +19,7 @@
 		Membership: d.platform.Membership,
 		Peers:      spread.PoolPeers{Pool: d.pool},
 		Log:        d.log,
+		Metrics:    d.metrics,
 		Publish:    func(s *config.Snapshot) { d.router.Publish(s) },
 	})
 }
--- a/internal/spread/bench_test.go
+++ b/internal/spread/bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -79,7 +80,7 @@
 	}
 	s := New(Options{
 		Self: testVM(0), Table: p, Objects: p.Objects(), Membership: p, Peers: peers,
-		Log: zap.NewNop(), Publish: func(*config.Snapshot) {},
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Publish: func(*config.Snapshot) {},
 	})
 	s.poll(ctx)
 	if len(s.View().Roster.Members) != n {
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -195,19 +195,22 @@
 // Few routers do so at a time: the older the evidence, the more.
 func (s *Spreader) collect(ctx context.Context) {
 	age := s.evidenceAge()
-	members := s.View().Roster.Members
-	if rand.Float64() >= collectChance(age, len(members)) {
+	s.mu.Lock()
+	extendable := !s.state.evidence.At().IsZero()
+	s.mu.Unlock()
+	peers := s.candidates()
+	if !extendable || rand.Float64() >= collectChance(age, len(peers)) {
 		return
 	}
-	s.exchangeAll(ctx, s.candidates())
+	s.exchangeAll(ctx, peers)
 	if s.evidenceAge() < age {
-		s.exchangeAll(ctx, s.candidates())
+		s.exchangeAll(ctx, peers)
 	}
 }
 
-// collectChance returns the probability with which a router of a roster of
-// this size collects in one interval.
-func collectChance(age time.Duration, members int) float64 {
+// collectChance returns the probability with which a router with this many
+// peers collects in one interval.
+func collectChance(age time.Duration, peers int) float64 {
 	collectors := 0.0
 	switch {
 	case age < uneasyAge:
@@ -216,5 +219,5 @@
 	default:
 		collectors = 8
 	}
-	return min(1, collectors/float64(max(1, members)))
+	return min(1, collectors/float64(max(1, peers)))
 }
--- a/internal/spread/inforce.go
+++ b/internal/spread/inforce.go
@@ -57,7 +57,8 @@
 		}
 		d.forceKnown, d.forceRecorded = true, last
 	}
-	for n := d.forceRecorded + 1; n <= min(newest, d.forceRecorded+most); n++ {
+	last := min(newest, d.forceRecorded+most)
+	for n := d.forceRecorded + 1; n <= last; n++ {
 		f := s.force(n, r, rows, now)
 		if !f.Everywhere() {
 			return
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/api/peer"
@@ -37,6 +38,7 @@
 	Membership platform.Membership
 	Peers      Peers
 	Log        *zap.Logger
+	Metrics    metrics.Registry
 	// Publish puts a configuration in force on this router. It is called
 	// before any evidence for it counts.
 	Publish func(*config.Snapshot)
@@ -76,15 +78,17 @@
 	fetching sync.Mutex
 	// duties is what the sweep loop remembers.
 	duties duties
+	gauges gauges
 }
 
 // New returns a spreader with an empty configuration. Run starts it.
 func New(opts Options) *Spreader {
 	s := &Spreader{
-		opts:  opts,
-		state: newState(opts.Self.ID, time.Now()),
-		wake:  make(chan struct{}, 1),
-		hints: make(chan vm.ID, hintQueue),
+		opts:   opts,
+		state:  newState(opts.Self.ID, time.Now()),
+		wake:   make(chan struct{}, 1),
+		hints:  make(chan vm.ID, hintQueue),
+		gauges: newGauges(opts.Metrics),
 	}
 	s.tickets = ticket.NewStore(opts.Table, opts.Objects, s, opts.Self.ID, time.Now)
 	s.roster = roster.Store{Table: opts.Table, Committer: s}
@@ -128,6 +132,7 @@
 		s.pause(ctx, rand.N(1+time.Duration(len(s.candidates()))*joinSpacing))
 		s.loop(ctx, s.sweepInterval, nil, s.sweep)
 	})
+	loops.Go(func() { s.loop(ctx, fixed(reportInterval), nil, s.report) })
 	loops.Go(func() { s.followHints(ctx) })
 	loops.Wait()
 }
