--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,7 @@
 	HoldBytes int
 	// TLS is the configuration towards backend servers. May be nil.
 	TLS *tls.Config
-	// Observer may be nil.
+	// Observer learns of the attempts of all requests. May be nil.
 	Observer Observer
 	// Now is the monotonic clock.
 	Now func() time.Time
@@ -67,9 +67,6 @@
 	setDefault(&cfg.MaxEventBytes, sse.MaxEventBytes)
 	setDefault(&cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&cfg.HoldBytes, DefaultHoldBytes)
-	if cfg.Observer == nil {
-		cfg.Observer = noObserver{}
-	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -85,11 +82,6 @@
 	}
 }
 
-type noObserver struct{}
-
-func (noObserver) Started(Request, Attempt, backend.Server) {}
-func (noObserver) Ended(Request, Result)                    {}
-
 // Close closes idle connections.
 func (d *Dispatcher) Close() { d.transport.CloseIdleConnections() }
 
@@ -104,6 +96,7 @@
 	c.relay.cursor.requestID = req.ID
 	c.relay.cursor.hideUsage = !asksForUsage(req.Body)
 	c.attempt.Number = 1
+	c.observers = d.observers(p)
 	c.ran = verdict.NotRun
 	err := c.loop(ctx, p)
 	c.out.Started = c.relay.started
@@ -118,12 +111,13 @@
 
 // call is the state of one request over its attempts.
 type call struct {
-	d       *Dispatcher
-	req     Request
-	relay   *relay
-	begin   time.Time
-	attempt Attempt
-	out     Outcome
+	d         *Dispatcher
+	req       Request
+	relay     *relay
+	begin     time.Time
+	attempt   Attempt
+	out       Outcome
+	observers observers
 	// ran is NotRun until an attempt may have run.
 	ran verdict.Verdict
 }
@@ -135,6 +129,9 @@
 		if err != nil {
 			return c.pickFailed(err, last)
 		}
+		if pr, ok := p.(Prioritizer); ok {
+			c.req.Priority = pr.Priority()
+		}
 		last = c.try(ctx, server)
 		if last == nil {
 			return nil
@@ -157,10 +154,10 @@
 // try makes one attempt.
 func (c *call) try(ctx context.Context, server backend.Server) *attemptError {
 	c.attempt.Delivered = c.relay.cursor.delivered
-	c.d.cfg.Observer.Started(c.req, c.attempt, server)
+	c.observers.Started(c.req, c.attempt, server)
 	result := Result{Attempt: c.attempt, Server: server}
 	begin := c.d.cfg.Now()
-	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin}
+	x := &exchange{d: c.d, req: c.req, server: server, relay: c.relay, parent: ctx, result: &result, begin: begin, observers: c.observers}
 	failure := x.run()
 
 	result.Duration = c.d.cfg.Now().Sub(begin)
@@ -170,7 +167,7 @@
 		result.Failure = failure.failure
 		result.Err = failure
 	}
-	c.d.cfg.Observer.Ended(c.req, result)
+	c.observers.Ended(c.req, result)
 	c.record(result, begin)
 	return failure
 }
--- a/internal/openai/openai.go
+++ b/internal/openai/openai.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strings"
 )
 
@@ -144,6 +145,20 @@
 	RequestID string `json:"request_id,omitempty"`
 }
 
+// ErrorType returns the error type for an HTTP status.
+func ErrorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
 // Load is an engine's load report.
 type Load struct {
 	Incarnation   string            `json:"incarnation"`
@@ -173,4 +188,6 @@
 	// Type is "stored", "removed" or "cleared".
 	Type   string   `json:"type"`
 	Hashes []uint64 `json:"hashes"`
+	// Salt is the cache_salt of stored blocks, if the engine tells it.
+	Salt string `json:"salt,omitempty"`
 }
