--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -25,30 +25,9 @@
 // commit. Nothing was written.
 var ErrNoMajority = errors.Wrap(platform.ErrUnavailable, "no majority of the routers can be reached")
 
-// A commit without a majority is tried again, because members that have just
-// started cannot be reached at once.
-const (
-	commitTries = 3
-	commitPause = 400 * time.Millisecond
-)
-
 // Commit implements head.Committer: it commits with the support of a majority
 // of the roster.
 func (s *Spreader) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
-	for try := 1; ; try++ {
-		err := s.commitOnce(ctx, base, next, checks, writes)
-		if !errors.Is(err, ErrNoMajority) || try == commitTries {
-			return err
-		}
-		select {
-		case <-time.After(commitPause):
-		case <-ctx.Done():
-			return err
-		}
-	}
-}
-
-func (s *Spreader) commitOnce(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
 	electorate, err := s.electorate(ctx, base.Head)
 	if err != nil {
 		return err
@@ -74,6 +53,31 @@
 	return err
 }
 
+const (
+	ticketTries = 3
+	ticketPause = 400 * time.Millisecond
+)
+
+// ticketCommitter commits tickets. It tries again without a majority, because
+// members that have just started cannot be reached at once and an operator
+// waits.
+type ticketCommitter struct{ s *Spreader }
+
+// Commit implements head.Committer.
+func (c ticketCommitter) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
+	for try := 1; ; try++ {
+		err := c.s.Commit(ctx, base, next, checks, writes)
+		if !errors.Is(err, ErrNoMajority) || try == ticketTries {
+			return err
+		}
+		select {
+		case <-time.After(ticketPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // electorate returns the members that may support a commit on top of base.
 func (s *Spreader) electorate(ctx context.Context, base head.Head) ([]vm.VM, error) {
 	s.mu.Lock()
