Give each half of an account's rate a home of its own

Cause: with one home, an account was refused while that VM was lost: up to 15 s until it is expelled and 4 s more, although the account is within its rate (TestRouterCutFromAllRefusesKeyedWork: 503 budget_unavailable at a VM that was not cut). Ruled out: a standing reserve at a second VM, which lowers the burst or needs recalls; alternating between the homes, which lets one half overflow while the other is empty and so refuses within the rate. Change: rate and burst are split in two; each half is an account of its own to the ledger, whose proofs hold as they are. Before: refused. After: TestOneHomeLost keeps at least half of the rate at once, TestRouterCutFromAllRefusesKeyedWork passes; overRate is 0 in every window.

--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -73,7 +73,11 @@
 		parts[i] = map[account.ID]account.Contract{}
 	}
 	for id, a := range c.Accounts {
-		parts[shardOf(id)][id] = a.Contract
+		half := account.Contract{Rate: a.Contract.Rate / halves, Burst: a.Contract.Burst / halves}
+		for k := range halves {
+			h := halfOf(id, k)
+			parts[shardOf(h)][h] = half
+		}
 	}
 	for i := range k.shards {
 		s := &k.shards[i]
--- a/internal/budget/queues.go
+++ b/internal/budget/queues.go
@@ -27,10 +27,10 @@
 
 // settlement is one settlement on its way to the home.
 type settlement struct {
-	account account.ID
-	id      ReservationID
-	used    float64
-	since   time.Time
+	half  account.ID
+	id    ReservationID
+	used  float64
+	since time.Time
 }
 
 type settleQueue struct {
@@ -127,12 +127,12 @@
 func (s *Service) settlementsByHome(now time.Time) map[string][]settlement {
 	out := map[string][]settlement{}
 	for _, x := range s.settles.take(now) {
-		home, ok := s.Home(x.account)
+		home, ok := s.home(x.half)
 		switch {
 		case !ok:
 			s.settles.add(x)
 		case home.ID == s.opts.Self.ID:
-			if !s.keeper.Settle(x.account, x.id, x.used) {
+			if !s.keeper.Settle(x.half, x.id, x.used) {
 				s.settles.add(x)
 			}
 		default:
@@ -154,7 +154,7 @@
 func (s *Service) sendSettlementBatch(addr string, xs []settlement) (again []settlement) {
 	req := &peer.SettleRequest{Holder: uint64(s.opts.Self.Incarnation)}
 	for _, x := range xs {
-		req.Settlements = append(req.Settlements, &peer.Settlement{Account: string(x.account), Seq: x.id.Seq, Used: x.used})
+		req.Settlements = append(req.Settlements, &peer.Settlement{Account: string(x.half), Seq: x.id.Seq, Used: x.used})
 	}
 	client, err := s.opts.Client(addr)
 	if err != nil {
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -6,13 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
-	"papayaspan.dev/papayaspan/internal/freshness"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -51,6 +49,7 @@
 	batches batches
 	settles settleQueue
 	moves   moveQueue
+	lost    lostPeers
 }
 
 // NewService returns a service without contracts. Run sends what waits.
@@ -63,13 +62,17 @@
 // Apply puts the contracts of a configuration in force.
 func (s *Service) Apply(c *config.Snapshot) { s.keeper.Apply(c) }
 
-// Home returns the account's home.
-func (s *Service) Home(id account.ID) (vm.VM, bool) {
+// Home returns the VM through which the account is served best: the home of
+// its first half.
+func (s *Service) Home(id account.ID) (vm.VM, bool) { return s.home(halfOf(id, 0)) }
+
+// home returns the home of a half.
+func (s *Service) home(half account.ID) (vm.VM, bool) {
 	v := s.opts.View()
 	if v.Roster == nil {
 		return vm.VM{}, false
 	}
-	return Home(id, v.Roster)
+	return Home(half, v.Roster)
 }
 
 // refresh takes in the present view.
@@ -77,18 +80,6 @@
 	s.moves.add(s.keeper.Observe(s.opts.View()), time.Now())
 }
 
-// Reservation is a granted reservation. It must be settled once.
-type Reservation struct {
-	service *Service
-	account account.ID
-	id      ReservationID
-}
-
-// Settle returns the tokens that were not used.
-func (r *Reservation) Settle(used float64) {
-	r.service.settle(settlement{account: r.account, id: r.id, used: used, since: time.Now()})
-}
-
 // Refusal is the answer to a reservation that was not granted.
 type Refusal struct {
 	Outcome Outcome
@@ -99,32 +90,6 @@
 // Error implements error.
 func (r *Refusal) Error() string { return "reservation refused: " + r.Outcome.String() }
 
-// Reserve debits tokens at the account's home. It waits a short time if they
-// will be there by then. Its error is a *Refusal.
-func (s *Service) Reserve(ctx context.Context, id account.ID, tokens float64) (*Reservation, error) {
-	r := &Reservation{service: s, account: id, id: ReservationID{Holder: s.opts.Self.Incarnation, Seq: s.seq.Add(1)}}
-	start := time.Now()
-	unsure := false // an answer that was lost may have been a grant
-	for {
-		answer, err := s.ask(ctx, r, tokens)
-		unsure = unsure || err != nil
-		if answer.Outcome == Granted && freshness.Age(start, time.Now()) < grantTTL {
-			return r, nil
-		}
-		pause, refusal := next(answer, maxWait-time.Since(start))
-		if refusal == nil && sleep(ctx, pause) {
-			continue
-		}
-		if refusal == nil {
-			refusal = &Refusal{Outcome: answer.Outcome, RetryAfter: answer.RetryAfter}
-		}
-		if unsure || answer.Outcome == Granted {
-			r.Settle(0)
-		}
-		return nil, refusal
-	}
-}
-
 // next decides whether to ask again after a pause or to refuse for good.
 func next(a Answer, left time.Duration) (pause time.Duration, refusal *Refusal) {
 	switch a.Outcome {
@@ -146,28 +111,6 @@
 	return 0, &Refusal{Outcome: a.Outcome, RetryAfter: a.RetryAfter}
 }
 
-// ask asks the account's home once. On an error the outcome is Unavailable.
-func (s *Service) ask(ctx context.Context, r *Reservation, tokens float64) (Answer, error) {
-	home, ok := s.Home(r.account)
-	if !ok {
-		return Answer{}, errors.New("the roster is empty")
-	}
-	if home.ID == s.opts.Self.ID {
-		s.refresh()
-		return s.keeper.Reserve(r.account, r.id, tokens), nil
-	}
-	return s.batches.reserve(ctx, home.PeerAddress, &peer.Reservation{Account: string(r.account), Seq: r.id.Seq, Tokens: tokens})
-}
-
-// settle settles at once if the home is here, or later over the network.
-func (s *Service) settle(x settlement) {
-	home, ok := s.Home(x.account)
-	if ok && home.ID == s.opts.Self.ID && s.keeper.Settle(x.account, x.id, x.used) {
-		return
-	}
-	s.settles.add(x)
-}
-
 // sleep reports false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
