Show in the history when and where a ticket came to be in force

The record is written once, by a sweeper; the administration API and the tool show its time, its rule and the VMs that had acknowledged the ticket by then.

--- a/gen/admin/service.go
+++ b/gen/admin/service.go
@@ -249,7 +249,13 @@
 	FiledThrough      string
 	Problems          []*Problem
 	InForceEverywhere bool
-	Places            []*Place
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string
+	Places    []*Place
 	// Why; kept in the history.
 	Comment  string
 	Accounts *AccountChanges
--- a/gen/http/admin/client/encode_decode.go
+++ b/gen/http/admin/client/encode_decode.go
@@ -1631,6 +1631,8 @@
 		Status:            *v.Status,
 		FiledAt:           *v.FiledAt,
 		InForceEverywhere: *v.InForceEverywhere,
+		InForceKnownAt:    v.InForceKnownAt,
+		InForceRule:       v.InForceRule,
 	}
 	if v.FiledThrough != nil {
 		res.FiledThrough = *v.FiledThrough
@@ -1651,6 +1653,12 @@
 			res.Problems[i] = unmarshalProblemResponseToAdminProblem(val)
 		}
 	}
+	if v.InForceAt != nil {
+		res.InForceAt = make([]string, len(v.InForceAt))
+		for i, val := range v.InForceAt {
+			res.InForceAt[i] = val
+		}
+	}
 	if v.Places != nil {
 		res.Places = make([]*admin.Place, len(v.Places))
 		for i, val := range v.Places {
--- a/gen/http/admin/client/types.go
+++ b/gen/http/admin/client/types.go
@@ -41,7 +41,13 @@
 	FiledThrough      *string                `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
-	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string             `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponseBody `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  *string                     `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
 	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -66,7 +72,13 @@
 	FiledThrough      *string                `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool                  `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
-	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string             `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponseBody `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  *string                     `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
 	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -534,7 +546,13 @@
 	FiledThrough      *string            `form:"filed_through,omitempty" json:"filed_through,omitempty" xml:"filed_through,omitempty"`
 	Problems          []*ProblemResponse `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere *bool              `form:"in_force_everywhere,omitempty" json:"in_force_everywhere,omitempty" xml:"in_force_everywhere,omitempty"`
-	Places            []*PlaceResponse   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string         `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponse `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  *string                 `form:"comment,omitempty" json:"comment,omitempty" xml:"comment,omitempty"`
 	Accounts *AccountChangesResponse `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -721,6 +739,8 @@
 		Status:            *body.Status,
 		FiledAt:           *body.FiledAt,
 		InForceEverywhere: *body.InForceEverywhere,
+		InForceKnownAt:    body.InForceKnownAt,
+		InForceRule:       body.InForceRule,
 	}
 	if body.FiledThrough != nil {
 		v.FiledThrough = *body.FiledThrough
@@ -741,6 +761,12 @@
 			v.Problems[i] = unmarshalProblemResponseBodyToAdminProblem(val)
 		}
 	}
+	if body.InForceAt != nil {
+		v.InForceAt = make([]string, len(body.InForceAt))
+		for i, val := range body.InForceAt {
+			v.InForceAt[i] = val
+		}
+	}
 	if body.Places != nil {
 		v.Places = make([]*admin.Place, len(body.Places))
 		for i, val := range body.Places {
@@ -835,6 +861,8 @@
 		Status:            *body.Status,
 		FiledAt:           *body.FiledAt,
 		InForceEverywhere: *body.InForceEverywhere,
+		InForceKnownAt:    body.InForceKnownAt,
+		InForceRule:       body.InForceRule,
 	}
 	if body.FiledThrough != nil {
 		v.FiledThrough = *body.FiledThrough
@@ -855,6 +883,12 @@
 			v.Problems[i] = unmarshalProblemResponseBodyToAdminProblem(val)
 		}
 	}
+	if body.InForceAt != nil {
+		v.InForceAt = make([]string, len(body.InForceAt))
+		for i, val := range body.InForceAt {
+			v.InForceAt[i] = val
+		}
+	}
 	if body.Places != nil {
 		v.Places = make([]*admin.Place, len(body.Places))
 		for i, val := range body.Places {
--- a/gen/http/admin/server/encode_decode.go
+++ b/gen/http/admin/server/encode_decode.go
@@ -1253,6 +1253,8 @@
 		FiledAt:           v.FiledAt,
 		FiledThrough:      v.FiledThrough,
 		InForceEverywhere: v.InForceEverywhere,
+		InForceKnownAt:    v.InForceKnownAt,
+		InForceRule:       v.InForceRule,
 		Comment:           v.Comment,
 	}
 	{
@@ -1271,6 +1273,12 @@
 			res.Problems[i] = marshalAdminProblemToProblemResponse(val)
 		}
 	}
+	if v.InForceAt != nil {
+		res.InForceAt = make([]string, len(v.InForceAt))
+		for i, val := range v.InForceAt {
+			res.InForceAt[i] = val
+		}
+	}
 	if v.Places != nil {
 		res.Places = make([]*PlaceResponse, len(v.Places))
 		for i, val := range v.Places {
--- a/gen/http/admin/server/types.go
+++ b/gen/http/admin/server/types.go
@@ -41,7 +41,13 @@
 	FiledThrough      string                 `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere bool                   `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
-	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string             `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponseBody `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  string                      `form:"comment" json:"comment" xml:"comment"`
 	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -66,7 +72,13 @@
 	FiledThrough      string                 `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere bool                   `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
-	Places            []*PlaceResponseBody   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string             `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponseBody `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  string                      `form:"comment" json:"comment" xml:"comment"`
 	Accounts *AccountChangesResponseBody `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -439,7 +451,13 @@
 	FiledThrough      string             `form:"filed_through" json:"filed_through" xml:"filed_through"`
 	Problems          []*ProblemResponse `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
 	InForceEverywhere bool               `form:"in_force_everywhere" json:"in_force_everywhere" xml:"in_force_everywhere"`
-	Places            []*PlaceResponse   `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
+	// When this was first known, RFC 3339; absent until it is in the history.
+	InForceKnownAt *string `form:"in_force_known_at,omitempty" json:"in_force_known_at,omitempty" xml:"in_force_known_at,omitempty"`
+	// How it was known: acknowledged or bound_passed.
+	InForceRule *string `form:"in_force_rule,omitempty" json:"in_force_rule,omitempty" xml:"in_force_rule,omitempty"`
+	// VMs that had acknowledged the ticket by then.
+	InForceAt []string         `form:"in_force_at,omitempty" json:"in_force_at,omitempty" xml:"in_force_at,omitempty"`
+	Places    []*PlaceResponse `form:"places,omitempty" json:"places,omitempty" xml:"places,omitempty"`
 	// Why; kept in the history.
 	Comment  string                  `form:"comment" json:"comment" xml:"comment"`
 	Accounts *AccountChangesResponse `form:"accounts,omitempty" json:"accounts,omitempty" xml:"accounts,omitempty"`
@@ -695,6 +713,8 @@
 		FiledAt:           res.FiledAt,
 		FiledThrough:      res.FiledThrough,
 		InForceEverywhere: res.InForceEverywhere,
+		InForceKnownAt:    res.InForceKnownAt,
+		InForceRule:       res.InForceRule,
 		Comment:           res.Comment,
 	}
 	{
@@ -713,6 +733,12 @@
 			body.Problems[i] = marshalAdminProblemToProblemResponseBody(val)
 		}
 	}
+	if res.InForceAt != nil {
+		body.InForceAt = make([]string, len(res.InForceAt))
+		for i, val := range res.InForceAt {
+			body.InForceAt[i] = val
+		}
+	}
 	if res.Places != nil {
 		body.Places = make([]*PlaceResponseBody, len(res.Places))
 		for i, val := range res.Places {
@@ -758,6 +784,8 @@
 		FiledAt:           res.FiledAt,
 		FiledThrough:      res.FiledThrough,
 		InForceEverywhere: res.InForceEverywhere,
+		InForceKnownAt:    res.InForceKnownAt,
+		InForceRule:       res.InForceRule,
 		Comment:           res.Comment,
 	}
 	{
@@ -776,6 +804,12 @@
 			body.Problems[i] = marshalAdminProblemToProblemResponseBody(val)
 		}
 	}
+	if res.InForceAt != nil {
+		body.InForceAt = make([]string, len(res.InForceAt))
+		for i, val := range res.InForceAt {
+			body.InForceAt[i] = val
+		}
+	}
 	if res.Places != nil {
 		body.Places = make([]*PlaceResponseBody, len(res.Places))
 		for i, val := range res.Places {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/ticket"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -44,6 +46,9 @@
 	Places(ctx context.Context) ([]Place, error)
 	// InForceEverywhere reports whether every VM that may serve has the ticket.
 	InForceEverywhere(ctx context.Context, n config.Number) (bool, error)
+	// Force returns the history entry of when the ticket came to be in force
+	// everywhere, or platform.ErrNotFound.
+	Force(ctx context.Context, n config.Number) (roster.ForceRecord, error)
 	// Drain starts a graceful shutdown of this VM.
 	Drain()
 }
@@ -156,8 +161,7 @@
 	if rec.Status != ticket.Accepted {
 		return out, nil
 	}
-	everywhere, err := s.fleet.InForceEverywhere(ctx, rec.Number)
-	out.InForceEverywhere = everywhere && err == nil
+	s.describeForce(ctx, rec.Number, out)
 	places, err := s.fleet.Places(ctx)
 	if err != nil {
 		s.log.Warn("places_unknown", zap.Error(err))
@@ -174,6 +178,21 @@
 	return out, nil
 }
 
+// describeForce says whether the ticket is in force everywhere, from the
+// history if it is there.
+func (s *Service) describeForce(ctx context.Context, n config.Number, out *gen.TicketRecord) {
+	entry, err := s.fleet.Force(ctx, n)
+	if err != nil {
+		everywhere, err := s.fleet.InForceEverywhere(ctx, n)
+		out.InForceEverywhere = everywhere && err == nil
+		return
+	}
+	out.InForceEverywhere = true
+	knownAt, rule := entry.KnownAt.Format(time.RFC3339), string(entry.Force.Rule)
+	out.InForceKnownAt, out.InForceRule = &knownAt, &rule
+	out.InForceAt = each(entry.Force.At, convert[vm.ID, string])
+}
+
 // failure maps an error to the API's error. The verdict of an unknown outcome
 // is MayHaveRun; filing the same ticket again is safe and tells which.
 func failure(err error, v verdict.Verdict) *gen.Failure {
--- a/internal/cli/tickets.go
+++ b/internal/cli/tickets.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -98,6 +99,9 @@
 		return
 	}
 	fmt.Fprintf(c.out, "in force everywhere: %t\n", rec.InForceEverywhere)
+	if rec.InForceKnownAt != nil && rec.InForceRule != nil {
+		fmt.Fprintf(c.out, "known at %s (%s), acknowledged by %s\n", *rec.InForceKnownAt, *rec.InForceRule, strings.Join(rec.InForceAt, ", "))
+	}
 	rows := make([][]string, len(rec.Places))
 	for i, p := range rec.Places {
 		rows[i] = []string{p.VM, p.FailureDomain, strconv.FormatUint(p.Number, 10), strconv.FormatBool(p.InForce)}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -58,5 +58,10 @@
 	return false, err
 }
 
+// Force implements admin.Fleet.
+func (f fleet) Force(ctx context.Context, n config.Number) (roster.ForceRecord, error) {
+	return f.d.spread.Force(ctx, n)
+}
+
 // Drain implements admin.Fleet.
 func (f fleet) Drain() { f.d.requestDrain() }
--- a/internal/spread/inforce.go
+++ b/internal/spread/inforce.go
@@ -33,6 +33,14 @@
 	return s.force(n, r, rows, time.Now()), rows, nil
 }
 
+// Force returns the history entry of when a ticket came to be in force
+// everywhere, or platform.ErrNotFound.
+func (s *Spreader) Force(ctx context.Context, n config.Number) (roster.ForceRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return s.roster.Force(ctx, n)
+}
+
 // force decides where a ticket is in force, with what this process has seen.
 func (s *Spreader) force(n config.Number, r *roster.Roster, rows []roster.Presence, now time.Time) roster.Force {
 	s.mu.Lock()
