Ask members for support at the address that the platform lists

Cause: when all VMs came back under their names with new addresses, the roster named the old ones, nobody could be asked for support, and so neither the roster nor a ticket could ever change (TestAllRoutersDownAtOnce: 503 after 26 s). Ruled out: the platform's address instead of the roster's; that list lags. Change: members are asked at both addresses; a vote counts by who gives it.

--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,13 +116,33 @@
 	return out
 }
 
+// withListedAddresses adds the members that the platform lists at another
+// address than the roster does: a VM that was replaced can be reached there
+// before the roster can change. Support counts by who gives it.
+func (s *Spreader) withListedAddresses(members []vm.VM) []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[vm.ID]string{}
+	for _, m := range s.state.listed {
+		listed[vm.ID(m.ID)] = m.PeerAddress
+	}
+	out := slices.Clone(members)
+	for _, m := range members {
+		if addr := listed[m.ID]; addr != "" && addr != m.PeerAddress {
+			m.PeerAddress = addr
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // gather asks the electorate for support until a majority has given it.
 func (s *Spreader) gather(ctx context.Context, p *freshness.Proposal, electorate []vm.VM) {
 	ctx, cancel := context.WithTimeout(ctx, supportTimeout)
 	defer cancel()
-	votes := make(chan vm.ID, len(electorate))
+	votes := make(chan vm.ID, 2*len(electorate))
 	var wg sync.WaitGroup
-	for _, m := range electorate {
+	for _, m := range s.withListedAddresses(electorate) {
 		wg.Go(func() {
 			if by, err := s.ask(ctx, p, m); err == nil {
 				votes <- by
