Warm a starting router's prefix index from a peer

Change: the peer service Prefix; a starting router asks up to three random peers with jitter, and a peer runs one export at a time; a peer's engine run stands until the first load report. Conclusion: TestFetch passes with -race.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
+	"papayaspan.dev/papayaspan/internal/warm"
 )
 
 // Platform holds the platform's services.
@@ -141,6 +142,7 @@
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
 		Log:         d.log,
@@ -196,6 +198,7 @@
 	d.goLoop(func() { d.spread.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
+	d.goLoop(func() { d.warmIndex(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() {
 		d.learnSuspects(loopCtx)
--- a/internal/prefix/export.go
+++ b/internal/prefix/export.go
@@ -76,21 +76,35 @@
 	return out
 }
 
-// Import adds a peer's blocks. Blocks and holders that are known already are
-// left as they are, and so are runs of engines that are not the present ones.
+// Import adds a peer's blocks. Blocks that are known already are left as they
+// are; runs of engines that are not the present ones are dropped.
 func (x *Index) Import(e Export, now time.Time) {
 	at := x.ticks(now)
 	slots := make([]Slot, len(e.Runs))
 	for i, r := range e.Runs {
-		if o := x.slots.find(r.Engine); o != nil && o.incarnation == r.Incarnation {
-			slots[i] = o.slot
-		}
+		slots[i] = x.importSlot(r)
 	}
 	for i := range e.Blocks {
 		x.importBlock(&e.Blocks[i], slots, at)
 	}
 }
 
+// importSlot returns the slot of a peer's run of an engine, or the zero Slot if
+// another run is known here. Before the first report of an engine the peer's
+// run is taken for the present one; a later report corrects it.
+func (x *Index) importSlot(r Run) Slot {
+	o := x.slots.find(r.Engine)
+	switch {
+	case o == nil || r.Incarnation == "":
+		return Slot{}
+	case o.incarnation == r.Incarnation:
+		return o.slot
+	case o.incarnation == "":
+		return x.slots.attach(r.Engine, r.Incarnation)
+	}
+	return Slot{}
+}
+
 func (x *Index) importBlock(b *ExportedBlock, slots []Slot, at uint32) {
 	s := x.shard(b.Hash)
 	s.mu.Lock()
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -65,6 +65,15 @@
 	return b
 }
 
+// Index is what the balancer knows of the engines' caches.
+func (b *PrefixBalancer) Index() *prefix.Index { return b.index }
+
+// Ready reports whether the engines of a configuration are known.
+func (b *PrefixBalancer) Ready() bool {
+	f := b.table.fleet.Load()
+	return f != nil && f.fleet.Len() > 0
+}
+
 // CacheSalt is the cache_salt of a client account's requests for a model.
 func CacheSalt(id account.ID, m config.Model) string {
 	return prefix.NewScope(id, m.Name, m.WeightsVersion).Salt()
