Weigh learnt import rates by tokens

Cause: small imports behind a misjudged queue made the store look slow, and routers computed what it had. Change: the rate is tokens over time of the last imports with a prior; pending imports of this router no longer count, since engines import side by side.

--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -322,9 +322,6 @@
 		w.after(hop, func() {
 			delete(w.flights[c.vm], f)
 			r.broken[i] = true
-			if !c.answered {
-				r.chooser.Failed(&d, vtime(w.now))
-			}
 			w.dispatch(c, min(generated+j.generated, c.output-1))
 		})
 	}
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -30,11 +30,11 @@
 	// Chain are the hashes of the prompt's full blocks.
 	Chain []prefix.Hash
 	// ComputedBlocks is the number of leading blocks that were computed before,
-	// so that the KV cache store may have them. Choose sets it and the next two.
+	// so that the KV cache store may have them. Choose sets it and
+	// ImportRate.
 	ComputedBlocks int
-	// ImportRate and ImportPending are the tokens a second that the KV cache
-	// store gives this router and the tokens that it waits for.
-	ImportRate, ImportPending float64
+	// ImportRate is the rate of imports in tokens a second, 0 without a store.
+	ImportRate float64
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
 	// Background is set if nobody waits for the first token.
@@ -123,7 +123,7 @@
 		return
 	}
 	r.ComputedBlocks = c.Index.Computed(r.Scope, r.Chain)
-	r.ImportRate, r.ImportPending = c.Imports.Rate(now)
+	r.ImportRate = c.Imports.Rate(now)
 }
 
 // selection returns an empty selection to be put back into c.scratch.
@@ -164,9 +164,6 @@
 // Dispatched notes that the request is sent to the chosen engine.
 func (c *Chooser) Dispatched(r *Request, d *Decision, now time.Time) {
 	c.Index.Record(r.Scope, r.Chain, d.Engine.Slot, d.ReadyBlocks, now, now.Add(d.TTFT))
-	if c.Imports != nil {
-		c.Imports.Started(d.ImportTokens)
-	}
 	d.Engine.Load.Sent(d.Level, float64(d.MissTokens), float64(d.MissTokens/c.BlockTokens+1), now)
 }
 
@@ -179,14 +176,7 @@
 		return
 	}
 	computing := seconds(tokens / d.Load.Rate)
-	c.Imports.Ended(d.ImportTokens, max(took-computing, 1), now)
-}
-
-// Failed notes that the request ended before its first token.
-func (c *Chooser) Failed(d *Decision, now time.Time) {
-	if c.Imports != nil {
-		c.Imports.Ended(d.ImportTokens, 0, now)
-	}
+	c.Imports.Ended(d.ImportTokens, max(took-computing, 0), now)
 }
 
 // Finished notes the number of prompt tokens that the engine had cached.
--- a/internal/route/scorer.go
+++ b/internal/route/scorer.go
@@ -96,20 +96,13 @@
 // which is so if that is faster than computing them, and returns the tokens
 // that the store is expected to have and the time that their import takes.
 func (s CostScorer) imports(r *Request, c *Candidate) (tokens int, took time.Duration) {
-	if r.ImportRate == 0 {
-		return 0, 0
-	}
-	tokens = max(0, r.ComputedBlocks-c.HitBlocks) * s.BlockTokens
-	took = seconds((float64(tokens) + r.ImportPending) / r.ImportRate)
-	if took > seconds(float64(max(tokens, s.BlockTokens))/c.Load.Rate) {
+	if r.ImportRate <= c.Load.Rate {
 		return 0, 0
 	}
 	c.Import = true
-	c.ImportBlocks = tokens / s.BlockTokens
-	if tokens == 0 {
-		return 0, 0
-	}
-	return tokens, took
+	c.ImportBlocks = max(0, r.ComputedBlocks-c.HitBlocks)
+	tokens = c.ImportBlocks * s.BlockTokens
+	return tokens, seconds(float64(tokens) / r.ImportRate)
 }
 
 // memoryWait estimates how long running requests take to free the blocks that
