--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/link"
@@ -44,14 +46,20 @@
 	platform Platform
 	metrics  metrics.Registry
 
-	router   *router.Router
-	balancer *router.PrefixBalancer
-	spread   *spread.Spreader
-	guard    *poison.Guard
-	health   *health.Table
-	peers    *grpc.Server
-	pool     *link.Pool
-	servers  []*http.Server
+	router    *router.Router
+	balancer  *router.PrefixBalancer
+	spread    *spread.Spreader
+	guard     *poison.Guard
+	admission *admission
+	health    *health.Table
+	peers     *grpc.Server
+	pool      *link.Pool
+	servers   []*http.Server
+
+	// incarnation tells this process from earlier ones of the same VM.
+	incarnation vm.Incarnation
+	budget      *budget.Service
+	admitter    *router.FairAdmitter
 
 	callerListener, peerListener, adminListener net.Listener
 
@@ -64,7 +72,7 @@
 // New builds a router process and listens on its addresses, without serving
 // yet.
 func New(s *settings.Settings, log *zap.Logger, p Platform) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{})}
+	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{}), incarnation: vm.Incarnation(rand.Uint64())}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -107,6 +115,7 @@
 func (d *Daemon) Self() vm.VM {
 	return vm.VM{
 		ID:            vm.ID(d.settings.VM.ID),
+		Incarnation:   d.incarnation,
 		FailureDomain: d.settings.VM.FailureDomain,
 		CallerAddress: advertised(d.settings.Advertise.Caller, d.callerListener),
 		PeerAddress:   advertised(d.settings.Advertise.Peer, d.peerListener),
@@ -137,9 +146,13 @@
 
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
-	directory := peerDirectory{self: d.Self(), members: d.members, pool: pool}
+	d.budget = d.newBudget()
+	peer.RegisterBudgetServer(d.peers, budget.Server{Service: d.budget})
+	d.admitter = router.NewFairAdmitter(d.budget)
+	directory := peerDirectory{self: d.Self(), members: d.members, refresh: d.spread.Refresh, pool: pool}
 	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
+	d.admission = &admission{d: d}
 	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
 	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
@@ -148,8 +161,9 @@
 		Log:         d.log,
 		Metrics:     d.metrics,
 		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
-		Evidence:    d.spread,
-		Admitter:    router.AdmitAll{},
+		Evidence:    d.admission,
+		Admitter:    d.admitter,
+		Budget:      d.budget,
 		Balancer:    d.balancer,
 		Addresses:   d.spread,
 		Health:      d.health,
@@ -196,14 +210,13 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.spread.Run(loopCtx) })
+	d.goLoop(func() { d.budget.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.warmIndex(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
-	d.goLoop(func() {
-		d.learnSuspects(loopCtx)
-		d.ended("callers", d.serveCallers())
-	})
+	d.goLoop(func() { d.admission.run(loopCtx) })
+	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
 	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
 	self := d.Self()
 	d.log.Info("router_started",
@@ -257,7 +270,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
-	d.spread.Leave(ctx)
+	d.spread.Leave(context.WithoutCancel(ctx))
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
 	return errors.Wrap(err, "drain")
--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -2,8 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math/rand"
-	"slices"
 	"strconv"
 	"time"
 
@@ -77,7 +75,7 @@
 	// sweepers is the number of members with the duty at a time.
 	sweepers = 2
 	// sweepCost spreads the scans of a large roster, per member.
-	sweepCost = 15 * time.Millisecond
+	sweepCost = 40 * time.Millisecond
 	// minSweepInterval is the interval in a small fleet.
 	minSweepInterval = 1 * time.Second
 )
@@ -89,11 +87,11 @@
 
 // Sweeper reports whether this VM scans the presence rows now. The duty
 // rotates by rendezvous hashing over wall-clock slots; overlap is harmless. A
-// VM that waits for admission, candidates of them in all, sometimes sweeps as
-// well, so that a roster of dead members is replaced.
-func Sweeper(r *Roster, self vm.ID, candidates int, now time.Time, rng *rand.Rand) bool {
+// VM that waits for admission sweeps as well: it need not wait for the members,
+// who may all be dead.
+func Sweeper(r *Roster, self vm.ID, now time.Time) bool {
 	if !r.Contains(self) {
-		return rng.Intn(max(1, candidates/2)) == 0
+		return true
 	}
 	slot := strconv.FormatInt(now.UnixNano()/int64(sweepSlot), 10)
 	mine := rank(slot, self)
@@ -123,42 +121,3 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
-
-// goneAfter is how long a member must be missing from the platform's
-// membership list, with its presence not renewed, before it counts as no
-// longer existing.
-const goneAfter = 30 * time.Second
-
-// Absence remembers since when members have been missing from the platform's
-// membership list.
-type Absence struct {
-	since map[vm.ID]time.Time
-}
-
-// Observe records one answer of the platform's membership service.
-func (a *Absence) Observe(r *Roster, listed []vm.ID, now time.Time) {
-	next := map[vm.ID]time.Time{}
-	for _, m := range r.Members {
-		if slices.Contains(listed, m.ID) {
-			continue
-		}
-		next[m.ID] = now
-		if old, ok := a.since[m.ID]; ok {
-			next[m.ID] = old
-		}
-	}
-	a.since = next
-}
-
-// Electorate returns the members whose majority a commit needs: those that the
-// platform has not reported gone for long.
-func (a *Absence) Electorate(r *Roster, now time.Time) []vm.ID {
-	var ids []vm.ID
-	for _, m := range r.Members {
-		since, absent := a.since[m.ID]
-		if !absent || now.Sub(since) < goneAfter {
-			ids = append(ids, m.ID)
-		}
-	}
-	return ids
-}
--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -53,6 +53,31 @@
 	return err
 }
 
+const (
+	ticketTries = 3
+	ticketPause = 400 * time.Millisecond
+)
+
+// ticketCommitter commits tickets. It tries again without a majority, because
+// members that have just started cannot be reached at once and an operator
+// waits.
+type ticketCommitter struct{ s *Spreader }
+
+// Commit implements head.Committer.
+func (c ticketCommitter) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
+	for try := 1; ; try++ {
+		err := c.s.Commit(ctx, base, next, checks, writes)
+		if !errors.Is(err, ErrNoMajority) || try == ticketTries {
+			return err
+		}
+		select {
+		case <-time.After(ticketPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // electorate returns the members that may support a commit on top of base.
 func (s *Spreader) electorate(ctx context.Context, base head.Head) ([]vm.VM, error) {
 	s.mu.Lock()
@@ -69,19 +94,17 @@
 			return nil, errors.Wrap(platform.ErrConflict, "the head has changed")
 		}
 	}
-	return s.present(r), nil
-}
-
-// present returns the members that the platform has not reported gone.
-func (s *Spreader) present(r *roster.Roster) []vm.VM {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []vm.VM
-	for _, id := range s.state.absence.Electorate(r, time.Now()) {
-		m, _ := r.Get(id)
-		out = append(out, m)
+	gone := s.state.absence.Gone(time.Now())
+	s.mu.Unlock()
+	if len(gone) == 0 {
+		return r.Members, nil
 	}
-	return out
+	rows, err := s.roster.Presences(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return roster.Electorate(r, gone, rows, time.Now()), nil
 }
 
 func ids(vms []vm.VM) []vm.ID {
--- a/internal/spread/presence.go
+++ b/internal/spread/presence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +14,13 @@
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-// joinInterval is how often a VM that waits for admission looks after it.
-const joinInterval = 300 * time.Millisecond
+const (
+	// joinInterval is how often a VM that waits for admission looks after it.
+	joinInterval = 200 * time.Millisecond
+	// joinSpacing lengthens the interval at random, per other VM, so that one
+	// VM of a herd admits the others.
+	joinSpacing = 10 * time.Millisecond
+)
 
 func (s *Spreader) renewInterval() time.Duration {
 	return roster.RenewInterval(len(s.View().Roster.Members))
@@ -23,7 +30,7 @@
 	if v := s.View(); v.Member {
 		return roster.SweepInterval(len(v.Roster.Members))
 	}
-	return joinInterval
+	return joinInterval + rand.N(1+time.Duration(len(s.candidates()))*joinSpacing)
 }
 
 // presence describes this VM for its row.
@@ -100,3 +107,17 @@
 	s.state.listed = list
 	s.state.absence.Observe(s.state.roster, listed, time.Now())
 }
+
+// Known returns every VM that may run requests, as far as this one knows: the
+// roster's members and the VMs on the platform's list, which may join next.
+func (s *Spreader) Known() []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := slices.Clone(s.state.roster.Members)
+	for _, m := range s.state.listed {
+		if !s.state.roster.Contains(vm.ID(m.ID)) {
+			known = append(known, vm.VM{ID: vm.ID(m.ID), FailureDomain: m.FailureDomain, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress})
+		}
+	}
+	return known
+}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/api/peer"
@@ -37,6 +38,7 @@
 	Membership platform.Membership
 	Peers      Peers
 	Log        *zap.Logger
+	Metrics    metrics.Registry
 	// Publish puts a configuration in force on this router. It is called
 	// before any evidence for it counts.
 	Publish func(*config.Snapshot)
@@ -76,17 +78,19 @@
 	fetching sync.Mutex
 	// duties is what the sweep loop remembers.
 	duties duties
+	gauges gauges
 }
 
 // New returns a spreader with an empty configuration. Run starts it.
 func New(opts Options) *Spreader {
 	s := &Spreader{
-		opts:  opts,
-		state: newState(opts.Self.ID, time.Now()),
-		wake:  make(chan struct{}, 1),
-		hints: make(chan vm.ID, hintQueue),
+		opts:   opts,
+		state:  newState(opts.Self.ID, time.Now()),
+		wake:   make(chan struct{}, 1),
+		hints:  make(chan vm.ID, hintQueue),
+		gauges: newGauges(opts.Metrics),
 	}
-	s.tickets = ticket.NewStore(opts.Table, opts.Objects, s, opts.Self.ID, time.Now)
+	s.tickets = ticket.NewStore(opts.Table, opts.Objects, ticketCommitter{s}, opts.Self.ID, time.Now)
 	s.roster = roster.Store{Table: opts.Table, Committer: s}
 	s.view.Store(s.state.view())
 	return s
@@ -124,7 +128,11 @@
 	loops.Go(func() { s.loop(ctx, fixed(collectInterval), nil, s.collect) })
 	loops.Go(func() { s.loop(ctx, fixed(memberInterval), nil, s.readMembers) })
 	loops.Go(func() { s.loop(ctx, s.renewInterval, nil, s.renew) })
-	loops.Go(func() { s.loop(ctx, s.sweepInterval, nil, s.sweep) })
+	loops.Go(func() {
+		s.pause(ctx, rand.N(1+time.Duration(len(s.candidates()))*joinSpacing))
+		s.loop(ctx, s.sweepInterval, nil, s.sweep)
+	})
+	loops.Go(func() { s.loop(ctx, fixed(reportInterval), nil, s.report) })
 	loops.Go(func() { s.followHints(ctx) })
 	loops.Wait()
 }
@@ -148,6 +156,14 @@
 	}
 }
 
+// pause waits, or less if the context ends.
+func (s *Spreader) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1)))
 }
