Ask engines to import from the KV cache store

Cause: the choice to import did not reach the engines. Change: a picker's hints carry the priority and the field kv_import; the rate of imports is a setting, without which nothing is imported. The stand-in engine ignores the field. Conclusion: the tests of dispatch, router, settings, docs and warm pass. Failing on this commit, about the budget's home and not examined here: scenario outage, TestRouterCutFromAllRefusesKeyedWork, TestAllRoutersDownAtOnce (budget_unavailable).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,7 +154,7 @@
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.admission = &admission{d: d}
 	d.health = health.NewTable()
-	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
 	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
--- a/internal/daemon/warm.go
+++ b/internal/daemon/warm.go
@@ -10,16 +10,19 @@
 	"papayaspan.dev/papayaspan/internal/warm"
 )
 
-// warmWait bounds the wait for the first configuration and membership list.
-const warmWait = 5 * time.Second
+const (
+	// warmWait bounds the wait for the first configuration and roster.
+	warmWait = 5 * time.Second
+	warmPoll = 20 * time.Millisecond
+)
 
 // warmIndex asks a peer for what it knows of the engines' caches. Requests are
 // served meanwhile.
 func (d *Daemon) warmIndex(ctx context.Context) {
 	ready := func() bool { return d.balancer.Ready() && len(d.members()) > 0 }
-	for waited := time.Duration(0); waited < warmWait && !ready(); waited += memberPoll {
+	for waited := time.Duration(0); waited < warmWait && !ready(); waited += warmPoll {
 		select {
-		case <-time.After(memberPoll):
+		case <-time.After(warmPoll):
 		case <-ctx.Done():
 			return
 		}
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -11,7 +11,7 @@
 // caller's own values are replaced.
 type engineFields struct {
 	CacheSalt  string
-	Priority   int
+	Hints      Hints
 	ResumeFrom int
 	Stream     bool
 }
@@ -19,6 +19,7 @@
 // routerFields are the names of these fields.
 var routerFields = [][]byte{
 	[]byte("cache_salt"), []byte("priority"), []byte("resume_from"), []byte("stream_options"),
+	[]byte("kv_import"),
 }
 
 // asciiEscapes begin the escapes of the characters that the names consist of.
@@ -33,6 +34,7 @@
 type added struct {
 	CacheSalt     string         `json:"cache_salt"`
 	Priority      int            `json:"priority"`
+	KVImport      bool           `json:"kv_import,omitempty"`
 	ResumeFrom    int            `json:"resume_from,omitempty"`
 	StreamOptions *streamOptions `json:"stream_options,omitempty"`
 }
@@ -67,7 +69,7 @@
 
 // engineBody returns a valid JSON body with the router's fields.
 func engineBody(body []byte, f engineFields) ([]byte, error) {
-	a := added{CacheSalt: f.CacheSalt, Priority: f.Priority, ResumeFrom: f.ResumeFrom}
+	a := added{CacheSalt: f.CacheSalt, Priority: f.Hints.Priority, KVImport: f.Hints.ImportKV, ResumeFrom: f.ResumeFrom}
 	if f.Stream {
 		a.StreamOptions = &streamOptions{IncludeUsage: true}
 	}
--- a/internal/dispatch/body_test.go
+++ b/internal/dispatch/body_test.go
@@ -21,7 +21,7 @@
 		if json.Unmarshal(body, &want) != nil || want == nil {
 			return
 		}
-		out, err := engineBody(body, engineFields{CacheSalt: "salt", Priority: 3, ResumeFrom: 7})
+		out, err := engineBody(body, engineFields{CacheSalt: "salt", Hints: Hints{Priority: 3}, ResumeFrom: 7})
 		if err != nil {
 			t.Fatalf("%q: %v", body, err)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,8 +129,8 @@
 		if err != nil {
 			return c.pickFailed(err, last)
 		}
-		if pr, ok := p.(Prioritizer); ok {
-			c.req.Priority = pr.Priority()
+		if h, ok := p.(Hinter); ok {
+			c.req.Hints = h.Hints()
 		}
 		last = c.try(ctx, server)
 		if last == nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -39,8 +39,8 @@
 	MaxTokens int
 	// CacheSalt isolates the engine's prefix cache by account and weights.
 	CacheSalt string
-	// Priority is passed to engines; lower runs first.
-	Priority int
+	// Hints are passed to engines. A Hinter's replace them.
+	Hints Hints
 }
 
 // Attempt describes the attempt that a backend server is picked for.
@@ -73,10 +73,19 @@
 	Pick(ctx context.Context, req Request, a Attempt) (backend.Server, error)
 }
 
-// Prioritizer is a Picker that also orders requests on the engine.
-type Prioritizer interface {
-	// Priority returns the priority for the server picked last.
-	Priority() int
+// Hints are what a picker tells the engine that it picked.
+type Hints struct {
+	// Priority orders the engine's queue; lower runs first.
+	Priority int
+	// ImportKV asks the engine to import the missing part of the prompt from
+	// the KV cache store as far as the store has it.
+	ImportKV bool
+}
+
+// Hinter is a Picker that has hints for the engine.
+type Hinter interface {
+	// Hints returns the hints for the server picked last.
+	Hints() Hints
 }
 
 // Head is the beginning of an answer.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -70,7 +70,7 @@
 	if x.server.Kind == backend.Engine && x.req.Model != "" {
 		body, err = engineBody(body, engineFields{
 			CacheSalt:  x.req.CacheSalt,
-			Priority:   x.req.Priority,
+			Hints:      x.req.Hints,
 			ResumeFrom: x.relay.cursor.delivered,
 			Stream:     x.req.Stream,
 		})
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -85,7 +85,7 @@
 		Idempotent: true, // A completion has no effect but its answer.
 		MaxTokens:  c.output,
 		CacheSalt:  CacheSalt(c.caller.account.ID, c.model),
-		Priority:   priority(c.class),
+		Hints:      dispatch.Hints{Priority: priority(c.class)},
 	}, picker, sink)
 	grant.Done(usedTokens(c, out))
 	r.finish(c.id, string(c.caller.account.ID), c.model.Name, out, err)
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -18,6 +18,7 @@
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
+	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -54,13 +55,15 @@
 	decision route.Decision
 }
 
-// NewPrefixBalancer returns a balancer that knows no engine yet. Blocks have
-// blockTokens tokens.
-func NewPrefixBalancer(blockTokens int, log *zap.Logger) *PrefixBalancer {
+// NewPrefixBalancer returns a balancer that knows no engine yet.
+func NewPrefixBalancer(s settings.Routing, log *zap.Logger) *PrefixBalancer {
 	index := prefix.NewIndex(maxIndexBlocks, time.Now())
-	b := &PrefixBalancer{log: log, block: blockTokens, index: index, table: newEngineTable(index), clocks: fairshare.New()}
+	b := &PrefixBalancer{log: log, block: s.PieceTokens, index: index, table: newEngineTable(index), clocks: fairshare.New()}
 	healthy := route.Healthy(func(id backend.ID) bool { return !b.table.allows(id) })
-	b.chooser = route.NewChooser(index, blockTokens, healthy)
+	b.chooser = route.NewChooser(index, s.PieceTokens, healthy)
+	if s.ImportTokensPerSecond > 0 {
+		b.chooser.Imports = route.NewImports(s.ImportTokensPerSecond)
+	}
 	b.random.New = func() any { return rand.New(rand.NewSource(rand.Int63())) }
 	return b
 }
@@ -116,12 +119,16 @@
 	hold time.Duration
 	// ordered is the arrival, put back if the account runs ahead of its rate.
 	ordered time.Time
-	level   route.Level
+	// decision is the last choice.
+	decision route.Decision
 }
 
-// Priority implements dispatch.Prioritizer: the time, in milliseconds, by which
-// engines order their queues. All levels age alike.
-func (p *enginePicker) Priority() int { return int(p.level.Deadline(p.ordered).UnixMilli()) }
+// Hints implements dispatch.Hinter. The priority is the time, in milliseconds,
+// by which engines order their queues, so that all levels age alike.
+func (p *enginePicker) Hints() dispatch.Hints {
+	deadline := p.decision.Level.Deadline(p.ordered)
+	return dispatch.Hints{Priority: int(deadline.UnixMilli()), ImportKV: p.decision.Import}
+}
 
 // Pick implements dispatch.Picker. A server that was tried before is picked
 // only if there is no other.
@@ -144,7 +151,7 @@
 		refusal.Cause = err
 		return backend.Server{}, refusal
 	}
-	p.level = d.Level
+	p.decision = d
 	p.b.logChoice(req, a, &d)
 	now := time.Now()
 	p.b.chooser.Dispatched(&r, &d, now)
@@ -179,6 +186,7 @@
 		zap.String("engine", string(d.Engine.ID)),
 		zap.String("reason", string(d.Reason)),
 		zap.Int("hit_tokens", d.HitTokens),
+		zap.Int("import_tokens", d.ImportTokens),
 		zap.Int("miss_tokens", d.MissTokens),
 		zap.Int("running", d.Load.Running),
 		zap.Duration("queue", d.Queue),
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -17,6 +17,7 @@
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/enginewatch"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/standin/engine"
 )
 
@@ -46,7 +47,7 @@
 		w.snapshot.Servers[id] = backend.Server{ID: id, Kind: backend.Engine, URL: srv.URL, Models: []string{"m"}}
 	}
 	w.view = config.NewView(w.snapshot)
-	w.b = NewPrefixBalancer(testBlock, zap.NewNop())
+	w.b = NewPrefixBalancer(settings.Routing{PieceTokens: testBlock}, zap.NewNop())
 	w.d = dispatch.New(dispatch.Config{Observer: w.b})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -101,7 +102,7 @@
 		if _, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1}); err != nil {
 			t.Fatal(err)
 		}
-		return p.(dispatch.Prioritizer).Priority()
+		return p.(dispatch.Hinter).Hints().Priority
 	}
 	review := priority(config.Review, "")
 	missed := priority(config.Interactive, long)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,9 @@
 	// DefaultOutputTokens is the output reserved for a request that declares no
 	// maximum. Default 1024.
 	DefaultOutputTokens int `json:"default_output_tokens" validate:"min=1,max=1048576"`
+	// ImportTokensPerSecond is the rate at which an engine imports prompt tokens
+	// from the KV cache store. Default 0: there is no store.
+	ImportTokensPerSecond float64 `json:"import_tokens_per_second" validate:"min=0"`
 	// ContentSalt salts the digests by which VMs name the contents that may
 	// crash backend servers. It must be the same on all VMs. Default empty.
 	ContentSalt string `json:"content_salt" validate:"max=128"`
