--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
+	"papayaspan.dev/papayaspan/internal/warm"
 )
 
 // Platform holds the platform's services.
@@ -153,7 +154,8 @@
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.admission = &admission{d: d}
 	d.health = health.NewTable()
-	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
+	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
 		Log:         d.log,
@@ -211,6 +213,7 @@
 	d.goLoop(func() { d.budget.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
+	d.goLoop(func() { d.warmIndex(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.admission.run(loopCtx) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
