Use the roster for poison homes; keep the balancer's priority

Cause: the guard hid the balancer's picker, so that its priority did not reach the engines; and the poison guard still made its own roster version of member IDs, which is the same again after a VM left and came back. Change: the picker with guards forwards Priority and the attempts' events; the version of the roster row is used, and a VM that is not on its own roster holds no grants. Seen to fail: TestAttemptsForward without the forwarding. Conclusion: the priorities of the policy reach engines again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
-	directory := peerDirectory{self: d.Self(), members: d.members, pool: pool}
+	directory := peerDirectory{self: d.Self().ID, roster: d.roster, pool: pool}
 	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.health = health.NewTable()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/poison"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -24,7 +23,7 @@
 // learnSuspects asks the other VMs which contents crash backend servers. It
 // returns soon also if neither the platform nor a peer answers.
 func (d *Daemon) learnSuspects(ctx context.Context) {
-	for waited := time.Duration(0); waited < memberWait && len(d.members()) == 0; waited += memberPoll {
+	for waited := time.Duration(0); waited < memberWait && len(d.roster().Members) == 0; waited += memberPoll {
 		select {
 		case <-time.After(memberPoll):
 		case <-ctx.Done():
@@ -34,39 +33,35 @@
 	d.guard.Learn(ctx)
 }
 
-// members lists the VMs of the roster, with those that leave.
-func (d *Daemon) members() []vm.VM { return d.spread.View().Roster.Members }
+// roster returns the roster as this VM knows it.
+func (d *Daemon) roster() *roster.Roster { return d.spread.View().Roster }
 
 // peerDirectory finds the VMs that may run requests, for the poison guard.
 type peerDirectory struct {
-	self vm.VM
-	// members lists the VMs that may run requests, with those that leave.
-	members func() []vm.VM
-	pool    *link.Pool
+	self vm.ID
+	// roster returns the roster as this VM knows it.
+	roster func() *roster.Roster
+	pool   *link.Pool
 }
 
-// Roster implements poison.Directory. The version is a digest of the members,
-// so that VMs with the same version have the same members.
+// outsiderVersion is the version of a VM that is not on its own roster. Nobody
+// announces suspects to it, so it must not hold grants.
+const outsiderVersion = math.MaxUint64
+
+// Roster implements poison.Directory.
 func (d peerDirectory) Roster() poison.Roster {
-	ids := []string{string(d.self.ID)}
-	for _, m := range d.members() {
-		ids = append(ids, string(m.ID))
-	}
-	slices.Sort(ids)
-	ids = slices.Compact(ids)
-	r := poison.Roster{Version: xxhash.Sum64String(strings.Join(ids, "\x00"))}
-	for _, id := range ids {
-		r.Members = append(r.Members, vm.ID(id))
+	r := d.roster()
+	if !r.Contains(d.self) {
+		return poison.Roster{Version: outsiderVersion, Members: r.IDs()}
 	}
-	return r
+	return poison.Roster{Version: uint64(r.Version), Members: r.IDs()}
 }
 
 // Conn implements poison.Directory.
 func (d peerDirectory) Conn(id vm.ID) (*grpc.ClientConn, error) {
-	for _, m := range d.members() {
-		if m.ID == id {
-			return d.pool.Conn(m.PeerAddress)
-		}
+	m, ok := d.roster().Get(id)
+	if !ok {
+		return nil, errors.Errorf("VM %s is not a member", id)
 	}
-	return nil, errors.Errorf("VM %s is not a member", id)
+	return d.pool.Conn(m.PeerAddress)
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -29,6 +29,8 @@
 	// draw decides whether a server in its slow start may be chosen.
 	draw float64
 	run  *poison.Run
+	// priority is the request's own.
+	priority int
 	// target and began are those of the attempt under way.
 	target poison.Target
 	began  time.Time
@@ -45,6 +47,9 @@
 
 // Pick implements dispatch.Picker.
 func (a *attempts) Pick(ctx context.Context, req dispatch.Request, at dispatch.Attempt) (backend.Server, error) {
+	if at.Number == 1 {
+		a.priority = req.Priority
+	}
 	run, target, err := a.r.opts.Guard.Begin(ctx, a.subject, func(excluded []backend.ID) (poison.Target, error) {
 		patient := at.Number > 1 && len(excluded) == 0
 		at := at
@@ -63,6 +68,15 @@
 	return target.Server, nil
 }
 
+// Priority implements dispatch.Prioritizer: it is the balancer's, if that sets
+// one.
+func (a *attempts) Priority() int {
+	if p, ok := a.inner.(dispatch.Prioritizer); ok {
+		return p.Priority()
+	}
+	return a.priority
+}
+
 // choose returns the best-graded of a few servers that the balancer offers. If
 // patient it waits for a first one.
 func (a *attempts) choose(ctx context.Context, req dispatch.Request, at dispatch.Attempt, patient bool) (poison.Target, error) {
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -261,6 +261,48 @@
 	}
 }
 
+// recordingPicker is a picker with all optional interfaces.
+type recordingPicker struct {
+	orderPicker
+	calls []string
+}
+
+func (*recordingPicker) Priority() int { return 7 }
+
+func (p *recordingPicker) Started(dispatch.Request, dispatch.Attempt, backend.Server) {
+	p.calls = append(p.calls, "started")
+}
+
+func (p *recordingPicker) Answered(dispatch.Request, dispatch.Result) {
+	p.calls = append(p.calls, "answered")
+}
+
+func (p *recordingPicker) Ended(dispatch.Request, dispatch.Result) {
+	p.calls = append(p.calls, "ended")
+}
+
+// TestAttemptsForward checks that the balancer's picker keeps its priority and
+// learns of the attempts behind health and poison handling.
+func TestAttemptsForward(t *testing.T) {
+	e := engine.New(engine.Options{BlockTokens: 16, CacheBlocks: 64, MaxRunning: 1, Weights: map[string]string{"m": "v1"}})
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	r := newTestRouter(true)
+	inner := &recordingPicker{orderPicker: orderPicker{{ID: "e", Kind: backend.Engine, URL: srv.URL}}}
+	body := []byte(`{"model":"m","prompt":"p","max_tokens":1}`)
+	picker := r.withGuards(inner, "a", "m", body)
+	req := dispatch.Request{ID: "r", Account: "a", Model: "m", Method: http.MethodPost, Path: openai.PathCompletions, Body: body}
+	if _, err := dispatch.New(dispatch.Config{}).Do(t.Context(), req, picker, dispatch.NewHTTPSink(httptest.NewRecorder(), time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(inner.calls, " "); got != "started answered ended" {
+		t.Errorf("calls %q", got)
+	}
+	if n := picker.(dispatch.Prioritizer).Priority(); n != 7 {
+		t.Errorf("priority %d", n)
+	}
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
