Give answers that are not streamed time by their length; log fewer lines

Cause: an engine that does not stream sends its header with the last token, so that a long completion was taken for stalled after 30 s and sent again; the routing decision of an engine stood in two log lines. Ruled out: asking engines for a stream and putting the answer together (fields that the router does not know would be lost). Change: the wait for the header grows by 100 ms for each declared output token; attempt_started is logged at info level for services and retries only. TestDeadEngineIsAvoided shows the breaker in the request path: at most 5 retries in 50 requests to a pair of engines of which one refuses connections, and work for it again once it is back. Conclusion: as intended; the time limit itself has no test of its own.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,7 +19,8 @@
 	Retry RetryPolicy
 	// Budget is shared by all requests of this VM.
 	Budget *RetryBudget
-	// HeaderTimeout bounds the wait for the answer's header.
+	// HeaderTimeout bounds the wait for the answer's header. A request that is
+	// not streamed gets more by its MaxTokens.
 	HeaderTimeout time.Duration
 	// StallTimeout bounds the wait for each further byte.
 	StallTimeout time.Duration
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,6 +18,10 @@
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
+// tokenAllowance is how long an engine may take for one token, about twice the
+// usual time between tokens.
+const tokenAllowance = 100 * time.Millisecond
+
 var errStalled = errors.New("the server sent nothing for too long")
 
 // exchange is one attempt: a request to one server and the relay of its
@@ -39,7 +43,7 @@
 func (x *exchange) run() *attemptError {
 	ctx, cancel := context.WithCancelCause(x.parent)
 	defer cancel(nil)
-	x.watch = newWatchdog(cancel, x.d.cfg.HeaderTimeout)
+	x.watch = newWatchdog(cancel, x.headerTimeout())
 	defer x.watch.stop()
 
 	out, err := x.newRequest()
@@ -61,6 +65,15 @@
 	return nil
 }
 
+// headerTimeout returns how long to wait for the answer's header. An engine
+// that does not stream sends it only when the last token is there.
+func (x *exchange) headerTimeout() time.Duration {
+	if x.req.Stream {
+		return x.d.cfg.HeaderTimeout
+	}
+	return x.d.cfg.HeaderTimeout + time.Duration(x.req.MaxTokens)*tokenAllowance
+}
+
 func (x *exchange) newRequest() (*http.Request, error) {
 	u, err := url.Parse(strings.TrimSuffix(x.server.URL, "/") + x.req.Path)
 	if err != nil {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -131,7 +131,11 @@
 func (a *attempts) Started(req dispatch.Request, at dispatch.Attempt, s backend.Server) {
 	a.began = a.r.opts.Now()
 	a.r.opts.Health.Update(s.ID, func(b health.Breaker) health.Breaker { return b.Started(a.began) })
-	a.r.opts.Log.Info("attempt_started",
+	level := zap.DebugLevel
+	if at.Number > 1 || s.Kind == backend.Service {
+		level = zap.InfoLevel
+	}
+	a.r.opts.Log.Log(level, "attempt_started",
 		zap.String("request_id", req.ID),
 		zap.String("account", string(req.Account)),
 		zap.String("model", req.Model),
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -53,6 +53,8 @@
 // fleet is routers over loopback with gRPC between them, and engines.
 type fleet struct {
 	engines []*engine.Engine
+	servers []*httptest.Server
+	routers []*Router
 	urls    []string
 	peers   map[vm.ID]string
 	pool    *link.Pool
@@ -97,6 +99,7 @@
 		srv := httptest.NewServer(e.Handler())
 		t.Cleanup(srv.Close)
 		f.engines = append(f.engines, e)
+		f.servers = append(f.servers, srv)
 		id := backend.ID(fmt.Sprintf("engine-%d", i+1))
 		snap.Servers[id] = backend.Server{ID: id, Kind: backend.Engine, URL: srv.URL, Models: []string{"m"}}
 	}
@@ -132,6 +135,7 @@
 		Health: health.NewTable(), Now: time.Now,
 	})
 	r.Publish(snap)
+	f.routers = append(f.routers, r)
 	srv := httptest.NewServer(r.Handler())
 	t.Cleanup(srv.Close)
 	return srv.URL
@@ -261,6 +265,36 @@
 	}
 }
 
+// TestDeadEngineIsAvoided checks that requests stop trying an engine that
+// refuses connections, and that it gets work again once it is back.
+func TestDeadEngineIsAvoided(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	f.servers[0].CloseClientConnections()
+	addr := f.servers[0].Listener.Addr().String()
+	f.servers[0].Close()
+	const requests = 50
+	for i := range requests {
+		if a, err := stream(f.urls[0], fmt.Sprint("note ", i), 1); err != nil || !a.done {
+			t.Fatalf("request %d: %+v, %v", i, a, err)
+		}
+	}
+	if n := f.routers[0].stats.retries.Count(); n == 0 || n > 5 {
+		t.Errorf("%d retries of %d requests", n, requests)
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := &http.Server{Handler: f.engines[0].Handler()}
+	defer back.Close()
+	go func() { _ = back.Serve(l) }()
+	before := f.engines[0].Stats().Requests
+	waitFor(t, func() bool {
+		_, err := stream(f.urls[0], "back", 1)
+		return err == nil && f.engines[0].Stats().Requests > before
+	})
+}
+
 // recordingPicker is a picker with all optional interfaces.
 type recordingPicker struct {
 	orderPicker
