--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,7 +137,7 @@
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
 	directory := peerDirectory{self: d.Self().ID, roster: d.roster, pool: pool}
-	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, poison.Options{Now: time.Now, Start: time.Now(), Log: d.log, Metrics: d.metrics})
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -7,7 +7,6 @@
 package poison
 
 import (
-	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/json"
@@ -68,13 +67,8 @@
 	for _, name := range volatileFields {
 		delete(object, name)
 	}
-	for name, value := range object {
-		var compact bytes.Buffer
-		if json.Compact(&compact, value) == nil {
-			object[name] = compact.Bytes()
-		}
-	}
-	// Raw messages that were just parsed always marshal, in key order.
+	// Raw messages that were just parsed always marshal, compact and in key
+	// order.
 	out, _ := json.Marshal(object)
 	return out
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -79,6 +81,7 @@
 	self  vm.ID
 	peers Peers
 	now   func() time.Time
+	log   *journal
 
 	mu    sync.Mutex
 	home  *Home
@@ -88,12 +91,22 @@
 	changed chan struct{}
 }
 
-// NewGuard returns the guard of VM self. start is the process's start by the
-// wall clock and orders its grants after those of earlier processes.
-func NewGuard(self vm.ID, peers Peers, now func() time.Time, start time.Time) *Guard {
-	serial := uint64(start.UnixNano())
+// Options are what a Guard needs besides its peers.
+type Options struct {
+	// Now is the monotonic clock.
+	Now func() time.Time
+	// Start is the process's start by the wall clock. It orders the grants
+	// after those of earlier processes.
+	Start   time.Time
+	Log     *zap.Logger
+	Metrics metrics.Registry
+}
+
+// NewGuard returns the guard of VM self.
+func NewGuard(self vm.ID, peers Peers, o Options) *Guard {
+	serial := uint64(o.Start.UnixNano())
 	return &Guard{
-		self: self, peers: peers, now: now,
+		self: self, peers: peers, now: o.Now, log: newJournal(o.Log, o.Metrics),
 		home: NewHome(serial), local: NewLocal(self, serial), slots: NewSlots(),
 		changed: make(chan struct{}),
 	}
@@ -107,6 +120,7 @@
 	for {
 		status, evidence, wait := g.check(s)
 		if status == Guilty {
+			g.log.refused(s.Content(), wait)
 			return nil, Target{}, refuseGuilty(wait)
 		}
 		target, err := g.choose(ctx, s, status, choose)
@@ -156,7 +170,11 @@
 	if d.Kind != Granted {
 		return nil, nil
 	}
-	return g.local.StartGranted(g.now(), s.Account, s.Content, t.Server.ID, d.Grant), nil
+	run := g.local.StartGranted(g.now(), s.Account, s.Content, t.Server.ID, d.Grant)
+	if run != nil {
+		g.log.granted(s.Content(), t.Server.ID)
+	}
+	return run, nil
 }
 
 // acquire asks the home until its answer is final.
@@ -235,6 +253,7 @@
 	if !suspect {
 		return
 	}
+	g.log.ended(f, r.server, end)
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	if end == Crashed && g.finish(ctx, f) == nil {
--- a/internal/poison/local.go
+++ b/internal/poison/local.go
@@ -52,8 +52,8 @@
 	self     vm.ID
 	version  uint64
 	suspects map[Content]*suspicion
-	// byAccount counts the suspects of each account, so that the digest is
-	// computed only for requests of accounts that have any.
+	// byAccount counts the suspects of each account that are not cleared, so
+	// that the digest is computed only for requests of accounts with any.
 	byAccount map[account.ID]int
 	running   map[*Run]bool
 	crashes   map[backend.ID]int
@@ -144,16 +144,16 @@
 	if end == Crashed {
 		l.addEvidence(now, r.content(), Evidence{l.incident(r): false})
 	}
-	if l.byAccount[r.account] == 0 {
+	if l.byAccount[r.account] == 0 && r.grant.Number == 0 {
 		return Finish{}, false
 	}
 	c := r.content()
 	s := l.lookup(now, c)
-	if s == nil {
+	if s == nil || s.evidence.Crashes() == 0 && r.grant.Number == 0 {
 		return Finish{}, false
 	}
 	if end == Completed {
-		s.evidence.Clear()
+		l.change(c, s, func() { s.evidence.Clear() })
 	}
 	f := Finish{From: l.self, Version: l.version, Content: c, Evidence: s.evidence.Clone(), Grant: r.grant, Running: l.runs(c)}
 	if r.grant.Version != l.version {
@@ -230,12 +230,34 @@
 		l.makeRoom()
 		s = &suspicion{evidence: Evidence{}, expires: now.Add(EvidenceTTL)}
 		l.suspects[c] = s
+	}
+	l.change(c, s, func() {
+		if s.evidence.Merge(e) {
+			s.expires = now.Add(EvidenceTTL)
+		}
+	})
+	return s
+}
+
+// change applies a change of evidence and keeps byAccount up to date.
+func (l *Local) change(c Content, s *suspicion, apply func()) {
+	before := s.evidence.Crashes() > 0
+	apply()
+	after := s.evidence.Crashes() > 0
+	if after && !before {
 		l.byAccount[c.Account]++
 	}
-	if s.evidence.Merge(e) {
-		s.expires = now.Add(EvidenceTTL)
+	if before && !after {
+		l.release(c.Account)
+	}
+}
+
+// release counts one suspect of the account less.
+func (l *Local) release(id account.ID) {
+	l.byAccount[id]--
+	if l.byAccount[id] == 0 {
+		delete(l.byAccount, id)
 	}
-	return s
 }
 
 // Expire forgets old evidence.
@@ -261,9 +283,8 @@
 }
 
 func (l *Local) forget(c Content) {
-	delete(l.suspects, c)
-	l.byAccount[c.Account]--
-	if l.byAccount[c.Account] == 0 {
-		delete(l.byAccount, c.Account)
+	if l.suspects[c].evidence.Crashes() > 0 {
+		l.release(c.Account)
 	}
+	delete(l.suspects, c)
 }
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
+	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -23,7 +30,7 @@
 func newMesh(ids ...vm.ID) *mesh {
 	m := &mesh{guards: map[vm.ID]*Guard{}}
 	for _, id := range ids {
-		m.guards[id] = NewGuard(id, meshPeers{m}, time.Now, time.Now())
+		m.guards[id] = NewGuard(id, meshPeers{m}, Options{Now: time.Now, Start: time.Now(), Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
 	}
 	return m
 }
@@ -241,3 +248,44 @@
 		t.Errorf("after expiry %d suspects, %d records", len(l.suspects), len(h.records))
 	}
 }
+
+// BenchmarkRun measures what the guard adds to a run, without suspects and with
+// suspects of the same account, when the 32 KB content must be digested.
+func BenchmarkRun(b *testing.B) {
+	body := []byte(`{"model":"m","prompt":"` + strings.Repeat("winding data ", 32<<10/13) + `"}`)
+	for _, suspects := range []int{0, 1} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) {
+			g := newMesh("vm-1", "vm-2").guards["vm-1"]
+			if suspects > 0 {
+				g.local.Learn(time.Now(), Content{Account: "a", Digest: Digest{1}}, Evidence{"x": false})
+			}
+			choose := onServer("s1")
+			for b.Loop() {
+				content := sync.OnceValue(func() Content { return NewContent([]byte("salt"), "a", "m", body) })
+				run, _, err := g.Begin(context.Background(), Subject{Account: "a", Content: content}, choose)
+				if err != nil {
+					b.Fatal(err)
+				}
+				g.End(run, Completed)
+			}
+		})
+	}
+}
+
+// TestMessageSizes bounds the messages between VMs: some 50 contents run on an
+// engine, and each is announced to all VMs after a crash.
+func TestMessageSizes(t *testing.T) {
+	c := Content{Account: "laurentien-west", Digest: Digest{1}}
+	e := Evidence{"engine-123/362fdaa2-dca0-4e5e-a247-4852db90921c": false}
+	sizes := map[string]int{
+		"announce": proto.Size(toAnnounce(Announcement{Content: c, Version: 1 << 20, Evidence: e, Fence: 1 << 60})),
+		"ack":      proto.Size(&peer.AnnounceReply{Vm: "vm-123", Version: 1 << 20, Evidence: toEvidence(e), Fence: 1 << 60}),
+		"finish":   proto.Size(&peer.FinishRequest{Vm: "vm-123", Version: 1 << 20, Content: toContent(c), Evidence: toEvidence(e)}),
+	}
+	t.Logf("bytes: %v", sizes)
+	for name, n := range sizes {
+		if n > 256 {
+			t.Errorf("%s has %d bytes", name, n)
+		}
+	}
+}
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -120,7 +120,7 @@
 }
 
 func (f *fleet) startRouter(t *testing.T, id vm.ID, l net.Listener, snap *config.Snapshot) (url string) {
-	guard := poison.NewGuard(id, poison.Client{Directory: f}, time.Now, time.Now())
+	guard := poison.NewGuard(id, poison.Client{Directory: f}, poison.Options{Now: time.Now, Start: time.Now(), Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
 	server, err := link.NewServer(link.Files{})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,7 +65,7 @@
 	}
 	if o.Guard == nil {
 		self := vm.ID(o.Settings.VM.ID)
-		o.Guard = poison.NewGuard(self, poison.Alone(self), o.Now, time.Now())
+		o.Guard = poison.NewGuard(self, poison.Alone(self), poison.Options{Now: o.Now, Start: time.Now(), Log: o.Log, Metrics: o.Metrics})
 	}
 	if o.Prober == nil {
 		o.Prober = health.NewProber()
