--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,23 +15,38 @@
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-const (
-	// memberWait bounds the wait for the membership list at the start.
-	memberWait = 1 * time.Second
-	memberPoll = 10 * time.Millisecond
-)
+// admissionPoll is how often a VM looks whether it was admitted to the roster.
+const admissionPoll = 20 * time.Millisecond
+
+// admission is the evidence of a VM that serves. Beyond fresh evidence it needs
+// to have asked the other VMs, after its admission, which contents crash
+// backend servers: from then on they tell it of each crash.
+type admission struct {
+	d       *Daemon
+	learned atomic.Bool
+}
+
+// Fresh implements router.Evidence.
+func (a *admission) Fresh(now time.Time) bool {
+	return a.learned.Load() && a.d.spread.Fresh(now)
+}
 
-// learnSuspects asks the other VMs which contents crash backend servers. It
-// returns soon also if neither the platform nor a peer answers.
-func (d *Daemon) learnSuspects(ctx context.Context) {
-	for waited := time.Duration(0); waited < memberWait && len(d.roster().Members) == 0; waited += memberPoll {
+// run learns after each admission until the context ends.
+func (a *admission) run(ctx context.Context) {
+	tick := time.NewTicker(admissionPoll)
+	defer tick.Stop()
+	for {
+		member := a.d.spread.View().Member
+		if member && !a.learned.Load() {
+			a.d.guard.Learn(ctx)
+		}
+		a.learned.Store(member)
 		select {
-		case <-time.After(memberPoll):
+		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
 	}
-	d.guard.Learn(ctx)
 }
 
 // roster returns the roster as this VM knows it.
@@ -40,8 +56,19 @@
 type peerDirectory struct {
 	self vm.ID
 	// roster returns the roster as this VM knows it.
-	roster func() *roster.Roster
-	pool   *link.Pool
+	roster  func() *roster.Roster
+	refresh func(context.Context)
+	pool    *link.Pool
+}
+
+// refreshTimeout bounds one reading of the roster.
+const refreshTimeout = 250 * time.Millisecond
+
+// Refresh implements poison.Directory.
+func (d peerDirectory) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	d.refresh(ctx)
 }
 
 // outsiderVersion is the version of a VM that is not on its own roster. Nobody
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -45,6 +45,9 @@
 	return m.guards[to], nil
 }
 
+// Refresh implements Peers. The mesh's roster is always up to date.
+func (meshPeers) Refresh(context.Context) {}
+
 func (m meshPeers) Roster() Roster {
 	r := Roster{Version: 1}
 	for id := range m.guards {
@@ -69,12 +72,12 @@
 	return err
 }
 
-func (m meshPeers) Announce(_ context.Context, to vm.ID, a Announcement) (Ack, error) {
+func (m meshPeers) Announce(ctx context.Context, to vm.ID, a Announcement) (Ack, error) {
 	g, err := m.peer(to)
 	if err != nil {
 		return Ack{}, err
 	}
-	return g.HandleAnnounce(a), nil
+	return g.HandleAnnounce(ctx, a), nil
 }
 
 func (m meshPeers) Reserve(_ context.Context, to vm.ID, s backend.ID, c Content) (bool, error) {
--- a/internal/poison/rpc.go
+++ b/internal/poison/rpc.go
@@ -16,6 +16,8 @@
 // Directory finds the VMs of the roster.
 type Directory interface {
 	Roster() Roster
+	// Refresh is Peers.Refresh.
+	Refresh(ctx context.Context)
 	// Conn returns the connection to a VM.
 	Conn(id vm.ID) (*grpc.ClientConn, error)
 }
@@ -136,8 +138,8 @@
 }
 
 // Announce implements peer.PoisonServer.
-func (s Server) Announce(_ context.Context, r *peer.AnnounceRequest) (*peer.AnnounceReply, error) {
-	ack := s.Guard.HandleAnnounce(fromAnnounce(r))
+func (s Server) Announce(ctx context.Context, r *peer.AnnounceRequest) (*peer.AnnounceReply, error) {
+	ack := s.Guard.HandleAnnounce(ctx, fromAnnounce(r))
 	return &peer.AnnounceReply{
 		Vm: string(ack.From), Version: ack.Version, Running: ack.Running,
 		Fence: ack.Fence, Evidence: toEvidence(ack.Evidence),
--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -25,9 +25,30 @@
 // commit. Nothing was written.
 var ErrNoMajority = errors.Wrap(platform.ErrUnavailable, "no majority of the routers can be reached")
 
+// A commit without a majority is tried again, because members that have just
+// started cannot be reached at once.
+const (
+	commitTries = 3
+	commitPause = 400 * time.Millisecond
+)
+
 // Commit implements head.Committer: it commits with the support of a majority
 // of the roster.
 func (s *Spreader) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
+	for try := 1; ; try++ {
+		err := s.commitOnce(ctx, base, next, checks, writes)
+		if !errors.Is(err, ErrNoMajority) || try == commitTries {
+			return err
+		}
+		select {
+		case <-time.After(commitPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (s *Spreader) commitOnce(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
 	electorate, err := s.electorate(ctx, base.Head)
 	if err != nil {
 		return err
@@ -69,19 +90,17 @@
 			return nil, errors.Wrap(platform.ErrConflict, "the head has changed")
 		}
 	}
-	return s.present(r), nil
-}
-
-// present returns the members that the platform has not reported gone.
-func (s *Spreader) present(r *roster.Roster) []vm.VM {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []vm.VM
-	for _, id := range s.state.absence.Electorate(r, time.Now()) {
-		m, _ := r.Get(id)
-		out = append(out, m)
+	gone := s.state.absence.Gone(time.Now())
+	s.mu.Unlock()
+	if len(gone) == 0 {
+		return r.Members, nil
 	}
-	return out
+	rows, err := s.roster.Presences(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return roster.Electorate(r, gone, rows, time.Now()), nil
 }
 
 func ids(vms []vm.VM) []vm.ID {
