--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,8 +149,8 @@
 	d.budget = d.newBudget()
 	peer.RegisterBudgetServer(d.peers, budget.Server{Service: d.budget})
 	d.admitter = router.NewFairAdmitter(d.budget)
-	directory := peerDirectory{self: d.Self(), members: d.members, refresh: d.spread.Refresh, pool: pool}
-	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	directory := peerDirectory{self: d.Self().ID, roster: d.roster, refresh: d.spread.Refresh, pool: pool}
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, poison.Options{Now: time.Now, Start: time.Now(), Log: d.log, Metrics: d.metrics})
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.admission = &admission{d: d}
 	d.health = health.NewTable()
--- a/internal/poison/handle.go
+++ b/internal/poison/handle.go
@@ -13,7 +13,7 @@
 // runs elsewhere, until the context ends.
 func (g *Guard) HandleAcquire(ctx context.Context, r AcquireRequest) Decision {
 	g.sync()
-	polled := false
+	polled, told := false, false
 	for {
 		g.mu.Lock()
 		d := g.home.Acquire(g.now(), r.From, r.Version, r.Content, r.Evidence)
@@ -22,7 +22,14 @@
 		switch {
 		case d.Kind != Pending && d.Kind != Busy, ctx.Err() != nil:
 			return d
+		case d.Kind == Pending && told:
+			// A VM answered under another roster.
+			g.peers.Refresh(ctx)
+			g.sync()
+			sleep(ctx, retryPause)
+			told = false
 		case d.Kind == Pending || !polled:
+			told = d.Kind == Pending
 			polled = d.Kind == Busy
 			g.announce(ctx, r.Content, d.Ask)
 		default:
@@ -68,8 +75,11 @@
 }
 
 // HandleAnnounce takes in what a home tells this VM.
-func (g *Guard) HandleAnnounce(a Announcement) Ack {
-	g.sync()
+func (g *Guard) HandleAnnounce(ctx context.Context, a Announcement) Ack {
+	if g.sync().Version != a.Version {
+		g.peers.Refresh(ctx)
+		g.sync()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.local.Announce(g.now(), a)
@@ -122,7 +132,7 @@
 
 func (g *Guard) callAnnounce(ctx context.Context, id vm.ID, a Announcement) (Ack, error) {
 	if id == g.self {
-		return g.HandleAnnounce(a), nil
+		return g.HandleAnnounce(ctx, a), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
