Put requests with an idempotency key under a claim

Cause: claims were not on the request path, so a repeat through another VM ran a booking again.

Ruled out: cancelling a claimed call when its caller leaves (its outcome would be unknown for ever; the caller is the one who asks again); one claim space for keyed and open routes (open calls are scoped by their route); keeping the answer of an idempotent call that failed (its claim is released instead).

The daemon commits claims, flushes outcomes at shutdown and removes old claims on one VM at a time under a lease.

Conclusion: with two routers in one process over loopback, lost answers and dropped writes of the table, a killed router and a caller that leaves, each booking ran once and every "not run" left the service's count unchanged.

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -29,7 +29,7 @@
 			for c := range callers {
 				wg.Go(func() {
 					for i := c; i < b.N; i += callers {
-						g, err := st.Acquire(ctx, Key{"shop-1", fmt.Sprint("booking-", i)}, "d")
+						g, err := st.Acquire(ctx, Key{Account: "shop-1", Idempotency: fmt.Sprint("booking-", i)}, "d")
 						if err != nil {
 							b.Error(err)
 							return
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -25,7 +25,9 @@
 
 // Key identifies a request across its repeats.
 type Key struct {
+	// Account is empty for a call on an open route, which Route then names.
 	Account     account.ID
+	Route       string
 	Idempotency string
 }
 
@@ -33,7 +35,11 @@
 // bounds the length of the row key.
 func (k Key) Row() string {
 	sum := sha256.Sum256([]byte(k.Idempotency))
-	return Prefix + string(k.Account) + "/" + base64.RawURLEncoding.EncodeToString(sum[:])
+	scope := "account/" + string(k.Account)
+	if k.Account == "" {
+		scope = "route/" + k.Route
+	}
+	return Prefix + scope + "/" + base64.RawURLEncoding.EncodeToString(sum[:])
 }
 
 // Digest identifies the content of a request: SHA-256 in base64.
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -29,6 +29,9 @@
 	ObjectBytes int
 }
 
+// MaxOutcomeBytes is the default of Settings.ObjectBytes.
+const MaxOutcomeBytes = 4 << 20
+
 // DefaultSettings suit six to eight VMs on a table with several hundred writes
 // a second.
 func DefaultSettings() Settings {
@@ -37,7 +40,7 @@
 		TableWrites: 300,
 		Lapse:       10 * time.Minute,
 		InlineBytes: 2 << 10,
-		ObjectBytes: 4 << 20,
+		ObjectBytes: MaxOutcomeBytes,
 	}
 }
 
@@ -52,6 +55,8 @@
 	maxRecording = 4096
 	// maxBodyBytes bounds the answer bodies that wait for the platform.
 	maxBodyBytes = 32 << 20
+	// flushPause is the time between two looks at what is pending.
+	flushPause = 5 * time.Millisecond
 	// repeatPause is when a repeat should ask again while the first runs.
 	repeatPause = 1 * time.Second
 	// outagePause is when to come back after the table was unavailable.
@@ -66,6 +71,7 @@
 	now       func() time.Time
 	batcher   *batcher
 	recording chan struct{}
+	pending   atomic.Int64
 	bodyBytes atomic.Int64
 	vms       atomic.Int64
 	stopped   chan struct{}
@@ -269,7 +275,9 @@
 // background runs f in its own goroutine and waits for it until ctx ends.
 func (c *Claim) background(ctx context.Context, f func()) {
 	done := make(chan struct{})
+	c.store.pending.Add(1)
 	go func() {
+		defer c.store.pending.Add(-1)
 		defer close(done)
 		f()
 	}()
@@ -314,5 +322,12 @@
 	}
 }
 
-// Pending returns the number of ends of attempts that wait for the table.
-func (s *Store) Pending() int { return len(s.recording) }
+// Pending returns the number of ends of attempts that wait for the platform.
+func (s *Store) Pending() int { return int(s.pending.Load()) }
+
+// Flush waits until no end of an attempt is pending or ctx ends.
+func (s *Store) Flush(ctx context.Context) {
+	for s.Pending() > 0 && ctx.Err() == nil {
+		sleep(ctx, flushPause)
+	}
+}
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -36,12 +36,12 @@
 			p := memplatform.New()
 			first, second := startStore(t, p, p, "vm1"), startStore(t, p, p, "vm2")
 			body := bytes.Repeat([]byte("x"), tt.size)
-			g, err := first.Acquire(ctx, Key{"a", "k"}, "d")
+			g, err := first.Acquire(ctx, Key{Account: "a", Idempotency: "k"}, "d")
 			if err != nil {
 				t.Fatal(err)
 			}
 			g.Claim.Finish(ctx, 201, nil, body)
-			g, err = second.Acquire(ctx, Key{"a", "k"}, "d")
+			g, err = second.Acquire(ctx, Key{Account: "a", Idempotency: "k"}, "d")
 			if err != nil || g.Outcome == nil || g.Outcome.Status != 201 {
 				t.Fatalf("Acquire = %+v, %v", g, err)
 			}
@@ -65,7 +65,7 @@
 	p.SetFaults(memplatform.Faults{DelayMillis: 50})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
-	_, err := st.Acquire(ctx, Key{"a", "k"}, "d")
+	_, err := st.Acquire(ctx, Key{Account: "a", Idempotency: "k"}, "d")
 	if verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("Acquire = %v, want not run", err)
 	}
@@ -74,7 +74,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	for {
-		g, err := st.Acquire(context.Background(), Key{"a", "k"}, "d")
+		g, err := st.Acquire(context.Background(), Key{Account: "a", Idempotency: "k"}, "d")
 		if err == nil && g.Claim != nil {
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,8 +18,10 @@
 	"google.golang.org/grpc"
 
 	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/claim"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/router"
@@ -40,10 +44,13 @@
 	log      *zap.Logger
 	platform Platform
 	metrics  metrics.Registry
+	// incarnation tells this process from earlier ones on the same VM.
+	incarnation vm.Incarnation
 
 	router   *router.Router
 	balancer *router.PrefixBalancer
 	poller   *poller
+	claims   *claim.Store
 	peers    *grpc.Server
 	pool     *link.Pool
 	servers  []*http.Server
@@ -59,7 +66,7 @@
 // New builds a router process and listens on its addresses, without serving
 // yet.
 func New(s *settings.Settings, log *zap.Logger, p Platform) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{})}
+	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{}), incarnation: vm.Incarnation(rand.Uint64())}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -108,6 +115,11 @@
 	}
 }
 
+// holder names this process as the holder of leases.
+func (d *Daemon) holder() lease.Holder {
+	return lease.Holder(fmt.Sprintf("%s-%x", d.settings.VM.ID, uint64(d.incarnation)))
+}
+
 // AdminAddress returns the address of the administration API, host:port.
 func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
 
@@ -134,6 +146,7 @@
 	store := ticket.NewStore(d.platform.Table, d.platform.Objects, head.Direct{Table: d.platform.Table}, self.ID, time.Now)
 	d.poller = newPoller(store, d.platform.Membership, d.log)
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	d.claims = d.newClaims(self)
 	d.router = router.New(router.Options{
 		Settings:   d.settings,
 		Log:        d.log,
@@ -143,6 +156,7 @@
 		Admitter:   router.AdmitAll{},
 		Balancer:   d.balancer,
 		Addresses:  d.poller,
+		Claims:     d.claims,
 		Now:        time.Now,
 	})
 	d.poller.publish = d.router.Publish
@@ -186,6 +200,7 @@
 	d.cancel = cancel
 	d.goLoop(func() { d.poller.run(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
+	d.runClaims(loopCtx)
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
 	d.goLoop(func() { d.ended("admin", d.servers[1].Serve(d.adminListener)) })
@@ -240,6 +255,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
+	d.flushClaims(ctx)
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
 	return errors.Wrap(err, "drain")
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/claim"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/openai"
@@ -60,6 +61,11 @@
 }
 
 func (r *Router) dispatchCompletion(w http.ResponseWriter, req *http.Request, c *completion, grant Grant) {
+	held, ok := r.claimRequest(w, req, claim.Key{Account: c.caller.account.ID}, c.body, true)
+	if !ok {
+		grant.Done(0)
+		return
+	}
 	picker := r.opts.Balancer.Engine(Prompt{
 		RequestID:      c.id,
 		Account:        c.caller.account.ID,
@@ -71,7 +77,9 @@
 		View:           c.view,
 	})
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
-	out, err := r.opts.Dispatcher.Do(req.Context(), dispatch.Request{
+	ctx, cancel := held.context(req.Context(), r.opts.Settings.Limits.RequestTimeout.Std())
+	defer cancel()
+	out, err := r.opts.Dispatcher.Do(ctx, dispatch.Request{
 		ID:         c.id,
 		Account:    c.caller.account.ID,
 		Model:      c.model.Name,
@@ -84,7 +92,8 @@
 		MaxTokens:  c.output,
 		CacheSalt:  CacheSalt(c.caller.account.ID, c.model),
 		Priority:   priority(c.class),
-	}, picker, sink)
+	}, held.guard(picker), held.sink(sink))
+	held.end(out.Verdict, err)
 	grant.Done(usedTokens(c, out))
 	r.finish(c.id, string(c.caller.account.ID), c.model.Name, out, err)
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,8 @@
 	Admitter   Admitter
 	Balancer   Balancer
 	Addresses  AddressBook
+	// Claims may be nil; requests with an idempotency key are then refused.
+	Claims Claims
 	// Now is the monotonic clock.
 	Now func() time.Time
 }
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/claim"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -107,10 +108,18 @@
 func (openGrant) Done(float64) {}
 
 func (r *Router) dispatchRoute(w http.ResponseWriter, req *http.Request, c routeCall) {
+	key := claim.Key{Account: c.account(), Route: c.route.ID}
+	held, ok := r.claimRequest(w, req, key, c.body, c.route.Idempotent)
+	if !ok {
+		c.grant.Done(0)
+		return
+	}
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
+	ctx, cancel := held.context(req.Context(), r.opts.Settings.Limits.RequestTimeout.Std())
+	defer cancel()
 	// The path was checked before admission.
 	path, _ := dispatch.SanitizePath(req.URL, bearer(req))
-	out, err := r.opts.Dispatcher.Do(req.Context(), dispatch.Request{
+	out, err := r.opts.Dispatcher.Do(ctx, dispatch.Request{
 		ID:         c.id,
 		Account:    c.account(),
 		Method:     req.Method,
@@ -118,7 +127,8 @@
 		Header:     dispatch.SanitizeRequest(req.Header, bearer(req)),
 		Body:       c.body,
 		Idempotent: c.route.Idempotent,
-	}, r.opts.Balancer.Service(c.view, c.route), sink)
+	}, held.guard(r.opts.Balancer.Service(c.view, c.route)), held.sink(sink))
+	held.end(out.Verdict, err)
 	used := c.route.CostTokens
 	if out.Verdict == verdict.NotRun {
 		used = 0
