--- a/bench/policies_test.go
+++ b/bench/policies_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
+	"strings"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/fairshare"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
 )
@@ -26,12 +27,13 @@
 	index   *prefix.Index
 	fleet   *route.Fleet
 	chooser *route.Chooser
+	clocks  *fairshare.Clocks
 	next    int
 	engines []*engine // for the oracle only
 }
 
 func newRouter(policy string, engines []*engine, seed int64) *router {
-	r := &router{policy: policy, rng: rand.New(rand.NewSource(seed)), engines: engines}
+	r := &router{policy: policy, rng: rand.New(rand.NewSource(seed)), engines: engines, clocks: fairshare.New()}
 	r.next = r.rng.Intn(len(engines))
 	r.index = prefix.NewIndex(indexBlocks, start)
 	for range engines {
@@ -42,17 +44,10 @@
 	r.rebuild()
 	healthy := route.Healthy(func(id backend.ID) bool { return r.broken[engineNumber(id)] })
 	r.chooser = route.NewChooser(r.index, blockTokens, healthy)
-	sc := r.chooser.Scorer.(route.CostScorer)
-	envf("MW", &sc.MissWeight)
-	envf("AW", &sc.AffinityWeight)
-	r.chooser.Scorer = sc
-	return r
-}
-
-func envf(n string, f *float64) {
-	if v := os.Getenv(n); v != "" {
-		fmt.Sscan(v, f)
+	if policy == "papayaspan" || strings.HasSuffix(policy, "-import") {
+		r.chooser.Imports = route.NewImports(importRate)
 	}
+	return r
 }
 
 func engineID(i int) backend.ID { return backend.ID(fmt.Sprintf("engine-%03d", i)) }
@@ -95,9 +90,9 @@
 		i = r.roundRobin()
 	case "leastload":
 		i = r.leastLoad(q, now)
-	case "prefixhash":
+	case "prefixhash", "prefixhash-import":
 		i = r.prefixHash(q, now)
-	case "oracle":
+	case "oracle", "oracle-import":
 		i = r.oracle(q)
 	default:
 		d, err := r.chooser.Choose(r.fleet, q, now, r.rng)
@@ -115,7 +110,12 @@
 				d.HitBlocks, d.Age = m.Blocks, m.Age
 			}
 		}
-		d.MissTokens -= d.HitBlocks * blockTokens
+		if strings.HasSuffix(r.policy, "-import") {
+			d.Import = true
+			d.ImportBlocks = max(0, r.index.Computed(q.Scope, q.Chain)-d.HitBlocks)
+			d.ImportTokens = d.ImportBlocks * blockTokens
+		}
+		d.MissTokens -= (d.HitBlocks + d.ImportBlocks) * blockTokens
 	}
 	return d, true
 }
--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/admission"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
@@ -18,6 +19,8 @@
 	reportLag  = 150 * time.Millisecond
 	vmRestart  = time.Second
 	retryDelay = time.Second
+	warmDelay  = 100 * time.Millisecond
+	warmBlocks = 20_000
 )
 
 // world is one run: engines, VMs with a router each, and the exact ledger.
@@ -33,6 +36,8 @@
 	downVM  []bool
 	flights []map[*flight]bool
 	streams [][]time.Duration // arrival of the last event, by VM and engine
+	queues  []*admission.Queue
+	waiting []map[admission.ID]*call
 	ledger  []bucket
 	// contracts follow what the accounts may use, to judge the ledger.
 	contracts []bucket
@@ -43,6 +48,8 @@
 // result collects the measures of a run.
 type result struct {
 	prompt, cached, recomputed int
+	imported                   int
+	store                      time.Duration
 	ttft                       [][]float64 // ms, by account
 	reviews                    []float64
 	refused, wrongful          int
@@ -64,7 +71,7 @@
 	computed := map[prefix.Hash]bool{}
 	for i := range d.engines {
 		e := &engine{clock: &w.clock, cache: map[prefix.Hash]*cachedBlock{}, lru: list.New(),
-			computed: computed, recomputed: &w.recomputed}
+			computed: computed, recomputed: &w.recomputed, imported: &w.imported, store: &w.store}
 		var seq uint64
 		e.publish = func(t prefix.EventType, salt string, hashes []prefix.Hash) {
 			seq++
@@ -75,6 +82,8 @@
 	for v := range d.vms {
 		w.routers = append(w.routers, newRouter(policy, w.engines, seed*100+int64(v)))
 		w.flights = append(w.flights, map[*flight]bool{})
+		w.queues = append(w.queues, admission.NewQueue(admission.DefaultSettings(), d.capacity()))
+		w.waiting = append(w.waiting, map[admission.ID]*call{})
 		w.streams = append(w.streams, make([]time.Duration, d.engines))
 	}
 	return w
@@ -125,11 +134,20 @@
 // restart replaces a VM's router by an empty one. Its callers come again.
 func (w *world) restart(v int) {
 	w.downVM[v] = true
-	w.after(vmRestart, func() { w.downVM[v] = false })
-	w.routers[v] = newRouter(w.policy, w.engines, w.seed*100+int64(v)+50)
+	fresh := newRouter(w.policy, w.engines, w.seed*100+int64(v)+50)
+	w.routers[v] = fresh
+	w.after(vmRestart, func() {
+		w.downVM[v] = false
+		w.warm(fresh, w.routers[(v+1)%w.d.vms])
+	})
 	lost := w.flights[v]
 	w.flights[v] = map[*flight]bool{}
 	var calls []*call
+	for _, c := range w.waiting[v] {
+		calls = append(calls, c)
+	}
+	w.waiting[v] = map[admission.ID]*call{}
+	w.queues[v] = admission.NewQueue(admission.DefaultSettings(), w.d.capacity())
 	for f := range lost {
 		f.job.cancelled = true
 		if !f.call.answered {
@@ -143,6 +161,12 @@
 	}
 }
 
+// warm gives a started router what a peer knows of the caches.
+func (w *world) warm(fresh, peer *router) {
+	export := peer.index.Export(warmBlocks, vtime(w.now))
+	w.after(warmDelay, func() { fresh.index.Import(export, vtime(w.now)) })
+}
+
 // poll reads an engine's load with a lag.
 func (w *world) poll(v, i int) {
 	e := w.engines[i]
@@ -202,7 +226,45 @@
 	if c.service {
 		return
 	}
-	w.dispatch(c, 0)
+	w.enqueue(c)
+}
+
+// enqueue puts a call into its VM's fair queue.
+func (w *world) enqueue(c *call) {
+	id, refusal := w.queues[c.vm].Enqueue(admission.Request{
+		Account: accountID(c.account), Class: c.class(), Tokens: c.reserve(),
+	}, vtime(w.now))
+	if refusal != nil {
+		w.wrongful++
+		return
+	}
+	w.waiting[c.vm][id] = c
+	w.dequeue(c.vm)
+}
+
+// dequeue dispatches the calls whose turn has come.
+func (w *world) dequeue(v int) {
+	for {
+		id, ok := w.queues[v].Dequeue(vtime(w.now))
+		if !ok {
+			return
+		}
+		c := w.waiting[v][id]
+		delete(w.waiting[v], id)
+		c.release = func() {
+			w.queues[v].Release(id, float64(c.prompt+c.output), vtime(w.now))
+			w.dequeue(v)
+		}
+		w.hold(c)
+	}
+}
+
+// hold dispatches a call once its account's pace allows it.
+func (w *world) hold(c *call) {
+	rate := w.contracts[c.account].rate
+	d := w.routers[c.vm].clocks.Delays(accountID(c.account), rate, c.reserve(), vtime(w.now))
+	c.delay = d.Order
+	w.after(d.Hold, func() { w.dispatch(c, 0) })
 }
 
 // admit asks the ledger, and compares its answer with the contract.
@@ -236,7 +298,7 @@
 	sent := w.now
 	i := engineNumber(d.Engine.ID)
 	r.chooser.Dispatched(q, &d, vtime(sent))
-	j := &job{salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived))}
+	j := &job{imports: d.Import, salt: q.Scope.Salt(), chain: c.chain, prompt: q.PromptTokens, output: c.output - generated, deadline: d.Level.Deadline(vtime(c.arrived + c.delay))}
 	f := &flight{call: c, job: j}
 	w.flights[c.vm][f] = true
 	cachedTokens := 0
@@ -251,6 +313,7 @@
 		w.after(hop, func() {
 			delete(w.flights[c.vm], f)
 			r.chooser.Finished(&d, cachedTokens)
+			c.release()
 			w.ledger[c.account].put(float64(c.output))
 			w.contracts[c.account].put(float64(c.output))
 		})
@@ -259,6 +322,9 @@
 		w.after(hop, func() {
 			delete(w.flights[c.vm], f)
 			r.broken[i] = true
+			if !c.answered {
+				r.chooser.Failed(&d, vtime(w.now))
+			}
 			w.dispatch(c, min(generated+j.generated, c.output-1))
 		})
 	}
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -48,7 +48,7 @@
 		case <-ctx.Done():
 			return
 		}
-		d.claims.SetVMs(len(d.poller.VMs("")))
+		d.claims.SetVMs(len(d.spread.VMs("")))
 		if !keeper.Term().Valid(time.Now(), 0) {
 			continue
 		}
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -119,6 +119,7 @@
 	defer cancel()
 	// The path was checked before admission.
 	path, _ := dispatch.SanitizePath(req.URL, bearer(req))
+	picker := r.withGuards(r.opts.Balancer.Service(c.view, c.route), c.account(), req.Method+" "+path, c.body)
 	out, err := r.opts.Dispatcher.Do(ctx, dispatch.Request{
 		ID:         c.id,
 		Account:    c.account(),
@@ -127,7 +128,7 @@
 		Header:     dispatch.SanitizeRequest(req.Header, bearer(req)),
 		Body:       c.body,
 		Idempotent: c.route.Idempotent,
-	}, held.guard(r.opts.Balancer.Service(c.view, c.route)), held.sink(sink))
+	}, held.guard(picker), held.sink(sink))
 	held.end(out.Verdict, err)
 	used := c.route.CostTokens
 	if out.Verdict == verdict.NotRun {
--- /dev/null
+++ b/internal/spread/presence.go
@@ -0,0 +1,123 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/roster"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+const (
+	// joinInterval is how often a VM that waits for admission looks after it.
+	joinInterval = 200 * time.Millisecond
+	// joinSpacing lengthens the interval at random, per other VM, so that one
+	// VM of a herd admits the others.
+	joinSpacing = 10 * time.Millisecond
+)
+
+func (s *Spreader) renewInterval() time.Duration {
+	return roster.RenewInterval(len(s.View().Roster.Members))
+}
+
+func (s *Spreader) sweepInterval() time.Duration {
+	if v := s.View(); v.Member {
+		return roster.SweepInterval(len(v.Roster.Members))
+	}
+	return joinInterval + rand.N(1+time.Duration(len(s.candidates()))*joinSpacing)
+}
+
+// presence describes this VM for its row.
+func (s *Spreader) presence() roster.Presence {
+	self := s.opts.Self
+	self.Leaving = s.leaving.Load()
+	return roster.Presence{
+		VM:        self,
+		Head:      s.View().Head,
+		Left:      s.left.Load(),
+		RenewedAt: time.Now().UTC().Round(0),
+	}
+}
+
+// renew writes the presence row, which acknowledges the head in force.
+func (s *Spreader) renew(ctx context.Context) {
+	if s.left.Load() {
+		return
+	}
+	s.writePresence(ctx)
+}
+
+func (s *Spreader) writePresence(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	if err := s.roster.Renew(ctx, s.presence()); err != nil {
+		s.opts.Log.Debug("presence_not_renewed", zap.Error(err))
+	}
+}
+
+// StartLeaving marks this VM as leaving, so that callers are led elsewhere. It
+// serves on.
+func (s *Spreader) StartLeaving(ctx context.Context) {
+	s.leaving.Store(true)
+	s.writePresence(ctx)
+	s.change(ctx, func(_ head.Head, r *roster.Roster, _ []roster.Presence) roster.Change {
+		self, ok := r.Get(s.opts.Self.ID)
+		if !ok {
+			return roster.Change{}
+		}
+		self.Leaving = true
+		return roster.Change{Admit: []vm.VM{self}}
+	})
+}
+
+// Leave takes this VM off the roster, once it serves no more. If that cannot
+// be done now, a sweeper does it later.
+func (s *Spreader) Leave(ctx context.Context) {
+	s.left.Store(true)
+	s.writePresence(ctx)
+	s.change(ctx, func(_ head.Head, r *roster.Roster, _ []roster.Presence) roster.Change {
+		if !r.Contains(s.opts.Self.ID) {
+			return roster.Change{}
+		}
+		return roster.Change{Remove: []vm.ID{s.opts.Self.ID}}
+	})
+}
+
+// readMembers reads the platform's membership list.
+func (s *Spreader) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	list, err := s.opts.Membership.Members(ctx)
+	if err != nil {
+		s.opts.Log.Debug("membership_unread", zap.Error(err))
+		return
+	}
+	listed := make([]vm.ID, len(list))
+	for i, m := range list {
+		listed[i] = vm.ID(m.ID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.listed = list
+	s.state.absence.Observe(s.state.roster, listed, time.Now())
+}
+
+// Known returns every VM that may run requests, as far as this one knows: the
+// roster's members and the VMs on the platform's list, which may join next.
+func (s *Spreader) Known() []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := slices.Clone(s.state.roster.Members)
+	for _, m := range s.state.listed {
+		if !s.state.roster.Contains(vm.ID(m.ID)) {
+			known = append(known, vm.VM{ID: vm.ID(m.ID), FailureDomain: m.FailureDomain, CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress})
+		}
+	}
+	return known
+}
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -57,7 +57,7 @@
 			"await":      cmdAwait,
 			"background": cmdBackground,
 			"flood":      cmdFlood,
-			"wait":       cmdWait,
+			"join":       cmdJoin,
 			"crashes":    cmdCrashes,
 			"bookings":   cmdBookings,
 			"noleaks":    cmdNoLeaks,
