--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,6 +32,8 @@
 	Addresses  AddressBook
 	// Budget steers callers to the home VMs of their accounts. May be nil.
 	Budget Budget
+	// Claims may be nil; requests with an idempotency key are then refused.
+	Claims Claims
 	// Health holds the breakers of the backend servers. Nil means a new table.
 	Health *health.Table
 	// Guard holds poison requests back. Nil means that of a single VM.
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -25,14 +25,15 @@
 	// to the store.
 	bootPeers = 3
 	// bootTimeout bounds how long it waits for them.
-	bootTimeout = 2 * time.Second
+	bootTimeout = 3 * time.Second
 	// herdSpacing spreads the first reads of a herd of new processes, per VM
 	// on the membership list.
-	herdSpacing = 5 * time.Millisecond
+	herdSpacing = 6 * time.Millisecond
 )
 
-// boot asks a few peers for the configuration. What they do not have the poll
-// loop reads from the platform, after a delay that spreads a herd.
+// boot asks a few peers for the configuration. If none has any it asks again
+// after a delay that spreads a herd, so that few of a herd need the platform.
+// What the peers do not have the poll loop reads there.
 func (s *Spreader) boot(ctx context.Context) {
 	bootCtx, cancel := context.WithTimeout(ctx, bootTimeout)
 	defer cancel()
@@ -42,7 +43,8 @@
 	if s.View().Head.Number > 0 {
 		return
 	}
-	s.pause(ctx, rand.N(1+time.Duration(len(candidates))*herdSpacing))
+	s.pause(bootCtx, rand.N(1+time.Duration(len(candidates))*herdSpacing))
+	s.exchangeAll(bootCtx, pick(candidates, bootPeers))
 }
 
 // fetchFrom asks a peer for what is missing here, unless another peer is being
