--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,14 +29,13 @@
 		id := p.VM.ID
 		present[id] = true
 		member, isMember := r.Get(id)
-		expired := w.Expired(p, now)
 		switch {
 		case isMember && p.Left:
 			c.Remove = append(c.Remove, id)
-		case isMember && expired:
+		case isMember && w.Expired(p, len(r.Members), now):
 			c.Remove = append(c.Remove, id)
 			c.Expel = append(c.Expel, id)
-		case p.Left || expired || now.Sub(p.RenewedAt) >= expiry:
+		case p.Left || now.Sub(p.RenewedAt) >= Expiry(len(r.Members)):
 		case !isMember && !p.VM.Leaving:
 			c.Admit = append(c.Admit, p.VM)
 		case isMember && moved(member, p.VM):
@@ -50,12 +50,28 @@
 	return c
 }
 
+// Spare takes VMs out of the change that turned out to be reachable after all.
+// A VM that is cut off from the store alone serves on by what it hears from its
+// peers and stays a member.
+func (c Change) Spare(reachable map[vm.ID]bool) Change {
+	spared := func(id vm.ID) bool { return reachable[id] && slices.Contains(c.Expel, id) }
+	return Change{
+		Admit:  c.Admit,
+		Remove: slices.DeleteFunc(slices.Clone(c.Remove), spared),
+		Expel:  slices.DeleteFunc(slices.Clone(c.Expel), spared),
+	}
+}
+
+// forgetAfter is how old the presence row of a VM that is not on the roster may
+// be before it is deleted.
+const forgetAfter = 1 * time.Minute
+
 // Stale returns the VMs whose presence rows are of no more use: they are not
 // on the roster and have not been renewed for long.
 func Stale(r *Roster, rows []Presence, now time.Time) []vm.ID {
 	var ids []vm.ID
 	for _, p := range rows {
-		if !r.Contains(p.VM.ID) && now.Sub(p.RenewedAt) >= expiry {
+		if !r.Contains(p.VM.ID) && now.Sub(p.RenewedAt) >= forgetAfter {
 			ids = append(ids, p.VM.ID)
 		}
 	}
--- a/internal/roster/presence.go
+++ b/internal/roster/presence.go
@@ -48,17 +48,31 @@
 	return max(minRenewInterval, time.Duration(members)*time.Second/renewals)
 }
 
-// expiry is how old a presence may be before the VM is expelled.
-const expiry = 15 * time.Second
+const (
+	// minExpiry is how old a presence may be in a small fleet.
+	minExpiry = 5 * time.Second
+	// missedRenewals is how many renewals may be missed in a large fleet.
+	missedRenewals = 3
+	// minSettled is how long a row must have been watched unchanged in a small
+	// fleet, so that one VM's wrong wall clock alone does not expel it.
+	minSettled = 2 * time.Second
+)
+
+// Expiry returns how old a presence may be before the VM may be expelled.
+func Expiry(members int) time.Duration {
+	return max(minExpiry, missedRenewals*RenewInterval(members))
+}
 
-// settled is how long a row must have been watched unchanged, so that one VM's
-// wrong wall clock alone does not expel it.
-const settled = 5 * time.Second
+// settled returns how long a presence row must have been watched unchanged.
+func settled(members int) time.Duration {
+	return max(minSettled, 2*RenewInterval(members))
+}
 
 // Watch remembers when each presence row last changed. Its zero value is
 // ready for use.
 type Watch struct {
 	seen map[vm.ID]watched
+	last time.Time
 }
 
 type watched struct {
@@ -66,8 +80,13 @@
 	since     time.Time
 }
 
-// Observe records a scan of the presence rows.
+// Observe records a scan of the presence rows. After a break, as in a store
+// outage in which nobody could renew, the watch starts again.
 func (w *Watch) Observe(rows []Presence, now time.Time) {
+	if now.Sub(w.last) > 3*SweepInterval(len(rows)) {
+		w.seen = nil
+	}
+	w.last = now
 	next := make(map[vm.ID]watched, len(rows))
 	for _, p := range rows {
 		old, ok := w.seen[p.VM.ID]
@@ -79,8 +98,9 @@
 	w.seen = next
 }
 
-// Expired reports whether the VM's presence is old and was watched unchanged.
-func (w *Watch) Expired(p Presence, now time.Time) bool {
+// Expired reports whether the presence of a member of a roster of this size is
+// old and was watched unchanged.
+func (w *Watch) Expired(p Presence, members int, now time.Time) bool {
 	s, ok := w.seen[p.VM.ID]
-	return ok && now.Sub(s.since) >= settled && now.Sub(p.RenewedAt) >= expiry
+	return ok && now.Sub(s.since) >= settled(members) && now.Sub(p.RenewedAt) >= Expiry(members)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -43,16 +43,17 @@
 		want    Change
 	}{
 		{"first VM", members(), []Presence{row("a", 0)}, 0, Change{Admit: []vm.VM{{ID: "a"}}}},
-		{"old row of a stranger", members(), []Presence{row("a", expiry)}, 0, Change{}},
+		{"old row of a stranger", members(), []Presence{row("a", minExpiry)}, 0, Change{}},
 		{"left", members("a"), []Presence{left}, 0, Change{Remove: []vm.ID{"a"}}},
 		{"left and not a member", members(), []Presence{left}, 0, Change{}},
 		{"leaving", members("a"), []Presence{leaving}, 0, Change{Admit: []vm.VM{leaving.VM}}},
 		{"leaving and not a member", members(), []Presence{leaving}, 0, Change{}},
 		{"restarted", members("a"), []Presence{restarted}, 0, Change{}},
 		{"moved", members("a"), []Presence{moved}, 0, Change{Admit: []vm.VM{moved.VM}}},
-		{"not renewed", members("a"), []Presence{row("a", expiry)}, settled, Change{Remove: []vm.ID{"a"}, Expel: []vm.ID{"a"}}},
-		{"not renewed, watched for a short time", members("a"), []Presence{row("a", expiry)}, settled / 2, Change{}},
-		{"wrong wall clock at the VM", members("a"), []Presence{row("a", -time.Hour)}, settled, Change{}},
+		{"not renewed", members("a"), []Presence{row("a", minExpiry)}, minSettled, Change{Remove: []vm.ID{"a"}, Expel: []vm.ID{"a"}}},
+		{"not renewed, watched for a short time", members("a"), []Presence{row("a", minExpiry)}, minSettled / 2, Change{}},
+		{"wrong wall clock at the VM", members("a"), []Presence{row("a", -time.Hour)}, minSettled, Change{}},
+		{"first scan after an outage", members("a"), []Presence{row("a", time.Minute)}, time.Minute, Change{}},
 		{"without a row", members("a"), nil, 0, Change{Remove: []vm.ID{"a"}}},
 	}
 	for _, tt := range tests {
@@ -67,6 +68,15 @@
 	}
 }
 
+func TestSpareReachable(t *testing.T) {
+	c := Change{Remove: []vm.ID{"a", "b", "left"}, Expel: []vm.ID{"a", "b"}}
+	got := c.Spare(map[vm.ID]bool{"a": true, "left": true})
+	want := Change{Remove: []vm.ID{"b", "left"}, Expel: []vm.ID{"b"}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 func TestInForce(t *testing.T) {
 	acked := func(id vm.ID, n uint64) Presence {
 		return Presence{VM: vm.VM{ID: id}, Head: head.Head{Number: config.Number(n)}}
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -68,12 +68,13 @@
 	return time.Duration(us) * time.Microsecond
 }
 
-// exchange asks one peer for its status and fetches from it what it has more.
-func (s *Spreader) exchange(ctx context.Context, p vm.VM) {
+// exchange asks one peer for its status and fetches from it what it has more. It
+// reports whether the peer answered.
+func (s *Spreader) exchange(ctx context.Context, p vm.VM) bool {
 	client, err := s.opts.Peers.Control(p.PeerAddress)
 	if err != nil {
 		s.opts.Log.Warn("peer_unusable", zap.String("peer", string(p.ID)), zap.Error(err))
-		return
+		return false
 	}
 	s.mu.Lock()
 	request := &peer.ExchangeRequest{Status: s.state.status(time.Now())}
@@ -84,7 +85,7 @@
 	reply, err := client.Exchange(callCtx, request)
 	if err != nil {
 		s.opts.Log.Debug("peer_unreachable", zap.String("peer", string(p.ID)), zap.Error(err))
-		return
+		return false
 	}
 	behind := false
 	s.update(func(st *state, now time.Time) {
@@ -93,11 +94,12 @@
 		behind = reply.GetStatus().GetConfigNumber() > uint64(own.Number) || reply.GetStatus().GetRosterVersion() > uint64(own.Roster)
 	})
 	if !behind {
-		return
+		return true
 	}
 	if err := s.fetchFrom(ctx, p); err != nil {
 		s.opts.Log.Info("peer_unread", zap.String("peer", string(p.ID)), zap.Error(err))
 	}
+	return true
 }
 
 // Exchange implements peer.ControlServer. What the caller says about its own
@@ -160,19 +162,27 @@
 	s.exchangeAll(ctx, pick(s.candidates(), n))
 }
 
-// exchangeAll exchanges with the peers, some at a time.
-func (s *Spreader) exchangeAll(ctx context.Context, peers []vm.VM) {
+// exchangeAll exchanges with the peers, some at a time, and returns those that
+// answered.
+func (s *Spreader) exchangeAll(ctx context.Context, peers []vm.VM) []vm.ID {
 	const parallel = 32
 	slots := make(chan struct{}, parallel)
 	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var answered []vm.ID
 	for _, p := range peers {
 		slots <- struct{}{}
 		wg.Go(func() {
-			s.exchange(ctx, p)
+			if s.exchange(ctx, p) {
+				mu.Lock()
+				answered = append(answered, p.ID)
+				mu.Unlock()
+			}
 			<-slots
 		})
 	}
 	wg.Wait()
+	return answered
 }
 
 // pick returns up to n random elements.
--- a/internal/spread/sweep.go
+++ b/internal/spread/sweep.go
@@ -37,11 +37,30 @@
 		s.duties.watch.Observe(rows, now)
 		s.forget(ctx, r, rows, now)
 		s.recordForce(ctx, base.Number, r, rows, now)
-		return roster.Plan(r, rows, &s.duties.watch, now)
+		c := roster.Plan(r, rows, &s.duties.watch, now)
+		return c.Spare(s.reachable(ctx, r, c.Expel))
 	})
 	s.checkpoint(ctx)
 }
 
+// reachable returns which of the members answer an exchange.
+func (s *Spreader) reachable(ctx context.Context, r *roster.Roster, members []vm.ID) map[vm.ID]bool {
+	answered := map[vm.ID]bool{s.opts.Self.ID: true}
+	if len(members) == 0 {
+		return answered
+	}
+	var peers []vm.VM
+	for _, id := range members {
+		if m, ok := r.Get(id); ok && id != s.opts.Self.ID {
+			peers = append(peers, m)
+		}
+	}
+	for _, id := range s.exchangeAll(ctx, peers) {
+		answered[id] = true
+	}
+	return answered
+}
+
 // forget deletes the presence rows of VMs that are gone.
 func (s *Spreader) forget(ctx context.Context, r *roster.Roster, rows []roster.Presence, now time.Time) {
 	stale := roster.Stale(r, rows, now)
