--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -16,9 +16,14 @@
 )
 
 // BudgetView returns the view of the roster that a budget service works with.
+// It is empty until a roster is known, so that the first one counts as the one
+// that this VM was on before it restarted.
 func BudgetView(s *spread.Spreader) func() budget.View {
 	return func() budget.View {
 		v := s.View()
+		if v.Roster.Version == 0 {
+			return budget.View{}
+		}
 		return budget.View{Roster: v.Roster, Evidence: v.EvidenceAt}
 	}
 }
