--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"math"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/poison"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -50,44 +49,46 @@
 	}
 }
 
-// members lists the VMs that may run requests, with those that leave and those
-// that are about to join: they must hear of a crash before they do.
-func (d *Daemon) members() []vm.VM { return d.spread.Known() }
+// roster returns the roster as this VM knows it.
+func (d *Daemon) roster() *roster.Roster { return d.spread.View().Roster }
 
 // peerDirectory finds the VMs that may run requests, for the poison guard.
 type peerDirectory struct {
-	self vm.VM
-	// members lists the VMs that may run requests, with those that leave.
-	members func() []vm.VM
+	self vm.ID
+	// roster returns the roster as this VM knows it.
+	roster  func() *roster.Roster
 	refresh func(context.Context)
 	pool    *link.Pool
 }
 
+// refreshTimeout bounds one reading of the roster.
+const refreshTimeout = 250 * time.Millisecond
+
 // Refresh implements poison.Directory.
-func (d peerDirectory) Refresh(ctx context.Context) { d.refresh(ctx) }
+func (d peerDirectory) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	d.refresh(ctx)
+}
+
+// outsiderVersion is the version of a VM that is not on its own roster. Nobody
+// announces suspects to it, so it must not hold grants.
+const outsiderVersion = math.MaxUint64
 
-// Roster implements poison.Directory. The version is a digest of the members,
-// so that VMs with the same version have the same members.
+// Roster implements poison.Directory.
 func (d peerDirectory) Roster() poison.Roster {
-	ids := []string{string(d.self.ID)}
-	for _, m := range d.members() {
-		ids = append(ids, string(m.ID))
+	r := d.roster()
+	if !r.Contains(d.self) {
+		return poison.Roster{Version: outsiderVersion, Members: r.IDs()}
 	}
-	slices.Sort(ids)
-	ids = slices.Compact(ids)
-	r := poison.Roster{Version: xxhash.Sum64String(strings.Join(ids, "\x00"))}
-	for _, id := range ids {
-		r.Members = append(r.Members, vm.ID(id))
-	}
-	return r
+	return poison.Roster{Version: uint64(r.Version), Members: r.IDs()}
 }
 
 // Conn implements poison.Directory.
 func (d peerDirectory) Conn(id vm.ID) (*grpc.ClientConn, error) {
-	for _, m := range d.members() {
-		if m.ID == id {
-			return d.pool.Conn(m.PeerAddress)
-		}
+	m, ok := d.roster().Get(id)
+	if !ok {
+		return nil, errors.Errorf("VM %s is not a member", id)
 	}
-	return nil, errors.Errorf("VM %s is not a member", id)
+	return d.pool.Conn(m.PeerAddress)
 }
