--- a/internal/daemon/warm.go
+++ b/internal/daemon/warm.go
@@ -19,7 +19,7 @@
 // warmIndex asks a peer for what it knows of the engines' caches. Requests are
 // served meanwhile.
 func (d *Daemon) warmIndex(ctx context.Context) {
-	ready := func() bool { return d.balancer.Ready() && len(d.members()) > 0 }
+	ready := func() bool { return d.balancer.Ready() && len(d.roster().Members) > 0 }
 	for waited := time.Duration(0); waited < warmWait && !ready(); waited += warmPoll {
 		select {
 		case <-time.After(warmPoll):
@@ -38,7 +38,7 @@
 // peerDials lists how to reach the other members.
 func (d *Daemon) peerDials() []warm.Dial {
 	var dials []warm.Dial
-	for _, m := range d.members() {
+	for _, m := range d.roster().Members {
 		if m.ID != d.Self().ID {
 			dials = append(dials, func() (*grpc.ClientConn, error) { return d.pool.Conn(m.PeerAddress) })
 		}
