--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -102,7 +102,7 @@
 	f.always(1, keyed, http.StatusOK, time.Second/2)
 
 	f.members[2].daemon.Kill()
-	f.start(f.members[2])
+	f.restart(f.members[2])
 	took := f.await(2, keyed, http.StatusOK, inForceWithin)
 	t.Logf("a restarted router served %v after its start, from peers alone", took)
 	f.always(2, keyed, http.StatusOK, freshness.Bound)
@@ -115,17 +115,28 @@
 }
 
 func TestAllRoutersDownAtOnce(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, 3)
-	f.file(0, change("extra"))
-	for _, m := range f.members {
-		m.daemon.Kill()
+	tests := []struct {
+		desc  string
+		start func(*fleet, *member)
+	}{
+		{"at the same addresses", (*fleet).restart},
+		{"at new addresses", (*fleet).start},
 	}
-	for _, m := range f.members {
-		f.start(m)
-	}
-	for i := range f.members {
-		took := f.await(i, keyed, http.StatusOK, inForceWithin)
-		t.Logf("%s served %v after its start", f.members[i].name, took)
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3)
+			f.file(0, change("extra"))
+			for _, m := range f.members {
+				m.daemon.Kill()
+			}
+			for _, m := range f.members {
+				tt.start(f, m)
+			}
+			for i := range f.members {
+				took := f.await(i, keyed, http.StatusOK, inForceWithin)
+				t.Logf("%s served %v after its start", f.members[i].name, took)
+			}
+		})
 	}
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -41,6 +41,9 @@
 	name   string
 	ip     string
 	daemon *daemon.Daemon
+	// caller, front and back are the addresses of the running router: for
+	// callers, for peers through the forwarder, and behind it.
+	caller, front, back string
 	// cut is set while the VM cannot reach the platform.
 	cut atomic.Bool
 }
@@ -65,23 +68,39 @@
 	return f
 }
 
-// start starts the router of a VM behind a forwarder that obeys the cuts.
+// start starts the router of a VM at new addresses, behind a forwarder that
+// obeys the cuts.
 func (f *fleet) start(m *member) {
 	f.t.Helper()
-	front, err := net.Listen("tcp", m.ip+":0")
+	l, err := net.Listen("tcp", m.ip+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	spare, err := net.Listen("tcp", m.ip+":0")
+	f.t.Cleanup(func() { _ = l.Close() })
+	m.front, m.back, m.caller = l.Addr().String(), f.freeAddress(m), f.freeAddress(m)
+	go f.forward(l, m.ip, m.back)
+	f.restart(m)
+}
+
+// freeAddress returns an address of the VM that nobody listens on.
+func (f *fleet) freeAddress(m *member) string {
+	f.t.Helper()
+	l, err := net.Listen("tcp", m.ip+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	back := spare.Addr().String()
-	_ = spare.Close()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// restart starts the router of a VM at the addresses that it had.
+func (f *fleet) restart(m *member) {
+	f.t.Helper()
 	set := f.standins.Settings(1)
 	set.VM.ID = m.name
-	set.Listen.Peer = back
-	set.Advertise.Peer = front.Addr().String()
+	set.Listen.Caller = m.caller
+	set.Listen.Peer = m.back
+	set.Advertise.Peer = m.front
 	p := f.standins.Platform
 	d, err := daemon.New(set, zap.NewNop(), daemon.Platform{
 		Table:      cutTable{p, &m.cut},
@@ -94,8 +113,6 @@
 	}
 	m.daemon = d
 	p.SetMember(platform.Member{ID: m.name, FailureDomain: "a", CallerAddress: d.Self().CallerAddress, PeerAddress: d.Self().PeerAddress})
-	go f.forward(front, m.ip, back)
-	f.t.Cleanup(func() { _ = front.Close() })
 	d.Start(context.Background())
 	f.t.Cleanup(d.Kill)
 }
