--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,6 +213,7 @@
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.runClaims(loopCtx)
+	d.runPlacement(loopCtx)
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.admission.run(loopCtx) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -148,6 +148,27 @@
 	return Change{}, false
 }
 
+// nextFill gives an engine that holds nothing, such as one that came back
+// empty, a copy of the model with the most demand for each copy.
+func (p *Planner) nextFill(f *fleet) (Change, bool) {
+	for _, e := range f.Engines {
+		if !p.usable(e) || len(p.desired[e.ID]) > 0 {
+			continue
+		}
+		best, pressure := Model{}, -1.0
+		for _, m := range f.Models {
+			each := m.Demand / float64(f.ready[m.Name]+f.coming[m.Name]+1)
+			if each > pressure && slices.Contains(e.Models, m.Name) {
+				best, pressure = m, each
+			}
+		}
+		if pressure >= 0 {
+			return p.change(e, best, "", Idle), true
+		}
+	}
+	return Change{}, false
+}
+
 // place finds an engine for one more copy: one with a free slot, else one
 // whose copy of another model is not needed.
 func (p *Planner) place(f *fleet, m Model, why Reason) (Change, bool) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,6 +93,8 @@
 	Short Reason = "short"
 	// Rollout means that the copy has an old weights version.
 	Rollout Reason = "rollout"
+	// Idle means that the engine held nothing.
+	Idle Reason = "idle"
 )
 
 // load is a copy that was ordered and not yet reported.
@@ -158,6 +160,9 @@
 		if !ok {
 			c, ok = p.nextRollout(f)
 		}
+		if !ok {
+			c, ok = p.nextFill(f)
+		}
 		if !ok {
 			return changes
 		}
