--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -180,6 +180,7 @@
 // TestConcurrentRepeats sends each booking many times at once through both VMs
 // while the table loses answers and drops writes.
 func TestConcurrentRepeats(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	ctx := context.Background()
 	for round := range 5 {
@@ -210,6 +211,7 @@
 // TestBrokenAnswer breaks the connection after the booking ran. Nobody knows
 // the outcome and nobody runs it again.
 func TestBrokenAnswer(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	ctx := context.Background()
 	f.shop.set(nil, true)
@@ -229,6 +231,7 @@
 // TestNotRunIsTrue refuses bookings while the table is down and while the
 // service cannot be reached, and runs them once afterwards.
 func TestNotRunIsTrue(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	ctx := context.Background()
 	f.Platform.SetFaults(memplatform.Faults{Down: true})
@@ -260,6 +263,7 @@
 // TestCallerLeaves checks that a booking whose caller left is run to its end
 // and its outcome given to the repeat, also through another VM.
 func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	open := f.hold()
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
@@ -277,6 +281,7 @@
 // TestRouterKilled kills the router between the claim and the answer. The
 // booking may have run and never runs again.
 func TestRouterKilled(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	open := f.hold()
 	done := make(chan answer, 1)
@@ -301,6 +306,7 @@
 // TestKeyedCompletion repeats a model request with an idempotency key through
 // the other VM and gets the same answer without another run.
 func TestKeyedCompletion(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	body := `{"model":"` + local.Model + `","max_tokens":5,"messages":[{"role":"user","content":"rewind plan"}]}`
 	url := func(vm int) string { return "http://" + f.vms[vm].Self().CallerAddress + openai.PathChatCompletions }
