--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/claim"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
@@ -30,6 +31,7 @@
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
+	"papayaspan.dev/papayaspan/internal/warm"
 )
 
 // Platform holds the platform's services.
@@ -52,6 +54,8 @@
 	router    *router.Router
 	balancer  *router.PrefixBalancer
 	claims    *claim.Store
+	budget    *budget.Service
+	admitter  *router.FairAdmitter
 	spread    *spread.Spreader
 	guard     *poison.Guard
 	admission *admission
@@ -114,6 +118,7 @@
 func (d *Daemon) Self() vm.VM {
 	return vm.VM{
 		ID:            vm.ID(d.settings.VM.ID),
+		Incarnation:   d.incarnation,
 		FailureDomain: d.settings.VM.FailureDomain,
 		CallerAddress: advertised(d.settings.Advertise.Caller, d.callerListener),
 		PeerAddress:   advertised(d.settings.Advertise.Peer, d.peerListener),
@@ -149,12 +154,16 @@
 
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
-	directory := peerDirectory{self: d.Self(), members: d.members, refresh: d.spread.Refresh, pool: pool}
-	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	d.budget = d.newBudget()
+	peer.RegisterBudgetServer(d.peers, budget.Server{Service: d.budget})
+	d.admitter = router.NewFairAdmitter(d.budget)
+	directory := peerDirectory{self: d.Self().ID, roster: d.roster, refresh: d.spread.Refresh, pool: pool}
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, poison.Options{Now: time.Now, Start: time.Now(), Log: d.log, Metrics: d.metrics})
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.admission = &admission{d: d}
 	d.health = health.NewTable()
-	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
+	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
 	d.claims = d.newClaims(d.Self())
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
@@ -162,7 +171,8 @@
 		Metrics:     d.metrics,
 		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
 		Evidence:    d.admission,
-		Admitter:    router.AdmitAll{},
+		Admitter:    d.admitter,
+		Budget:      d.budget,
 		Balancer:    d.balancer,
 		Addresses:   d.spread,
 		Claims:      d.claims,
@@ -210,8 +220,10 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.spread.Run(loopCtx) })
+	d.goLoop(func() { d.budget.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
+	d.goLoop(func() { d.warmIndex(loopCtx) })
 	d.runClaims(loopCtx)
 	d.runPlacement(loopCtx)
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -103,21 +103,54 @@
 	if c == nil {
 		return p
 	}
-	return guardedPicker{Picker: p, claim: c.claim}
+	return guardedPicker{inner: p, claim: c.claim}
 }
 
+// guardedPicker passes everything on to the inner picker.
 type guardedPicker struct {
-	dispatch.Picker
+	inner dispatch.Picker
 	claim *claim.Claim
 }
 
-// Pick implements dispatch.Picker.
+// Pick implements dispatch.Picker. The claim is checked last, because the inner
+// picker may wait.
 func (g guardedPicker) Pick(ctx context.Context, req dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
-	s, err := g.Picker.Pick(ctx, req, a)
-	if err == nil && !g.claim.MayDispatch() {
-		err = verdict.Refuse(http.StatusServiceUnavailable, "claim_lapsed", "the router was held up for too long")
+	s, err := g.inner.Pick(ctx, req, a)
+	if err != nil || g.claim.MayDispatch() {
+		return s, err
+	}
+	lapsed := verdict.Refuse(http.StatusServiceUnavailable, "claim_lapsed", "the router was held up for too long")
+	g.Ended(req, dispatch.Result{Attempt: a, Server: s, Verdict: verdict.NotRun, Failure: dispatch.CallerGone, Err: lapsed})
+	return backend.Server{}, lapsed
+}
+
+// Hints implements dispatch.Hinter.
+func (g guardedPicker) Hints() dispatch.Hints {
+	if h, ok := g.inner.(dispatch.Hinter); ok {
+		return h.Hints()
+	}
+	return dispatch.Hints{}
+}
+
+// Started implements dispatch.Observer.
+func (g guardedPicker) Started(req dispatch.Request, a dispatch.Attempt, s backend.Server) {
+	if o, ok := g.inner.(dispatch.Observer); ok {
+		o.Started(req, a, s)
+	}
+}
+
+// Answered implements dispatch.Observer.
+func (g guardedPicker) Answered(req dispatch.Request, r dispatch.Result) {
+	if o, ok := g.inner.(dispatch.Observer); ok {
+		o.Answered(req, r)
+	}
+}
+
+// Ended implements dispatch.Observer.
+func (g guardedPicker) Ended(req dispatch.Request, r dispatch.Result) {
+	if o, ok := g.inner.(dispatch.Observer); ok {
+		o.Ended(req, r)
 	}
-	return s, err
 }
 
 // end records how the request ended. It doesn't wait for the table.
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -46,6 +46,7 @@
 		RequestID: id,
 		Account:   c.caller.account,
 		Class:     c.class,
+		Model:     c.model.Name,
 		Tokens:    c.promptTokens() + float64(c.output),
 	})
 	if err != nil {
@@ -92,7 +93,7 @@
 		Idempotent: true, // A completion has no effect but its answer.
 		MaxTokens:  c.output,
 		CacheSalt:  CacheSalt(c.caller.account.ID, c.model),
-		Priority:   priority(c.class),
+		Hints:      dispatch.Hints{Priority: priority(c.class)},
 	}, held.guard(picker), held.sink(sink))
 	held.end(out.Verdict, err)
 	grant.Done(usedTokens(c, out))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,8 @@
 	Admitter   Admitter
 	Balancer   Balancer
 	Addresses  AddressBook
+	// Budget steers callers to the home VMs of their accounts. May be nil.
+	Budget Budget
 	// Claims may be nil; requests with an idempotency key are then refused.
 	Claims Claims
 	// Health holds the breakers of the backend servers. Nil means a new table.
@@ -67,7 +69,7 @@
 	}
 	if o.Guard == nil {
 		self := vm.ID(o.Settings.VM.ID)
-		o.Guard = poison.NewGuard(self, poison.Alone(self), o.Now, time.Now())
+		o.Guard = poison.NewGuard(self, poison.Alone(self), poison.Options{Now: o.Now, Start: time.Now(), Log: o.Log, Metrics: o.Metrics})
 	}
 	if o.Prober == nil {
 		o.Prober = health.NewProber()
--- a/internal/spread/commit.go
+++ b/internal/spread/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,30 +26,9 @@
 // commit. Nothing was written.
 var ErrNoMajority = errors.Wrap(platform.ErrUnavailable, "no majority of the routers can be reached")
 
-// A commit without a majority is tried again, because members that have just
-// started cannot be reached at once.
-const (
-	commitTries = 3
-	commitPause = 400 * time.Millisecond
-)
-
 // Commit implements head.Committer: it commits with the support of a majority
 // of the roster.
 func (s *Spreader) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
-	for try := 1; ; try++ {
-		err := s.commitOnce(ctx, base, next, checks, writes)
-		if !errors.Is(err, ErrNoMajority) || try == commitTries {
-			return err
-		}
-		select {
-		case <-time.After(commitPause):
-		case <-ctx.Done():
-			return err
-		}
-	}
-}
-
-func (s *Spreader) commitOnce(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
 	electorate, err := s.electorate(ctx, base.Head)
 	if err != nil {
 		return err
@@ -74,6 +54,31 @@
 	return err
 }
 
+const (
+	ticketTries = 3
+	ticketPause = 400 * time.Millisecond
+)
+
+// ticketCommitter commits tickets. It tries again without a majority, because
+// members that have just started cannot be reached at once and an operator
+// waits.
+type ticketCommitter struct{ s *Spreader }
+
+// Commit implements head.Committer.
+func (c ticketCommitter) Commit(ctx context.Context, base head.Read, next head.Head, checks []platform.Check, writes []platform.Write) error {
+	for try := 1; ; try++ {
+		err := c.s.Commit(ctx, base, next, checks, writes)
+		if !errors.Is(err, ErrNoMajority) || try == ticketTries {
+			return err
+		}
+		select {
+		case <-time.After(ticketPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // electorate returns the members that may support a commit on top of base.
 func (s *Spreader) electorate(ctx context.Context, base head.Head) ([]vm.VM, error) {
 	s.mu.Lock()
@@ -111,13 +116,33 @@
 	return out
 }
 
+// withListedAddresses adds the members that the platform lists at another
+// address than the roster does: a VM that was replaced can be reached there
+// before the roster can change. Support counts by who gives it.
+func (s *Spreader) withListedAddresses(members []vm.VM) []vm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[vm.ID]string{}
+	for _, m := range s.state.listed {
+		listed[vm.ID(m.ID)] = m.PeerAddress
+	}
+	out := slices.Clone(members)
+	for _, m := range members {
+		if addr := listed[m.ID]; addr != "" && addr != m.PeerAddress {
+			m.PeerAddress = addr
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // gather asks the electorate for support until a majority has given it.
 func (s *Spreader) gather(ctx context.Context, p *freshness.Proposal, electorate []vm.VM) {
 	ctx, cancel := context.WithTimeout(ctx, supportTimeout)
 	defer cancel()
-	votes := make(chan vm.ID, len(electorate))
+	votes := make(chan vm.ID, 2*len(electorate))
 	var wg sync.WaitGroup
-	for _, m := range electorate {
+	for _, m := range s.withListedAddresses(electorate) {
 		wg.Go(func() {
 			if by, err := s.ask(ctx, p, m); err == nil {
 				votes <- by
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -90,7 +90,7 @@
 		hints:  make(chan vm.ID, hintQueue),
 		gauges: newGauges(opts.Metrics),
 	}
-	s.tickets = ticket.NewStore(opts.Table, opts.Objects, s, opts.Self.ID, time.Now)
+	s.tickets = ticket.NewStore(opts.Table, opts.Objects, ticketCommitter{s}, opts.Self.ID, time.Now)
 	s.roster = roster.Store{Table: opts.Table, Committer: s}
 	s.view.Store(s.state.view())
 	return s
