--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -35,7 +35,7 @@
 		case isMember && w.Expired(p, len(r.Members), now):
 			c.Remove = append(c.Remove, id)
 			c.Expel = append(c.Expel, id)
-		case p.Left || now.Sub(p.RenewedAt) >= Expiry(len(r.Members)):
+		case p.Left || !w.Alive(p, len(r.Members), now):
 		case !isMember && !p.VM.Leaving:
 			c.Admit = append(c.Admit, p.VM)
 		case isMember && moved(member, p.VM):
--- a/internal/roster/presence.go
+++ b/internal/roster/presence.go
@@ -78,6 +78,8 @@
 type watched struct {
 	renewedAt time.Time
 	since     time.Time
+	// renewed is set if the row was seen to change.
+	renewed bool
 }
 
 // Observe records a scan of the presence rows. After a break, as in a store
@@ -91,13 +93,23 @@
 	for _, p := range rows {
 		old, ok := w.seen[p.VM.ID]
 		if !ok || !old.renewedAt.Equal(p.RenewedAt) {
-			old = watched{renewedAt: p.RenewedAt, since: now}
+			old = watched{renewedAt: p.RenewedAt, since: now, renewed: ok}
 		}
 		next[p.VM.ID] = old
 	}
 	w.seen = next
 }
 
+// Alive reports whether the VM renews its presence: the row is young, or was
+// seen to change and is old only by the VM's wrong wall clock.
+func (w *Watch) Alive(p Presence, members int, now time.Time) bool {
+	s := w.seen[p.VM.ID]
+	if s.renewed && now.Sub(s.since) < settled(members) {
+		return true
+	}
+	return now.Sub(p.RenewedAt) < Expiry(members)
+}
+
 // Expired reports whether the presence of a member of a roster of this size is
 // old and was watched unchanged.
 func (w *Watch) Expired(p Presence, members int, now time.Time) bool {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// TestWrongWallClock admits a VM whose clock is behind once it was seen to
+// renew its presence.
+func TestWrongWallClock(t *testing.T) {
+	var w Watch
+	for i, want := range []int{0, 1} {
+		now := t0.Add(time.Duration(i) * time.Second)
+		rows := []Presence{{VM: vm.VM{ID: "b"}, RenewedAt: now.Add(-time.Hour)}}
+		w.Observe(rows, now)
+		if got := Plan(members("a"), rows, &w, now); len(got.Admit) != want {
+			t.Errorf("scan %d admits %v", i, got.Admit)
+		}
+	}
+}
+
 func TestSpareReachable(t *testing.T) {
 	c := Change{Remove: []vm.ID{"a", "b", "left"}, Expel: []vm.ID{"a", "b"}}
 	got := c.Spare(map[vm.ID]bool{"a": true, "left": true})
