--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -153,13 +153,23 @@
 	}
 }
 
-// end records how the request ended. It doesn't wait for the table.
+// endTimeout bounds how long the caller's answer waits until the end of the
+// request is recorded.
+const endTimeout = 1 * time.Second
+
+// end records how the request ended and then passes on an answer that was held
+// back. A caller that has the answer therefore gets the same one again, and a
+// caller who was told "not run" can come again at once. While the table fails
+// the answer waits for endTimeout only.
 func (c *claimed) end(v verdict.Verdict, err error) {
 	if c == nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if c.recorder.passed {
+		cancel() // the caller has the answer already
+	}
 	switch {
 	case err == nil || c.recorder.whole():
 		c.claim.Finish(ctx, c.recorder.head.Status, c.recorder.header(), c.recorder.body)
@@ -168,16 +178,21 @@
 	default:
 		c.claim.Abandon(ctx)
 	}
+	if err == nil {
+		c.recorder.pass()
+	}
 }
 
-// recorder passes an answer on and keeps a copy. It goes on when the caller no
-// longer takes it.
+// recorder keeps a copy of an answer. A short answer is held back; another is
+// passed on as it comes. It goes on when the caller no longer takes it.
 type recorder struct {
 	sink dispatch.Sink
 	head dispatch.Head
 	// body is cut off beyond what a claim keeps; size counts all of it.
 	body []byte
 	size int64
+	// passed is set once the sink was started.
+	passed bool
 	// gone is set once the caller doesn't take the answer.
 	gone bool
 }
@@ -185,10 +200,25 @@
 // Start implements dispatch.Sink.
 func (r *recorder) Start(h dispatch.Head) error {
 	r.head = h
-	r.gone = r.sink.Start(h) != nil
+	short := !h.Stream && h.Length >= 0 && h.Length <= claim.MaxOutcomeBytes
+	if !short {
+		r.pass()
+	}
 	return nil
 }
 
+// pass starts the sink and passes on what was held back.
+func (r *recorder) pass() {
+	if r.passed {
+		return
+	}
+	r.passed = true
+	r.gone = r.sink.Start(r.head) != nil
+	if len(r.body) > 0 {
+		r.gone = r.gone || r.sink.Body(r.body) != nil
+	}
+}
+
 // Event implements dispatch.Sink.
 func (r *recorder) Event(data []byte) error {
 	r.keep(sse.Append(nil, data))
@@ -199,7 +229,9 @@
 // Body implements dispatch.Sink.
 func (r *recorder) Body(p []byte) error {
 	r.keep(p)
-	r.gone = r.gone || r.sink.Body(p) != nil
+	if r.passed {
+		r.gone = r.gone || r.sink.Body(p) != nil
+	}
 	return nil
 }
 
