--- a/internal/order/client.go
+++ b/internal/order/client.go
@@ -74,7 +74,7 @@
 // before the deadline only.
 func boundedDial(deadline time.Time) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		d := net.Dialer{Deadline: deadline}
+		d := net.Dialer{Deadline: deadline, Control: limitRetransmission}
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
