Poll the engines in use more often than the others

Cause: 16 polls a second over 600 engines made every report 38 s old. Change: the engines that were sent requests in the last 30 s share 16 polls a second; the others share what is left of it, at least 4. TestPrefixBalancer waits for the engines' first reports, before which nothing learnt is kept: with slower polls it failed by sending a repeat elsewhere.

--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -25,9 +25,12 @@
 
 	// minPollInterval is the shortest time between two load reports of one
 	// engine.
-	minPollInterval = 250 * time.Millisecond
-	// maxPollsPerSecond bounds the load reports of all engines together.
+	minPollInterval = 500 * time.Millisecond
+	// maxPollsPerSecond bounds the load reports of the engines in use together.
 	maxPollsPerSecond = 16
+	// minIdlePollsPerSecond is the share of the other engines together. They
+	// get more while few are in use.
+	minIdlePollsPerSecond = 4
 	// failuresUntilLost is how many reports in a row must fail.
 	failuresUntilLost = 2
 
@@ -43,6 +46,8 @@
 	Loaded(id backend.ID, l openai.Load, asked, now time.Time)
 	// Lost is called when an engine stops reporting.
 	Lost(id backend.ID)
+	// InUse reports whether the engine was sent requests lately.
+	InUse(id backend.ID, now time.Time) bool
 	// CacheEvent gets the next event of an engine's stream.
 	CacheEvent(id backend.ID, e openai.CacheEvent, now time.Time)
 }
@@ -126,12 +131,27 @@
 	}()
 }
 
-// interval is the time between two load reports of one engine.
-func (w *Watcher) interval() time.Duration {
+// interval is the time between two load reports of an engine. Engines in use
+// share most of the reports; a change of use takes effect after one interval.
+func (w *Watcher) interval(id backend.ID) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	spread := time.Duration(len(w.engines)) * time.Second / maxPollsPerSecond
-	return max(spread, minPollInterval)
+	now := time.Now()
+	used := 0
+	for e := range w.engines {
+		if w.sink.InUse(e, now) {
+			used++
+		}
+	}
+	return pollInterval(used, len(w.engines), w.sink.InUse(id, now))
+}
+
+func pollInterval(used, all int, inUse bool) time.Duration {
+	n, perSecond := used, maxPollsPerSecond
+	if !inUse {
+		n, perSecond = all-used, max(minIdlePollsPerSecond, maxPollsPerSecond-2*used)
+	}
+	return max(time.Duration(n)*time.Second/time.Duration(perSecond), minPollInterval)
 }
 
 func (w *Watcher) pollLoad(ctx context.Context, s backend.Server) {
@@ -152,7 +172,7 @@
 			w.log.Warn("engine_lost", zap.String("engine", string(s.ID)), zap.Error(err))
 			w.sink.Lost(s.ID)
 		}
-		if !pause(ctx, w.interval()) {
+		if !pause(ctx, w.interval(s.ID)) {
 			return
 		}
 	}
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -13,13 +13,15 @@
 )
 
 // engineState is what this router learned of one engine. Its fields are
-// guarded by engineTable.mu, but for load and lost.
+// guarded by engineTable.mu, but for load, lost and sent.
 type engineState struct {
 	incarnation backend.Incarnation
 	slot        prefix.Slot
 	weights     map[string]string // nil until the first report
 	load        *route.Load
 	lost        atomic.Bool
+	// sent is when the last request was sent, in nanoseconds of Unix time.
+	sent atomic.Int64
 }
 
 // servesVersion reports whether the engine may run a version of a model. An
@@ -128,6 +130,21 @@
 	return s == nil || !s.lost.Load()
 }
 
+// useFor is how long an engine counts as in use after a request.
+const useFor = 30 * time.Second
+
+// used notes that a request is sent to an engine.
+func (t *engineTable) used(id backend.ID, now time.Time) {
+	if s := (*t.known.Load())[id]; s != nil {
+		s.sent.Store(now.UnixNano())
+	}
+}
+
+func (t *engineTable) inUse(id backend.ID, now time.Time) bool {
+	s := (*t.known.Load())[id]
+	return s != nil && now.Sub(time.Unix(0, s.sent.Load())) < useFor
+}
+
 // setLost marks an engine as gone until its next report.
 func (t *engineTable) setLost(id backend.ID) {
 	if s := (*t.known.Load())[id]; s != nil {
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -155,6 +155,7 @@
 	p.b.logChoice(req, a, &d)
 	now := time.Now()
 	p.b.chooser.Dispatched(&r, &d, now)
+	p.b.table.used(d.Engine.ID, now)
 	p.b.flights.Store(req.ID, &flight{request: &r, decision: d})
 	return p.prompt.View.Servers[d.Engine.ID], nil
 }
@@ -230,6 +231,9 @@
 // Lost implements enginewatch.Sink.
 func (b *PrefixBalancer) Lost(id backend.ID) { b.table.setLost(id) }
 
+// InUse implements enginewatch.Sink.
+func (b *PrefixBalancer) InUse(id backend.ID, now time.Time) bool { return b.table.inUse(id, now) }
+
 // CacheEvent implements enginewatch.Sink.
 func (b *PrefixBalancer) CacheEvent(id backend.ID, e openai.CacheEvent, now time.Time) {
 	hashes := make([]prefix.Hash, len(e.Hashes))
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -60,6 +60,17 @@
 		<-done
 		w.d.Close()
 	})
+	// What is learnt before an engine's first report is dropped with it.
+	eventually(t, "all engines have reported", func() bool {
+		w.b.table.mu.Lock()
+		defer w.b.table.mu.Unlock()
+		for _, s := range w.b.table.engines {
+			if s.incarnation == "" {
+				return false
+			}
+		}
+		return len(w.b.table.engines) == n
+	})
 	return w
 }
 
