--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.warmIndex(loopCtx) })
 	d.runClaims(loopCtx)
+	d.runPlacement(loopCtx)
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.admission.run(loopCtx) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
