Count a choice as dispatched when its attempt starts

Cause: the balancer is asked for several offers, of which one is taken; each counted as a dispatch and waited for the account's pace anew, the priority was that of the last offer, an offer that was never sent stayed in memory, and an engine newer than the request's view of the configuration gave a server without an address.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -169,7 +169,7 @@
 		Settings:    d.settings,
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
+		Dispatcher:  dispatch.New(dispatch.Config{}),
 		Evidence:    d.admission,
 		Admitter:    d.admitter,
 		Budget:      d.budget,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -131,7 +131,7 @@
 			return c.pickFailed(err, last)
 		}
 		if h, ok := p.(Hinter); ok {
-			c.req.Hints = h.Hints()
+			c.req.Hints = h.Hints(server.ID)
 		}
 		last = c.try(ctx, server)
 		if last == nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -84,8 +84,8 @@
 
 // Hinter is a Picker that has hints for the engine.
 type Hinter interface {
-	// Hints returns the hints for the server picked last.
-	Hints() Hints
+	// Hints returns the hints for a server that was picked.
+	Hints(id backend.ID) Hints
 }
 
 // Head is the beginning of an answer.
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -69,9 +69,9 @@
 }
 
 // Hints implements dispatch.Hinter: they are the balancer's, if it has any.
-func (a *attempts) Hints() dispatch.Hints {
+func (a *attempts) Hints(id backend.ID) dispatch.Hints {
 	if h, ok := a.inner.(dispatch.Hinter); ok {
-		return h.Hints()
+		return h.Hints(id)
 	}
 	return a.hints
 }
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -304,7 +304,7 @@
 	calls []string
 }
 
-func (*recordingPicker) Hints() dispatch.Hints { return dispatch.Hints{Priority: 7} }
+func (*recordingPicker) Hints(backend.ID) dispatch.Hints { return dispatch.Hints{Priority: 7} }
 
 func (p *recordingPicker) Started(dispatch.Request, dispatch.Attempt, backend.Server) {
 	p.calls = append(p.calls, "started")
@@ -335,7 +335,7 @@
 	if got := strings.Join(inner.calls, " "); got != "started answered ended" {
 		t.Errorf("calls %q", got)
 	}
-	if n := picker.(dispatch.Hinter).Hints().Priority; n != 7 {
+	if n := picker.(dispatch.Hinter).Hints("e").Priority; n != 7 {
 		t.Errorf("priority %d", n)
 	}
 }
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -125,9 +125,9 @@
 }
 
 // Hints implements dispatch.Hinter.
-func (g guardedPicker) Hints() dispatch.Hints {
+func (g guardedPicker) Hints(id backend.ID) dispatch.Hints {
 	if h, ok := g.inner.(dispatch.Hinter); ok {
-		return h.Hints()
+		return h.Hints(id)
 	}
 	return dispatch.Hints{}
 }
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -48,7 +48,7 @@
 	}
 	w.view = config.NewView(w.snapshot)
 	w.b = NewPrefixBalancer(settings.Routing{PieceTokens: testBlock}, zap.NewNop())
-	w.d = dispatch.New(dispatch.Config{Observer: w.b})
+	w.d = dispatch.New(dispatch.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -110,10 +110,11 @@
 	long := strings.Repeat("a tenancy file, ", 5000)
 	priority := func(class config.Class, text string) int {
 		p := w.b.Engine(Prompt{Account: "a", Model: "m", WeightsVersion: "1", Text: text, Class: class, View: w.view})
-		if _, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1}); err != nil {
+		s, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1})
+		if err != nil {
 			t.Fatal(err)
 		}
-		return p.(dispatch.Hinter).Hints().Priority
+		return p.(dispatch.Hinter).Hints(s.ID).Priority
 	}
 	review := priority(config.Review, "")
 	missed := priority(config.Interactive, long)
