--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -48,7 +48,7 @@
 	}
 	w.view = config.NewView(w.snapshot)
 	w.b = NewPrefixBalancer(settings.Routing{PieceTokens: testBlock}, zap.NewNop())
-	w.d = dispatch.New(dispatch.Config{Observer: w.b})
+	w.d = dispatch.New(dispatch.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -60,6 +60,17 @@
 		<-done
 		w.d.Close()
 	})
+	// What is learnt before an engine's first report is dropped with it.
+	eventually(t, "all engines have reported", func() bool {
+		w.b.table.mu.Lock()
+		defer w.b.table.mu.Unlock()
+		for _, s := range w.b.table.engines {
+			if s.incarnation == "" {
+				return false
+			}
+		}
+		return len(w.b.table.engines) == n
+	})
 	return w
 }
 
@@ -99,10 +110,11 @@
 	long := strings.Repeat("a tenancy file, ", 5000)
 	priority := func(class config.Class, text string) int {
 		p := w.b.Engine(Prompt{Account: "a", Model: "m", WeightsVersion: "1", Text: text, Class: class, View: w.view})
-		if _, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1}); err != nil {
+		s, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1})
+		if err != nil {
 			t.Fatal(err)
 		}
-		return p.(dispatch.Hinter).Hints().Priority
+		return p.(dispatch.Hinter).Hints(s.ID).Priority
 	}
 	review := priority(config.Review, "")
 	missed := priority(config.Interactive, long)
