Tell a repeat that is not admitted of the run that its key stands for

A caller could book again under another key. Ruled out: claiming before admission, which lets a flood write the table. Change: a request with an idempotency key that is not admitted is answered from its claim, by one read, if there is one.

--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -283,6 +283,35 @@
 	f.runs("k", 1)
 }
 
+// TestRefusedRepeat checks that a repeat which is not admitted hears of the run
+// that its key stands for, and that a new key is refused as not run.
+func TestRefusedRepeat(t *testing.T) {
+	f := start(t)
+	f.eventually(0, "ran", func(a answer) bool { return a.status == http.StatusCreated })
+	f.shop.set(nil, true)
+	f.book(context.Background(), 0, "lost", "stator 12")
+	f.shop.set(nil, false)
+	tk := f.FirstTicket()
+	tk.ClientID = "dear"
+	for i := range tk.Routes.Set {
+		tk.Routes.Set[i].CostTokens = 1e9
+	}
+	tk.Servers.Set = nil
+	rec, err := f.store.File(context.Background(), tk)
+	if err != nil || rec.Status != ticket.Accepted {
+		t.Fatalf("ticket: %+v, %v", rec, err)
+	}
+	for f.vms[1].Spread().View().Head.Number < rec.Number {
+		time.Sleep(time.Millisecond)
+	}
+	f.eventually(1, "new", func(a answer) bool { return a.code == "burst_exceeded" && a.verdict == "not_run" })
+	f.eventually(1, "ran", func(a answer) bool { return a.replayed })
+	f.eventually(1, "lost", func(a answer) bool { return a.verdict == "may_have_run" })
+	f.runs("new", 0)
+	f.runs("ran", 1)
+	f.runs("lost", 1)
+}
+
 // TestRouterKilled kills the router between the claim and the answer. The
 // booking may have run and never runs again.
 func TestRouterKilled(t *testing.T) {
--- a/internal/router/claims.go
+++ b/internal/router/claims.go
@@ -23,6 +23,9 @@
 type Claims interface {
 	// Acquire claims a request. Its error is a *verdict.Error.
 	Acquire(ctx context.Context, key claim.Key, digest claim.Digest) (claim.Grant, error)
+	// Peek answers for an earlier request with this key without claiming it.
+	// Its error is a *verdict.Error if found is set.
+	Peek(ctx context.Context, key claim.Key, digest claim.Digest) (o *claim.Outcome, found bool, err error)
 	// Body returns the body of a kept outcome. Its error is a *verdict.Error.
 	Body(ctx context.Context, o *claim.Outcome) ([]byte, error)
 }
@@ -62,6 +65,27 @@
 	return &claimed{claim: grant.Claim, repeatable: repeatable}, true
 }
 
+// refuseAdmission refuses a request that was not admitted. If its idempotency
+// key stands for a request that ran or may have run, the caller is told of
+// that instead: "not run" might make it try under another key.
+func (r *Router) refuseAdmission(w http.ResponseWriter, req *http.Request, key claim.Key, body []byte, refusal *verdict.Error) {
+	key.Idempotency = req.Header.Get(HeaderIdempotencyKey)
+	if key.Idempotency == "" || r.opts.Claims == nil {
+		r.refuse(w, requestID(req), refusal)
+		return
+	}
+	digest := claim.DigestOf(req.Method, req.URL.RequestURI(), body)
+	outcome, found, err := r.opts.Claims.Peek(req.Context(), key, digest)
+	switch {
+	case !found:
+		r.refuse(w, requestID(req), refusal)
+	case err != nil:
+		r.refuse(w, requestID(req), verdict.AsError(err))
+	default:
+		r.replay(w, req, outcome)
+	}
+}
+
 // replay answers with the outcome of the request's earlier run.
 func (r *Router) replay(w http.ResponseWriter, req *http.Request, o *claim.Outcome) {
 	body, err := r.opts.Claims.Body(req.Context(), o)
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -50,7 +50,7 @@
 		Tokens:    c.promptTokens() + float64(c.output),
 	})
 	if err != nil {
-		r.refuse(w, id, verdict.AsError(err))
+		r.refuseAdmission(w, req, claim.Key{Account: c.caller.account.ID}, c.body, verdict.AsError(err))
 		return
 	}
 	if refusal := r.recheck(c.caller); refusal != nil {
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -41,12 +41,11 @@
 		r.refuse(w, id, refusal)
 		return
 	}
-	grant, refusal := r.admitRoute(req, id, route, who)
-	if refusal != nil {
-		r.refuse(w, id, refusal)
+	c := routeCall{id: id, view: view, route: route, caller: who, body: body, grant: openGrant{}}
+	if who != nil && !r.admitRoute(w, req, &c) {
 		return
 	}
-	r.dispatchRoute(w, req, routeCall{id: id, view: view, route: route, caller: who, body: body, grant: grant})
+	r.dispatchRoute(w, req, c)
 }
 
 // routeCall is one call of a plain service on its way through the router.
@@ -66,6 +65,9 @@
 	return c.caller.account.ID
 }
 
+// claimKey names the call among those with idempotency keys.
+func (c routeCall) claimKey() claim.Key { return claim.Key{Account: c.account(), Route: c.route.ID} }
+
 // routeCaller returns nil for an open route.
 func (r *Router) routeCaller(view *config.View, route config.Route, req *http.Request) (*caller, *verdict.Error) {
 	if route.Open {
@@ -78,28 +80,29 @@
 	return &who, nil
 }
 
-func (r *Router) admitRoute(req *http.Request, id string, route config.Route, who *caller) (Grant, *verdict.Error) {
-	if who == nil {
-		return openGrant{}, nil
-	}
-	class := route.Class
+// admitRoute admits a call, or answers the caller and returns false.
+func (r *Router) admitRoute(w http.ResponseWriter, req *http.Request, c *routeCall) bool {
+	class := c.route.Class
 	if class == "" {
 		class = config.Interactive
 	}
 	grant, err := r.opts.Admitter.Admit(req.Context(), Admission{
-		RequestID: id,
-		Account:   who.account,
+		RequestID: c.id,
+		Account:   c.caller.account,
 		Class:     class,
-		Tokens:    route.CostTokens,
+		Tokens:    c.route.CostTokens,
 	})
 	if err != nil {
-		return nil, verdict.AsError(err)
+		r.refuseAdmission(w, req, c.claimKey(), c.body, verdict.AsError(err))
+		return false
 	}
-	if refusal := r.recheck(*who); refusal != nil {
+	if refusal := r.recheck(*c.caller); refusal != nil {
 		grant.Done(0)
-		return nil, refusal
+		r.refuse(w, c.id, refusal)
+		return false
 	}
-	return grant, nil
+	c.grant = grant
+	return true
 }
 
 // openGrant is the grant of a call on an open route, which has no account.
@@ -108,8 +111,7 @@
 func (openGrant) Done(float64) {}
 
 func (r *Router) dispatchRoute(w http.ResponseWriter, req *http.Request, c routeCall) {
-	key := claim.Key{Account: c.account(), Route: c.route.ID}
-	held, ok := r.claimRequest(w, req, key, c.body, c.route.Idempotent)
+	held, ok := r.claimRequest(w, req, c.claimKey(), c.body, c.route.Idempotent)
 	if !ok {
 		c.grant.Done(0)
 		return
