Hold a bursting account's request back once for each attempt

Cause: the guards may ask the balancer for up to four engines for one attempt, or again while a slot is taken, and each time the request was held back anew. Ruled out: health as a filter of the chooser (an only engine in its slow start would be refused). Change: the hold is cleared after the first wait. Conclusion: held once. An engine that is offered but not taken still counts as sent work until its next load report.

--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -137,6 +137,7 @@
 		if err := wait(ctx, p.hold); err != nil {
 			return backend.Server{}, err
 		}
+		p.hold = 0 // An attempt may ask for several engines.
 	}
 	r := p.request
 	r.Excluded = a.Tried
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -147,3 +147,21 @@
 		}
 	}
 }
+
+// TestHoldOnce checks that a request is held back once, however many engines an
+// attempt asks for.
+func TestHoldOnce(t *testing.T) {
+	w := newBalanced(t, 2)
+	p := w.b.Engine(Prompt{Account: "a", Model: "m", WeightsVersion: "1", Text: "a note", View: w.view}).(*enginePicker)
+	const hold = 200 * time.Millisecond
+	p.hold = hold
+	begin := time.Now()
+	for range 4 {
+		if _, err := p.Pick(t.Context(), dispatch.Request{ID: "r"}, dispatch.Attempt{Number: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(begin); took < hold || took > 3*hold {
+		t.Errorf("held for %v, want %v", took, hold)
+	}
+}
