Report the claims of departed VMs as abandoned at once

Cause: a repeat of a booking whose router had died was told "in progress" for eleven minutes.

Change: a claim whose VM is not on the roster is reported as "outcome_unknown" at once. The transition is that of a lapsed claim, which the model covers; a router that was only paused still records its outcome (TestOwnerGone). A VM that came back under the same id falls back to the age of the claim.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,7 @@
 	batcher   *batcher
 	recording chan struct{}
 	pending   atomic.Int64
+	ownerGone func(Owner) bool
 	bodyBytes atomic.Int64
 	vms       atomic.Int64
 	stopped   chan struct{}
@@ -84,6 +86,7 @@
 		owner:     owner,
 		objects:   objects,
 		now:       time.Now,
+		ownerGone: func(Owner) bool { return false },
 		recording: make(chan struct{}, maxRecording),
 		stopped:   make(chan struct{}),
 	}
@@ -102,6 +105,20 @@
 // SetVMs tells the Store how many VMs share the table writes.
 func (s *Store) SetVMs(n int) { s.vms.Store(int64(max(n, 1))) }
 
+// SetOwnerGone tells the Store how to know that the writer of a claim has left
+// for good, so that its open claims are reported as abandoned at once. It must
+// be called before Run. A wrong answer is harmless: the writer may still record
+// its outcome.
+func (s *Store) SetOwnerGone(gone func(Owner) bool) { s.ownerGone = gone }
+
+// lapse returns the age at which a claim is reported as abandoned.
+func (s *Store) lapse(o Owner) time.Duration {
+	if s.ownerGone(o) {
+		return math.MinInt64 // at once, whatever the clocks of the VMs say
+	}
+	return s.settings.Lapse
+}
+
 // interval returns the least time between two transactions of this VM.
 func (s *Store) interval() time.Duration {
 	return time.Duration(float64(s.vms.Load()) / s.settings.TableWrites * float64(time.Second))
@@ -145,7 +162,7 @@
 		until:        start.Add(settleTime),
 		result:       make(chan error, 1),
 		apply: func(r Record, st Stamp) (Record, bool) {
-			next, d, write := Acquire(r, a, s.settings.Lapse, st)
+			next, d, write := Acquire(r, a, s.lapse(r.Owner), st)
 			rec, decision = next, d
 			return next, write
 		},
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// TestOwnerGone reports a claim as abandoned once its writer has left. A writer
+// that was only paused still records its outcome.
+func TestOwnerGone(t *testing.T) {
+	ctx := context.Background()
+	p := memplatform.New()
+	first := startStore(t, p, p, "vm1")
+	second := newStore(p, p, "vm2")
+	second.SetOwnerGone(func(o Owner) bool { return o.VM == "vm1" })
+	runStore(t, second)
+	key := Key{Account: "a", Idempotency: "k"}
+	held, err := first.Acquire(ctx, key, "d")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := second.Acquire(ctx, key, "d"); verdict.AsError(err).Code != "outcome_unknown" {
+			t.Errorf("Acquire = %v, want outcome_unknown", err)
+		}
+	}
+	held.Claim.Finish(ctx, 201, nil, nil)
+	if g, err := second.Acquire(ctx, key, "d"); err != nil || g.Outcome == nil {
+		t.Errorf("Acquire = %+v, %v, want the outcome", g, err)
+	}
+}
+
 // TestRetention runs sweepers that are replaced at random, with wall clocks
 // that step, and checks that no row is removed within the retention time of
 // its last change.
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -27,7 +27,12 @@
 	s := claim.DefaultSettings()
 	s.Lapse = d.settings.Limits.RequestTimeout.Std() + claimSlack
 	owner := claim.Owner{VM: self.ID, Incarnation: d.incarnation}
-	return claim.NewStore(d.platform.Table, d.platform.Objects, owner, s)
+	store := claim.NewStore(d.platform.Table, d.platform.Objects, owner, s)
+	store.SetOwnerGone(func(o claim.Owner) bool {
+		members := d.roster()
+		return len(members.Members) > 0 && !members.Contains(o.VM)
+	})
+	return store
 }
 
 // runClaims commits claims and, on one VM at a time, removes old ones.
