Report a departed VM's claims only once its absence is certain

Cause: TestConcurrentRepeats failed once in a whole run with outcome_unknown: a VM that does not know yet of one which joined lately takes it for departed. Ruled out: the store's retries (12 runs of the test alone pass). Change: the claim must be 15 s old, beyond the age of any roster by which a VM serves. Before: 1 failure in one whole run, not reproduced alone. Not proved: that this was the cause of that one failure.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -105,16 +104,21 @@
 // SetVMs tells the Store how many VMs share the table writes.
 func (s *Store) SetVMs(n int) { s.vms.Store(int64(max(n, 1))) }
 
+// departedLapse is the age at which the claim of a VM that has left is reported
+// as abandoned. It exceeds the age of any roster by which a VM serves, so that
+// a VM which joined lately is not taken for one that has left.
+const departedLapse = 15 * time.Second
+
 // SetOwnerGone tells the Store how to know that the writer of a claim has left
-// for good, so that its open claims are reported as abandoned at once. It must
-// be called before Run. A wrong answer is harmless: the writer may still record
+// for good, so that its open claims are reported as abandoned soon. It must be
+// called before Run. A wrong answer is harmless: the writer may still record
 // its outcome.
 func (s *Store) SetOwnerGone(gone func(Owner) bool) { s.ownerGone = gone }
 
 // lapse returns the age at which a claim is reported as abandoned.
 func (s *Store) lapse(o Owner) time.Duration {
 	if s.ownerGone(o) {
-		return math.MinInt64 // at once, whatever the clocks of the VMs say
+		return departedLapse
 	}
 	return s.settings.Lapse
 }
