Hold accounts to their rates in the request path; queue requests fairly

Cause: the ledger and the fair queue stood beside the request path, which admitted everything. Change: the peer service Budget (batched reservations, settlements, handovers); a sharded keeper and a client with bounded waits; the admitter reserves at the account's home, queues for engines and settles with the tokens used; addresses begin with the account's home VM; each process draws an incarnation. Ruled out: a reservation of tokens that come later, see the ledger; a share of the engines' tokens for each VM, which holds back the home of a large account. Seen to fail: with admission switched off, the scenario rates admits 127,000 tokens in 2.01 s against a bound of 8,013. A home lost without a handover leaves its accounts refused as not run for about 5 s, with the time to come back.

--- a/internal/budget/fleet_test.go
+++ b/internal/budget/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -46,7 +47,7 @@
 	newNode      func(vm.VM) node
 	selfs        []vm.VM
 	nodes        []node
-	roster       *Roster
+	roster       *roster.Roster
 	polls        []poll
 	messages     []Handover
 	entries      []entry
@@ -62,7 +63,7 @@
 
 func newFleet(seed int64, vms int, newNode func(vm.VM) node) *fleet {
 	f := &fleet{
-		rng: rand.New(rand.NewSource(seed)), now: epoch, newNode: newNode, roster: &Roster{},
+		rng: rand.New(rand.NewSource(seed)), now: epoch, newNode: newNode, roster: &roster.Roster{},
 		open: map[ReservationID]int{}, polled: map[int]time.Time{}, cut: map[int]time.Time{}, unread: map[int]bool{},
 		changes: []change{{testContract, epoch}},
 	}
@@ -77,7 +78,7 @@
 }
 
 func (f *fleet) setRoster(vms []vm.VM) {
-	f.roster = &Roster{Version: f.roster.Version + 1, VMs: vms}
+	f.roster = &roster.Roster{Version: f.roster.Version + 1, Members: vms}
 }
 
 func (f *fleet) nextIncarnation() vm.Incarnation {
@@ -128,7 +129,7 @@
 }
 
 func (f *fleet) without(id vm.ID) []vm.VM {
-	return slices.DeleteFunc(slices.Clone(f.roster.VMs), func(v vm.VM) bool { return v.ID == id })
+	return slices.DeleteFunc(slices.Clone(f.roster.Members), func(v vm.VM) bool { return v.ID == id })
 }
 
 func (f *fleet) changeRoster() {
@@ -139,7 +140,7 @@
 	case f.rng.Intn(2) == 0:
 		f.setRoster(rest)
 	default:
-		vms := slices.Clone(f.roster.VMs)
+		vms := slices.Clone(f.roster.Members)
 		vms[f.rng.Intn(len(vms))].Leaving = true
 		f.setRoster(vms)
 	}
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -6,6 +6,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -15,7 +16,7 @@
 	To      vm.VM
 	Account account.ID
 	// Version is the roster that makes To the home.
-	Version uint64
+	Version head.RosterVersion
 	// Config is the configuration that was in force at the old home.
 	Config config.Number
 	// Level is the balance in tokens; it may be negative.
--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -13,27 +13,21 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-// Roster is a version of the fleet. Each change by transaction raises Version
-// by one. It must not be modified once it is published.
-type Roster struct {
-	Version uint64
-	VMs     []vm.VM
-}
-
 // View is what a router knows of the roster: at Evidence, or later, a read was
 // begun that showed the roster to be current.
 type View struct {
-	Roster   *Roster
+	Roster   *roster.Roster
 	Evidence time.Time
 }
 
 // Home returns the VM that keeps the account's bucket: the one with the
 // highest rendezvous hash among those that stay, or among all if all leave. It
 // returns false if the roster is empty.
-func Home(id account.ID, r *Roster) (vm.VM, bool) {
+func Home(id account.ID, r *roster.Roster) (vm.VM, bool) {
 	ranked, ok := best(id, r, false)
 	if !ok {
 		return best(id, r, true)
@@ -41,24 +35,24 @@
 	return ranked, true
 }
 
-func best(id account.ID, r *Roster, leaving bool) (vm.VM, bool) {
+func best(id account.ID, r *roster.Roster, leaving bool) (vm.VM, bool) {
 	accountHash := xxhash.Sum64String(string(id))
 	found := -1
 	var highest uint64
-	for i := range r.VMs {
-		v := &r.VMs[i]
+	for i := range r.Members {
+		v := &r.Members[i]
 		if v.Leaving && !leaving {
 			continue
 		}
 		score := mix(accountHash ^ xxhash.Sum64String(string(v.ID)))
-		if found < 0 || score > highest || score == highest && v.ID < r.VMs[found].ID {
+		if found < 0 || score > highest || score == highest && v.ID < r.Members[found].ID {
 			found, highest = i, score
 		}
 	}
 	if found < 0 {
 		return vm.VM{}, false
 	}
-	return r.VMs[found], true
+	return r.Members[found], true
 }
 
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
--- /dev/null
+++ b/internal/budget/keeper.go
@@ -0,0 +1,102 @@
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// shards is the number of ledgers that accounts are spread over, so that
+// requests of different accounts seldom wait for each other.
+const shards = 16
+
+// Keeper is a Ledger for concurrent use.
+type Keeper struct {
+	shards [shards]shard
+	// observing keeps views in order.
+	observing sync.Mutex
+	seen      View
+}
+
+type shard struct {
+	mu     sync.Mutex
+	ledger *Ledger
+}
+
+// NewKeeper returns the keeper of the VM self, without a roster or contracts.
+func NewKeeper(self vm.VM) *Keeper {
+	k := &Keeper{}
+	for i := range k.shards {
+		k.shards[i].ledger = NewLedger(self)
+	}
+	return k
+}
+
+// locked runs f on the account's ledger. The time is read under the lock, so
+// that it never goes back for one ledger.
+func (k *Keeper) locked(id account.ID, f func(l *Ledger, now time.Time)) {
+	s := &k.shards[shardOf(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.ledger, time.Now())
+}
+
+func shardOf(id account.ID) uint64 { return xxhash.Sum64String(string(id)) % shards }
+
+// Observe takes in a view and returns the balances that must go to new homes.
+func (k *Keeper) Observe(v View) []Handover {
+	k.observing.Lock()
+	defer k.observing.Unlock()
+	if v.Roster == nil || v == k.seen {
+		return nil
+	}
+	k.seen = v
+	var out []Handover
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		out = append(out, s.ledger.Observe(v, time.Now())...)
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Apply puts the contracts of a configuration in force.
+func (k *Keeper) Apply(c *config.Snapshot) {
+	var parts [shards]map[account.ID]account.Contract
+	for i := range parts {
+		parts[i] = map[account.ID]account.Contract{}
+	}
+	for id, a := range c.Accounts {
+		parts[shardOf(id)][id] = a.Contract
+	}
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		s.ledger.Apply(parts[i], c.Number, time.Now())
+		s.mu.Unlock()
+	}
+}
+
+// Reserve debits tokens; see Ledger.Reserve.
+func (k *Keeper) Reserve(id account.ID, r ReservationID, tokens float64) (a Answer) {
+	k.locked(id, func(l *Ledger, now time.Time) { a = l.Reserve(id, r, tokens, now) })
+	return a
+}
+
+// Settle settles a reservation; see Ledger.Settle.
+func (k *Keeper) Settle(id account.ID, r ReservationID, used float64) (ok bool) {
+	k.locked(id, func(l *Ledger, now time.Time) { ok = l.Settle(id, r, used, now) })
+	return ok
+}
+
+// Accept takes over a balance; see Ledger.Accept.
+func (k *Keeper) Accept(h Handover) (a Acceptance) {
+	k.locked(h.Account, func(l *Ledger, now time.Time) { a = l.Accept(h, now) })
+	return a
+}
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -5,19 +5,21 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/freshness"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
 const (
-	// Staleness is the age at which evidence of the roster no longer entitles
-	// a home to admit requests.
-	Staleness = 4 * time.Second
 	// clockMargin covers the drift between the monotonic clocks of two VMs
-	// over Staleness.
+	// over freshness.Bound.
 	clockMargin = 10 * time.Millisecond
 	// startDelay is how long a new home waits until the one before it must
 	// have stopped.
-	startDelay = Staleness + clockMargin
+	startDelay = freshness.Bound + clockMargin
+	// staleRetry is when a home without fresh evidence may have it again.
+	staleRetry = 1 * time.Second
 	// firstVersion is the roster before which no account had a home.
 	firstVersion = 1
 )
@@ -48,6 +50,15 @@
 	Settled
 )
 
+// String returns the outcome in snake case.
+func (o Outcome) String() string {
+	names := [...]string{"home_unavailable", "granted", "over_rate", "over_burst", "not_home", "settled"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
 // Answer is the outcome of a reservation.
 type Answer struct {
 	Outcome Outcome
@@ -63,7 +74,7 @@
 	// refill is the time from which the bucket of a new home fills.
 	refill time.Time
 	// handover is the least roster version of a handover to this tenure.
-	handover uint64
+	handover head.RosterVersion
 	// bucket is nil until the old home has stopped or handed over.
 	bucket *bucket
 	// removed is set while no ticket describes the account.
@@ -81,7 +92,7 @@
 	// learned is when this VM learned of the roster.
 	learned time.Time
 	// least is the least roster version of a handover to a new tenure.
-	least     uint64
+	least     head.RosterVersion
 	contracts map[account.ID]account.Contract
 	// number and base are the newest and the first configuration applied.
 	number, base config.Number
@@ -129,9 +140,9 @@
 	return l.rehome(continuous, now)
 }
 
-func (l *Ledger) adopt(r *Roster) {
+func (l *Ledger) adopt(r *roster.Roster) {
 	l.adopted = l.self.Incarnation
-	for _, v := range r.VMs {
+	for _, v := range r.Members {
 		if v.ID == l.self.ID {
 			l.adopted = v.Incarnation
 		}
@@ -141,7 +152,7 @@
 // leastHandover returns the least roster version of a handover that a tenure
 // which begins with the next roster may accept. An earlier process of this VM
 // may have accepted those up to the roster that it left behind.
-func (l *Ledger) leastHandover(next *Roster, continuous bool) uint64 {
+func (l *Ledger) leastHandover(next *roster.Roster, continuous bool) head.RosterVersion {
 	switch {
 	case continuous:
 		return l.view.Roster.Version + 1
@@ -154,7 +165,7 @@
 
 // continuous reports whether no other VM can have become a home between the
 // present roster and the next one.
-func (l *Ledger) continuous(next *Roster, now time.Time) bool {
+func (l *Ledger) continuous(next *roster.Roster, now time.Time) bool {
 	if l.view.Roster == nil {
 		return false
 	}
@@ -162,7 +173,7 @@
 }
 
 func (l *Ledger) fresh(now time.Time) bool {
-	return l.view.Roster != nil && age(l.view.Evidence, now) < Staleness
+	return l.view.Roster != nil && freshness.Fresh(l.view.Evidence, now)
 }
 
 // rehome brings the tenures in line with a new roster.
@@ -268,7 +279,7 @@
 // once.
 func (l *Ledger) Reserve(id account.ID, r ReservationID, tokens float64, now time.Time) Answer {
 	if !l.fresh(now) {
-		return Answer{Outcome: Unavailable, RetryAfter: Staleness}
+		return Answer{Outcome: Unavailable, RetryAfter: staleRetry}
 	}
 	t := l.tenures[id]
 	if t == nil || t.removed {
@@ -334,9 +345,3 @@
 func (l *Ledger) isSelf(v vm.VM) bool {
 	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || v.Incarnation == l.adopted)
 }
-
-// age returns the time since at, by the larger of the monotonic and the wall
-// clock: the monotonic clock stands still while a VM is frozen.
-func age(at, now time.Time) time.Duration {
-	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
-}
--- a/internal/budget/ledger_test.go
+++ b/internal/budget/ledger_test.go
@@ -111,8 +111,8 @@
 func (n *dividing) share(now time.Time) {
 	c := n.contracts[testAccount]
 	if n.view.Roster != nil {
-		c.Rate /= float64(len(n.view.Roster.VMs))
-		c.Burst /= float64(len(n.view.Roster.VMs))
+		c.Rate /= float64(len(n.view.Roster.Members))
+		c.Burst /= float64(len(n.view.Roster.Members))
 		n.own.setContract(c, now)
 	}
 }
@@ -196,7 +196,7 @@
 	}
 	id := ReservationID{Seq: f.seq}
 	level := f.nodes[old].(*Ledger).tenures[testAccount].bucket.level
-	vms := slices.Clone(f.roster.VMs)
+	vms := slices.Clone(f.roster.Members)
 	for i := range vms {
 		vms[i].Leaving = vms[i] == f.selfs[old]
 	}
--- a/internal/budget/state.go
+++ b/internal/budget/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"papayaspan.dev/papayaspan/internal/freshness"
 )
 
 // Clone returns a copy that shares nothing that changes. The model in
@@ -44,7 +46,7 @@
 	if l.view.Roster == nil {
 		return b.String()
 	}
-	evidence := min(now.Sub(l.view.Evidence), Staleness)
+	evidence := min(now.Sub(l.view.Evidence), freshness.Bound)
 	fmt.Fprintf(&b, " roster%d evidence%v config%d/%d", l.view.Roster.Version, evidence, l.number, l.base)
 	for _, id := range slices.Sorted(maps.Keys(l.tenures)) {
 		fmt.Fprintf(&b, " %s%s", id, l.tenures[id].key(now))
@@ -57,7 +59,7 @@
 
 func (t *tenure) key(now time.Time) string {
 	if t.bucket == nil {
-		since := min(now.Sub(t.since), startDelay+Staleness)
+		since := min(now.Sub(t.since), startDelay+freshness.Bound)
 		return fmt.Sprintf(" removed%t since%v refill%v handover%d", t.removed, since, now.Sub(t.refill), t.handover)
 	}
 	c := t.clone().bucket
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,10 +19,17 @@
 		Membership: d.platform.Membership,
 		Peers:      spread.PoolPeers{Pool: d.pool},
 		Log:        d.log,
-		Publish:    func(s *config.Snapshot) { d.router.Publish(s) },
+		Publish:    d.publish,
 	})
 }
 
+// publish puts a configuration in force, first where it limits accounts.
+func (d *Daemon) publish(s *config.Snapshot) {
+	d.budget.Apply(s)
+	d.admitter.Apply(s)
+	d.router.Publish(s)
+}
+
 // Spread returns the part that keeps the configuration current.
 func (d *Daemon) Spread() *spread.Spreader { return d.spread }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
+	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/link"
@@ -52,6 +54,11 @@
 	pool     *link.Pool
 	servers  []*http.Server
 
+	// incarnation tells this process from earlier ones of the same VM.
+	incarnation vm.Incarnation
+	budget      *budget.Service
+	admitter    *router.FairAdmitter
+
 	callerListener, peerListener, adminListener net.Listener
 
 	cancel    context.CancelFunc
@@ -63,7 +70,7 @@
 // New builds a router process and listens on its addresses, without serving
 // yet.
 func New(s *settings.Settings, log *zap.Logger, p Platform) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{})}
+	d := &Daemon{settings: s, log: log, platform: p, metrics: metrics.NewRegistry(), drained: make(chan struct{}), incarnation: vm.Incarnation(rand.Uint64())}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -106,6 +113,7 @@
 func (d *Daemon) Self() vm.VM {
 	return vm.VM{
 		ID:            vm.ID(d.settings.VM.ID),
+		Incarnation:   d.incarnation,
 		FailureDomain: d.settings.VM.FailureDomain,
 		CallerAddress: advertised(d.settings.Advertise.Caller, d.callerListener),
 		PeerAddress:   advertised(d.settings.Advertise.Peer, d.peerListener),
@@ -136,6 +144,9 @@
 
 	d.spread = d.newSpreader()
 	peer.RegisterControlServer(d.peers, d.spread)
+	d.budget = d.newBudget()
+	peer.RegisterBudgetServer(d.peers, budget.Server{Service: d.budget})
+	d.admitter = router.NewFairAdmitter(d.budget)
 	directory := peerDirectory{self: d.Self(), members: d.members, pool: pool}
 	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
@@ -147,7 +158,8 @@
 		Metrics:     d.metrics,
 		Dispatcher:  dispatch.New(dispatch.Config{Observer: d.balancer}),
 		Evidence:    d.spread,
-		Admitter:    router.AdmitAll{},
+		Admitter:    d.admitter,
+		Budget:      d.budget,
 		Balancer:    d.balancer,
 		Addresses:   d.spread,
 		Health:      d.health,
@@ -194,6 +206,7 @@
 	loopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
 	d.goLoop(func() { d.spread.Run(loopCtx) })
+	d.goLoop(func() { d.budget.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
--- a/internal/router/addresses.go
+++ b/internal/router/addresses.go
@@ -25,12 +25,14 @@
 }
 
 // serveAddresses tells a caller which VMs to use. The parameter failure_domain
-// is the caller's own; VMs in it come first. The bearer key is optional and
-// lets the answer begin with the account's home VM.
+// is the caller's own; VMs in it come first, after the home VM of the account
+// whose key came with the request.
 func (r *Router) serveAddresses(w http.ResponseWriter, req *http.Request) {
 	domain := req.URL.Query().Get("failure_domain")
-	vms := r.opts.Addresses.VMs(r.addressAccount(req))
+	id := r.addressAccount(req)
+	vms := r.opts.Addresses.VMs(id)
 	slices.SortStableFunc(vms, func(a, b vm.VM) int { return nearer(a, b, domain) })
+	r.homeFirst(id, vms)
 	list := addressList{TTLSeconds: int(addressTTL.Seconds()), Addresses: []addressEntry{}}
 	for _, v := range vms {
 		list.Addresses = append(list.Addresses, addressEntry{Address: v.CallerAddress, FailureDomain: v.FailureDomain, VM: string(v.ID)})
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -45,6 +45,7 @@
 		RequestID: id,
 		Account:   c.caller.account,
 		Class:     c.class,
+		Model:     c.model.Name,
 		Tokens:    c.promptTokens() + float64(c.output),
 	})
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,8 @@
 	Admitter   Admitter
 	Balancer   Balancer
 	Addresses  AddressBook
+	// Budget steers callers to the home VMs of their accounts. May be nil.
+	Budget Budget
 	// Health holds the breakers of the backend servers. Nil means a new table.
 	Health *health.Table
 	// Guard holds poison requests back. Nil means that of a single VM.
--- a/internal/router/steps.go
+++ b/internal/router/steps.go
@@ -20,6 +20,8 @@
 	RequestID string
 	Account   account.Account
 	Class     config.Class
+	// Model is empty for calls of plain services.
+	Model string
 	// Tokens is the prompt's length plus the declared maximum of output.
 	Tokens float64
 }
--- a/spec/budget/model_test.go
+++ b/spec/budget/model_test.go
@@ -14,6 +14,9 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/budget"
+	"papayaspan.dev/papayaspan/internal/freshness"
+	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 	"papayaspan.dev/papayaspan/spec/explore"
 )
@@ -22,7 +25,7 @@
 	client account.ID = "a"
 	// tick is the step of time. Evidence lapses at the second one, and a new
 	// home starts at the third one.
-	tick = budget.Staleness / 2
+	tick = freshness.Bound / 2
 	// reserved and used are the tokens of each request.
 	reserved = 1.0
 	used     = 0.5
@@ -73,10 +76,10 @@
 	contract account.Contract
 	now      int
 	phase    phase
-	roster   *budget.Roster
+	roster   *roster.Roster
 	nodes    [2]*budget.Ledger
 	// versions holds the roster's version at the beginning of each tick.
-	versions []uint64
+	versions []head.RosterVersion
 	// lastRead is the tick of the newest read that each VM has.
 	lastRead [2]int
 	messages []budget.Handover
@@ -90,9 +93,9 @@
 
 // rosterOf alternates the home: even versions make VM 0 the home, odd ones
 // VM 1.
-func rosterOf(version uint64) *budget.Roster {
+func rosterOf(version head.RosterVersion) *roster.Roster {
 	i := int(version % 2)
-	return &budget.Roster{Version: version, VMs: []vm.VM{self(i)}}
+	return &roster.Roster{Version: version, Members: []vm.VM{self(i)}}
 }
 
 func self(i int) vm.VM {
@@ -108,7 +111,7 @@
 // initial is a fleet with VM 0 as its home for long.
 func initial(contract account.Contract) state {
 	const longAgo = -20
-	s := state{contract: contract, roster: rosterOf(firstRoster), versions: []uint64{firstRoster}}
+	s := state{contract: contract, roster: rosterOf(firstRoster), versions: []head.RosterVersion{firstRoster}}
 	for i := range s.nodes {
 		s.nodes[i] = newLedger(self(i), contract)
 		s.nodes[i].Observe(budget.View{Roster: s.roster, Evidence: at(longAgo)}, at(longAgo))
@@ -154,7 +157,7 @@
 			m.steps[0].State.phase = restartVMs
 			m.steps[0].State.versions = append(slices.Clip(s.versions), s.roster.Version)
 		}
-		if s.roster.Version < uint64(firstRoster+b.changes) {
+		if s.roster.Version < head.RosterVersion(firstRoster+b.changes) {
 			n := s
 			n.roster = rosterOf(s.roster.Version + 1)
 			m.add(changeRoster, fmt.Sprintf("roster %d makes VM %d the home", n.roster.Version, n.roster.Version%2), n)
@@ -198,9 +201,9 @@
 func (v variant) endRead(s state, i, began int) state {
 	s.lastRead[i] = began
 	evidence := at(began)
-	roster := s.roster
+	seen := s.roster
 	if began < s.now {
-		roster = rosterOf(s.versions[began])
+		seen = rosterOf(s.versions[began])
 	}
 	if v.evidenceAtEnd {
 		evidence = s.time()
@@ -211,7 +214,7 @@
 	if v.startAtOnce {
 		learned = learned.Add(-2*tick - tick/2)
 	}
-	out := l.Observe(budget.View{Roster: roster, Evidence: evidence}, learned)
+	out := l.Observe(budget.View{Roster: seen, Evidence: evidence}, learned)
 	s.messages = append(slices.Clip(s.messages), out...)
 	return s
 }
