--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/head"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -54,6 +56,28 @@
 	return h
 }
 
+// awaited returns the VMs that may hold the buckets which this VM waits for:
+// the homes by the roster before, or, for a VM that just joined, by the roster
+// without it.
+func (l *Ledger) awaited(before *roster.Roster) []vm.ID {
+	if before == nil {
+		before = &roster.Roster{}
+		for _, v := range l.view.Roster.Members {
+			if !l.isSelf(v) {
+				before.Members = append(before.Members, v)
+			}
+		}
+	}
+	var out []vm.ID
+	for id, t := range l.tenures {
+		home, ok := Home(id, before)
+		if t.bucket == nil && ok && !l.isSelf(home) && !slices.Contains(out, home.ID) {
+			out = append(out, home.ID)
+		}
+	}
+	return out
+}
+
 // Accept takes over a bucket from the old home, which has stopped. No wait is
 // then needed before the first reservation. A balance from before a change of
 // the contract is declined, since the change may have cut it.
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -48,22 +49,27 @@
 
 func shardOf(id account.ID) uint64 { return xxhash.Sum64String(string(id)) % shards }
 
-// Observe takes in a view and returns the balances that must go to new homes.
-func (k *Keeper) Observe(v View) []Handover {
+// Observe takes in a view. It returns the balances that must go to new homes,
+// and the VMs from which this one awaits balances under a new roster.
+func (k *Keeper) Observe(v View) (out []Handover, awaited []vm.ID) {
 	k.observing.Lock()
 	defer k.observing.Unlock()
 	if v.Roster == nil || v == k.seen {
-		return nil
+		return nil, nil
 	}
+	before := k.seen.Roster
 	k.seen = v
-	var out []Handover
 	for i := range k.shards {
 		s := &k.shards[i]
 		s.mu.Lock()
 		out = append(out, s.ledger.Observe(v, time.Now())...)
+		if v.Roster != before {
+			awaited = append(awaited, s.ledger.awaited(before)...)
+		}
 		s.mu.Unlock()
 	}
-	return out
+	slices.Sort(awaited)
+	return out, slices.Compact(awaited)
 }
 
 // Apply puts the contracts of a configuration in force.
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -17,15 +17,21 @@
 )
 
 const (
-	// maxWait bounds the wait of a reservation, for tokens or for the home.
+	// maxWait bounds the wait of a reservation for tokens, or for a home that
+	// does not answer.
 	maxWait = 1 * time.Second
+	// maxMoveWait bounds the wait while the home moves in order. VMs learn of
+	// a new roster within this time.
+	maxMoveWait = 2 * time.Second
 	// callTimeout bounds one call to a home.
 	callTimeout = 250 * time.Millisecond
 	// retryPause is the mean pause before a home is asked again.
 	retryPause = 50 * time.Millisecond
+	// tellInterval bounds how often VMs are told that they may be behind.
+	tellInterval = 100 * time.Millisecond
 	// grantTTL is how old a grant may be when it is used. A VM that was paused
 	// does not admit on it: the home may have admitted others meanwhile.
-	grantTTL = 2 * time.Second
+	grantTTL = 3 * time.Second
 	// homeRetryAfter is when callers should come back if the home can't be
 	// reached: a lost home is replaced within this time.
 	homeRetryAfter = 5 * time.Second
@@ -39,7 +45,9 @@
 	View func() View
 	// Client returns a client for a peer address, host:port.
 	Client func(addr string) (peer.BudgetClient, error)
-	Log    *zap.Logger
+	// Tell exchanges the roster with a VM soon. It must not block.
+	Tell func(vm.ID)
+	Log  *zap.Logger
 }
 
 // Service reserves tokens at the homes of the accounts, and keeps the buckets
@@ -48,6 +56,7 @@
 	opts    Options
 	keeper  *Keeper
 	seq     atomic.Uint64
+	told    atomic.Int64 // Unix nanoseconds
 	batches batches
 	settles settleQueue
 	moves   moveQueue
@@ -74,7 +83,11 @@
 
 // refresh takes in the present view.
 func (s *Service) refresh() {
-	s.moves.add(s.keeper.Observe(s.opts.View()), time.Now())
+	out, awaited := s.keeper.Observe(s.opts.View())
+	s.moves.add(out, time.Now())
+	for _, id := range awaited {
+		s.opts.Tell(id)
+	}
 }
 
 // Reservation is a granted reservation. It must be settled once.
@@ -111,7 +124,7 @@
 		if answer.Outcome == Granted && freshness.Age(start, time.Now()) < grantTTL {
 			return r, nil
 		}
-		pause, refusal := next(answer, maxWait-time.Since(start))
+		pause, refusal := next(answer, err, time.Since(start))
 		if refusal == nil && sleep(ctx, pause) {
 			continue
 		}
@@ -125,19 +138,22 @@
 	}
 }
 
-// next decides whether to ask again after a pause or to refuse for good.
-func next(a Answer, left time.Duration) (pause time.Duration, refusal *Refusal) {
-	switch a.Outcome {
-	case Granted: // too late
+// next decides what follows an answer, some time after the first try: a pause
+// and another try, or the refusal.
+func next(a Answer, err error, waited time.Duration) (pause time.Duration, refusal *Refusal) {
+	pause = retryPause/2 + rand.N(retryPause)
+	limit := maxMoveWait
+	switch {
+	case err != nil:
+		limit = maxWait
+	case a.Outcome == Granted: // too late
 		return 0, &Refusal{Outcome: Unavailable, RetryAfter: retryPause}
-	case OverBurst:
+	case a.Outcome == OverBurst:
 		return 0, &Refusal{Outcome: OverBurst}
-	case NoTokens:
-		pause = a.RetryAfter
-	default:
-		pause = max(retryPause/2+rand.N(retryPause), a.RetryAfter)
+	case a.Outcome == NoTokens:
+		pause, limit = a.RetryAfter, maxWait
 	}
-	if pause <= left {
+	if waited+pause <= limit {
 		return pause, nil
 	}
 	if a.RetryAfter == 0 {
@@ -156,7 +172,20 @@
 		s.refresh()
 		return s.keeper.Reserve(r.account, r.id, tokens), nil
 	}
-	return s.batches.reserve(ctx, home.PeerAddress, &peer.Reservation{Account: string(r.account), Seq: r.id.Seq, Tokens: tokens})
+	answer, err := s.batches.reserve(ctx, home.PeerAddress, &peer.Reservation{Account: string(r.account), Seq: r.id.Seq, Tokens: tokens})
+	if answer.Outcome == NotHome {
+		s.tell(home.ID)
+	}
+	return answer, err
+}
+
+// tell makes this VM and another one agree on the roster, but not at each call.
+func (s *Service) tell(id vm.ID) {
+	now := time.Now().UnixNano()
+	last := s.told.Load()
+	if now-last > int64(tellInterval) && s.told.CompareAndSwap(last, now) {
+		s.opts.Tell(id)
+	}
 }
 
 // settle settles at once if the home is here, or later over the network.
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -18,6 +18,7 @@
 			}
 			return peer.NewBudgetClient(conn), nil
 		},
-		Log: d.log,
+		Tell: d.spread.Tell,
+		Log:  d.log,
 	})
 }
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -14,7 +14,7 @@
 const tokensPerEngine = 1 << 17
 
 // FairAdmitter reserves a request's tokens and then waits for its turn at the
-// engines. Calls of plain services only reserve.
+// engines. Calls of plain services only reserve, and free ones not even that.
 type FairAdmitter struct {
 	budget Budget
 	queue  *admission.Controller
@@ -40,6 +40,9 @@
 
 // Admit implements Admitter.
 func (a *FairAdmitter) Admit(ctx context.Context, r Admission) (Grant, error) {
+	if r.Tokens == 0 {
+		return openGrant{}, nil
+	}
 	reservation, err := a.budget.Reserve(ctx, r.Account.ID, r.Tokens)
 	if err != nil {
 		return nil, refuseBudget(err)
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -109,14 +109,20 @@
 	reply := &peer.ExchangeReply{Status: s.state.status(now)}
 	s.mu.Unlock()
 	if better(req.GetStatus(), reply.GetStatus()) {
-		select {
-		case s.hints <- vm.ID(req.GetStatus().GetVm()):
-		default:
-		}
+		s.Tell(vm.ID(req.GetStatus().GetVm()))
 	}
 	return reply, nil
 }
 
+// Tell exchanges status with a VM soon, so that whichever of the two is behind
+// learns of it. It never blocks.
+func (s *Spreader) Tell(id vm.ID) {
+	select {
+	case s.hints <- id:
+	default:
+	}
+}
+
 // better reports whether a peer's status shows more than our own.
 func better(theirs, own *peer.Status) bool {
 	if theirs.GetConfigNumber() > own.GetConfigNumber() || theirs.GetRosterVersion() > own.GetRosterVersion() {
