--- a/internal/budget/fleet_test.go
+++ b/internal/budget/fleet_test.go
@@ -32,6 +32,9 @@
 	return t != nil && t.bucket != nil && t.bucket.find(r) >= 0
 }
 
+// newNodeFunc starts a process at a time.
+type newNodeFunc func(vm.VM, time.Time) node
+
 // poll is a read of the roster that is under way.
 type poll struct {
 	node   int
@@ -44,7 +47,7 @@
 type fleet struct {
 	rng          *rand.Rand
 	now          time.Time
-	newNode      func(vm.VM) node
+	newNode      newNodeFunc
 	selfs        []vm.VM
 	nodes        []node
 	roster       *roster.Roster
@@ -61,7 +64,7 @@
 	unread map[int]bool
 }
 
-func newFleet(seed int64, vms int, newNode func(vm.VM) node) *fleet {
+func newFleet(seed int64, vms int, newNode newNodeFunc) *fleet {
 	f := &fleet{
 		rng: rand.New(rand.NewSource(seed)), now: epoch, newNode: newNode, roster: &roster.Roster{},
 		open: map[ReservationID]int{}, polled: map[int]time.Time{}, cut: map[int]time.Time{}, unread: map[int]bool{},
@@ -102,7 +105,7 @@
 		}
 	}
 	self := vm.VM{ID: id, Incarnation: f.nextIncarnation()}
-	n := f.newNode(self)
+	n := f.newNode(self, f.now)
 	n.Apply(f.contracts(), config.Number(len(f.changes)), f.now)
 	f.unread[len(f.nodes)] = true
 	f.nodes = append(f.nodes, n)
@@ -120,7 +123,7 @@
 		}
 	}
 	self.Incarnation = f.nextIncarnation()
-	n := f.newNode(self)
+	n := f.newNode(self, f.now)
 	n.Apply(f.contracts(), config.Number(len(f.changes)), f.now)
 	f.nodes[i] = n
 	f.selfs[i] = self
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -33,7 +33,7 @@
 func NewKeeper(self vm.VM) *Keeper {
 	k := &Keeper{}
 	for i := range k.shards {
-		k.shards[i].ledger = NewLedger(self)
+		k.shards[i].ledger = NewLedger(self, time.Now())
 	}
 	return k
 }
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -85,9 +85,12 @@
 // state machine and not safe for concurrent use.
 type Ledger struct {
 	self vm.VM
-	// adopted is the incarnation that the first roster gave this VM: that of
-	// an earlier process if a restart left the roster as it was.
+	// started is when this process started, before it joined the roster.
+	started time.Time
+	// adopted is the incarnation that the first roster with this VM gave it:
+	// that of an earlier process if a restart left the roster as it was.
 	adopted vm.Incarnation
+	joined  bool
 	view    View
 	// learned is when this VM learned of the roster.
 	learned time.Time
@@ -102,9 +105,11 @@
 	settled settledIDs
 }
 
-// NewLedger returns the ledger of the VM self, without a roster or contracts.
-func NewLedger(self vm.VM) *Ledger {
+// NewLedger returns the ledger of the VM self, whose process started at time
+// started, without a roster or contracts.
+func NewLedger(self vm.VM, started time.Time) *Ledger {
 	return &Ledger{
+		started:   started,
 		self:      self,
 		contracts: map[account.ID]account.Contract{},
 		changed:   map[account.ID]config.Number{},
@@ -119,6 +124,9 @@
 // had not lapsed: a home in between needs evidence begun startDelay after it
 // learned of its role, so there can have been none.
 func (l *Ledger) Observe(v View, now time.Time) []Handover {
+	if v.Roster.Version < firstVersion {
+		return nil // not read yet
+	}
 	old := l.view
 	if old.Roster != nil && v.Roster.Version <= old.Roster.Version {
 		if v.Roster.Version == old.Roster.Version && v.Evidence.After(old.Evidence) {
@@ -128,10 +136,8 @@
 	}
 	l.startAll()
 	continuous := l.continuous(v.Roster, now)
-	if old.Roster == nil {
-		l.adopt(v.Roster)
-	}
-	l.least = l.leastHandover(v.Roster, continuous)
+	l.adopt(v.Roster)
+	l.least = l.leastHandover(v.Roster, continuous, now)
 	l.view = v
 	l.learned = now
 	if v.Roster.Version == firstVersion && l.adopted == l.self.Incarnation {
@@ -140,24 +146,28 @@
 	return l.rehome(continuous, now)
 }
 
+// adopt takes the incarnation that the first roster with this VM gives it.
 func (l *Ledger) adopt(r *roster.Roster) {
-	l.adopted = l.self.Incarnation
-	for _, v := range r.Members {
-		if v.ID == l.self.ID {
-			l.adopted = v.Incarnation
-		}
+	member, ok := r.Get(l.self.ID)
+	if ok && !l.joined {
+		l.adopted, l.joined = member.Incarnation, true
 	}
 }
 
 // leastHandover returns the least roster version of a handover that a tenure
-// which begins with the next roster may accept. An earlier process of this VM
-// may have accepted those up to the roster that it left behind.
-func (l *Ledger) leastHandover(next *roster.Roster, continuous bool) head.RosterVersion {
+// which begins with the next roster may accept. No other home may have started
+// after that version: it would have waited for startDelay since.
+func (l *Ledger) leastHandover(next *roster.Roster, continuous bool, now time.Time) head.RosterVersion {
 	switch {
 	case continuous:
 		return l.view.Roster.Version + 1
-	case l.view.Roster == nil && l.adopted != l.self.Incarnation:
+	case l.view.Roster != nil:
+		return next.Version
+	case l.joined && l.adopted != l.self.Incarnation:
+		// An earlier process may have accepted what was sent until now.
 		return next.Version + 1
+	case freshness.Fresh(l.started, now):
+		return firstVersion
 	default:
 		return next.Version
 	}
@@ -343,5 +353,5 @@
 }
 
 func (l *Ledger) isSelf(v vm.VM) bool {
-	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || v.Incarnation == l.adopted)
+	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || l.joined && v.Incarnation == l.adopted)
 }
--- a/internal/budget/ledger_test.go
+++ b/internal/budget/ledger_test.go
@@ -15,7 +15,7 @@
 
 // neverOver runs a fleet under pauses, lost and repeated messages, roster
 // changes and restarts, and checks every window of the admitted tokens.
-func neverOver(newNode func(vm.VM) node) func(seed int64) error {
+func neverOver(newNode newNodeFunc) func(seed int64) error {
 	return func(seed int64) error {
 		f := newFleet(seed, 3, newNode)
 		for range 600 {
@@ -29,7 +29,7 @@
 	}
 }
 
-func newLedgerNode(self vm.VM) node { return NewLedger(self) }
+func newLedgerNode(self vm.VM, now time.Time) node { return NewLedger(self, now) }
 
 // trusting is the naive home that never doubts what it knows of the roster.
 type trusting struct{ *Ledger }
@@ -93,8 +93,8 @@
 	own *bucket
 }
 
-func newDividing(vm.VM) node {
-	return &dividing{Ledger: NewLedger(vm.VM{}), own: newBucket(testContract, 0, epoch)}
+func newDividing(_ vm.VM, now time.Time) node {
+	return &dividing{Ledger: NewLedger(vm.VM{}, now), own: newBucket(testContract, 0, epoch)}
 }
 
 func (n *dividing) Observe(v View, now time.Time) []Handover {
@@ -131,12 +131,12 @@
 
 func TestFleetNeverOverRate(t *testing.T) {
 	runProperty(t, "every window holds at most rate x t + burst", 300, neverOver(newLedgerNode))
-	for desc, newNode := range map[string]func(vm.VM) node{
-		"no freshness bound":     func(v vm.VM) node { return trusting{NewLedger(v)} },
-		"no wait of a new home":  func(v vm.VM) node { return hasty{NewLedger(v)} },
-		"missed rosters ignored": func(v vm.VM) node { return forgetful{NewLedger(v)} },
-		"handover credited anew": func(v vm.VM) node { return crediting{NewLedger(v)} },
-		"full refunds":           func(v vm.VM) node { return refunding{NewLedger(v)} },
+	for desc, newNode := range map[string]newNodeFunc{
+		"no freshness bound":     func(v vm.VM, now time.Time) node { return trusting{NewLedger(v, now)} },
+		"no wait of a new home":  func(v vm.VM, now time.Time) node { return hasty{NewLedger(v, now)} },
+		"missed rosters ignored": func(v vm.VM, now time.Time) node { return forgetful{NewLedger(v, now)} },
+		"handover credited anew": func(v vm.VM, now time.Time) node { return crediting{NewLedger(v, now)} },
+		"full refunds":           func(v vm.VM, now time.Time) node { return refunding{NewLedger(v, now)} },
 		"rate / N on each VM":    newDividing,
 	} {
 		expectRefuted(t, desc, 1000, neverOver(newNode))
@@ -146,7 +146,7 @@
 // wholeRate sends all requests of an account through one VM of a healthy
 // fleet, never above its rate and burst by an exact bucket, and fails if one
 // is refused.
-func wholeRate(newNode func(vm.VM) node) func(seed int64) error {
+func wholeRate(newNode newNodeFunc) func(seed int64) error {
 	return func(seed int64) error {
 		f := newFleet(seed, 3, newNode)
 		f.settleRoster()
@@ -249,3 +249,43 @@
 		t.Errorf("filed again: %+v", got)
 	}
 }
+
+// TestFirstRoster shows what a process does that finds itself on the roster:
+// one that just joined takes the balance, also if it missed the roster that
+// admitted it; a restarted one waits, because its predecessor may have taken it.
+func TestFirstRoster(t *testing.T) {
+	const late = startDelay + time.Second
+	self := vm.VM{ID: "vm-1", Incarnation: 7}
+	for _, c := range []struct {
+		desc   string
+		listed vm.Incarnation
+		learns time.Duration
+		want   Acceptance
+		after  Outcome
+	}{
+		{"joined", 7, time.Second, Accepted, Granted},
+		{"joined long ago", 7, late, Declined, Unavailable},
+		{"restarted", 6, time.Second, Declined, Unavailable},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			l := NewLedger(self, epoch)
+			l.Apply(map[account.ID]account.Contract{testAccount: testContract}, 1, epoch)
+			l.Observe(View{Roster: &roster.Roster{}}, epoch)
+			now := epoch.Add(c.learns)
+			r := &roster.Roster{Version: 6, Members: []vm.VM{{ID: "vm-1", Incarnation: c.listed}}}
+			l.Observe(View{Roster: r, Evidence: now}, now)
+			h := Handover{To: r.Members[0], Account: testAccount, Version: 5, Config: 1, Level: 50}
+			if got := l.Accept(h, now); got != c.want {
+				t.Errorf("the handover: %v, want %v", got, c.want)
+			}
+			if got := l.Reserve(testAccount, ReservationID{Seq: 1}, 1, now).Outcome; got != c.after {
+				t.Errorf("the first reservation: %v, want %v", got, c.after)
+			}
+			now = now.Add(late)
+			l.Observe(View{Roster: r, Evidence: now}, now)
+			if got := l.Reserve(testAccount, ReservationID{Seq: 2}, 1, now).Outcome; got != Granted {
+				t.Errorf("after the wait: %v", got)
+			}
+		})
+	}
+}
--- a/internal/budget/queues.go
+++ b/internal/budget/queues.go
@@ -70,6 +70,8 @@
 type moveQueue struct {
 	mu      sync.Mutex
 	waiting []move
+	// open counts the handovers that wait or are being sent.
+	open int
 }
 
 func (q *moveQueue) add(hs []Handover, now time.Time) {
@@ -81,8 +83,10 @@
 	for _, h := range hs {
 		q.waiting = append(q.waiting, move{h, now})
 	}
+	q.open += len(hs)
 }
 
+// take empties the queue, without what has waited too long.
 func (q *moveQueue) take(now time.Time) []move {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -92,10 +96,52 @@
 			out = append(out, m)
 		}
 	}
+	q.open -= len(q.waiting) - len(out)
 	q.waiting = nil
 	return out
 }
 
+// sent notes the outcome of handovers that were taken.
+func (q *moveQueue) sent(taken int, again []move) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = append(q.waiting, again...)
+	q.open -= taken - len(again)
+}
+
+func (q *moveQueue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.open == 0
+}
+
+// AwaitHandover waits until no account has its home here and all balances are
+// handed over, or until the context ends. A VM that leaves calls it before it
+// stops.
+func (s *Service) AwaitHandover(ctx context.Context) {
+	for !s.relieved() && sleep(ctx, flushInterval) {
+		s.refresh()
+	}
+}
+
+// relieved reports whether other VMs are the homes of all accounts, or there
+// is no other VM that stays.
+func (s *Service) relieved() bool {
+	v := s.opts.View()
+	if v.Roster == nil {
+		return true
+	}
+	home, others := false, false
+	for _, m := range v.Roster.Members {
+		if m.ID == s.opts.Self.ID {
+			home = !m.Leaving
+		} else {
+			others = others || !m.Leaving
+		}
+	}
+	return !others || !home && s.moves.empty()
+}
+
 // Run sends settlements and handovers until the context ends, and then once
 // more.
 func (s *Service) Run(ctx context.Context) {
@@ -185,10 +231,7 @@
 func (s *Service) sendMoves(to vm.VM, ms []move) {
 	for len(ms) > 0 {
 		n := min(len(ms), maxMoves)
-		again := s.sendMoveBatch(to, ms[:n])
-		s.moves.mu.Lock()
-		s.moves.waiting = append(s.moves.waiting, again...)
-		s.moves.mu.Unlock()
+		s.moves.sent(n, s.sendMoveBatch(to, ms[:n]))
 		ms = ms[n:]
 	}
 }
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/router"
@@ -22,3 +25,13 @@
 		Log:  d.log,
 	})
 }
+
+// handOverTimeout bounds the wait for new homes when this VM leaves.
+const handOverTimeout = 5 * time.Second
+
+// handOver waits until other VMs keep the budgets of all client accounts.
+func (d *Daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	d.budget.AwaitHandover(ctx)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -267,6 +267,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
+	d.handOver(ctx)
 	d.spread.Leave(context.WithoutCancel(ctx))
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
--- a/spec/budget/model_test.go
+++ b/spec/budget/model_test.go
@@ -102,8 +102,8 @@
 	return vm.VM{ID: vm.ID(fmt.Sprint("vm-", i)), Incarnation: vm.Incarnation(i + 1)}
 }
 
-func newLedger(v vm.VM, contract account.Contract) *budget.Ledger {
-	l := budget.NewLedger(v)
+func newLedger(v vm.VM, contract account.Contract, started time.Time) *budget.Ledger {
+	l := budget.NewLedger(v, started)
 	l.Apply(map[account.ID]account.Contract{client: contract}, 1, epoch)
 	return l
 }
@@ -113,7 +113,7 @@
 	const longAgo = -20
 	s := state{contract: contract, roster: rosterOf(firstRoster), versions: []head.RosterVersion{firstRoster}}
 	for i := range s.nodes {
-		s.nodes[i] = newLedger(self(i), contract)
+		s.nodes[i] = newLedger(self(i), contract, at(longAgo))
 		s.nodes[i].Observe(budget.View{Roster: s.roster, Evidence: at(longAgo)}, at(longAgo))
 		s.nodes[i].Observe(budget.View{Roster: s.roster, Evidence: at(0)}, at(0))
 	}
@@ -226,7 +226,7 @@
 	if !v.creditAgain {
 		process.Incarnation += vm.Incarnation(10 * s.restarts)
 	}
-	s.nodes[i] = newLedger(process, s.contract)
+	s.nodes[i] = newLedger(process, s.contract, s.time())
 	return s
 }
 
