--- a/internal/budget/fleet_test.go
+++ b/internal/budget/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/account"
@@ -81,6 +82,7 @@
 }
 
 func (f *fleet) setRoster(vms []vm.VM) {
+	slices.SortFunc(vms, func(a, b vm.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	f.roster = &roster.Roster{Version: f.roster.Version + 1, Members: vms}
 }
 
--- a/internal/budget/handover.go
+++ b/internal/budget/handover.go
@@ -79,8 +79,8 @@
 }
 
 // Accept takes over a bucket from the old home, which has stopped. No wait is
-// then needed before the first reservation. A balance from before a change of
-// the contract is declined, since the change may have cut it.
+// then needed before the first reservation. A balance from before two changes of
+// the contract is declined: the first may have cut it and the second hidden it.
 func (l *Ledger) Accept(h Handover, now time.Time) Acceptance {
 	if !l.isSelf(h.To) {
 		return Declined
@@ -92,7 +92,7 @@
 	if t == nil || t.bucket != nil || h.Version < t.handover || math.IsNaN(h.Level) {
 		return Declined
 	}
-	if h.Config < l.base || h.Config < l.changed[h.Account] {
+	if l.changesSince(h.Account, h.Config) > 1 {
 		return Declined
 	}
 	t.bucket = newBucket(t.contract, h.Level, now)
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -54,7 +54,7 @@
 func (k *Keeper) Observe(v View) (out []Handover, awaited []vm.ID) {
 	k.observing.Lock()
 	defer k.observing.Unlock()
-	if v.Roster == nil || v == k.seen {
+	if v.Roster == nil || v.Roster.Version < firstVersion || v == k.seen {
 		return nil, nil
 	}
 	before := k.seen.Roster
@@ -79,7 +79,11 @@
 		parts[i] = map[account.ID]account.Contract{}
 	}
 	for id, a := range c.Accounts {
-		parts[shardOf(id)][id] = a.Contract
+		half := account.Contract{Rate: a.Contract.Rate / halves, Burst: a.Contract.Burst / halves}
+		for k := range halves {
+			h := halfOf(id, k)
+			parts[shardOf(h)][h] = half
+		}
 	}
 	for i := range k.shards {
 		s := &k.shards[i]
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -87,10 +87,9 @@
 	self vm.VM
 	// started is when this process started, before it joined the roster.
 	started time.Time
-	// adopted is the incarnation that the first roster with this VM gave it:
-	// that of an earlier process if a restart left the roster as it was.
+	// adopted is the incarnation that the first roster gave this VM: that of
+	// an earlier process if a restart left the roster as it was.
 	adopted vm.Incarnation
-	joined  bool
 	view    View
 	// learned is when this VM learned of the roster.
 	learned time.Time
@@ -99,8 +98,9 @@
 	contracts map[account.ID]account.Contract
 	// number and base are the newest and the first configuration applied.
 	number, base config.Number
-	// changed holds the configuration that last changed a contract after base.
-	changed map[account.ID]config.Number
+	// changed holds the last two configurations after base that changed a
+	// contract, the last one first.
+	changed map[account.ID][2]config.Number
 	tenures map[account.ID]*tenure
 	settled settledIDs
 }
@@ -112,7 +112,7 @@
 		started:   started,
 		self:      self,
 		contracts: map[account.ID]account.Contract{},
-		changed:   map[account.ID]config.Number{},
+		changed:   map[account.ID][2]config.Number{},
 		tenures:   map[account.ID]*tenure{},
 	}
 }
@@ -136,7 +136,9 @@
 	}
 	l.startAll()
 	continuous := l.continuous(v.Roster, now)
-	l.adopt(v.Roster)
+	if old.Roster == nil {
+		l.adopt(v.Roster)
+	}
 	l.least = l.leastHandover(v.Roster, continuous, now)
 	l.view = v
 	l.learned = now
@@ -146,11 +148,11 @@
 	return l.rehome(continuous, now)
 }
 
-// adopt takes the incarnation that the first roster with this VM gives it.
+// adopt takes the incarnation that the first roster gives this VM.
 func (l *Ledger) adopt(r *roster.Roster) {
-	member, ok := r.Get(l.self.ID)
-	if ok && !l.joined {
-		l.adopted, l.joined = member.Incarnation, true
+	l.adopted = l.self.Incarnation
+	if member, ok := r.Get(l.self.ID); ok {
+		l.adopted = member.Incarnation
 	}
 }
 
@@ -163,7 +165,7 @@
 		return l.view.Roster.Version + 1
 	case l.view.Roster != nil:
 		return next.Version
-	case l.joined && l.adopted != l.self.Incarnation:
+	case l.adopted != l.self.Incarnation:
 		// An earlier process may have accepted what was sent until now.
 		return next.Version + 1
 	case freshness.Fresh(l.started, now):
@@ -243,14 +245,29 @@
 	}
 	for id, c := range contracts {
 		if l.contracts[id] != c {
-			l.changed[id] = n
+			l.changed[id] = [2]config.Number{n, l.changed[id][0]}
 		}
 	}
 	for id := range l.contracts {
 		if _, ok := contracts[id]; !ok {
-			l.changed[id] = n
+			l.changed[id] = [2]config.Number{n, l.changed[id][0]}
+		}
+	}
+}
+
+// changesSince returns how often the contract may have changed after
+// configuration n, up to two times. Any ticket before base may be a change.
+func (l *Ledger) changesSince(id account.ID, n config.Number) int {
+	count := 0
+	if n < l.base {
+		count = int(min(l.base-n, 2))
+	}
+	for _, changed := range l.changed[id] {
+		if changed > n {
+			count++
 		}
 	}
+	return count
 }
 
 // newTenure is the tenure of an account that came by roster or by ticket. In
@@ -353,5 +370,5 @@
 }
 
 func (l *Ledger) isSelf(v vm.VM) bool {
-	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || l.joined && v.Incarnation == l.adopted)
+	return v.ID == l.self.ID && (v.Incarnation == l.self.Incarnation || v.Incarnation == l.adopted)
 }
--- a/internal/budget/ledger_test.go
+++ b/internal/budget/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/config"
+	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
--- a/internal/budget/queues.go
+++ b/internal/budget/queues.go
@@ -27,10 +27,10 @@
 
 // settlement is one settlement on its way to the home.
 type settlement struct {
-	account account.ID
-	id      ReservationID
-	used    float64
-	since   time.Time
+	half  account.ID
+	id    ReservationID
+	used  float64
+	since time.Time
 }
 
 type settleQueue struct {
@@ -173,12 +173,12 @@
 func (s *Service) settlementsByHome(now time.Time) map[string][]settlement {
 	out := map[string][]settlement{}
 	for _, x := range s.settles.take(now) {
-		home, ok := s.Home(x.account)
+		home, ok := s.home(x.half)
 		switch {
 		case !ok:
 			s.settles.add(x)
 		case home.ID == s.opts.Self.ID:
-			if !s.keeper.Settle(x.account, x.id, x.used) {
+			if !s.keeper.Settle(x.half, x.id, x.used) {
 				s.settles.add(x)
 			}
 		default:
@@ -200,7 +200,7 @@
 func (s *Service) sendSettlementBatch(addr string, xs []settlement) (again []settlement) {
 	req := &peer.SettleRequest{Holder: uint64(s.opts.Self.Incarnation)}
 	for _, x := range xs {
-		req.Settlements = append(req.Settlements, &peer.Settlement{Account: string(x.account), Seq: x.id.Seq, Used: x.used})
+		req.Settlements = append(req.Settlements, &peer.Settlement{Account: string(x.half), Seq: x.id.Seq, Used: x.used})
 	}
 	client, err := s.opts.Client(addr)
 	if err != nil {
@@ -259,7 +259,7 @@
 			continue
 		}
 		s.opts.Log.Info("budget_handed_over",
-			zap.String("account", string(ms[i].Account)),
+			zap.String("account", accountOf(ms[i].Account)),
 			zap.String("to", string(to.ID)),
 			zap.Uint64("roster", uint64(ms[i].Version)),
 			zap.Float64("tokens", ms[i].Level),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,8 +20,10 @@
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/budget"
+	"papayaspan.dev/papayaspan/internal/claim"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
+	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/link"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/poison"
@@ -28,6 +31,7 @@
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/spread"
 	"papayaspan.dev/papayaspan/internal/vm"
+	"papayaspan.dev/papayaspan/internal/warm"
 )
 
 // Platform holds the platform's services.
@@ -44,9 +48,14 @@
 	log      *zap.Logger
 	platform Platform
 	metrics  metrics.Registry
+	// incarnation tells this process from earlier ones on the same VM.
+	incarnation vm.Incarnation
 
 	router    *router.Router
 	balancer  *router.PrefixBalancer
+	claims    *claim.Store
+	budget    *budget.Service
+	admitter  *router.FairAdmitter
 	spread    *spread.Spreader
 	guard     *poison.Guard
 	admission *admission
@@ -55,11 +64,6 @@
 	pool      *link.Pool
 	servers   []*http.Server
 
-	// incarnation tells this process from earlier ones of the same VM.
-	incarnation vm.Incarnation
-	budget      *budget.Service
-	admitter    *router.FairAdmitter
-
 	callerListener, peerListener, adminListener net.Listener
 
 	cancel    context.CancelFunc
@@ -121,6 +125,11 @@
 	}
 }
 
+// holder names this process as the holder of leases.
+func (d *Daemon) holder() lease.Holder {
+	return lease.Holder(fmt.Sprintf("%s-%x", d.settings.VM.ID, uint64(d.incarnation)))
+}
+
 // AdminAddress returns the address of the administration API, host:port.
 func (d *Daemon) AdminAddress() string { return d.adminListener.Addr().String() }
 
@@ -148,12 +157,14 @@
 	d.budget = d.newBudget()
 	peer.RegisterBudgetServer(d.peers, budget.Server{Service: d.budget})
 	d.admitter = router.NewFairAdmitter(d.budget)
-	directory := peerDirectory{self: d.Self(), members: d.members, refresh: d.spread.Refresh, pool: pool}
-	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, time.Now, time.Now())
+	directory := peerDirectory{self: d.Self().ID, roster: d.roster, refresh: d.spread.Refresh, pool: pool}
+	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, poison.Options{Now: time.Now, Start: time.Now(), Log: d.log, Metrics: d.metrics})
 	peer.RegisterPoisonServer(peers, poison.Server{Guard: d.guard})
 	d.admission = &admission{d: d}
 	d.health = health.NewTable()
-	d.balancer = router.NewPrefixBalancer(d.settings.Routing.PieceTokens, d.log)
+	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
+	peer.RegisterPrefixServer(peers, &warm.Server{Index: d.balancer.Index()})
+	d.claims = d.newClaims(d.Self())
 	d.router = router.New(router.Options{
 		Settings:    d.settings,
 		Log:         d.log,
@@ -164,6 +175,7 @@
 		Budget:      d.budget,
 		Balancer:    d.balancer,
 		Addresses:   d.spread,
+		Claims:      d.claims,
 		Health:      d.health,
 		Guard:       d.guard,
 		ContentSalt: []byte(d.settings.Routing.ContentSalt),
@@ -211,6 +223,8 @@
 	d.goLoop(func() { d.budget.Run(loopCtx) })
 	d.goLoop(func() { d.guard.Sweep(loopCtx) })
 	d.goLoop(func() { d.watchEngines(loopCtx) })
+	d.goLoop(func() { d.warmIndex(loopCtx) })
+	d.runClaims(loopCtx)
 	d.goLoop(func() { d.ended("peers", d.peers.Serve(d.peerListener)) })
 	d.goLoop(func() { d.admission.run(loopCtx) })
 	d.goLoop(func() { d.ended("callers", d.serveCallers()) })
@@ -267,6 +281,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.DrainTimeout.Std())
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
+	d.flushClaims(ctx)
 	d.handOver(ctx)
 	d.spread.Leave(context.WithoutCancel(ctx))
 	d.Kill()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,7 +19,8 @@
 	Retry RetryPolicy
 	// Budget is shared by all requests of this VM.
 	Budget *RetryBudget
-	// HeaderTimeout bounds the wait for the answer's header.
+	// HeaderTimeout bounds the wait for the answer's header. A request that is
+	// not streamed gets more by its MaxTokens.
 	HeaderTimeout time.Duration
 	// StallTimeout bounds the wait for each further byte.
 	StallTimeout time.Duration
@@ -129,8 +130,8 @@
 		if err != nil {
 			return c.pickFailed(err, last)
 		}
-		if pr, ok := p.(Prioritizer); ok {
-			c.req.Priority = pr.Priority()
+		if h, ok := p.(Hinter); ok {
+			c.req.Hints = h.Hints()
 		}
 		last = c.try(ctx, server)
 		if last == nil {
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -53,6 +53,8 @@
 // fleet is routers over loopback with gRPC between them, and engines.
 type fleet struct {
 	engines []*engine.Engine
+	servers []*httptest.Server
+	routers []*Router
 	urls    []string
 	peers   map[vm.ID]string
 	pool    *link.Pool
@@ -100,6 +102,7 @@
 		srv := httptest.NewServer(e.Handler())
 		t.Cleanup(srv.Close)
 		f.engines = append(f.engines, e)
+		f.servers = append(f.servers, srv)
 		id := backend.ID(fmt.Sprintf("engine-%d", i+1))
 		snap.Servers[id] = backend.Server{ID: id, Kind: backend.Engine, URL: srv.URL, Models: []string{"m"}}
 	}
@@ -120,7 +123,7 @@
 }
 
 func (f *fleet) startRouter(t *testing.T, id vm.ID, l net.Listener, snap *config.Snapshot) (url string) {
-	guard := poison.NewGuard(id, poison.Client{Directory: f}, time.Now, time.Now())
+	guard := poison.NewGuard(id, poison.Client{Directory: f}, poison.Options{Now: time.Now, Start: time.Now(), Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
 	server, err := link.NewServer(link.Files{})
 	if err != nil {
 		t.Fatal(err)
@@ -135,6 +138,7 @@
 		Health: health.NewTable(), Now: time.Now,
 	})
 	r.Publish(snap)
+	f.routers = append(f.routers, r)
 	srv := httptest.NewServer(r.Handler())
 	t.Cleanup(srv.Close)
 	return srv.URL
@@ -264,6 +268,78 @@
 	}
 }
 
+// TestDeadEngineIsAvoided checks that requests stop trying an engine that
+// refuses connections, and that it gets work again once it is back.
+func TestDeadEngineIsAvoided(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	f.servers[0].CloseClientConnections()
+	addr := f.servers[0].Listener.Addr().String()
+	f.servers[0].Close()
+	const requests = 50
+	for i := range requests {
+		if a, err := stream(f.urls[0], fmt.Sprint("note ", i), 1); err != nil || !a.done {
+			t.Fatalf("request %d: %+v, %v", i, a, err)
+		}
+	}
+	if n := f.routers[0].stats.retries.Count(); n == 0 || n > 5 {
+		t.Errorf("%d retries of %d requests", n, requests)
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := &http.Server{Handler: f.engines[0].Handler()}
+	defer back.Close()
+	go func() { _ = back.Serve(l) }()
+	before := f.engines[0].Stats().Requests
+	waitFor(t, func() bool {
+		_, err := stream(f.urls[0], "back", 1)
+		return err == nil && f.engines[0].Stats().Requests > before
+	})
+}
+
+// recordingPicker is a picker with all optional interfaces.
+type recordingPicker struct {
+	orderPicker
+	calls []string
+}
+
+func (*recordingPicker) Hints() dispatch.Hints { return dispatch.Hints{Priority: 7} }
+
+func (p *recordingPicker) Started(dispatch.Request, dispatch.Attempt, backend.Server) {
+	p.calls = append(p.calls, "started")
+}
+
+func (p *recordingPicker) Answered(dispatch.Request, dispatch.Result) {
+	p.calls = append(p.calls, "answered")
+}
+
+func (p *recordingPicker) Ended(dispatch.Request, dispatch.Result) {
+	p.calls = append(p.calls, "ended")
+}
+
+// TestAttemptsForward checks that the balancer's picker keeps its priority and
+// learns of the attempts behind health and poison handling.
+func TestAttemptsForward(t *testing.T) {
+	e := engine.New(engine.Options{BlockTokens: 16, CacheBlocks: 64, MaxRunning: 1, Weights: map[string]string{"m": "v1"}})
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	r := newTestRouter(true)
+	inner := &recordingPicker{orderPicker: orderPicker{{ID: "e", Kind: backend.Engine, URL: srv.URL}}}
+	body := []byte(`{"model":"m","prompt":"p","max_tokens":1}`)
+	picker := r.withGuards(inner, "a", "m", body)
+	req := dispatch.Request{ID: "r", Account: "a", Model: "m", Method: http.MethodPost, Path: openai.PathCompletions, Body: body}
+	if _, err := dispatch.New(dispatch.Config{}).Do(t.Context(), req, picker, dispatch.NewHTTPSink(httptest.NewRecorder(), time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(inner.calls, " "); got != "started answered ended" {
+		t.Errorf("calls %q", got)
+	}
+	if n := picker.(dispatch.Hinter).Hints().Priority; n != 7 {
+		t.Errorf("priority %d", n)
+	}
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
