--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -42,6 +42,12 @@
 	return id + account.ID(halfSeparator+strconv.Itoa(k))
 }
 
+// accountOf returns the account of a half, for logs.
+func accountOf(half account.ID) string {
+	id, _, _ := strings.Cut(string(half), halfSeparator)
+	return id
+}
+
 // Home returns the VM that keeps the bucket of a half: the one with the highest
 // rendezvous hash. The second half avoids the failure domain of the first, or
 // at least its VM, where it can. VMs that stay go before those that leave. It
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -85,6 +85,8 @@
 // state machine and not safe for concurrent use.
 type Ledger struct {
 	self vm.VM
+	// started is when this process started, before it joined the roster.
+	started time.Time
 	// adopted is the incarnation that the first roster gave this VM: that of
 	// an earlier process if a restart left the roster as it was.
 	adopted vm.Incarnation
@@ -96,18 +98,21 @@
 	contracts map[account.ID]account.Contract
 	// number and base are the newest and the first configuration applied.
 	number, base config.Number
-	// changed holds the configuration that last changed a contract after base.
-	changed map[account.ID]config.Number
+	// changed holds the last two configurations after base that changed a
+	// contract, the last one first.
+	changed map[account.ID][2]config.Number
 	tenures map[account.ID]*tenure
 	settled settledIDs
 }
 
-// NewLedger returns the ledger of the VM self, without a roster or contracts.
-func NewLedger(self vm.VM) *Ledger {
+// NewLedger returns the ledger of the VM self, whose process started at time
+// started, without a roster or contracts.
+func NewLedger(self vm.VM, started time.Time) *Ledger {
 	return &Ledger{
+		started:   started,
 		self:      self,
 		contracts: map[account.ID]account.Contract{},
-		changed:   map[account.ID]config.Number{},
+		changed:   map[account.ID][2]config.Number{},
 		tenures:   map[account.ID]*tenure{},
 	}
 }
@@ -119,6 +124,9 @@
 // had not lapsed: a home in between needs evidence begun startDelay after it
 // learned of its role, so there can have been none.
 func (l *Ledger) Observe(v View, now time.Time) []Handover {
+	if v.Roster.Version < firstVersion {
+		return nil // not read yet
+	}
 	old := l.view
 	if old.Roster != nil && v.Roster.Version <= old.Roster.Version {
 		if v.Roster.Version == old.Roster.Version && v.Evidence.After(old.Evidence) {
@@ -131,7 +139,7 @@
 	if old.Roster == nil {
 		l.adopt(v.Roster)
 	}
-	l.least = l.leastHandover(v.Roster, continuous)
+	l.least = l.leastHandover(v.Roster, continuous, now)
 	l.view = v
 	l.learned = now
 	if v.Roster.Version == firstVersion && l.adopted == l.self.Incarnation {
@@ -140,24 +148,28 @@
 	return l.rehome(continuous, now)
 }
 
+// adopt takes the incarnation that the first roster gives this VM.
 func (l *Ledger) adopt(r *roster.Roster) {
 	l.adopted = l.self.Incarnation
-	for _, v := range r.Members {
-		if v.ID == l.self.ID {
-			l.adopted = v.Incarnation
-		}
+	if member, ok := r.Get(l.self.ID); ok {
+		l.adopted = member.Incarnation
 	}
 }
 
 // leastHandover returns the least roster version of a handover that a tenure
-// which begins with the next roster may accept. An earlier process of this VM
-// may have accepted those up to the roster that it left behind.
-func (l *Ledger) leastHandover(next *roster.Roster, continuous bool) head.RosterVersion {
+// which begins with the next roster may accept. No other home may have started
+// after that version: it would have waited for startDelay since.
+func (l *Ledger) leastHandover(next *roster.Roster, continuous bool, now time.Time) head.RosterVersion {
 	switch {
 	case continuous:
 		return l.view.Roster.Version + 1
-	case l.view.Roster == nil && l.adopted != l.self.Incarnation:
+	case l.view.Roster != nil:
+		return next.Version
+	case l.adopted != l.self.Incarnation:
+		// An earlier process may have accepted what was sent until now.
 		return next.Version + 1
+	case freshness.Fresh(l.started, now):
+		return firstVersion
 	default:
 		return next.Version
 	}
@@ -233,14 +245,29 @@
 	}
 	for id, c := range contracts {
 		if l.contracts[id] != c {
-			l.changed[id] = n
+			l.changed[id] = [2]config.Number{n, l.changed[id][0]}
 		}
 	}
 	for id := range l.contracts {
 		if _, ok := contracts[id]; !ok {
-			l.changed[id] = n
+			l.changed[id] = [2]config.Number{n, l.changed[id][0]}
+		}
+	}
+}
+
+// changesSince returns how often the contract may have changed after
+// configuration n, up to two times. Any ticket before base may be a change.
+func (l *Ledger) changesSince(id account.ID, n config.Number) int {
+	count := 0
+	if n < l.base {
+		count = int(min(l.base-n, 2))
+	}
+	for _, changed := range l.changed[id] {
+		if changed > n {
+			count++
 		}
 	}
+	return count
 }
 
 // newTenure is the tenure of an account that came by roster or by ticket. In
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -19,12 +19,16 @@
 
 	mu    sync.Mutex
 	parts []part
+	// granted marks the shares that a home has granted. Each is an equal part
+	// of the tokens, by default that of the half with its index.
+	granted [halves]bool
 }
 
-func (r *Reservation) add(p part) {
+func (r *Reservation) add(share int, p part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.parts = append(r.parts, p)
+	r.granted[share] = true
 }
 
 // part is what one home granted.
@@ -47,49 +51,62 @@
 }
 
 // Reserve debits tokens, half of them at each of the account's homes. It waits
-// a short time if they will be there by then. Its error is a *Refusal.
+// a short time if they will be there by then, and keeps meanwhile what one home
+// has granted: requests that gave it back would keep each other from both
+// halves. Its error is a *Refusal.
 func (s *Service) Reserve(ctx context.Context, id account.ID, tokens float64) (*Reservation, error) {
+	r := &Reservation{service: s, tokens: tokens}
 	if tokens == 0 {
-		return &Reservation{service: s}, nil
+		return r, nil
 	}
 	start := time.Now()
 	for {
-		r, answer := s.try(ctx, id, tokens)
+		answer := s.try(ctx, id, r)
 		if answer.Outcome == Granted && freshness.Age(start, time.Now()) < grantTTL {
 			return r, nil
 		}
-		r.Settle(0)
-		pause, refusal := next(answer, maxWait-time.Since(start))
-		if refusal != nil {
-			return nil, refusal
+		pause, refusal := next(answer, time.Since(start))
+		if refusal == nil && sleep(ctx, pause) {
+			continue
 		}
-		if !sleep(ctx, pause) {
-			return nil, &Refusal{Outcome: answer.Outcome, RetryAfter: answer.RetryAfter}
+		r.Settle(0)
+		if refusal == nil {
+			refusal = &Refusal{Outcome: answer.Outcome, RetryAfter: answer.RetryAfter}
 		}
+		return nil, refusal
 	}
 }
 
-// try asks both homes once, and again that of the one half that can grant. The
-// reservation holds what was granted.
-func (s *Service) try(ctx context.Context, id account.ID, tokens float64) (*Reservation, Answer) {
-	r := &Reservation{service: s, tokens: tokens}
+// try asks for each missing share at the home of its half, and then for what is
+// still missing at the other home.
+func (s *Service) try(ctx context.Context, id account.ID, r *Reservation) Answer {
 	var answers [halves]Answer
 	var asks sync.WaitGroup
-	for k := 1; k < halves; k++ {
-		asks.Go(func() { answers[k] = s.ask(ctx, r, halfOf(id, k), tokens/halves) })
+	for k := range halves {
+		switch {
+		case r.granted[k]:
+			answers[k].Outcome = Granted
+		case k < halves-1:
+			asks.Go(func() { answers[k] = s.ask(ctx, r, k, halfOf(id, k)) })
+		default:
+			answers[k] = s.ask(ctx, r, k, halfOf(id, k))
+		}
 	}
-	answers[0] = s.ask(ctx, r, halfOf(id, 0), tokens/halves)
 	asks.Wait()
-	for k, a := range answers {
-		other := &answers[halves-1-k]
-		if a.Outcome != Granted || other.Outcome == Granted || other.Outcome == OverBurst {
+	for k := range halves {
+		other := halves - 1 - k
+		if answers[k].Outcome == Granted || answers[k].Outcome == OverBurst || answers[other].Outcome != Granted {
 			continue
 		}
-		if again := s.ask(ctx, r, halfOf(id, k), tokens/halves); again.Outcome == Granted {
-			return r, again
+		again := s.ask(ctx, r, k, halfOf(id, other))
+		switch {
+		case again.Outcome == Granted:
+			answers[k] = again
+		case again.Outcome == NoTokens && answers[k].Outcome == NoTokens:
+			answers[k].RetryAfter = min(answers[k].RetryAfter, again.RetryAfter)
 		}
 	}
-	return r, combine(answers)
+	return combine(answers)
 }
 
 // combine returns the answer for both halves. Without one of the homes the
@@ -110,17 +127,18 @@
 	return out
 }
 
-// ask asks the home of a half once and adds what it grants to the reservation.
+// ask asks the home of a half for one share and adds what it grants to the
+// reservation.
 // Without an answer the tokens are given back, since they may be debited.
-func (s *Service) ask(ctx context.Context, r *Reservation, half account.ID, tokens float64) Answer {
-	p := part{half: half, id: ReservationID{Holder: s.opts.Self.Incarnation, Seq: s.seq.Add(1)}, tokens: tokens}
+func (s *Service) ask(ctx context.Context, r *Reservation, share int, half account.ID) Answer {
+	p := part{half: half, id: ReservationID{Holder: s.opts.Self.Incarnation, Seq: s.seq.Add(1)}, tokens: r.tokens / halves}
 	answer, err := s.call(ctx, p)
 	if err != nil {
 		s.settle(settlement{half: half, id: p.id, since: time.Now()})
 		return Answer{Outcome: Unavailable}
 	}
 	if answer.Outcome == Granted {
-		r.add(p)
+		r.add(share, p)
 	}
 	return answer
 }
@@ -143,6 +161,10 @@
 	if ctx.Err() == nil {
 		s.lost.note(home.PeerAddress, err == nil, time.Now())
 	}
+	if answer.Outcome == NotHome {
+		s.tell(home.ID)
+		answer.RetryAfter = homeRetryAfter
+	}
 	return answer, errors.WithMessage(err, "ask the home")
 }
 
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/router"
@@ -18,6 +21,17 @@
 			}
 			return peer.NewBudgetClient(conn), nil
 		},
-		Log: d.log,
+		Tell: d.spread.Tell,
+		Log:  d.log,
 	})
 }
+
+// handOverTimeout bounds the wait for new homes when this VM leaves.
+const handOverTimeout = 5 * time.Second
+
+// handOver waits until other VMs keep the budgets of all client accounts.
+func (d *Daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	d.budget.AwaitHandover(ctx)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -283,6 +283,7 @@
 	defer cancel()
 	err := d.servers[0].Shutdown(ctx)
 	d.flushClaims(ctx)
+	d.handOver(ctx)
 	d.spread.Leave(context.WithoutCancel(ctx))
 	d.Kill()
 	d.log.Info("router_stopped", zap.Error(err))
