--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -60,6 +60,7 @@
 			"join":       cmdJoin,
 			"crashes":    cmdCrashes,
 			"bookings":   cmdBookings,
+			"weights":    cmdWeights,
 			"noleaks":    cmdNoLeaks,
 			"nosecret":   cmdNoSecret,
 		},
