--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -55,9 +55,6 @@
 	maxRecording = 4096
 	// maxBodyBytes bounds the answer bodies that wait for the platform.
 	maxBodyBytes = 32 << 20
-	// goneLapse is the age at which the claim of a VM that has left is reported
-	// as abandoned. It covers the time until a new VM is known to all.
-	goneLapse = 5 * time.Second
 	// flushPause is the time between two looks at what is pending.
 	flushPause = 5 * time.Millisecond
 	// repeatPause is when a repeat should ask again while the first runs.
@@ -107,8 +104,13 @@
 // SetVMs tells the Store how many VMs share the table writes.
 func (s *Store) SetVMs(n int) { s.vms.Store(int64(max(n, 1))) }
 
+// departedLapse is the age at which the claim of a VM that has left is reported
+// as abandoned. It exceeds the age of any roster by which a VM serves, so that
+// a VM which joined lately is not taken for one that has left.
+const departedLapse = 15 * time.Second
+
 // SetOwnerGone tells the Store how to know that the writer of a claim has left
-// for good, so that its open claims are soon reported as abandoned. It must be
+// for good, so that its open claims are reported as abandoned soon. It must be
 // called before Run. A wrong answer is harmless: the writer may still record
 // its outcome.
 func (s *Store) SetOwnerGone(gone func(Owner) bool) { s.ownerGone = gone }
@@ -116,7 +118,7 @@
 // lapse returns the age at which a claim is reported as abandoned.
 func (s *Store) lapse(o Owner) time.Duration {
 	if s.ownerGone(o) {
-		return min(goneLapse, s.settings.Lapse)
+		return departedLapse
 	}
 	return s.settings.Lapse
 }
