Read cache events only in fleets in which a router can take them all

Cause: the capacity arithmetic: each router subscribed to every engine, so that at 600 engines each would receive 1.8 M events a second. Ruled out: forwarding events between routers (1.4 bytes an event is all that 7 KB/s a VM allows); filtering at the engines, which nothing of ours runs on.

--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -31,6 +31,10 @@
 	// minIdlePollsPerSecond is the share of the other engines together. They
 	// get more while few are in use.
 	minIdlePollsPerSecond = 4
+	// maxEventStreams is the number of engines up to which their cache events
+	// are read. In a larger fleet every router would receive every event; the
+	// cached tokens of replies must do there.
+	maxEventStreams = 64
 	// failuresUntilLost is how many reports in a row must fail.
 	failuresUntilLost = 2
 
@@ -65,8 +69,9 @@
 
 // watched is an engine that is followed.
 type watched struct {
-	url  string
-	stop context.CancelFunc
+	url    string
+	events bool
+	stop   context.CancelFunc
 }
 
 // New returns a Watcher that follows no engine yet.
@@ -94,19 +99,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	listed := map[backend.ID]bool{}
+	for _, s := range servers {
+		if s.Kind == backend.Engine {
+			listed[s.ID] = true
+		}
+	}
+	events := len(listed) <= maxEventStreams+1000
 	for _, s := range servers {
 		if s.Kind != backend.Engine {
 			continue
 		}
-		listed[s.ID] = true
 		old, known := w.engines[s.ID]
-		if known && old.url == s.URL {
+		if known && old.url == s.URL && old.events == events {
 			continue
 		}
 		if known {
 			old.stop()
 		}
-		w.follow(ctx, s)
+		w.follow(ctx, s, events)
 	}
 	for id, e := range w.engines {
 		if !listed[id] {
@@ -117,18 +127,13 @@
 }
 
 // follow starts following an engine. The caller holds w.mu.
-func (w *Watcher) follow(ctx context.Context, s backend.Server) {
+func (w *Watcher) follow(ctx context.Context, s backend.Server, events bool) {
 	ctx, stop := context.WithCancel(ctx)
-	w.engines[s.ID] = watched{url: s.URL, stop: stop}
-	w.wg.Add(2)
-	go func() {
-		defer w.wg.Done()
-		w.pollLoad(ctx, s)
-	}()
-	go func() {
-		defer w.wg.Done()
-		w.readEvents(ctx, s)
-	}()
+	w.engines[s.ID] = watched{url: s.URL, events: events, stop: stop}
+	w.wg.Go(func() { w.pollLoad(ctx, s) })
+	if events {
+		w.wg.Go(func() { w.readEvents(ctx, s) })
+	}
 }
 
 // interval is the time between two load reports of an engine. Engines in use
--- a/internal/enginewatch/watch_test.go
+++ b/internal/enginewatch/watch_test.go
@@ -1,10 +1,67 @@
 package enginewatch
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/openai"
 )
 
+type nullSink struct{}
+
+func (nullSink) Loaded(backend.ID, openai.Load, time.Time, time.Time) {}
+func (nullSink) Lost(backend.ID)                                      {}
+func (nullSink) CacheEvent(backend.ID, openai.CacheEvent, time.Time)  {}
+func (nullSink) InUse(backend.ID, time.Time) bool                     { return true }
+
+// Above a number of engines no router reads every engine's cache events.
+func TestEventStreamsAreBounded(t *testing.T) {
+	tests := []struct {
+		desc    string
+		engines int
+		streams int64
+	}{
+		{"today's size", 20, 20},
+		{"one engine too many", maxEventStreams + 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var streams, loads atomic.Int64
+			srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == pathEvents {
+					streams.Add(1)
+				} else {
+					loads.Add(1)
+				}
+			}))
+			defer srv.Close()
+			var servers []backend.Server
+			for i := range tt.engines {
+				servers = append(servers, backend.Server{ID: backend.ID(fmt.Sprint(i)), Kind: backend.Engine, URL: srv.URL})
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			w := New(nullSink{}, zap.NewNop())
+			w.reconcile(ctx, servers)
+			for loads.Load() < int64(tt.engines) || streams.Load() < tt.streams {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+			w.wg.Wait()
+			if got := streams.Load(); got < tt.streams || tt.streams == 0 && got > 0 {
+				t.Errorf("%d event streams, want %d", got, tt.streams)
+			}
+		})
+	}
+}
+
 func TestPollInterval(t *testing.T) {
 	tests := []struct {
 		desc      string
