Spread callers over the VMs of their failure domain

Cause: every answer of /v1/addresses listed the VMs in the same order, so that after a restart all callers of a failure domain met on one VM. Change: the order is random within and beyond the caller's failure domain; the account's home still comes first for keyed callers.

--- a/internal/router/addresses.go
+++ b/internal/router/addresses.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -26,11 +27,13 @@
 
 // serveAddresses tells a caller which VMs to use. The parameter failure_domain
 // is the caller's own; VMs in it come first, after the home VM of the account
-// whose key came with the request.
+// whose key came with the request. Otherwise the order is random, so that
+// callers spread over the VMs.
 func (r *Router) serveAddresses(w http.ResponseWriter, req *http.Request) {
 	domain := req.URL.Query().Get("failure_domain")
 	id := r.addressAccount(req)
 	vms := r.opts.Addresses.VMs(id)
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	slices.SortStableFunc(vms, func(a, b vm.VM) int { return nearer(a, b, domain) })
 	r.homeFirst(id, vms)
 	list := addressList{TTLSeconds: int(addressTTL.Seconds()), Addresses: []addressEntry{}}
