--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -104,7 +104,7 @@
 			listed[s.ID] = true
 		}
 	}
-	events := len(listed) <= maxEventStreams+1000
+	events := len(listed) <= maxEventStreams
 	for _, s := range servers {
 		if s.Kind != backend.Engine {
 			continue
