Write the cancellable sleep and the rendezvous score once each

Cause: the list of duplicates showed one sleep in six packages and three hash mixers for the same purpose (budget, poison, roster). Ruled out: route's mixer, which is inlined for the decision's time; jittered pauses, which differ in what they add. Change: clock.Sleep and rendezvous.Key. The score is the budget's, so that homes of accounts stay; homes of poison contents and sweepers change, which no state outlives.

--- a/internal/budget/home.go
+++ b/internal/budget/home.go
@@ -15,9 +15,8 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -81,7 +80,7 @@
 }
 
 func best(half account.ID, r *roster.Roster, allowed func(*vm.VM) bool) (vm.VM, bool) {
-	hash := xxhash.Sum64String(string(half))
+	key := rendezvous.NewKey(string(half))
 	found := -1
 	var highest uint64
 	for i := range r.Members {
@@ -89,7 +88,7 @@
 		if !allowed(v) {
 			continue
 		}
-		score := mix(hash ^ xxhash.Sum64String(string(v.ID)))
+		score := key.Score(string(v.ID))
 		if found < 0 || score > highest || score == highest && v.ID < r.Members[found].ID {
 			found, highest = i, score
 		}
@@ -99,10 +98,3 @@
 	}
 	return r.Members[found], true
 }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/budget/queues.go
+++ b/internal/budget/queues.go
@@ -9,6 +9,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/freshness"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -119,7 +120,7 @@
 // handed over, or until the context ends. A VM that leaves calls it before it
 // stops.
 func (s *Service) AwaitHandover(ctx context.Context) {
-	for !s.relieved() && sleep(ctx, flushInterval) {
+	for !s.relieved() && clock.Sleep(ctx, flushInterval) {
 		s.refresh()
 	}
 }
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -9,6 +9,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/freshness"
 )
 
@@ -66,7 +67,7 @@
 			return r, nil
 		}
 		pause, refusal := next(answer, time.Since(start))
-		if refusal == nil && sleep(ctx, pause) {
+		if refusal == nil && clock.Sleep(ctx, pause) {
 			continue
 		}
 		r.Settle(0)
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -137,15 +136,3 @@
 		s.opts.Tell(id)
 	}
 }
-
-// sleep reports false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/platform"
 )
 
@@ -126,7 +127,7 @@
 			return b.drain(), nil
 		}
 	}
-	sleep(ctx, b.pace.take(b.now(), b.interval()))
+	clock.Sleep(ctx, b.pace.take(b.now(), b.interval()))
 	for len(batch) < b.maxRows {
 		select {
 		case o := <-b.queue:
@@ -315,12 +316,3 @@
 		o.result <- err
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -349,6 +350,6 @@
 // Flush waits until no end of an attempt is pending or ctx ends.
 func (s *Store) Flush(ctx context.Context) {
 	for s.Pending() > 0 && ctx.Err() == nil {
-		sleep(ctx, flushPause)
+		clock.Sleep(ctx, flushPause)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -147,7 +148,7 @@
 			return last.final(c.ran)
 		}
 		pause := c.d.cfg.Retry.backoff(c.attempt.Number, c.d.cfg.Random())
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return failed(CallerGone, ctx.Err()).final(c.ran)
 		}
 		c.attempt.Number++
@@ -236,18 +237,3 @@
 	}
 	return &out
 }
-
-// sleep waits and reports whether the context is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/sse"
 )
@@ -251,12 +252,5 @@
 // keeps routers from polling in step.
 func pause(ctx context.Context, d time.Duration) bool {
 	d = d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d)
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -7,13 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 	"papayaspan.dev/papayaspan/internal/verdict"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -194,7 +195,7 @@
 			g.peers.Refresh(ctx)
 		}
 		last = err
-		if !sleep(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return Decision{}, refuseUnverified(last)
 		}
 	}
@@ -229,7 +230,7 @@
 			busy = append(busy, t.Server.ID)
 		case len(busy) == 0:
 			return t, err
-		case !g.now().Before(deadline) || !sleep(ctx, retryPause):
+		case !g.now().Before(deadline) || !clock.Sleep(ctx, retryPause):
 			return choose(nil)
 		default:
 			busy = nil
@@ -240,7 +241,7 @@
 // reserve asks for the server's slot. It only keeps innocents from being
 // convicted, so that an error does not hold the run back.
 func (g *Guard) reserve(ctx context.Context, server backend.ID, c Content) bool {
-	to := rendezvous(g.sync().Members, string(server))
+	to := bestFor(g.sync().Members, string(server))
 	if to == g.self || to == "" {
 		return g.HandleReserve(server, c)
 	}
@@ -313,30 +314,18 @@
 
 // HomeOf returns the home VM of a content, or "" if the roster is empty.
 func HomeOf(r Roster, c Content) vm.ID {
-	return rendezvous(r.Members, string(c.Account)+string(c.Digest[:]))
+	return bestFor(r.Members, string(c.Account)+string(c.Digest[:]))
 }
 
-// rendezvous returns the member with the highest hash of key and member
-// (Thaler and Ravishankar, 1996).
-func rendezvous(members []vm.ID, key string) vm.ID {
+// bestFor returns the member with the highest score for the key.
+func bestFor(members []vm.ID, text string) vm.ID {
+	key := rendezvous.NewKey(text)
 	var best vm.ID
 	var top uint64
 	for _, m := range members {
-		if h := xxhash.Sum64String(key + "\x00" + string(m)); best == "" || h > top {
+		if h := key.Score(string(m)); best == "" || h > top {
 			best, top = m, h
 		}
 	}
 	return best
 }
-
-// sleep waits and reports whether the context is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/poison/handle.go
+++ b/internal/poison/handle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -26,7 +27,7 @@
 			// A VM answered under another roster.
 			g.peers.Refresh(ctx)
 			g.sync()
-			sleep(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 			told = false
 		case d.Kind == Pending || !polled:
 			told = d.Kind == Pending
@@ -68,7 +69,7 @@
 		g.mu.Lock()
 		ask = g.home.Unacked(f.Content)
 		g.mu.Unlock()
-		if len(ask) > 0 && !sleep(ctx, retryPause) {
+		if len(ask) > 0 && !clock.Sleep(ctx, retryPause) {
 			return
 		}
 	}
@@ -168,7 +169,7 @@
 
 // Sweep forgets old evidence now and then, until the context ends.
 func (g *Guard) Sweep(ctx context.Context) {
-	for sleep(ctx, sweepInterval) {
+	for clock.Sleep(ctx, sweepInterval) {
 		g.mu.Lock()
 		g.home.Expire(g.now())
 		g.local.Expire(g.now())
--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -1,11 +1,11 @@
 package roster
 
 import (
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -109,31 +109,13 @@
 	if !r.Contains(self) {
 		return true
 	}
-	slot := strconv.FormatInt(now.UnixNano()/int64(sweepSlot), 10)
-	mine := rank(slot, self)
+	slot := rendezvous.NewKey(strconv.FormatInt(now.UnixNano()/int64(sweepSlot), 10))
+	mine := slot.Score(string(self))
 	ahead := 0
 	for _, m := range r.Members {
-		if m.ID != self && rank(slot, m.ID) > mine {
+		if m.ID != self && slot.Score(string(m.ID)) > mine {
 			ahead++
 		}
 	}
 	return ahead < sweepers
 }
-
-func rank(slot string, id vm.ID) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(slot))
-	h.Write([]byte{0})
-	h.Write([]byte(id))
-	return mix(h.Sum64())
-}
-
-// mix is the finalizer of MurmurHash3 (Appleby, public domain): FNV alone
-// spreads short similar inputs badly.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -10,6 +10,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/roster"
 	"papayaspan.dev/papayaspan/internal/ticket"
@@ -43,7 +44,7 @@
 	if s.View().Head.Number > 0 {
 		return
 	}
-	s.pause(bootCtx, rand.N(1+time.Duration(len(candidates))*herdSpacing))
+	clock.Sleep(bootCtx, rand.N(1+time.Duration(len(candidates))*herdSpacing))
 	s.exchangeAll(bootCtx, pick(candidates, bootPeers))
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/api/peer"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/head"
 	"papayaspan.dev/papayaspan/internal/platform"
@@ -129,7 +130,7 @@
 	loops.Go(func() { s.loop(ctx, fixed(memberInterval), nil, s.readMembers) })
 	loops.Go(func() { s.loop(ctx, s.renewInterval, nil, s.renew) })
 	loops.Go(func() {
-		s.pause(ctx, rand.N(1+time.Duration(len(s.candidates()))*joinSpacing))
+		clock.Sleep(ctx, rand.N(1+time.Duration(len(s.candidates()))*joinSpacing))
 		s.loop(ctx, s.sweepInterval, nil, s.sweep)
 	})
 	loops.Go(func() { s.loop(ctx, fixed(reportInterval), nil, s.report) })
@@ -156,14 +157,6 @@
 	}
 }
 
-// pause waits, or less if the context ends.
-func (s *Spreader) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1)))
 }
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -15,6 +15,7 @@
 
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/prefix"
 )
 
@@ -58,7 +59,7 @@
 		if try == maxTries {
 			break
 		}
-		if !sleep(ctx, rand.N(jitter)) {
+		if !clock.Sleep(ctx, rand.N(jitter)) {
 			return 0, ctx.Err()
 		}
 		var reply *peer.PrefixExportReply
@@ -80,17 +81,6 @@
 	return peer.NewPrefixClient(conn).Export(ctx, &peer.PrefixExportRequest{Limit: maxBlocks})
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func encode(e prefix.Export) *peer.PrefixExportReply {
 	reply := &peer.PrefixExportReply{}
 	for _, r := range e.Runs {
