--- /dev/null
+++ b/cmd/papayaspand/edge.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/platform"
+)
+
+// edgeCmd runs the router on the users' platform until SIGTERM.
+type edgeCmd struct {
+	settings string
+	level    string
+}
+
+// Name implements subcommands.Command.
+func (*edgeCmd) Name() string { return "edge" }
+
+// Synopsis implements subcommands.Command.
+func (*edgeCmd) Synopsis() string { return "run the router on the platform" }
+
+// Usage implements subcommands.Command.
+func (*edgeCmd) Usage() string {
+	return "papayaspand edge [-settings FILE]\n  Runs the router with the platform's settings file until SIGTERM, which drains it.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *edgeCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings `file`")
+	f.StringVar(&c.level, "log", "info", "log `level`: debug, info, warn or error")
+}
+
+// Execute implements subcommands.Command.
+func (c *edgeCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	log, err := logging.New(os.Stdout, c.level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	s, err := platform.LoadSettings(c.settings)
+	if err != nil {
+		log.Error("settings_invalid", zap.Error(err))
+		return subcommands.ExitUsageError
+	}
+	p, err := platform.New(s, log)
+	if err != nil {
+		log.Error("start_failed", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			p.Reload(c.settings)
+		}
+	}()
+	if err := p.Run(ctx); err != nil {
+		log.Warn("stopped_with_requests_open", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/papayaspand/main.go
+++ b/cmd/papayaspand/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCmd{}, "")
+	subcommands.Register(&edgeCmd{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,369 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/sse"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const (
+	// holdBytes is up to which size an answer is held back until it is whole, so
+	// that another attempt may replace one that is cut off.
+	holdBytes = 256 << 10
+	// silenceFactor is how many times the latency objective a request that may
+	// be repeated waits for the head of an answer before it tries another
+	// server, and minSilence the least such wait.
+	silenceFactor = 3
+	minSilence    = 250 * time.Millisecond
+	// maxPause is for how long a resumable stream may pause before it goes on at
+	// another server. Callers leave after two seconds or more.
+	maxPause = 1800 * time.Millisecond
+)
+
+// failure is an attempt that brought no answer.
+type failure struct {
+	code string
+	err  error
+	// sent is set if the request reached a server.
+	sent bool
+	// mayHaveRun is set unless it is certain that the server did not run it.
+	mayHaveRun bool
+	callerGone bool
+	retryAfter time.Duration
+}
+
+// final returns the answer to the caller if no attempt is left.
+func (f *failure) final(t *task) *verdict.Error {
+	if !f.mayHaveRun {
+		e := verdict.RefuseUntil(http.StatusServiceUnavailable, f.code, "no backend server took the request", max(f.retryAfter, minRetryAfter))
+		e.Cause = f.err
+		return e
+	}
+	status := http.StatusBadGateway
+	if t.left() <= 0 {
+		status = http.StatusGatewayTimeout
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: status, Code: f.code, Message: "the backend server failed", Cause: f.err}
+}
+
+// attempt is one exchange with a server.
+type attempt struct {
+	t       *task
+	service *catalog.Service
+	c       selector.Candidate
+	run     *selector.Run
+	conn    *hop.Conn
+	cancel  context.CancelFunc
+	silence *time.Timer
+	conduct selector.Conduct
+}
+
+// try sends the call to one server and relays the answer.
+func (t *task) try(ctx context.Context, service *catalog.Service, c selector.Candidate) *failure {
+	a := &attempt{t: t, service: service, c: c, conduct: selector.Neutral}
+	t.outcome.server = string(c.Entry.ID)
+	a.run = t.g.opts.Servers.Begin(&c, t.prompt)
+	f := a.exchange(ctx)
+	a.run.End(a.conduct)
+	return f
+}
+
+func (a *attempt) exchange(caller context.Context) *failure {
+	t := a.t
+	ctx, cancel := context.WithCancel(caller)
+	defer cancel()
+	a.cancel = cancel
+	conn, err := t.g.opts.Pool.Get(ctx, a.owner(), a.c.Entry.Address, a.connections())
+	if err != nil {
+		return a.unsent(caller, err)
+	}
+	a.conn = conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	resp, f := a.send(ctx, caller)
+	if f == nil {
+		f = a.answer(caller, resp)
+	}
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	if cut := !stop(); f != nil || cut {
+		t.g.opts.Pool.Discard(conn)
+	} else {
+		t.g.opts.Pool.Release(conn, resp)
+	}
+	return f
+}
+
+// owner names the run of the server.
+func (a *attempt) owner() string { return string(a.c.Entry.ID) }
+
+// connections is this VM's share of the connections that a server accepts.
+func (a *attempt) connections() int {
+	if a.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(2, a.service.MaxConnections/int(a.t.g.members.Load()))
+}
+
+func (a *attempt) unsent(caller context.Context, err error) *failure {
+	f := &failure{code: "not_connected", err: err}
+	switch {
+	case caller.Err() != nil:
+		f.code, f.callerGone = "caller_gone", true
+	case errors.Is(err, hop.ErrNoConnection):
+		f.code = "connections_used_up"
+	default:
+		a.conduct = selector.Unreachable
+	}
+	return f
+}
+
+// send writes the request and waits for the head of the answer.
+func (a *attempt) send(ctx, caller context.Context) (*http.Response, *failure) {
+	t := a.t
+	out := Outgoing{
+		Account:   t.account.ID,
+		TimeLeft:  t.left(),
+		Server:    a.c.Entry.ID,
+		Priority:  t.priority(),
+		LastEvent: t.lastEvent,
+	}
+	if t.prompt != nil {
+		out.Salt = t.scope()
+	}
+	a.watchSilence()
+	resp, err := a.conn.Send(ctx, &hop.Request{
+		Method: t.call.Method,
+		Target: t.call.Target,
+		Host:   t.call.Host,
+		Header: t.g.opts.Dialect.Header(t.call, out),
+		Body:   t.call.Body,
+	}, func(r *http.Response) bool { return t.g.opts.Dialect.Belongs(t.call, r) })
+	if errors.Is(err, hop.ErrNotWritten) {
+		return nil, a.unsent(caller, err)
+	}
+	t.sends++
+	if err != nil {
+		return nil, a.lost(caller, "answer_lost", err)
+	}
+	return resp, nil
+}
+
+// watchSilence lets a request that may be repeated leave a server that doesn't
+// answer, while another attempt is allowed.
+func (a *attempt) watchSilence() {
+	t := a.t
+	if !t.route.Repeatable() || t.sends+1 >= t.route.MaxAttempts {
+		return
+	}
+	wait := max(minSilence, silenceFactor*t.route.Objective)
+	if t.route.Kind == catalog.Stream {
+		wait = max(maxPause, t.route.Objective*3/2)
+	}
+	a.silence = time.AfterFunc(wait, a.cancel)
+}
+
+// lost returns the failure of an attempt whose request was sent.
+func (a *attempt) lost(caller context.Context, code string, err error) *failure {
+	f := &failure{code: code, err: err, sent: true, mayHaveRun: true}
+	if caller.Err() != nil {
+		f.code = "caller_gone"
+		f.callerGone = a.t.left() > 0
+		if !f.callerGone {
+			f.code = "deadline_passed"
+			a.conduct = selector.Failed
+		}
+		return f
+	}
+	a.conduct = selector.Failed
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err) {
+		a.t.g.opts.Suspects.Lost(a.t.content())
+	}
+	return f
+}
+
+func isReset(err error) bool { return strings.Contains(err.Error(), "reset by peer") }
+
+func (t *task) priority() int {
+	p := t.route.Priority
+	if t.account.Priority != nil {
+		p = *t.account.Priority
+	}
+	return min(9, max(0, p))
+}
+
+// answer relays the answer, or returns why it can't be.
+func (a *attempt) answer(caller context.Context, resp *http.Response) *failure {
+	t := a.t
+	head := t.g.opts.Dialect.Head(resp)
+	a.run.Answered(t.g.opts.Model.PrefillRate)
+	if head.NotRun || head.Misdirected {
+		return a.declined(resp, head)
+	}
+	if head.WeightsVersion > 0 && t.call.Model != "" {
+		t.g.opts.Directory.SetWeights(a.c.Entry.ID, a.c.Entry.Started, t.call.Model, head.WeightsVersion)
+	}
+	if !head.Sealed {
+		return a.lost(caller, "unsigned_answer", errors.Errorf("status %d without a signature", resp.StatusCode))
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.conduct = selector.Failed
+		if t.begun || t.route.Repeatable() && t.sends < t.route.MaxAttempts && t.left() > minAttempt {
+			return a.serverError(caller, resp)
+		}
+	}
+	if t.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
+		return a.relayStream(caller, resp)
+	}
+	if t.begun {
+		return a.lost(caller, "resume_declined", errors.Errorf("status %d", resp.StatusCode))
+	}
+	return a.relayWhole(caller, resp)
+}
+
+// declined returns the failure of a request that the server promises not to have
+// run.
+func (a *attempt) declined(resp *http.Response, head Head) *failure {
+	f := &failure{code: "declined", sent: true, err: errors.Errorf("status %d", resp.StatusCode)}
+	a.conduct = selector.Failed
+	if head.Misdirected {
+		f.code = "misdirected"
+		a.conduct = selector.Unreachable
+		a.t.sends--
+	}
+	return f
+}
+
+// serverError returns the failure of a request that the server ran without
+// success; its answer is kept for the case that no better one comes.
+func (a *attempt) serverError(caller context.Context, resp *http.Response) *failure {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, holdBytes))
+	if err != nil {
+		return a.lost(caller, "answer_cut", err)
+	}
+	f := &failure{code: "server_error", err: errors.Errorf("status %d", resp.StatusCode), sent: true, mayHaveRun: true}
+	a.t.spare = &spareAnswer{status: resp.StatusCode, header: resp.Header, body: body}
+	return f
+}
+
+// relayWhole relays an answer that is not a stream of events.
+func (a *attempt) relayWhole(caller context.Context, resp *http.Response) *failure {
+	t := a.t
+	body, err := io.ReadAll(io.LimitReader(resp.Body, holdBytes+1))
+	if err != nil {
+		return a.lost(caller, "answer_cut", err)
+	}
+	t.note(resp.StatusCode)
+	if len(body) <= holdBytes {
+		a.served()
+		if err := t.sink.Answer(resp.StatusCode, resp.Header, body); err != nil {
+			t.outcome.reason = "caller_gone"
+		}
+		return nil
+	}
+	if err := t.sink.Begin(resp.StatusCode, resp.Header); err != nil {
+		return a.lost(caller, "caller_gone", err)
+	}
+	t.begun = true
+	if err := t.sink.Piece(body); err != nil {
+		return a.lost(caller, "caller_gone", err)
+	}
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if werr := t.sink.Piece(buf[:n]); werr != nil {
+				return a.lost(caller, "caller_gone", werr)
+			}
+		}
+		if err == io.EOF {
+			a.served()
+			return nil
+		}
+		if err != nil {
+			return a.lost(caller, "answer_cut", err)
+		}
+	}
+}
+
+func (a *attempt) served() {
+	if a.conduct == selector.Neutral {
+		a.conduct = selector.Good
+	}
+	a.t.ran = verdict.Ran
+	a.t.g.opts.Suspects.Served(a.t.content())
+}
+
+// note records the first byte of the answer.
+func (t *task) note(status int) {
+	t.outcome.status = status
+	if t.firstByte == 0 {
+		t.firstByte = t.waited()
+		t.g.meters.firstByte.Update(t.firstByte.Milliseconds())
+	}
+}
+
+// relayStream relays events, whole ones only. The head goes out with the first
+// event, so that another server may still answer before.
+func (a *attempt) relayStream(caller context.Context, resp *http.Response) *failure {
+	t := a.t
+	events := sse.NewRawReader(resp.Body, 0)
+	for {
+		event, err := events.Next()
+		if err == io.EOF {
+			return a.endStream(resp)
+		}
+		if err != nil {
+			return a.lost(caller, "stream_cut", err)
+		}
+		if a.silence != nil {
+			a.silence.Reset(maxPause)
+		}
+		if event.ID >= 0 && event.ID <= t.lastEvent {
+			continue // The caller has it.
+		}
+		if f := a.begin(caller, resp); f != nil {
+			return f
+		}
+		if err := t.sink.Piece(event.Bytes); err != nil {
+			return a.lost(caller, "caller_gone", err)
+		}
+		if event.ID >= 0 {
+			t.lastEvent = event.ID
+		}
+	}
+}
+
+func (a *attempt) begin(caller context.Context, resp *http.Response) *failure {
+	t := a.t
+	if t.begun {
+		return nil
+	}
+	t.note(resp.StatusCode)
+	if err := t.sink.Begin(resp.StatusCode, resp.Header); err != nil {
+		return a.lost(caller, "caller_gone", err)
+	}
+	t.begun = true
+	return nil
+}
+
+func (a *attempt) endStream(resp *http.Response) *failure {
+	if !a.t.begun {
+		a.t.note(resp.StatusCode)
+		if err := a.t.sink.Begin(resp.StatusCode, resp.Header); err != nil {
+			a.t.outcome.reason = "caller_gone"
+		}
+	}
+	a.served()
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+// Options are the parts of a Gateway.
+type Options struct {
+	Log           *zap.Logger
+	Metrics       metrics.Registry
+	Dialect       Dialect
+	Directory     *fleet.Directory
+	Goals         *fleet.Goals
+	Servers       *selector.Table
+	Pool          *hop.Pool
+	Quota         *quota.Ledger
+	Suspects      *Suspects
+	FailureDomain string
+	Model         selector.Model
+	// RetryRatio and RetryReserve bound repeated sends to a service: a share of
+	// the requests for it, plus a reserve of this VM.
+	RetryRatio, RetryReserve float64
+	// Now is the boot-time clock.
+	Now func() time.Time
+}
+
+// Gateway serves calls.
+type Gateway struct {
+	opts     Options
+	catalog  atomic.Pointer[catalog.Catalog]
+	members  atomic.Int64
+	reserved atomic.Pointer[map[string]bool]
+	budgets  sync.Map // of *dispatch.RetryBudget by service
+	meters   meters
+}
+
+// New returns a gateway without a configuration.
+func New(opts Options) *Gateway {
+	g := &Gateway{opts: opts, meters: newMeters(opts.Metrics)}
+	g.members.Store(1)
+	g.reserved.Store(&map[string]bool{})
+	return g
+}
+
+// Publish puts a configuration in force unless a newer one is, and reports
+// whether it did.
+func (g *Gateway) Publish(s catalog.Snapshot) bool {
+	next := catalog.New(s)
+	for {
+		cur := g.catalog.Load()
+		if cur != nil && cur.Version >= s.Version {
+			return false
+		}
+		if g.catalog.CompareAndSwap(cur, next) {
+			return true
+		}
+	}
+}
+
+// Catalog returns the configuration in force, or nil.
+func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
+
+// SetMembers sets the number of VMs that share the servers' connections.
+func (g *Gateway) SetMembers(n int) { g.members.Store(int64(max(1, n))) }
+
+// Reserve names the servers that get no new requests, because they are about to
+// load weights.
+func (g *Gateway) Reserve(ids map[string]bool) { g.reserved.Store(&ids) }
+
+func (g *Gateway) budget(service string) *dispatch.RetryBudget {
+	if b, ok := g.budgets.Load(service); ok {
+		return b.(*dispatch.RetryBudget)
+	}
+	b, _ := g.budgets.LoadOrStore(service, dispatch.NewRetryBudget(g.opts.RetryRatio, g.opts.RetryReserve))
+	return b.(*dispatch.RetryBudget)
+}
+
+const (
+	// configWait is when a caller should come back to a VM that has no
+	// configuration yet.
+	configWait = 500 * time.Millisecond
+	// minRetryAfter is the shortest time to come back in.
+	minRetryAfter = 100 * time.Millisecond
+	// patienceShare is the part of a caller's time left within which it comes
+	// back. Source: the clients' side of the protocol.
+	patienceShare = 3.2
+)
+
+// Serve answers one call.
+func (g *Gateway) Serve(ctx context.Context, c *Call, sink Sink) {
+	t := &task{g: g, call: c, sink: sink, lastEvent: c.LastEvent, ran: verdict.NotRun}
+	if refusal := t.admit(); refusal != nil {
+		t.refuse(refusal)
+		t.log()
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(t.left()))
+	defer cancel()
+	t.run(ctx)
+	if t.ran == verdict.NotRun {
+		g.opts.Quota.Return(t.account.ID, t.units)
+	}
+	t.log()
+}
+
+// admit checks the call and finds its route. Its error is the final answer.
+func (t *task) admit() *verdict.Error {
+	g, c := t.g, t.call
+	g.meters.requests.Mark(1)
+	t.catalog = g.Catalog()
+	t.account = &catalog.Account{}
+	t.deadline = c.Arrived.Add(c.Patience)
+	if t.catalog == nil {
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_configuration", "this VM has no configuration yet", configWait)
+	}
+	t.route = t.catalog.Route(c.Host, c.Path)
+	if t.route == nil {
+		return verdict.Refuse(http.StatusNotFound, "route_unknown", "no route leads to this host and path")
+	}
+	if t.catalog.HasAccounts() && !t.route.Open {
+		t.account = t.catalog.Account(c.Key)
+		if t.account == nil {
+			t.account = &catalog.Account{}
+			return verdict.Refuse(http.StatusUnauthorized, "key_unknown", "the key is not known")
+		}
+	}
+	t.deadline = c.Arrived.Add(t.route.Timeout)
+	if c.Patience > 0 && c.Patience < t.route.Timeout {
+		t.deadline = c.Arrived.Add(c.Patience)
+	}
+	if t.left() <= 0 {
+		return verdict.Refuse(http.StatusServiceUnavailable, "deadline_passed", "the deadline had passed when the request had arrived")
+	}
+	if n := g.opts.Suspects.Count(t.content()); n >= maxCrashes {
+		return verdict.Refuse(http.StatusServiceUnavailable, "crashes_servers", "backend servers crashed while they ran this request")
+	}
+	return t.charge()
+}
+
+// charge counts the call against its account's rate.
+func (t *task) charge() *verdict.Error {
+	t.units = 1
+	if t.account.CountsTokens {
+		t.units = float64(t.call.PromptTokens + t.call.MaxTokens)
+		if t.units <= 0 {
+			t.units = t.account.DefaultTokens
+		}
+	}
+	if t.account.ID == "" {
+		return nil
+	}
+	v := t.g.opts.Quota.Admit(t.account.ID, quota.Bound{Rate: t.account.Rate, Burst: t.account.Burst}, t.units)
+	if v.Admitted {
+		return nil
+	}
+	t.g.opts.Log.Info("over_rate",
+		zap.String("request_id", t.call.ID), zap.String("account", string(t.account.ID)), zap.Uint64("catalog", uint64(t.catalog.Version)),
+		zap.Float64("units", t.units), zap.Float64("used", v.Used), zap.Float64("limit", v.Limit))
+	t.units = 0
+	return verdict.RefuseUntil(http.StatusTooManyRequests, "over_rate", "the client account is over its rate", v.RetryAfter)
+}
+
+// service picks the service of the call's route by weight, among those that have
+// servers.
+func (t *task) service() *catalog.Service {
+	view := t.g.opts.Directory.View()
+	total := 0.0
+	for _, target := range t.route.Targets {
+		if len(view.Service(target.Service)) > 0 {
+			total += target.Weight
+		}
+	}
+	draw := rand.Float64() * total
+	for _, target := range t.route.Targets {
+		if len(view.Service(target.Service)) == 0 {
+			continue
+		}
+		if draw -= target.Weight; draw < 0 {
+			return t.catalog.Service(target.Service)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/task.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+// task is one call on its way.
+type task struct {
+	g        *Gateway
+	call     *Call
+	sink     Sink
+	catalog  *catalog.Catalog
+	route    *catalog.Route
+	account  *catalog.Account
+	deadline time.Time
+	units    float64
+	prompt   *selector.Prompt
+	// tried are the servers that the call was offered to.
+	tried []selector.ServerKey
+	// sends counts the servers to which the call was sent.
+	sends int
+	// ran is NotRun until a server may have run the call.
+	ran verdict.Verdict
+	// begun is set once the answer has begun.
+	begun     bool
+	lastEvent int64
+	firstByte time.Duration
+	outcome   outcome
+	contentID string
+	// spare is a server's own failure, which is passed on if no better answer
+	// comes.
+	spare *spareAnswer
+}
+
+// spareAnswer is a whole answer of a server.
+type spareAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// outcome is what the log line of a call says.
+type outcome struct {
+	server  string
+	status  int
+	reason  string
+	loss    float64
+	behind  time.Duration
+	refusal *verdict.Error
+}
+
+func (t *task) left() time.Duration { return t.deadline.Sub(t.g.opts.Now()) }
+
+func (t *task) waited() time.Duration { return t.g.opts.Now().Sub(t.call.Arrived) }
+
+// content names what the caller sent, over all its attempts.
+func (t *task) content() string {
+	if t.contentID == "" {
+		h := xxhash.New()
+		for _, s := range []string{string(t.account.ID), t.call.Method, t.call.Target} {
+			_, _ = h.WriteString(s)
+			_, _ = h.Write([]byte{0})
+		}
+		_, _ = h.Write(t.call.Body)
+		t.contentID = hex.EncodeToString(h.Sum(nil))
+	}
+	return t.contentID
+}
+
+// run sends the call to servers until there is an answer.
+func (t *task) run(ctx context.Context) {
+	service := t.service()
+	if service == nil {
+		t.refuse(verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait))
+		return
+	}
+	budget := t.g.budget(service.Name)
+	budget.Earn()
+	if service.Engine != nil && t.call.Model != "" {
+		t.prompt = selector.NewPrompt(t.call.Model, t.scope(), t.call.PromptTokens, t.call.Parts)
+	}
+	for {
+		candidate, ok := t.choose(service)
+		if !ok {
+			t.fail(verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait))
+			return
+		}
+		failure := t.try(ctx, service, candidate)
+		if failure == nil {
+			return
+		}
+		if failure.mayHaveRun {
+			t.ran = verdict.MayHaveRun
+		}
+		t.logAttempt(candidate, failure)
+		if ctx.Err() != nil || !t.mayGoOn(failure) || failure.sent && !budget.Spend() {
+			t.fail(failure.final(t))
+			return
+		}
+		t.g.meters.retries.Mark(1)
+	}
+}
+
+// mayGoOn decides on another attempt.
+func (t *task) mayGoOn(f *failure) bool {
+	if f.callerGone || t.left() < minAttempt || len(t.tried) >= maxOffers {
+		return false
+	}
+	if t.sends >= max(1, t.route.MaxAttempts) {
+		return false
+	}
+	return !f.mayHaveRun && !t.begun || t.route.Repeatable()
+}
+
+const (
+	// minAttempt is the least time left that is worth another attempt.
+	minAttempt = 15 * time.Millisecond
+	// maxOffers bounds the servers that one call is offered to, those included
+	// which could not be reached.
+	maxOffers = 5
+	// serverWait is when a caller should come back that found no server.
+	serverWait = 300 * time.Millisecond
+)
+
+// scope separates the caches of isolated accounts from all others.
+func (t *task) scope() string {
+	if t.account.Isolated {
+		return "account-" + string(t.account.ID)
+	}
+	return "shared"
+}
+
+// choose returns the server for the next attempt.
+func (t *task) choose(service *catalog.Service) (selector.Candidate, bool) {
+	g := t.g
+	now := g.opts.Now()
+	reserved := *g.reserved.Load()
+	var candidates, held []selector.Candidate
+	for _, e := range g.opts.Directory.View().Service(service.Name) {
+		if t.hasTried(e) {
+			continue
+		}
+		c := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
+		g.opts.Servers.Fill(&c, t.prompt)
+		c.Behind = t.behind(e, now)
+		if reserved[string(e.ID)] {
+			held = append(held, c)
+			continue
+		}
+		candidates = append(candidates, c)
+	}
+	if len(candidates) == 0 {
+		candidates = held
+	}
+	if t.prompt != nil {
+		selector.CreditHomes(t.prompt, candidates)
+	}
+	q := selector.Query{
+		Objective:    t.route.Objective,
+		Waited:       t.waited(),
+		PromptTokens: t.call.PromptTokens,
+		BodyBytes:    len(t.call.Body),
+	}
+	i, loss := g.opts.Model.Pick(q, candidates, rand.Float64())
+	if i < 0 {
+		return selector.Candidate{}, false
+	}
+	t.outcome.loss, t.outcome.behind = loss, candidates[i].Behind
+	t.tried = append(t.tried, selector.KeyOf(candidates[i].Entry))
+	return candidates[i], true
+}
+
+func (t *task) hasTried(e *fleet.Entry) bool {
+	for _, k := range t.tried {
+		if k == selector.KeyOf(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// behind returns for how long the server should have had newer weights.
+func (t *task) behind(e *fleet.Entry, now time.Time) time.Duration {
+	goal, ok := t.g.opts.Goals.All()[t.call.Model]
+	if !ok || e.Weights[t.call.Model] >= goal.Version {
+		return 0
+	}
+	return max(now.Sub(goal.Since), 1)
+}
+
+// fail ends a call for which no attempt is left.
+func (t *task) fail(e *verdict.Error) {
+	if t.begun {
+		t.outcome.reason = e.Code
+		t.g.meters.failed.Mark(1)
+		t.sink.Abort()
+		return
+	}
+	if t.spare != nil {
+		t.note(t.spare.status)
+		t.outcome.reason = "server_error"
+		if err := t.sink.Answer(t.spare.status, t.spare.header, t.spare.body); err != nil {
+			t.outcome.reason = "caller_gone"
+		}
+		return
+	}
+	if t.ran != verdict.NotRun && e.Verdict == verdict.NotRun {
+		e = &verdict.Error{Verdict: t.ran, Status: http.StatusBadGateway, Code: e.Code, Message: e.Message}
+	}
+	t.refuse(e)
+}
+
+// refuse sends an answer of the system's own. The time to come back in is cut to
+// what the caller would wait for.
+func (t *task) refuse(e *verdict.Error) {
+	if e.Verdict == verdict.NotRun {
+		t.g.meters.refused.Mark(1)
+	} else {
+		t.g.meters.failed.Mark(1)
+	}
+	if e.RetryAfter > 0 {
+		bound := time.Duration(float64(t.left()) / patienceShare)
+		e.RetryAfter = max(minRetryAfter, min(e.RetryAfter, bound))
+	}
+	t.outcome.reason, t.outcome.status, t.outcome.refusal = e.Code, e.Status, e
+	t.sink.Refuse(e)
+}
+
+func (t *task) log() {
+	fields := []zap.Field{
+		zap.String("request_id", t.call.ID),
+		zap.String("account", string(t.account.ID)),
+		zap.String("route", t.routeName()),
+		zap.String("catalog", t.catalogVersion()),
+		zap.String("server", t.outcome.server),
+		zap.Int("status", t.outcome.status),
+		zap.Stringer("verdict", t.ran),
+		zap.Int("sends", t.sends),
+		zap.Int("offers", len(t.tried)),
+		zap.Duration("first_byte", t.firstByte),
+		zap.Duration("total", t.waited()),
+		zap.Duration("left", t.left()),
+		zap.Float64("expected_loss", t.outcome.loss),
+		zap.Duration("weights_behind", t.outcome.behind),
+	}
+	if t.outcome.reason != "" {
+		fields = append(fields, zap.String("reason", t.outcome.reason))
+	}
+	if e := t.outcome.refusal; e != nil {
+		fields = append(fields, zap.Duration("retry_after", e.RetryAfter), zap.NamedError("cause", e.Cause))
+	}
+	t.g.meters.total.Update(t.waited().Milliseconds())
+	t.g.opts.Log.Info("request_done", fields...)
+}
+
+func (t *task) routeName() string {
+	if t.route == nil {
+		return ""
+	}
+	return t.route.Name
+}
+
+func (t *task) catalogVersion() string {
+	if t.catalog == nil {
+		return ""
+	}
+	return strconv.FormatUint(uint64(t.catalog.Version), 10)
+}
+
+func (t *task) logAttempt(c selector.Candidate, f *failure) {
+	t.g.opts.Log.Warn("attempt_failed",
+		zap.String("request_id", t.call.ID),
+		zap.String("server", string(c.Entry.ID)),
+		zap.Int64("server_started", c.Entry.Started),
+		zap.Uint64("server_revision", uint64(c.Entry.Revision)),
+		zap.Int("attempt", len(t.tried)),
+		zap.String("failure", f.code),
+		zap.Bool("sent", f.sent),
+		zap.Bool("may_have_run", f.mayHaveRun),
+		zap.Duration("waited", t.waited()),
+		zap.Error(f.err))
+}
--- /dev/null
+++ b/internal/hop/conn.go
@@ -0,0 +1,228 @@
+// Package hop sends requests to backend servers over HTTP/1.1 connections that
+// it manages itself: a request is written at most once, a connection is used
+// again only if nothing is left on it, and an answer to another request is never
+// taken for this one's.
+package hop
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// connectTimeout bounds a connection attempt. Servers are a few milliseconds
+	// away, and a lost first packet is sent again only after a second.
+	connectTimeout = 500 * time.Millisecond
+	// userTimeout closes a connection whose bytes are not acknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// idleKeepAlive finds idle connections that went silent.
+	idleKeepAlive = 1 * time.Second
+	readBuffer    = 4 << 10
+	// maxCrossed is how many answers to other requests may come first.
+	maxCrossed = 4
+	// concurrentBody is the body size, in bytes, from which the body is written
+	// while the answer is awaited: a server may answer before it has read it.
+	concurrentBody = 16 << 10
+)
+
+var (
+	// ErrCrossed means that only answers to other requests came.
+	ErrCrossed = errors.New("the answer belongs to another request")
+	// ErrNotWritten means that no byte of the request was written.
+	ErrNotWritten = errors.New("no byte of the request was written")
+)
+
+// Request is a request as it goes to a server.
+type Request struct {
+	Method string
+	// Target is the request target: path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Conn is a connection to a server. It carries one request at a time.
+type Conn struct {
+	net.Conn
+	addr  string
+	owner string
+	br    *bufio.Reader
+	// Reused is set if the connection carried a request before.
+	Reused    bool
+	idleSince time.Time
+	idleUntil time.Time
+	written   atomic.Bool
+	writeErr  chan error
+	broken    bool
+}
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive, Interval: idleKeepAlive, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				// Without it the kernel's default applies, and the deadlines of
+				// the request still hold.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+		},
+	}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// sound reports whether an idle connection is open and nothing has come on it.
+func (c *Conn) sound(now time.Time) bool {
+	if c.broken || now.After(c.idleUntil) || c.br.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Send writes the request and returns the head of its answer. Match tells the
+// answer to this request from others. When ctx ends the connection is cut. The
+// error is ErrNotWritten if no byte was written.
+func (c *Conn) Send(ctx context.Context, r *Request, match func(*http.Response) bool) (*http.Response, error) {
+	c.broken = true // Until the answer was read whole.
+	c.written.Store(false)
+	c.writeErr = nil
+	if err := c.write(r); err != nil {
+		if !c.written.Load() {
+			return nil, errors.Wrapf(ErrNotWritten, "%v", err)
+		}
+		return nil, errors.Wrap(err, "write request")
+	}
+	for range maxCrossed {
+		resp, err := c.readHead(r)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			return nil, errors.Wrap(err, "read answer")
+		}
+		if match(resp) {
+			return resp, nil
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			break // Its end is that of the connection.
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, errors.Wrap(err, "read answer to another request")
+		}
+	}
+	return nil, errors.WithStack(ErrCrossed)
+}
+
+func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func (c *Conn) write(r *Request) error {
+	var head bytes.Buffer
+	head.WriteString(r.Method)
+	head.WriteByte(' ')
+	head.WriteString(r.Target)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(r.Host)
+	head.WriteString("\r\n")
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(r.Body)))
+		head.WriteString("\r\n")
+	}
+	if err := r.Header.Write(&head); err != nil {
+		return err
+	}
+	head.WriteString("\r\n")
+	if len(r.Body) < concurrentBody {
+		head.Write(r.Body)
+		return c.writeAll(head.Bytes())
+	}
+	if err := c.writeAll(head.Bytes()); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	c.writeErr = done
+	go func() { done <- c.writeAll(r.Body) }()
+	return nil
+}
+
+func (c *Conn) writeAll(p []byte) error {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.written.Store(true)
+	}
+	return err
+}
+
+// bodyWritten reports whether the whole request was written.
+func (c *Conn) bodyWritten() bool {
+	if c.writeErr == nil {
+		return true
+	}
+	select {
+	case err := <-c.writeErr:
+		c.writeErr = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// finished notes that an answer was read whole, and whether the connection may
+// be used again.
+func (c *Conn) finished(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	c.broken = !framed || resp.Close || c.br.Buffered() > 0 || !c.bodyWritten()
+	return !c.broken
+}
+
+// idleTimeout returns for how long the server keeps the connection open.
+func idleTimeout(h http.Header) (time.Duration, bool) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n >= 0 {
+			return time.Duration(n) * time.Second, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/hop/pool.go
@@ -0,0 +1,156 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// defaultIdle is for how long a connection is kept whose server doesn't say
+	// when it closes it.
+	defaultIdle = 4 * time.Second
+	// idleMargin is how long before the server's timeout a connection is no
+	// longer used, so that the close doesn't cross a request.
+	idleMargin = 500 * time.Millisecond
+)
+
+// ErrNoConnection means that the server's share of connections is used up.
+var ErrNoConnection = errors.New("the limit of connections to the server is reached")
+
+// Pool keeps connections to servers. It is safe for concurrent use.
+type Pool struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+	now   func() time.Time
+}
+
+type host struct {
+	open int
+	idle []*Conn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{hosts: map[string]*host{}, now: time.Now} }
+
+// Get returns a connection to a server at an address. Owner names the run of the
+// server, so that a connection isn't used for another one at the same address.
+// Limit bounds the open connections; 0 is no bound.
+func (p *Pool) Get(ctx context.Context, owner, addr string, limit int) (*Conn, error) {
+	key := owner + "@" + addr
+	if c := p.takeIdle(key); c != nil {
+		return c, nil
+	}
+	if !p.reserve(key, limit) {
+		return nil, errors.WithStack(ErrNoConnection)
+	}
+	conn, err := dial(ctx, addr)
+	if err != nil {
+		p.unreserve(key)
+		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", addr, err)
+	}
+	return &Conn{Conn: conn, addr: addr, owner: key, br: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+func (p *Pool) takeIdle(key string) *Conn {
+	for {
+		c := p.popIdle(key)
+		if c == nil {
+			return nil
+		}
+		if c.sound(p.now()) {
+			c.Reused = true
+			return c
+		}
+		p.Discard(c)
+	}
+}
+
+func (p *Pool) popIdle(key string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[key]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+func (p *Pool) reserve(key string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[key]
+	if h == nil {
+		h = &host{}
+		p.hosts[key] = h
+	}
+	if limit > 0 && h.open >= limit {
+		return false
+	}
+	h.open++
+	return true
+}
+
+func (p *Pool) unreserve(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[key]
+	h.open--
+	if h.open == 0 {
+		delete(p.hosts, key)
+	}
+}
+
+// Discard closes a connection.
+func (p *Pool) Discard(c *Conn) {
+	_ = c.Close()
+	p.unreserve(c.owner)
+}
+
+// Release takes a connection back after an answer was read whole. It is closed
+// if it can't be used again.
+func (p *Pool) Release(c *Conn, resp *http.Response) {
+	if !c.finished(resp) {
+		p.Discard(c)
+		return
+	}
+	idle, stated := idleTimeout(resp.Header)
+	if !stated {
+		idle = defaultIdle
+	}
+	now := p.now()
+	c.idleSince, c.idleUntil = now, now.Add(idle-idleMargin)
+	p.mu.Lock()
+	h := p.hosts[c.owner]
+	h.idle = append(h.idle, c)
+	p.mu.Unlock()
+}
+
+// CloseIdle closes the idle connections that can't be used any more, and all of
+// those whose owner keep doesn't name.
+func (p *Pool) CloseIdle(keep func(owner string) bool) {
+	now := p.now()
+	var old []*Conn
+	p.mu.Lock()
+	for key, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.After(c.idleUntil) || !keep(key) {
+				old = append(old, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		h.idle = kept
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.Discard(c)
+	}
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -24,13 +24,19 @@
 	term    atomic.Pointer[Term]
 }
 
-// NewKeeper returns a Keeper for a resource.
+// NewKeeper returns a Keeper for a resource, by the monotonic clock.
 func NewKeeper(table platform.Table, resource string, holder Holder, ttl time.Duration) *Keeper {
+	return NewKeeperWithClock(table, resource, holder, ttl, time.Now)
+}
+
+// NewKeeperWithClock returns a Keeper that takes the time from now. Where a VM
+// may be suspended, its clock must go on meanwhile.
+func NewKeeperWithClock(table platform.Table, resource string, holder Holder, ttl time.Duration, now func() time.Time) *Keeper {
 	k := &Keeper{
 		table:   table,
 		row:     Prefix + resource,
 		ttl:     ttl,
-		now:     time.Now,
+		now:     now,
 		watcher: NewWatcher(holder, ttl),
 	}
 	k.term.Store(&Term{})
@@ -56,6 +62,9 @@
 	}
 }
 
+// Release gives the lease up. Run must have ended, or never have been started.
+func (k *Keeper) Release() { k.release() }
+
 // pause returns the time to the next step. Those who wait read once a lease
 // only, with jitter, since they may be many.
 func (k *Keeper) pause() time.Duration {
@@ -129,10 +138,13 @@
 	if term.Fencing == 0 {
 		return
 	}
-	seen := k.watcher.seen
-	r := seen.Record
+	row, err := k.read(context.Background())
+	if err != nil || row.Record.Holder != k.watcher.Holder() {
+		return // The lease lapses by itself.
+	}
+	r := row.Record
 	r.Holder = ""
-	_ = k.commit(context.Background(), r, seen.Version)
+	_ = k.commit(context.Background(), r, row.Version)
 }
 
 func (k *Keeper) publish() {
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/selector"
+)
+
+const (
+	// feedWait is for how long a feed call waits for a change.
+	feedWait = 10 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call. The upper
+	// one is short against the time within which changes must be in force.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// lapseHold is for how long a server counts as present that the store no
+	// longer lists after an outage: it announces itself again within about two
+	// seconds of the store's return.
+	lapseHold = 2300 * time.Millisecond
+	// memberInterval is the time between two reads of the members.
+	memberInterval = 15 * time.Second
+)
+
+// feedState is what one loop knows of its feed.
+type feedState struct {
+	name     string
+	after    platform.Version
+	failures int
+	// lostAt is when the store was last found unreachable, returned when it
+	// answered again.
+	lostAt, returned time.Time
+}
+
+// failed notes a failed call and returns the pause before the next.
+func (n *Node) failed(f *feedState, err error) time.Duration {
+	if f.failures == 0 {
+		f.lostAt = n.now()
+		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Error(err))
+	}
+	f.failures++
+	pause := min(maxBackoff, minBackoff<<min(f.failures-1, 8))
+	return time.Duration((0.5 + rand.Float64()/2) * float64(pause))
+}
+
+func (n *Node) succeeded(f *feedState) {
+	if f.failures == 0 {
+		return
+	}
+	f.failures = 0
+	f.returned = n.now()
+	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Duration("outage", f.returned.Sub(f.lostAt)))
+}
+
+// follow reads a table whole, then its changes, until ctx ends.
+func (n *Node) follow(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version), some func([]platform.Change)) {
+	f.name = table
+	loaded := false
+	for ctx.Err() == nil {
+		var err error
+		if !loaded {
+			err = n.load(ctx, f, table, all)
+			loaded = err == nil
+		} else {
+			err = n.watch(ctx, f, table, some)
+			if errors.Is(err, platform.ErrHistoryGone) {
+				n.log.Info("feed_history_gone", zap.String("feed", table), zap.Uint64("revision", uint64(f.after)))
+				loaded = false
+				continue
+			}
+		}
+		if err == nil {
+			n.succeeded(f)
+			continue
+		}
+		if !clock.Sleep(ctx, n.failed(f, err)) {
+			return
+		}
+	}
+}
+
+func (n *Node) load(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version)) error {
+	rows, version, err := n.opts.Feed.Rows(ctx, table)
+	if err != nil {
+		return err
+	}
+	n.succeeded(f)
+	f.after = version
+	all(rows, version)
+	return nil
+}
+
+func (n *Node) watch(ctx context.Context, f *feedState, table string, some func([]platform.Change)) error {
+	changes, next, err := n.opts.Feed.Changes(ctx, table, f.after, feedWait)
+	if err != nil {
+		return err
+	}
+	n.succeeded(f)
+	f.after = next
+	if len(changes) > 0 {
+		some(changes)
+	}
+	return nil
+}
+
+func (n *Node) followOperator(ctx context.Context) {
+	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable,
+		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) },
+		func(changes []platform.Change) {
+			rows := make([]platform.Row, 0, len(changes))
+			for _, c := range changes {
+				if !c.Deleted {
+					rows = append(rows, c.Row)
+				}
+			}
+			n.applyOperator(rows)
+		})
+}
+
+func (n *Node) applyOperator(rows []platform.Row) {
+	o := n.opts.Decoder.Operator(rows)
+	for _, err := range o.Malformed {
+		n.log.Warn("operator_row_malformed", zap.Error(err))
+	}
+	if o.Catalog != nil {
+		n.publish(*o.Catalog, "store")
+	}
+	for model, version := range o.Goals {
+		n.setGoal(model, fleet.Goal{Version: version, Since: n.now()}, "store")
+	}
+}
+
+// publish puts a configuration in force.
+func (n *Node) publish(s catalog.Snapshot, source string) {
+	if !n.Gateway.Publish(s) {
+		return
+	}
+	n.log.Info("catalog_in_force",
+		zap.Uint64("version", uint64(s.Version)),
+		zap.String("source", source),
+		zap.Int("routes", len(s.Routes)),
+		zap.Int("services", len(s.Services)),
+		zap.Int("accounts", len(s.Accounts)))
+	n.wake()
+}
+
+func (n *Node) setGoal(model string, goal fleet.Goal, source string) {
+	if !n.goals.Set(model, goal) {
+		return
+	}
+	n.log.Info("weights_named", zap.String("model", model), zap.Uint64("version", goal.Version),
+		zap.String("source", source), zap.Duration("age", n.now().Sub(goal.Since)))
+	n.wake()
+}
+
+func (n *Node) followServers(ctx context.Context) {
+	n.follow(ctx, &n.serverFeed, n.opts.ServerTable, n.listServers, n.changeServers)
+}
+
+// listServers takes a whole listing. What it doesn't name may have lapsed in an
+// outage.
+func (n *Node) listServers(rows []platform.Row, version platform.Version) {
+	entries := make([]fleet.Entry, 0, len(rows))
+	listed := map[backend.ID]bool{}
+	for _, r := range rows {
+		e := n.decodeServer(platform.Change{Row: r})
+		entries = append(entries, e)
+		listed[e.ID] = !e.Gone
+	}
+	n.applyServers(entries, "store")
+	n.directory.Missing(listed, version, lapseHold, n.now())
+}
+
+func (n *Node) changeServers(changes []platform.Change) {
+	entries := make([]fleet.Entry, 0, len(changes))
+	afterOutage := !n.serverFeed.returned.IsZero() && n.now().Sub(n.serverFeed.returned) < lapseHold
+	for _, c := range changes {
+		e := n.decodeServer(c)
+		if c.Deleted && afterOutage {
+			n.directory.Lapsed(e.ID, e.Revision, n.now().Add(lapseHold))
+			continue
+		}
+		entries = append(entries, e)
+	}
+	n.applyServers(entries, "store")
+}
+
+func (n *Node) decodeServer(c platform.Change) fleet.Entry {
+	e, err := n.opts.Decoder.Server(c)
+	if err != nil {
+		n.log.Warn("server_entry_malformed", zap.String("server", string(e.ID)), zap.Uint64("revision", uint64(c.Version)), zap.Error(err))
+	}
+	return e
+}
+
+func (n *Node) applyServers(entries []fleet.Entry, source string) {
+	for _, e := range n.directory.Apply(entries, n.now()) {
+		n.logServer(e, source)
+	}
+	n.servers.Keep(n.directory.View())
+}
+
+func (n *Node) logServer(e *fleet.Entry, source string) {
+	n.log.Info("server_known",
+		zap.String("server", string(e.ID)), zap.String("service", e.Service), zap.String("address", e.Address),
+		zap.String("failure_domain", e.FailureDomain), zap.String("state", string(e.State)), zap.Bool("gone", e.Gone),
+		zap.Int64("server_started", e.Started), zap.Any("weights", e.Weights), zap.Uint64("orders", e.Orders),
+		zap.Uint64("revision", uint64(e.Revision)), zap.String("source", source))
+}
+
+// keepMembership announces this VM and reads the other members.
+func (n *Node) keepMembership(ctx context.Context) {
+	announced := false
+	failures := 0
+	for ctx.Err() == nil {
+		if !announced {
+			announced = n.announce(ctx) == nil
+		}
+		err := n.readMembers(ctx)
+		pause := time.Duration((0.75 + rand.Float64()/2) * float64(memberInterval))
+		if err != nil || !announced {
+			failures++
+			pause = min(maxBackoff, minBackoff<<min(failures, 8))
+		} else {
+			failures = 0
+		}
+		if !clock.Sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (n *Node) memberKey() string { return n.opts.MemberTable + "/" + string(n.opts.VM.ID) }
+
+func (n *Node) announce(ctx context.Context) error {
+	value, err := json.Marshal(n.member())
+	if err != nil {
+		return errors.Wrap(err, "encode member")
+	}
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	return n.opts.Table.Commit(ctx, nil, []platform.Write{{Key: n.memberKey(), Value: value}})
+}
+
+// deregister removes the announcement of a VM that leaves. A row that stays is
+// harmless: nobody hears of the VM.
+func (n *Node) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := n.opts.Table.Commit(ctx, nil, []platform.Write{{Key: n.memberKey(), Delete: true}}); err != nil {
+		n.log.Info("deregister_failed", zap.Error(err))
+	}
+}
+
+// deregisterTimeout bounds the last call of a process that must end in time.
+const deregisterTimeout = 200 * time.Millisecond
+
+func (n *Node) readMembers(ctx context.Context) error {
+	rows, _, err := n.opts.Feed.Rows(ctx, n.opts.MemberTable)
+	if err != nil {
+		return err
+	}
+	members := make([]gossip.Member, 0, len(rows))
+	for _, r := range rows {
+		var m gossip.Member
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			n.log.Warn("member_row_malformed", zap.String("key", r.Key), zap.Error(err))
+			continue
+		}
+		members = append(members, m)
+	}
+	n.gossip.Listed(members)
+	return nil
+}
+
+// heldWeights is a version that a server was seen to hold, ahead of its
+// announcement.
+type heldWeights struct {
+	started int64
+	model   string
+	version uint64
+	at      time.Time
+}
+
+// loadReports returns the loads for the digest.
+func loadReports(t *selector.Table) []gossip.ServerLoad {
+	var out []gossip.ServerLoad
+	for key, r := range t.Loads() {
+		out = append(out, gossip.ServerLoad{ID: key.ID, Started: key.Started, Running: r.Running, Backlog: int(r.Backlog)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,340 @@
+// Package node assembles the router process of an externally configured
+// deployment: it follows the operator's objects and the servers' announcements
+// in the platform's store, exchanges states with the other routers, and gives
+// orders to engines while it holds the lease for it.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/gateway"
+	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/lease"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/rollout"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// Operator is what rows of the operator's table say.
+type Operator struct {
+	// Catalog is nil if no row holds a configuration.
+	Catalog *catalog.Snapshot
+	// Goals are the named versions of weights, by model.
+	Goals map[string]uint64
+	// Malformed counts the rows that could not be read.
+	Malformed []error
+}
+
+// Decoder reads the platform's objects.
+type Decoder interface {
+	// Operator reads rows of the operator's table.
+	Operator(rows []platform.Row) Operator
+	// Server reads a server's announcement. An unreadable one names no server:
+	// its entry is marked gone and the error says why.
+	Server(c platform.Change) (fleet.Entry, error)
+}
+
+// OrderResult is an engine's answer to an order.
+type OrderResult uint8
+
+const (
+	// OrderUnknown means that no answer came: the order may still be carried
+	// out.
+	OrderUnknown OrderResult = iota
+	// OrderAccepted means that the engine carries the order out.
+	OrderAccepted
+	// OrderHolds means that the engine holds the weights already.
+	OrderHolds
+	// OrderConflict means that the engine has accepted another order meanwhile.
+	OrderConflict
+	// OrderFenced means that the engine has seen a greater fencing token.
+	OrderFenced
+	// OrderRefused means that the engine doesn't take the order.
+	OrderRefused
+)
+
+// Engines gives orders to engines.
+type Engines interface {
+	// Load orders new weights. No byte is written after the deadline.
+	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
+	// Report asks an engine for its state: the entry with weights and number of
+	// accepted orders.
+	Report(ctx context.Context, e *fleet.Entry) (fleet.Entry, error)
+}
+
+// Options are what a Node is made of.
+type Options struct {
+	Log *zap.Logger
+	// VM describes this VM; its incarnation tells this process from earlier ones.
+	VM vm.VM
+	// Peer is where other routers reach this one, host:port on TCP and UDP.
+	Peer string
+	// First is set if the deployment starts for the first time.
+	First bool
+	// Store reaches the platform's store.
+	Table platform.Table
+	Feed  platform.Feed
+	// Decoder, Engines and Dialect translate.
+	Decoder Decoder
+	Engines Engines
+	Dialect gateway.Dialect
+	// OperatorTable, ServerTable and MemberTable are tables of the store.
+	OperatorTable, ServerTable, MemberTable string
+	Bounds                                  Bounds
+}
+
+// Bounds are what the deployment demands.
+type Bounds struct {
+	Quota quota.Settings
+	// RetryRatio, RetrySlack and RetryWindow bound repeated sends to a service
+	// by all VMs together.
+	RetryRatio, RetrySlack float64
+	// Lease is for how long an order giver may act after a renewal.
+	Lease time.Duration
+	// VersionBound is when no request may begin on older weights any more.
+	VersionBound time.Duration
+	// Grace is the time between the request to stop and the kill.
+	Grace time.Duration
+}
+
+// Node is one router process.
+type Node struct {
+	opts    Options
+	log     *zap.Logger
+	now     func() time.Time
+	started time.Time
+	metrics metrics.Registry
+
+	Gateway   *gateway.Gateway
+	directory *fleet.Directory
+	goals     *fleet.Goals
+	servers   *selector.Table
+	pool      *hop.Pool
+	quota     *quota.Ledger
+	suspects  *gateway.Suspects
+	gossip    *gossip.Node
+	peerHTTP  *http.Server
+	listener  net.Listener
+	keeper    *lease.Keeper
+	planner   *rollout.Planner
+
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	kick     chan struct{}
+	// lastOrder is used by the order loop only.
+	lastOrder time.Time
+
+	mu       sync.Mutex
+	reserved []backend.ID
+	held     map[backend.ID]heldWeights
+	behind   map[vm.ID]time.Time
+	fetching bool
+
+	operatorFeed, serverFeed feedState
+	loops                    sync.WaitGroup
+	cancel                   context.CancelFunc
+}
+
+// fleetSize is the number of VMs that the retry reserve is split between before
+// the members are known. It is the larger of today's deployments.
+const fleetSize = 9
+
+// nominalPrefillRate is the speed of an engine's prompt reading, in tokens a
+// second, that is assumed: engines of the kind in use read 50 to 70 tokens a
+// millisecond.
+const nominalPrefillRate = 55_000
+
+// New returns a node that listens for its peers and serves nothing yet.
+func New(opts Options) (*Node, error) {
+	n := &Node{
+		opts:      opts,
+		log:       opts.Log,
+		now:       clock.BootTime,
+		started:   clock.BootTime(),
+		metrics:   metrics.NewRegistry(),
+		directory: fleet.NewDirectory(),
+		goals:     fleet.NewGoals(),
+		pool:      hop.NewPool(),
+		kick:      make(chan struct{}, 1),
+		held:      map[backend.ID]heldWeights{},
+		behind:    map[vm.ID]time.Time{},
+		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
+	}
+	n.servers = selector.NewTable(n.now)
+	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
+	n.suspects = gateway.NewSuspects(n.now)
+	n.Gateway = gateway.New(gateway.Options{
+		Log:           opts.Log,
+		Metrics:       n.metrics,
+		Dialect:       opts.Dialect,
+		Directory:     n.directory,
+		Goals:         n.goals,
+		Servers:       n.servers,
+		Pool:          n.pool,
+		Quota:         n.quota,
+		Suspects:      n.suspects,
+		FailureDomain: opts.VM.FailureDomain,
+		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
+		RetryRatio:    opts.Bounds.RetryRatio,
+		RetryReserve:  opts.Bounds.RetrySlack / fleetSize / 2,
+		Now:           n.now,
+	})
+	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
+	return n, n.listen()
+}
+
+// holder names this process as the holder of the lease.
+func (n *Node) holder() lease.Holder {
+	return lease.Holder(fmt.Sprintf("%s-%x", n.opts.VM.ID, uint64(n.opts.VM.Incarnation)))
+}
+
+func (n *Node) listen() error {
+	l, err := net.Listen("tcp", n.opts.Peer)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", n.opts.Peer)
+	}
+	g, err := gossip.New(gossip.Options{
+		Self:     n.member(),
+		Listen:   n.opts.Peer,
+		Log:      n.log,
+		Now:      n.now,
+		Received: n.received,
+	})
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	n.gossip, n.listener = g, l
+	n.peerHTTP = &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: fetchTimeout, IdleTimeout: peerIdle}
+	return nil
+}
+
+func (n *Node) member() gossip.Member {
+	return gossip.Member{
+		ID:            n.opts.VM.ID,
+		FailureDomain: n.opts.VM.FailureDomain,
+		Caller:        n.opts.VM.CallerAddress,
+		Peer:          n.opts.Peer,
+	}
+}
+
+// Start runs the node's loops until Stop.
+func (n *Node) Start(ctx context.Context) {
+	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.loop(func() { n.gossip.Run(ctx) })
+	n.loop(func() {
+		if err := n.peerHTTP.Serve(n.listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("peer_server_ended", zap.Error(err))
+		}
+	})
+	n.loop(func() { n.followOperator(ctx) })
+	n.loop(func() { n.followServers(ctx) })
+	n.loop(func() { n.keepMembership(ctx) })
+	n.loop(func() { n.sendDigests(ctx) })
+	n.loop(func() { n.giveOrders(ctx) })
+	n.log.Info("node_started",
+		zap.String("vm", string(n.opts.VM.ID)),
+		zap.Uint64("incarnation", uint64(n.opts.VM.Incarnation)),
+		zap.String("failure_domain", n.opts.VM.FailureDomain),
+		zap.String("caller_address", n.opts.VM.CallerAddress),
+		zap.String("peer_address", n.opts.Peer),
+		zap.Bool("first", n.opts.First))
+}
+
+func (n *Node) loop(f func()) {
+	n.loops.Add(1)
+	go func() {
+		defer n.loops.Done()
+		f()
+	}()
+}
+
+// Leave takes the VM out of the addresses. Requests are still served.
+func (n *Node) Leave() {
+	n.leaving.Store(true)
+	n.log.Info("leave_started", zap.String("vm", string(n.opts.VM.ID)))
+	n.wake()
+}
+
+// Leaving reports whether Leave was called.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready reports whether the VM may get callers.
+func (n *Node) Ready() bool { return n.Gateway.Catalog() != nil && !n.Leaving() }
+
+// Stop ends the loops.
+func (n *Node) Stop() {
+	n.deregister()
+	if n.cancel != nil {
+		n.cancel()
+	}
+	_ = n.peerHTTP.Close()
+	n.loops.Wait()
+	n.log.Info("node_stopped", zap.String("vm", string(n.opts.VM.ID)))
+}
+
+// wake sends a digest at once.
+func (n *Node) wake() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Addresses returns where callers of a failure domain should connect: the VMs of
+// that domain, or all if it has too few.
+func (n *Node) Addresses(domain string) []string {
+	var near, far []string
+	add := func(d, address string) {
+		if d == domain {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
+	}
+	if n.Ready() {
+		add(n.opts.VM.FailureDomain, n.opts.VM.CallerAddress)
+	}
+	now := n.now()
+	for _, p := range n.gossip.Peers() {
+		if p.Alive(now) && p.Ready && !p.Leaving {
+			add(p.FailureDomain, p.Caller)
+		}
+	}
+	if len(near) >= minAddresses || len(far) == 0 {
+		return near
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far[:min(len(far), minAddresses-len(near))]...)
+}
+
+// minAddresses is the least number of VMs that callers choose from, so that the
+// loss of one leaves them another.
+const minAddresses = 2
+
+// ServeMetrics writes the counters and histograms as JSON.
+func (n *Node) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.metrics.GetAll()); err != nil {
+		n.log.Warn("metrics_write_failed", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/lease"
+	"papayaspan.dev/papayaspan/internal/order"
+	"papayaspan.dev/papayaspan/internal/rollout"
+	"papayaspan.dev/papayaspan/internal/selector"
+)
+
+const (
+	// planInterval is the time between two plans of the order giver.
+	planInterval = 100 * time.Millisecond
+	// reportFrom is how long after an accepted order the engine is first asked
+	// whether it has loaded, and reportInterval the time between such questions.
+	// Loads take two seconds and more.
+	reportFrom     = 1800 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
+	// reportTimeout bounds one question.
+	reportTimeout = 400 * time.Millisecond
+)
+
+// giveOrders competes for the lease and brings engines to the named weights
+// while it holds it.
+func (n *Node) giveOrders(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	g := &giver{n: n, watched: map[backend.ID]time.Time{}}
+	var nextStep time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			n.releaseLease()
+			return
+		case <-ticker.C:
+		}
+		now := n.now()
+		if !now.Before(nextStep) {
+			nextStep = now.Add(n.leaseStep(ctx))
+		}
+		term := n.keeper.Term()
+		if !term.Valid(n.now(), order.MaxSend) {
+			g.stop()
+			continue
+		}
+		g.step(ctx, term)
+	}
+}
+
+// leaseStep takes or renews the lease if that is due, and returns when to look
+// again.
+func (n *Node) leaseStep(ctx context.Context) time.Duration {
+	held := n.keeper.Term().Fencing
+	if held == 0 && (n.Leaving() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
+		return n.opts.Bounds.Lease / 6
+	}
+	n.keeper.Step(ctx)
+	term := n.keeper.Term()
+	if term.Fencing != held {
+		n.log.Info("order_lease", zap.Uint64("fencing", uint64(term.Fencing)), zap.Uint64("before", uint64(held)),
+			zap.Duration("valid_for", max(0, term.Until.Sub(n.now()))))
+		n.wake()
+	}
+	return n.opts.Bounds.Lease / 3
+}
+
+// releaseLease gives the lease up, unless an order was sent so lately that the
+// next holder must wait anyway.
+func (n *Node) releaseLease() {
+	if n.now().Sub(n.lastOrder) > n.opts.Bounds.Lease {
+		n.keeper.Release()
+	}
+}
+
+// giver is the state of the order giver.
+type giver struct {
+	n *Node
+	// watched is when an engine that loads is asked next.
+	watched map[backend.ID]time.Time
+	active  bool
+}
+
+func (g *giver) stop() {
+	if !g.active {
+		return
+	}
+	g.active = false
+	g.n.planner.Reset()
+	clear(g.watched)
+	g.n.setReserved(nil)
+}
+
+func (g *giver) step(ctx context.Context, term lease.Term) {
+	g.active = true
+	n := g.n
+	view := n.directory.View()
+	plan := n.planner.Plan(n.rolloutEngines(view), n.now())
+	n.setReserved(plan.Reserved)
+	for _, o := range plan.Orders {
+		if e := view.Server(o.Engine); e != nil && e.Started == o.Started {
+			n.planner.Sent(o, n.now())
+			g.send(ctx, e, o, term)
+		}
+	}
+	for _, id := range plan.Watch {
+		g.ask(ctx, view.Server(id))
+	}
+}
+
+// rolloutEngines lists the engines for the planner.
+func (n *Node) rolloutEngines(view *fleet.View) []rollout.Engine {
+	goals := n.goals.All()
+	var out []rollout.Engine
+	for _, e := range view.All() {
+		if !e.Usable() {
+			continue
+		}
+		for model, held := range e.Weights {
+			goal, ok := goals[model]
+			if !ok {
+				continue
+			}
+			out = append(out, rollout.Engine{
+				ID: e.ID, Started: e.Started, FailureDomain: e.FailureDomain,
+				Model: model, Held: held, Wanted: goal.Version,
+				Running: n.servers.Busy(selector.KeyOf(e)),
+			})
+		}
+	}
+	return out
+}
+
+func (n *Node) setReserved(ids []backend.ID) {
+	n.mu.Lock()
+	same := len(ids) == len(n.reserved)
+	for i := 0; same && i < len(ids); i++ {
+		same = ids[i] == n.reserved[i]
+	}
+	n.reserved = ids
+	n.mu.Unlock()
+	if !same {
+		n.housekeep()
+		n.wake()
+	}
+}
+
+// send gives one order. The lease was valid for the time of a send when the
+// caller looked; it is checked again right before.
+func (g *giver) send(ctx context.Context, e *fleet.Entry, o rollout.Order, term lease.Term) {
+	n := g.n
+	now := n.now()
+	if !n.keeper.Term().Valid(now, order.MaxSend) {
+		return
+	}
+	n.lastOrder = now
+	holder := n.holder()
+	go func() {
+		// The deadline is of the monotonic clock, which a socket needs.
+		result, err := n.opts.Engines.Load(ctx, e, o, holder, term.Fencing, time.Now().Add(order.MaxSend/2))
+		n.log.Info("order_sent",
+			zap.String("server", string(e.ID)), zap.Int64("server_started", e.Started), zap.String("model", o.Model),
+			zap.Uint64("version", o.Version), zap.Uint64("orders", e.Orders), zap.Uint64("fencing", uint64(term.Fencing)),
+			zap.Uint8("result", uint8(result)), zap.Duration("took", n.now().Sub(now)), zap.Error(err))
+		n.ordered(ctx, e, o, result)
+	}()
+}
+
+// ordered acts on an engine's answer to an order.
+func (n *Node) ordered(ctx context.Context, e *fleet.Entry, o rollout.Order, result OrderResult) {
+	switch result {
+	case OrderAccepted:
+		n.planner.Accepted(o)
+	case OrderHolds:
+		n.seeWeights(e, o.Model, o.Version)
+	case OrderConflict, OrderUnknown, OrderRefused:
+		n.readEngine(ctx, e)
+	case OrderFenced:
+		n.log.Warn("order_fenced", zap.String("server", string(e.ID)))
+		n.readEngine(ctx, e)
+	}
+}
+
+// ask reads an engine that loads, once that is due.
+func (g *giver) ask(ctx context.Context, e *fleet.Entry) {
+	if e == nil {
+		return
+	}
+	now := g.n.now()
+	due, known := g.watched[e.ID]
+	if !known {
+		g.watched[e.ID] = now.Add(reportFrom)
+		return
+	}
+	if now.Before(due) {
+		return
+	}
+	g.watched[e.ID] = now.Add(reportInterval)
+	go g.n.readEngine(ctx, e)
+}
+
+// readEngine asks an engine for its weights and takes note of them.
+func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := n.opts.Engines.Report(ctx, e)
+	if err != nil {
+		n.log.Info("engine_report_failed", zap.String("server", string(e.ID)), zap.Error(err))
+		return
+	}
+	if report.Started != e.Started {
+		return
+	}
+	n.directory.SetOrders(e.ID, e.Started, report.Orders)
+	for model, version := range report.Weights {
+		n.seeWeights(e, model, version)
+	}
+}
+
+// seeWeights notes what an engine holds ahead of its announcement, and tells the
+// peers.
+func (n *Node) seeWeights(e *fleet.Entry, model string, version uint64) {
+	if !n.directory.SetWeights(e.ID, e.Started, model, version) {
+		return
+	}
+	n.mu.Lock()
+	n.held[e.ID] = heldWeights{started: e.Started, model: model, version: version, at: n.now()}
+	n.mu.Unlock()
+	n.log.Info("engine_loaded", zap.String("server", string(e.ID)), zap.String("model", model), zap.Uint64("version", version))
+	n.wake()
+}
--- a/internal/order/client.go
+++ b/internal/order/client.go
@@ -55,7 +55,7 @@
 		return errors.Wrap(err, "order")
 	}
 	req.GetBody = nil // the transport must not send an order again by itself
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: boundedDial(deadline)}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: BoundedDial(deadline)}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrap(err, "send order")
@@ -70,9 +70,9 @@
 	return nil
 }
 
-// boundedDial returns a dial function whose connections connect and write
+// BoundedDial returns a dial function whose connections connect and write
 // before the deadline only.
-func boundedDial(deadline time.Time) func(context.Context, string, string) (net.Conn, error) {
+func BoundedDial(deadline time.Time) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		d := net.Dialer{Deadline: deadline, Control: limitRetransmission}
 		conn, err := d.DialContext(ctx, network, addr)
--- /dev/null
+++ b/internal/platform/feed.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrHistoryGone means that the feed no longer has the changes after the
+// version asked for. The caller must read the rows anew.
+var ErrHistoryGone = errors.New("history is no longer available")
+
+// ErrThrottled means that the service refused a call because of its rate. It
+// had no effect.
+var ErrThrottled = errors.New("platform service is over its rate")
+
+// Change is a row that was written or deleted.
+type Change struct {
+	Row
+	Deleted bool
+}
+
+// Feed reports changes of rows as they happen.
+type Feed interface {
+	// Rows returns all rows of a table and the version up to which they are
+	// complete.
+	Rows(ctx context.Context, table string) ([]Row, Version, error)
+	// Changes returns the changes after a version, in order, and the version to
+	// go on from. It returns as soon as there is one, and without any after
+	// wait. Its errors include ErrHistoryGone.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Change, Version, error)
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,207 @@
+// Package rollout plans how the engines of a deployment come to new weights:
+// which engine loads next, which are emptied before, and when an order is sent
+// again. The planner is a state machine over snapshots, without network.
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+)
+
+// Settings are the limits of the planner.
+type Settings struct {
+	// MaxLoading bounds the engines that load at once; beyond it they load
+	// slower.
+	MaxLoading int
+	// DrainWait is for how long an engine gets no new requests, at most, before
+	// its order is sent.
+	DrainWait time.Duration
+	// ResendAfter is when an order that got no answer is sent again.
+	ResendAfter time.Duration
+	// LoadTimeout is when an accepted order that shows no effect is sent again.
+	LoadTimeout time.Duration
+}
+
+// DefaultSettings suit engines that load weights in two to three seconds.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxLoading:  3,
+		DrainWait:   700 * time.Millisecond,
+		ResendAfter: 1 * time.Second,
+		LoadTimeout: 8 * time.Second,
+	}
+}
+
+// Engine is one engine as known now.
+type Engine struct {
+	ID            backend.ID
+	Started       int64
+	FailureDomain string
+	// Model is the model that it runs, Held the version, and Wanted the one that
+	// was named.
+	Model        string
+	Held, Wanted uint64
+	// Running is the number of requests that it runs.
+	Running int
+}
+
+// Order is an order to send.
+type Order struct {
+	Engine  backend.ID
+	Started int64
+	Model   string
+	Version uint64
+}
+
+// Plan is what to do now.
+type Plan struct {
+	// Reserved are the engines that get no new requests.
+	Reserved []backend.ID
+	Orders   []Order
+	// Watch are the engines whose load is under way.
+	Watch []backend.ID
+}
+
+// load is an engine on its way to new weights.
+type load struct {
+	started int64
+	version uint64
+	// reserved is when the engine was taken out, sent when the order was last
+	// sent, accepted whether the engine confirmed it.
+	reserved, sent time.Time
+	accepted       bool
+}
+
+// Planner keeps what must be remembered between two plans. It is safe for
+// concurrent use.
+type Planner struct {
+	settings Settings
+	mu       sync.Mutex
+	loads    map[backend.ID]*load
+}
+
+// NewPlanner returns a planner that knows of no load.
+func NewPlanner(s Settings) *Planner {
+	return &Planner{settings: s, loads: map[backend.ID]*load{}}
+}
+
+// Plan decides what to do now. Engines are the ready ones.
+func (p *Planner) Plan(engines []Engine, now time.Time) Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byID := map[backend.ID]*Engine{}
+	for i := range engines {
+		byID[engines[i].ID] = &engines[i]
+	}
+	p.drop(byID, now)
+	p.reserve(engines, now)
+	var plan Plan
+	for id, l := range p.loads {
+		e := byID[id]
+		plan.Reserved = append(plan.Reserved, id)
+		if l.accepted {
+			plan.Watch = append(plan.Watch, id)
+		}
+		if p.due(l, e, now) {
+			plan.Orders = append(plan.Orders, Order{Engine: id, Started: e.Started, Model: e.Model, Version: e.Wanted})
+		}
+	}
+	slices.Sort(plan.Reserved)
+	slices.Sort(plan.Watch)
+	slices.SortFunc(plan.Orders, func(a, b Order) int { return cmp.Compare(a.Engine, b.Engine) })
+	return plan
+}
+
+// drop forgets the loads that are over.
+func (p *Planner) drop(byID map[backend.ID]*Engine, now time.Time) {
+	for id, l := range p.loads {
+		e := byID[id]
+		switch {
+		case e == nil || e.Started != l.started || e.Held >= e.Wanted:
+			delete(p.loads, id)
+		case l.accepted && e.Held >= l.version:
+			// Loaded, and overtaken meanwhile: it queues again.
+			delete(p.loads, id)
+		case l.accepted && now.Sub(l.sent) > p.settings.LoadTimeout:
+			delete(p.loads, id)
+		}
+	}
+}
+
+// reserve takes the next engines out of service. The domain with the fewest
+// engines on the wanted weights goes first, so that all soon have some; in a
+// domain the least busy engine does.
+func (p *Planner) reserve(engines []Engine, now time.Time) {
+	current := map[string]int{}
+	for i := range engines {
+		e := &engines[i]
+		if e.Held >= e.Wanted || p.loads[e.ID] != nil {
+			current[e.FailureDomain]++
+		}
+	}
+	for len(p.loads) < p.settings.MaxLoading {
+		var best *Engine
+		for i := range engines {
+			e := &engines[i]
+			if e.Held >= e.Wanted || p.loads[e.ID] != nil {
+				continue
+			}
+			if best == nil || before(e, best, current) {
+				best = e
+			}
+		}
+		if best == nil {
+			return
+		}
+		p.loads[best.ID] = &load{started: best.Started, reserved: now}
+		current[best.FailureDomain]++
+	}
+}
+
+func before(a, b *Engine, current map[string]int) bool {
+	return cmp.Or(
+		cmp.Compare(current[a.FailureDomain], current[b.FailureDomain]),
+		cmp.Compare(a.Running, b.Running),
+		cmp.Compare(a.ID, b.ID),
+	) < 0
+}
+
+// due reports whether an engine's order is to be sent now.
+func (p *Planner) due(l *load, e *Engine, now time.Time) bool {
+	if l.accepted {
+		return false
+	}
+	if !l.sent.IsZero() {
+		return now.Sub(l.sent) >= p.settings.ResendAfter
+	}
+	return e.Running == 0 || now.Sub(l.reserved) >= p.settings.DrainWait
+}
+
+// Sent notes that an order is sent.
+func (p *Planner) Sent(o Order, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[o.Engine]; l != nil && l.started == o.Started {
+		l.sent, l.version = now, o.Version
+	}
+}
+
+// Accepted notes that an engine confirmed an order.
+func (p *Planner) Accepted(o Order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[o.Engine]; l != nil && l.started == o.Started && l.version == o.Version {
+		l.accepted = true
+	}
+}
+
+// Reset forgets all loads, when another VM gives the orders.
+func (p *Planner) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.loads)
+}
--- /dev/null
+++ b/internal/selector/selector.go
@@ -0,0 +1,164 @@
+// Package selector chooses the backend server for a request of an externally
+// configured deployment. Filters drop servers that must not get it, a loss
+// function estimates for each candidate what share of the request's credit is
+// likely lost there, and the picker takes the least.
+package selector
+
+import (
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/fleet"
+)
+
+// Query is what the choice needs to know of a request.
+type Query struct {
+	// Objective is the time to the first event of a stream, or to the whole
+	// answer, that earns full credit.
+	Objective time.Duration
+	// Waited is the time that the request has used already.
+	Waited time.Duration
+	// PromptTokens is the length of the prompt; 0 for plain requests.
+	PromptTokens int
+	// BodyBytes is what is sent to the server.
+	BodyBytes int
+}
+
+// Candidate is a server under consideration.
+type Candidate struct {
+	Entry *fleet.Entry
+	// SameDomain is set if the server is in the VM's own failure domain.
+	SameDomain bool
+	// Running is the number of requests at the server, as far as known.
+	Running int
+	// Backlog are the prompt tokens that the server is to read before.
+	Backlog float64
+	// CachedTokens are the leading tokens of the prompt that the server holds,
+	// as an expectation.
+	CachedTokens float64
+	// FailureRate is the recent share of failures, in [0, 1].
+	FailureRate float64
+	// Latency is the recent time to the first byte on top of the reading of
+	// prompts.
+	Latency time.Duration
+	// Behind is for how long the weights that the server doesn't hold yet are
+	// the ones to run; 0 if it is up to date.
+	Behind time.Duration
+}
+
+// Model holds what the loss function assumes of a deployment.
+type Model struct {
+	// PrefillRate is the speed at which an engine reads prompts, in tokens a
+	// second.
+	PrefillRate float64
+	// VersionBound is the time after which a request must not begin on older
+	// weights.
+	VersionBound time.Duration
+}
+
+const (
+	// lateLoss is the share of a request's credit that a late answer loses.
+	// Source: the late credit on the deployments' sheets.
+	lateLoss = 0.7
+	// lateFrom and lateFull are the expected latencies, as shares of the
+	// objective, between which a late answer goes from unlikely to certain. The
+	// estimate errs by about a half.
+	lateFrom = 0.4
+	lateFull = 1.3
+	// oldWeightsLoss is the share of credit that a request loses which begins
+	// on older weights, from oldWeightsGrace on. Source: the rules' payoff.
+	oldWeightsLoss  = 0.2
+	oldWeightsGrace = 1500 * time.Millisecond
+	// boundMargin is how long before the version bound a server is avoided.
+	boundMargin = 2 * time.Second
+	// prefillLoss is what reading a prompt costs the requests after it, as a
+	// share of the request's credit for a read that takes the whole objective.
+	prefillLoss = 0.35
+	// crossLoss is the price of a kilobyte that crosses failure domains, as a
+	// share of a request's credit.
+	crossLoss = 0.0015
+	// baseCross is the same for a request without a body.
+	baseCross = 0.004
+	// crowdLoss spreads load between servers that are equal otherwise, for each
+	// share of its slots that a server has in use.
+	crowdLoss = 0.1
+)
+
+// Loss returns the expected share of the request's credit that is lost if the
+// candidate gets it. It answers loads at which servers queue: while the
+// objective is far away, queues cost next to nothing and weights, cached
+// prompts and distance decide.
+func (m Model) Loss(q Query, c *Candidate) float64 {
+	missing := max(0, float64(q.PromptTokens)-c.CachedTokens)
+	read := seconds(missing / m.PrefillRate)
+	expected := q.Waited + c.Latency + seconds(c.Backlog/m.PrefillRate) + read
+	loss := lateLoss * ramp(share(expected, q.Objective), lateFrom, lateFull)
+	loss += prefillLoss * min(1, share(read, q.Objective))
+	loss += m.weightsLoss(c)
+	loss += crowdLoss * c.crowding()
+	if !c.SameDomain {
+		loss += baseCross + crossLoss*float64(q.BodyBytes)/1024
+	}
+	// A failure loses the whole credit of what would have been left.
+	return loss + c.FailureRate*max(0, 1-loss)
+}
+
+func (m Model) weightsLoss(c *Candidate) float64 {
+	switch {
+	case c.Behind <= 0:
+		return 0
+	case m.VersionBound > 0 && c.Behind > m.VersionBound-boundMargin:
+		return 1
+	case c.Behind > oldWeightsGrace:
+		return oldWeightsLoss
+	default:
+		return 0
+	}
+}
+
+func (c *Candidate) crowding() float64 {
+	if c.Entry.Slots <= 0 {
+		return 0
+	}
+	return float64(c.Running) / float64(c.Entry.Slots)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func share(d, of time.Duration) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return float64(d) / float64(of)
+}
+
+// ramp is 0 up to from, 1 from full on, and linear between.
+func ramp(x, from, full float64) float64 {
+	return min(1, max(0, (x-from)/(full-from)))
+}
+
+// Pick returns the index of the candidate with the least loss, and that loss.
+// Draw is a number in [0, 1) that decides between candidates that are as good
+// as equal. It returns -1 without candidates.
+func (m Model) Pick(q Query, candidates []Candidate, draw float64) (int, float64) {
+	best, least := -1, 0.0
+	losses := make([]float64, len(candidates))
+	for i := range candidates {
+		losses[i] = m.Loss(q, &candidates[i])
+		if best < 0 || losses[i] < least {
+			best, least = i, losses[i]
+		}
+	}
+	var equal []int
+	for i, l := range losses {
+		if l <= least+equalLoss {
+			equal = append(equal, i)
+		}
+	}
+	if len(equal) > 1 {
+		best = equal[int(draw*float64(len(equal)))]
+	}
+	return best, least
+}
+
+// equalLoss is the difference in loss that is below the error of the estimate.
+const equalLoss = 0.002
