--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,6 +7,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,14 +49,22 @@
 	Warmup time.Duration `json:"warmup,omitempty"`
 	// Weights are the versions of the models that an engine holds.
 	Weights map[string]uint64 `json:"weights,omitempty"`
-	// Orders is the number of orders that an engine has accepted.
-	Orders uint64 `json:"orders"`
 	// Revision is the version of the store's row.
 	Revision platform.Version `json:"revision"`
 	// Gone marks the end of the server.
 	Gone bool `json:"gone,omitempty"`
 }
 
+// WeightsText lists the weights for logs: "model=version", sorted and joined by
+// commas.
+func (e *Entry) WeightsText() string {
+	parts := make([]string, 0, len(e.Weights))
+	for _, model := range slices.Sorted(maps.Keys(e.Weights)) {
+		parts = append(parts, model+"="+strconv.FormatUint(e.Weights[model], 10))
+	}
+	return strings.Join(parts, ",")
+}
+
 // Usable reports whether the server may get new requests.
 func (e *Entry) Usable() bool { return !e.Gone && e.State == Ready }
 
@@ -151,7 +160,6 @@
 	}
 	kept := *e
 	if old != nil && old.Same(e) {
-		kept.Orders = max(kept.Orders, old.Orders)
 		kept.Weights = newest(old.Weights, kept.Weights)
 	}
 	d.entries[e.ID] = &kept
@@ -254,21 +262,6 @@
 	return true
 }
 
-// SetOrders notes the number of orders that a server has accepted, ahead of its
-// announcement.
-func (d *Directory) SetOrders(id backend.ID, started int64, orders uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.entries[id]
-	if old == nil || old.Started != started || old.Orders >= orders {
-		return
-	}
-	next := *old
-	next.Orders = orders
-	d.entries[id] = &next
-	d.publish()
-}
-
 func (d *Directory) forget(now time.Time) {
 	for id, at := range d.goneAt {
 		if now.Sub(at) > tombstoneAge {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -57,9 +57,8 @@
 // Conn is a connection to a server. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	addr  string
-	owner string
-	br    *bufio.Reader
+	hostKey
+	br *bufio.Reader
 	// Reused is set if the connection carried a request before.
 	Reused    bool
 	idleSince time.Time
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -25,23 +25,26 @@
 // Pool keeps connections to servers. It is safe for concurrent use.
 type Pool struct {
 	mu    sync.Mutex
-	hosts map[string]*host
+	hosts map[hostKey]*host
 	now   func() time.Time
 }
 
+// hostKey names a server's run and its address.
+type hostKey struct{ owner, addr string }
+
 type host struct {
 	open int
 	idle []*Conn
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{hosts: map[string]*host{}, now: time.Now} }
+func NewPool() *Pool { return &Pool{hosts: map[hostKey]*host{}, now: time.Now} }
 
 // Get returns a connection to a server at an address. Owner names the run of the
 // server, so that a connection isn't used for another one at the same address.
 // Limit bounds the open connections; 0 is no bound.
 func (p *Pool) Get(ctx context.Context, owner, addr string, limit int) (*Conn, error) {
-	key := owner + "@" + addr
+	key := hostKey{owner: owner, addr: addr}
 	if c := p.takeIdle(key); c != nil {
 		return c, nil
 	}
@@ -53,10 +56,10 @@
 		p.unreserve(key)
 		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", addr, err)
 	}
-	return &Conn{Conn: conn, addr: addr, owner: key, br: bufio.NewReaderSize(conn, readBuffer)}, nil
+	return &Conn{Conn: conn, hostKey: key, br: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
-func (p *Pool) takeIdle(key string) *Conn {
+func (p *Pool) takeIdle(key hostKey) *Conn {
 	for {
 		c := p.popIdle(key)
 		if c == nil {
@@ -70,7 +73,7 @@
 	}
 }
 
-func (p *Pool) popIdle(key string) *Conn {
+func (p *Pool) popIdle(key hostKey) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[key]
@@ -82,7 +85,7 @@
 	return c
 }
 
-func (p *Pool) reserve(key string, limit int) bool {
+func (p *Pool) reserve(key hostKey, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[key]
@@ -97,7 +100,7 @@
 	return true
 }
 
-func (p *Pool) unreserve(key string) {
+func (p *Pool) unreserve(key hostKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[key]
@@ -110,7 +113,7 @@
 // Discard closes a connection.
 func (p *Pool) Discard(c *Conn) {
 	_ = c.Close()
-	p.unreserve(c.owner)
+	p.unreserve(c.hostKey)
 }
 
 // Release takes a connection back after an answer was read whole. It is closed
@@ -127,7 +130,7 @@
 	now := p.now()
 	c.idleSince, c.idleUntil = now, now.Add(idle-idleMargin)
 	p.mu.Lock()
-	h := p.hosts[c.owner]
+	h := p.hosts[c.hostKey]
 	h.idle = append(h.idle, c)
 	p.mu.Unlock()
 }
@@ -138,10 +141,10 @@
 	now := p.now()
 	var old []*Conn
 	p.mu.Lock()
-	for key, h := range p.hosts {
+	for _, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.After(c.idleUntil) || !keep(key) {
+			if now.After(c.idleUntil) || !keep(c.owner) {
 				old = append(old, c)
 			} else {
 				kept = append(kept, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,13 +72,29 @@
 	OrderRefused
 )
 
+var orderResults = [...]string{"unknown", "accepted", "holds", "conflict", "fenced", "refused"}
+
+// String names the result for logs.
+func (r OrderResult) String() string { return orderResults[r] }
+
+// EngineReport is what an engine says when it is asked.
+type EngineReport struct {
+	// Started tells the runs of an engine apart, as in its announcement.
+	Started int64
+	// Orders is the number of orders that it has accepted.
+	Orders uint64
+	// Busy is set while it carries an order out.
+	Busy    bool
+	Weights map[string]uint64
+}
+
 // Engines gives orders to engines.
 type Engines interface {
-	// Load orders new weights. No byte is written after the deadline.
-	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
-	// Report asks an engine for its state: the entry with weights and number of
-	// accepted orders.
-	Report(ctx context.Context, e *fleet.Entry) (fleet.Entry, error)
+	// Load orders new weights of an engine that has accepted a number of orders
+	// so far. No byte is written after the deadline.
+	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, orders uint64, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
+	// Report asks an engine for its state.
+	Report(ctx context.Context, e *fleet.Entry) (EngineReport, error)
 }
 
 // Options are what a Node is made of.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -150,42 +150,39 @@
 	}
 }
 
-// send gives one order. The lease was valid for the time of a send when the
-// caller looked; it is checked again right before.
+// send gives one order, if the engine still needs it. The lease was valid for the
+// time of a send when the caller looked; it is checked again right before.
 func (g *giver) send(ctx context.Context, e *fleet.Entry, o rollout.Order, term lease.Term) {
 	n := g.n
-	now := n.now()
-	if !n.keeper.Term().Valid(now, order.MaxSend) {
-		return
-	}
-	n.lastOrder = now
-	holder := n.holder()
+	n.lastOrder = n.now()
 	go func() {
+		report, ok := n.readEngine(ctx, e)
+		if !ok || report.Weights[o.Model] >= o.Version {
+			return
+		}
+		if report.Busy {
+			n.planner.Accepted(o) // By this or an earlier giver's order.
+			return
+		}
+		now := n.now()
+		if !n.keeper.Term().Valid(now, order.MaxSend) {
+			return
+		}
 		// The deadline is of the monotonic clock, which a socket needs.
-		result, err := n.opts.Engines.Load(ctx, e, o, holder, term.Fencing, time.Now().Add(order.MaxSend/2))
+		result, err := n.opts.Engines.Load(ctx, e, o, report.Orders, n.holder(), term.Fencing, time.Now().Add(order.MaxSend/2))
 		n.log.Info("order_sent",
 			zap.String("server", string(e.ID)), zap.Int64("server_started", e.Started), zap.String("model", o.Model),
-			zap.Uint64("version", o.Version), zap.Uint64("orders", e.Orders), zap.Uint64("fencing", uint64(term.Fencing)),
-			zap.Uint8("result", uint8(result)), zap.Duration("took", n.now().Sub(now)), zap.Error(err))
-		n.ordered(ctx, e, o, result)
+			zap.Uint64("version", o.Version), zap.Uint64("orders", report.Orders), zap.Uint64("fencing", uint64(term.Fencing)),
+			zap.Stringer("result", result), zap.Duration("took", n.now().Sub(now)), zap.Error(err))
+		switch result {
+		case OrderAccepted:
+			n.planner.Accepted(o)
+		case OrderHolds:
+			n.seeWeights(e, o.Model, o.Version)
+		}
 	}()
 }
 
-// ordered acts on an engine's answer to an order.
-func (n *Node) ordered(ctx context.Context, e *fleet.Entry, o rollout.Order, result OrderResult) {
-	switch result {
-	case OrderAccepted:
-		n.planner.Accepted(o)
-	case OrderHolds:
-		n.seeWeights(e, o.Model, o.Version)
-	case OrderConflict, OrderUnknown, OrderRefused:
-		n.readEngine(ctx, e)
-	case OrderFenced:
-		n.log.Warn("order_fenced", zap.String("server", string(e.ID)))
-		n.readEngine(ctx, e)
-	}
-}
-
 // ask reads an engine that loads, once that is due.
 func (g *giver) ask(ctx context.Context, e *fleet.Entry) {
 	if e == nil {
@@ -204,22 +201,21 @@
 	go g.n.readEngine(ctx, e)
 }
 
-// readEngine asks an engine for its weights and takes note of them.
-func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) {
+// readEngine asks an engine for its state and takes note of its weights. It
+// returns false if that run of the engine does not answer.
+func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) (EngineReport, bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := n.opts.Engines.Report(ctx, e)
-	if err != nil {
-		n.log.Info("engine_report_failed", zap.String("server", string(e.ID)), zap.Error(err))
-		return
-	}
-	if report.Started != e.Started {
-		return
+	if err != nil || report.Started != e.Started {
+		n.log.Info("engine_report_failed", zap.String("server", string(e.ID)),
+			zap.Int64("server_started", e.Started), zap.Int64("reported_start", report.Started), zap.Error(err))
+		return report, false
 	}
-	n.directory.SetOrders(e.ID, e.Started, report.Orders)
 	for model, version := range report.Weights {
 		n.seeWeights(e, model, version)
 	}
+	return report, true
 }
 
 // seeWeights notes what an engine holds ahead of its announcement, and tells the
