Fetch shared parts between engines; roll weights out without pauses

VMs did not know where others had placed a prompt, engines read it anew, and loads waited for one another's drain. Change: VMs tell where they placed long shared parts, engines fetch them from there (salted by weights, which must match); an engine is emptied while another still loads; the time behind counts from the oldest version missed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,8 +85,20 @@
 	// CacheTokens is the memory for running requests and cached parts.
 	CacheTokens int `json:"cache_tokens"`
 	// TokenBytes is the size of a token's cache.
-	TokenBytes int      `json:"token_bytes"`
-	Models     []string `json:"models"`
+	TokenBytes int `json:"token_bytes"`
+	// LinkBitRate is the speed of an engine's link for cache transfers, in bits a
+	// second.
+	LinkBitRate float64  `json:"link_bit_rate"`
+	Models      []string `json:"models"`
+}
+
+// TransferRate returns the speed of cache transfers in tokens a second; 0 if it
+// is not known.
+func (e *Engine) TransferRate() float64 {
+	if e.TokenBytes <= 0 {
+		return 0
+	}
+	return e.LinkBitRate / 8 / float64(e.TokenBytes)
 }
 
 // KVStore describes the store of kept KV cache.
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -2,16 +2,20 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Goal is the version of a model's weights that the operator named.
+// goalHistory is the number of versions of a model that are remembered: an
+// engine that holds none of them is as far behind as can be.
+const goalHistory = 6
+
+// Goal is a version of a model's weights that the operator named.
 type Goal struct {
 	Version uint64
-	// Since is when this VM learned of it, by the boot-time clock. A VM that hears of
-	// it from another VM counts the age that it had there.
+	// Since is when it was named, as far as known, by the boot-time clock.
 	Since time.Time
 }
 
@@ -19,29 +23,62 @@
 // concurrent use.
 type Goals struct {
 	mu    sync.Mutex
-	goals atomic.Pointer[map[string]Goal]
+	goals atomic.Pointer[map[string][]Goal]
 }
 
 // NewGoals returns empty goals.
 func NewGoals() *Goals {
 	g := &Goals{}
-	g.goals.Store(&map[string]Goal{})
+	g.goals.Store(&map[string][]Goal{})
 	return g
 }
 
-// All returns the goals by model. The map must not be changed.
-func (g *Goals) All() map[string]Goal { return *g.goals.Load() }
+// All returns the named versions by model, oldest first. The map must not be
+// changed.
+func (g *Goals) All() map[string][]Goal { return *g.goals.Load() }
+
+// Wanted returns the newest version of a model; 0 if none was named.
+func (g *Goals) Wanted(model string) uint64 {
+	list := g.All()[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].Version
+}
+
+// Behind returns for how long a newer version than held has been named; 0 if
+// none was.
+func (g *Goals) Behind(model string, held uint64, now time.Time) time.Duration {
+	for _, goal := range g.All()[model] {
+		if goal.Version > held {
+			return max(now.Sub(goal.Since), 1)
+		}
+	}
+	return 0
+}
 
-// Set notes a goal unless a newer one is known, and reports whether it is new.
-func (g *Goals) Set(model string, goal Goal) bool {
+// Add notes a named version and reports whether it is the newest. Of two times
+// for one version the earlier one holds.
+func (g *Goals) Add(model string, goal Goal) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old := g.All()
-	if goal.Version <= old[model].Version {
+	list := old[model]
+	i, found := slices.BinarySearchFunc(list, goal.Version, func(x Goal, v uint64) int {
+		return int(int64(x.Version) - int64(v))
+	})
+	switch {
+	case found && !goal.Since.Before(list[i].Since):
 		return false
+	case found:
+		list = slices.Clone(list)
+		list[i].Since = goal.Since
+	default:
+		list = slices.Insert(slices.Clone(list), i, goal)
+		list = list[max(0, len(list)-goalHistory):]
 	}
 	next := maps.Clone(old)
-	next[model] = goal
+	next[model] = list
 	g.goals.Store(&next)
-	return true
+	return !found && i == len(list)-1
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -140,6 +141,15 @@
 	}
 	if t.prompt != nil {
 		out.Salt = t.scope()
+		if t.prompt.Fetchable() {
+			// Engines don't check the weights of parts that they fetch, so the
+			// salt names them and the engine must hold them.
+			out.Weights = a.c.Entry.Weights[t.call.Model]
+			out.Salt += "-" + strconv.FormatUint(out.Weights, 10)
+		}
+		if a.c.FetchFrom != nil {
+			out.FetchFrom = a.c.FetchFrom.Address
+		}
 	}
 	a.watchSilence()
 	resp, err := a.conn.Send(ctx, &hop.Request{
@@ -205,14 +215,14 @@
 // answer relays the answer, or returns why it can't be.
 func (a *attempt) answer(caller context.Context, resp *http.Response) *failure {
 	t := a.t
-	head := t.g.opts.Dialect.Head(resp)
+	head := t.g.opts.Dialect.Head(a.c.Entry.ID, resp)
 	a.run.Answered(t.g.opts.Model.PrefillRate)
-	if head.NotRun || head.Misdirected {
-		return a.declined(resp, head)
-	}
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.c.Entry.ID, a.c.Entry.Started, t.call.Model, head.WeightsVersion)
 	}
+	if head.NotRun || head.Misdirected || head.OtherWeights {
+		return a.declined(resp, head)
+	}
 	if !head.Sealed {
 		return a.lost(caller, "unsigned_answer", errors.Errorf("status %d without a signature", resp.StatusCode))
 	}
@@ -236,7 +246,12 @@
 func (a *attempt) declined(resp *http.Response, head Head) *failure {
 	f := &failure{code: "declined", sent: true, err: errors.Errorf("status %d", resp.StatusCode)}
 	a.conduct = selector.Failed
-	if head.Misdirected {
+	switch {
+	case head.OtherWeights:
+		f.code = "other_weights"
+		a.conduct = selector.Neutral
+		a.t.sends--
+	case head.Misdirected:
 		f.code = "misdirected"
 		a.conduct = selector.Unreachable
 		a.t.sends--
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,6 +50,11 @@
 	Priority int
 	// Salt separates cached parts; empty for plain requests.
 	Salt string
+	// Weights is the version that must run the request; 0 for any.
+	Weights uint64
+	// FetchFrom is the address of an engine from which cached parts are to be
+	// fetched; empty for none.
+	FetchFrom string
 	// LastEvent is the number of the last event that the caller has, or -1.
 	LastEvent int64
 }
@@ -60,6 +65,9 @@
 	NotRun bool
 	// Misdirected is set if another server has the address.
 	Misdirected bool
+	// OtherWeights is set if the server holds other weights than those that must
+	// run the request.
+	OtherWeights bool
 	// Sealed is set if the answer bears the server's signature.
 	Sealed bool
 	// WeightsVersion is the version of the weights that answer; 0 if unknown.
@@ -72,8 +80,8 @@
 	Header(c *Call, o Outgoing) http.Header
 	// Belongs reports whether an answer is that to the call.
 	Belongs(c *Call, resp *http.Response) bool
-	// Head interprets the head of an answer.
-	Head(resp *http.Response) Head
+	// Head interprets the head of a server's answer.
+	Head(server backend.ID, resp *http.Response) Head
 }
 
 // Sink takes the answer to a call.
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -165,8 +165,12 @@
 	if len(candidates) == 0 {
 		candidates = held
 	}
-	if t.prompt != nil {
-		selector.CreditHomes(t.prompt, candidates)
+	model := g.opts.Model
+	if t.prompt != nil && t.prompt.Fetchable() {
+		model.TransferRate = service.Engine.TransferRate()
+		for i := range candidates {
+			t.findSource(&candidates[i], candidates, held)
+		}
 	}
 	q := selector.Query{
 		Objective:    t.route.Objective,
@@ -174,7 +178,7 @@
 		PromptTokens: t.call.PromptTokens,
 		BodyBytes:    len(t.call.Body),
 	}
-	i, loss := g.opts.Model.Pick(q, candidates, rand.Float64())
+	i, loss := model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
 		return selector.Candidate{}, false
 	}
@@ -183,6 +187,17 @@
 	return candidates[i], true
 }
 
+// findSource sets from where a candidate can fetch parts of the prompt. Servers
+// that get no requests for now still serve fetches until they load.
+func (t *task) findSource(c *selector.Candidate, candidates, held []selector.Candidate) {
+	for _, list := range [][]selector.Candidate{candidates, held} {
+		from, tokens := selector.Source(c, t.prompt, list)
+		if from != nil && tokens > int(c.FetchTokens) {
+			c.FetchFrom, c.FetchTokens = from, float64(tokens)
+		}
+	}
+}
+
 func (t *task) hasTried(e *fleet.Entry) bool {
 	for _, k := range t.tried {
 		if k == selector.KeyOf(e) {
@@ -194,11 +209,7 @@
 
 // behind returns for how long the server should have had newer weights.
 func (t *task) behind(e *fleet.Entry, now time.Time) time.Duration {
-	goal, ok := t.g.opts.Goals.All()[t.call.Model]
-	if !ok || e.Weights[t.call.Model] >= goal.Version {
-		return 0
-	}
-	return max(now.Sub(goal.Since), 1)
+	return t.g.opts.Goals.Behind(t.call.Model, e.Weights[t.call.Model], now)
 }
 
 // fail ends a call for which no attempt is left.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -89,6 +90,8 @@
 	Usage    map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads    []ServerLoad               `json:"load,omitempty"`
 	Crashes  map[string]int             `json:"crash,omitempty"`
+	// Placements are the prompts that the sender placed lately.
+	Placements []selector.Placement `json:"place,omitempty"`
 }
 
 // Peer is another VM as last heard of.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -156,7 +156,7 @@
 }
 
 func (n *Node) setGoal(model string, goal fleet.Goal, source string) {
-	if !n.goals.Set(model, goal) {
+	if !n.goals.Add(model, goal) {
 		return
 	}
 	n.log.Info("weights_named", zap.String("model", model), zap.Uint64("version", goal.Version),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,9 @@
 	Lease time.Duration
 	// VersionBound is when no request may begin on older weights any more.
 	VersionBound time.Duration
+	// ReuseWindow is the time within which a shared part of prompts should not be
+	// read again.
+	ReuseWindow time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 }
@@ -179,6 +182,10 @@
 // millisecond.
 const nominalPrefillRate = 55_000
 
+// keepFactor is for how many reuse windows an engine is expected to hold a part
+// that isn't used: its memory turns over in 15 to 20 s at the loads of today.
+const keepFactor = 1.5
+
 // New returns a node that listens for its peers and serves nothing yet.
 func New(opts Options) (*Node, error) {
 	n := &Node{
@@ -195,7 +202,7 @@
 		behind:    map[vm.ID]time.Time{},
 		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
 	}
-	n.servers = selector.NewTable(n.now)
+	n.servers = selector.NewTable(time.Duration(keepFactor*float64(opts.Bounds.ReuseWindow)), n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
 	n.suspects = gateway.NewSuspects(n.now)
 	n.Gateway = gateway.New(gateway.Options{
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -115,20 +115,15 @@
 
 // rolloutEngines lists the engines for the planner.
 func (n *Node) rolloutEngines(view *fleet.View) []rollout.Engine {
-	goals := n.goals.All()
 	var out []rollout.Engine
 	for _, e := range view.All() {
 		if !e.Usable() {
 			continue
 		}
 		for model, held := range e.Weights {
-			goal, ok := goals[model]
-			if !ok {
-				continue
-			}
 			out = append(out, rollout.Engine{
 				ID: e.ID, Started: e.Started, FailureDomain: e.FailureDomain,
-				Model: model, Held: held, Wanted: goal.Version,
+				Model: model, Held: held, Wanted: max(held, n.goals.Wanted(model)),
 				Running: n.servers.Busy(selector.KeyOf(e)),
 			})
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -97,12 +97,15 @@
 		Usage:       n.quota.Usages(),
 		Loads:       loadReports(n.servers),
 		Crashes:     n.suspects.Own(),
+		Placements:  n.servers.TakePlacements(),
 	}
 	if c := n.Gateway.Catalog(); c != nil {
 		d.Catalog = c.Version
 	}
-	for model, g := range n.goals.All() {
-		d.Goals = append(d.Goals, gossip.WeightsGoal{Model: model, Version: g.Version, Age: now.Sub(g.Since)})
+	for model, list := range n.goals.All() {
+		for _, g := range list {
+			d.Goals = append(d.Goals, gossip.WeightsGoal{Model: model, Version: g.Version, Age: now.Sub(g.Since)})
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -169,6 +172,9 @@
 	if len(p.Reserved) > 0 {
 		n.housekeep()
 	}
+	for _, m := range p.Placements {
+		n.servers.Placed(m)
+	}
 	if n.ahead(p) {
 		go n.fetch(p)
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	DrainWait time.Duration
 	// ResendAfter is when an order that got no answer is sent again.
 	ResendAfter time.Duration
+	// LoadTime is how long a load takes before one was seen.
+	LoadTime time.Duration
 	// LoadTimeout is when an accepted order that shows no effect is sent again.
 	LoadTimeout time.Duration
 }
@@ -32,6 +35,7 @@
 		MaxLoading:  3,
 		DrainWait:   700 * time.Millisecond,
 		ResendAfter: 1 * time.Second,
+		LoadTime:    2 * time.Second,
 		LoadTimeout: 8 * time.Second,
 	}
 }
@@ -82,11 +86,16 @@
 	settings Settings
 	mu       sync.Mutex
 	loads    map[backend.ID]*load
+	// loadTime is the mean time from an accepted order to the new weights.
+	loadTime time.Duration
 }
 
+// loadTimeGain is the weight of a new load in the mean.
+const loadTimeGain = 0.3
+
 // NewPlanner returns a planner that knows of no load.
 func NewPlanner(s Settings) *Planner {
-	return &Planner{settings: s, loads: map[backend.ID]*load{}}
+	return &Planner{settings: s, loads: map[backend.ID]*load{}, loadTime: s.LoadTime}
 }
 
 // Plan decides what to do now. Engines are the ready ones.
@@ -100,13 +109,17 @@
 	p.drop(byID, now)
 	p.reserve(engines, now)
 	var plan Plan
-	for id, l := range p.loads {
-		e := byID[id]
+	loading := p.loading()
+	for _, id := range p.waiting() {
+		l, e := p.loads[id], byID[id]
 		plan.Reserved = append(plan.Reserved, id)
 		if l.accepted {
 			plan.Watch = append(plan.Watch, id)
 		}
-		if p.due(l, e, now) {
+		if p.due(l, e, now) && (!l.sent.IsZero() || loading < p.settings.MaxLoading) {
+			if l.sent.IsZero() {
+				loading++
+			}
 			plan.Orders = append(plan.Orders, Order{Engine: id, Started: e.Started, Model: e.Model, Version: e.Wanted})
 		}
 	}
@@ -116,10 +129,20 @@
 	return plan
 }
 
+// waiting lists the engines on their way, those first that were taken out first.
+func (p *Planner) waiting() []backend.ID {
+	return slices.SortedFunc(maps.Keys(p.loads), func(a, b backend.ID) int {
+		return cmp.Or(p.loads[a].reserved.Compare(p.loads[b].reserved), cmp.Compare(a, b))
+	})
+}
+
 // drop forgets the loads that are over.
 func (p *Planner) drop(byID map[backend.ID]*Engine, now time.Time) {
 	for id, l := range p.loads {
 		e := byID[id]
+		if l.accepted && e != nil && e.Started == l.started && e.Held >= l.version {
+			p.loadTime += time.Duration(loadTimeGain * float64(now.Sub(l.sent)-p.loadTime))
+		}
 		switch {
 		case e == nil || e.Started != l.started || e.Held >= e.Wanted:
 			delete(p.loads, id)
@@ -132,9 +155,33 @@
 	}
 }
 
-// reserve takes the next engines out of service. The domain with the fewest
-// engines on the wanted weights goes first, so that all soon have some; in a
-// domain the least busy engine does.
+// room returns how many engines may be taken out of service now: as many as may
+// load, beyond those that load on. A load that will soon be over makes room
+// already, so that the next engine is empty by then.
+func (p *Planner) room(now time.Time) int {
+	room := p.settings.MaxLoading
+	for _, l := range p.loads {
+		if !l.accepted || now.Sub(l.sent) < p.loadTime-p.settings.DrainWait {
+			room--
+		}
+	}
+	return room
+}
+
+// loading returns the number of engines with an order under way.
+func (p *Planner) loading() int {
+	n := 0
+	for _, l := range p.loads {
+		if !l.sent.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// reserve takes the next engines out of service: those on the oldest weights
+// first, then those of the domain with the fewest engines on the wanted weights,
+// so that all domains soon have some, then the least busy.
 func (p *Planner) reserve(engines []Engine, now time.Time) {
 	current := map[string]int{}
 	for i := range engines {
@@ -143,7 +190,7 @@
 			current[e.FailureDomain]++
 		}
 	}
-	for len(p.loads) < p.settings.MaxLoading {
+	for room := p.room(now); room > 0; room-- {
 		var best *Engine
 		for i := range engines {
 			e := &engines[i]
@@ -164,6 +211,7 @@
 
 func before(a, b *Engine, current map[string]int) bool {
 	return cmp.Or(
+		cmp.Compare(a.Held, b.Held),
 		cmp.Compare(current[a.FailureDomain], current[b.FailureDomain]),
 		cmp.Compare(a.Running, b.Running),
 		cmp.Compare(a.ID, b.ID),
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -35,6 +35,10 @@
 	// CachedTokens are the leading tokens of the prompt that the server holds,
 	// as an expectation.
 	CachedTokens float64
+	// FetchTokens are the tokens after those that the server can fetch from
+	// FetchFrom.
+	FetchTokens float64
+	FetchFrom   *fleet.Entry
 	// FailureRate is the recent share of failures, in [0, 1].
 	FailureRate float64
 	// Latency is the recent time to the first byte on top of the reading of
@@ -50,6 +54,9 @@
 	// PrefillRate is the speed at which an engine reads prompts, in tokens a
 	// second.
 	PrefillRate float64
+	// TransferRate is the speed at which engines fetch cached tokens from one
+	// another, in tokens a second; 0 if they don't.
+	TransferRate float64
 	// VersionBound is the time after which a request must not begin on older
 	// weights.
 	VersionBound time.Duration
@@ -73,6 +80,9 @@
 	// prefillLoss is what reading a prompt costs the requests after it, as a
 	// share of the request's credit for a read that takes the whole objective.
 	prefillLoss = 0.35
+	// fetchLoss is the cost of a fetch: the price of the transfer, and the room
+	// that another copy takes.
+	fetchLoss = 0.03
 	// crossLoss is the price of a kilobyte that crosses failure domains, as a
 	// share of a request's credit.
 	crossLoss = 0.0015
@@ -88,12 +98,15 @@
 // objective is far away, queues cost next to nothing and weights, cached
 // prompts and distance decide.
 func (m Model) Loss(q Query, c *Candidate) float64 {
-	missing := max(0, float64(q.PromptTokens)-c.CachedTokens)
+	missing := max(0, float64(q.PromptTokens)-c.CachedTokens-c.FetchTokens)
 	read := seconds(missing / m.PrefillRate)
-	expected := q.Waited + c.Latency + seconds(c.Backlog/m.PrefillRate) + read
+	expected := q.Waited + c.Latency + seconds(c.Backlog/m.PrefillRate) + read + m.transfer(c)
 	loss := lateLoss * ramp(share(expected, q.Objective), lateFrom, lateFull)
 	loss += prefillLoss * min(1, share(read, q.Objective))
 	loss += m.weightsLoss(c)
+	if c.FetchTokens > 0 {
+		loss += fetchLoss
+	}
 	loss += crowdLoss * c.crowding()
 	if !c.SameDomain {
 		loss += baseCross + crossLoss*float64(q.BodyBytes)/1024
@@ -102,6 +115,19 @@
 	return loss + c.FailureRate*max(0, 1-loss)
 }
 
+// transfer returns the time that a fetch takes; between domains it is twice as
+// long.
+func (m Model) transfer(c *Candidate) time.Duration {
+	if c.FetchFrom == nil || m.TransferRate <= 0 {
+		return 0
+	}
+	d := seconds(c.FetchTokens / m.TransferRate)
+	if c.FetchFrom.FailureDomain != c.Entry.FailureDomain {
+		d *= 2
+	}
+	return d
+}
+
 func (m Model) weightsLoss(c *Candidate) float64 {
 	switch {
 	case c.Behind <= 0:
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -54,12 +54,17 @@
 type Table struct {
 	mu      sync.Mutex
 	servers map[ServerKey]*server
-	now     func() time.Time
+	// placed are the placements that other VMs have to hear of.
+	placed []Placement
+	// keep is for how long an engine is expected to hold an unused part.
+	keep time.Duration
+	now  func() time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable(now func() time.Time) *Table {
-	return &Table{servers: map[ServerKey]*server{}, now: now}
+// NewTable returns an empty table. Keep is for how long an engine is expected to
+// hold a part that isn't used.
+func NewTable(keep time.Duration, now func() time.Time) *Table {
+	return &Table{servers: map[ServerKey]*server{}, keep: keep, now: now}
 }
 
 func (t *Table) server(key ServerKey) *server {
@@ -81,16 +86,72 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.server(KeyOf(c.Entry))
-	s.decay(t.now())
+	now := t.now()
+	s.decay(now)
 	c.Running = s.running + s.peers.Running
 	c.Backlog = s.backlog + s.peers.Backlog
 	c.FailureRate = s.bad / (s.good + s.bad + priorAnswers)
 	c.Latency = s.latency
 	if prompt != nil {
-		c.CachedTokens = s.parts.expect(prompt, c.Entry)
+		c.CachedTokens = float64(s.parts.expect(prompt, c.Entry.Weights[prompt.Model], now, t.keep))
 	}
 }
 
+// Source finds, for the engine of a candidate, another engine on the same
+// weights from which it can fetch most of the prompt's parts. It returns nil if
+// none holds more.
+func Source(c *Candidate, prompt *Prompt, sources []Candidate) (*fleet.Entry, int) {
+	weights := c.Entry.Weights[prompt.Model]
+	var best *Candidate
+	for i := range sources {
+		s := &sources[i]
+		if s.Entry.ID == c.Entry.ID || s.Entry.Weights[prompt.Model] != weights || s.CachedTokens <= c.CachedTokens {
+			continue
+		}
+		if best == nil || betterSource(s, best, c) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best.Entry, int(best.CachedTokens - c.CachedTokens)
+}
+
+// betterSource prefers the source that holds more, then one in the domain of the
+// engine that fetches, then the less busy one.
+func betterSource(a, b, to *Candidate) bool {
+	if a.CachedTokens != b.CachedTokens {
+		return a.CachedTokens > b.CachedTokens
+	}
+	near := func(x *Candidate) bool { return x.Entry.FailureDomain == to.Entry.FailureDomain }
+	if near(a) != near(b) {
+		return near(a)
+	}
+	return a.Running < b.Running
+}
+
+// Placed notes where another VM placed a prompt.
+func (t *Table) Placed(p Placement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(ServerKey{ID: p.ID, Started: p.Started})
+	if p.Weights < s.parts.weights {
+		return
+	}
+	s.parts.sync(p.Weights)
+	s.parts.parts[p.Prefix] = t.now()
+}
+
+// TakePlacements returns the placements since the last call.
+func (t *Table) TakePlacements() []Placement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.placed
+	t.placed = nil
+	return out
+}
+
 // Run is a request at a server.
 type Run struct {
 	t       *Table
@@ -109,9 +170,16 @@
 	s := t.server(r.key)
 	s.running++
 	if prompt != nil {
-		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens), true
+		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens-c.FetchTokens), true
 		s.backlog += r.prefill
-		s.parts.add(prompt, c.Entry, r.sent)
+		weights := c.Entry.Weights[prompt.Model]
+		s.parts.add(prompt, weights, r.sent)
+		if prompt.Fetchable() {
+			t.placed = append(t.placed, Placement{
+				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
+				Prefix: prompt.chain[len(prompt.chain)-2].hash,
+			})
+		}
 	}
 	return r
 }
