Fetch short parts too; log on what the choice of an engine was based

Change: parts of 32 tokens and more are fetched; request_done names cached and fetched tokens, source, weights and load.

--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -58,7 +58,7 @@
 	status  int
 	reason  string
 	loss    float64
-	behind  time.Duration
+	chosen  selector.Candidate
 	refusal *verdict.Error
 }
 
@@ -182,7 +182,7 @@
 	if i < 0 {
 		return selector.Candidate{}, false
 	}
-	t.outcome.loss, t.outcome.behind = loss, candidates[i].Behind
+	t.outcome.loss, t.outcome.chosen = loss, candidates[i]
 	t.tried = append(t.tried, selector.KeyOf(candidates[i].Entry))
 	return candidates[i], true
 }
@@ -265,7 +265,9 @@
 		zap.Duration("total", t.waited()),
 		zap.Duration("left", t.left()),
 		zap.Float64("expected_loss", t.outcome.loss),
-		zap.Duration("weights_behind", t.outcome.behind),
+	}
+	if t.prompt != nil {
+		fields = append(fields, t.placementFields()...)
 	}
 	if t.outcome.reason != "" {
 		fields = append(fields, zap.String("reason", t.outcome.reason))
@@ -277,6 +279,27 @@
 	t.g.opts.Log.Info("request_done", fields...)
 }
 
+// placementFields tell on what the last choice of an engine was based.
+func (t *task) placementFields() []zap.Field {
+	c := &t.outcome.chosen
+	source := ""
+	if c.FetchFrom != nil {
+		source = string(c.FetchFrom.ID)
+	}
+	return []zap.Field{
+		zap.Int("prompt_tokens", t.call.PromptTokens),
+		zap.Int("shared_tokens", t.prompt.SharedTokens()),
+		zap.String("prefix", t.prompt.Name()),
+		zap.Float64("cached", c.CachedTokens),
+		zap.Float64("fetched", c.FetchTokens),
+		zap.String("fetch_from", source),
+		zap.Uint64("weights", c.Weights(t.call.Model)),
+		zap.Duration("weights_behind", c.Behind),
+		zap.Int("running", c.Running),
+		zap.Float64("backlog", c.Backlog),
+	}
+}
+
 func (t *task) routeName() string {
 	if t.route == nil {
 		return ""
--- a/internal/selector/prompt.go
+++ b/internal/selector/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,10 +17,14 @@
 	Tokens int
 }
 
-// fetchFrom is the length of shared parts, in tokens, from which engines are
-// asked to fetch them from one another, and VMs tell each other where they are.
-// Below it the messages cost more than the reading.
-const fetchFrom = 1024
+const (
+	// fetchFrom is the length of shared parts, in tokens, from which engines are
+	// asked to fetch them from one another: two blocks of an engine's memory.
+	fetchFrom = 32
+	// tellFrom is the length from which VMs tell each other where parts are.
+	// Below it the messages cost more than the reading.
+	tellFrom = 1024
+)
 
 // Prompt is the prompt of a model request as a chain of parts.
 type Prompt struct {
@@ -58,6 +63,14 @@
 	return sum
 }
 
+// Name names the shared parts for logs, without revealing the prompt.
+func (p *Prompt) Name() string {
+	if len(p.chain) < 2 {
+		return ""
+	}
+	return strconv.FormatUint(p.chain[len(p.chain)-2].hash, 16)
+}
+
 // Fetchable reports whether the shared parts are worth a transfer between
 // engines.
 func (p *Prompt) Fetchable() bool { return p.SharedTokens() >= fetchFrom }
@@ -109,9 +122,16 @@
 	return 0
 }
 
-func (h *holdings) add(p *Prompt, weights uint64, now time.Time) {
+// add notes that an engine gets the prompt, and reports whether it held the
+// shared parts before.
+func (h *holdings) add(p *Prompt, weights uint64, now time.Time, keep time.Duration) bool {
 	h.sync(weights)
-	for _, l := range p.chain {
+	held := false
+	for i, l := range p.chain {
+		if i == len(p.chain)-2 {
+			held = now.Sub(h.parts[l.hash]) < keep/2
+		}
 		h.parts[l.hash] = now
 	}
+	return held
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -49,6 +49,14 @@
 	Behind time.Duration
 }
 
+// Weights returns the version of a model that the candidate holds.
+func (c *Candidate) Weights(model string) uint64 {
+	if c.Entry == nil {
+		return 0
+	}
+	return c.Entry.Weights[model]
+}
+
 // Model holds what the loss function assumes of a deployment.
 type Model struct {
 	// PrefillRate is the speed at which an engine reads prompts, in tokens a
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -173,8 +173,8 @@
 		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens-c.FetchTokens), true
 		s.backlog += r.prefill
 		weights := c.Entry.Weights[prompt.Model]
-		s.parts.add(prompt, weights, r.sent)
-		if prompt.Fetchable() {
+		held := s.parts.add(prompt, weights, r.sent, t.keep)
+		if !held && prompt.SharedTokens() >= tellFrom {
 			t.placed = append(t.placed, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
 				Prefix: prompt.chain[len(prompt.chain)-2].hash,
