--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+func ready(id backend.ID, started int64, revision int) Entry {
+	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", State: Ready, Started: started, Weights: map[string]uint64{"m": 1}, Revision: platform.Version(revision)}
+}
+
+func TestNewerRevisionWins(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory()
+	d.Apply([]Entry{ready("x", 5, 10)}, now)
+	draining := ready("x", 5, 12)
+	draining.State = Draining
+	d.Apply([]Entry{draining}, now)
+	d.Apply([]Entry{ready("x", 5, 11)}, now) // From a VM that lags.
+	if len(d.View().Service("s")) != 0 || d.View().Server("x") == nil {
+		t.Error("a draining server is used, or forgotten")
+	}
+	d.Apply([]Entry{{ID: "x", Revision: 14, Gone: true}}, now)
+	d.Apply([]Entry{ready("x", 5, 13)}, now)
+	if d.View().Server("x") != nil {
+		t.Error("a server that ended came back with an older state")
+	}
+	d.Apply([]Entry{ready("x", 9, 20)}, now)
+	d.Apply([]Entry{ready("x", 5, 21)}, now) // An announcement of the run before.
+	if e := d.View().Server("x"); e == nil || e.Started != 9 {
+		t.Errorf("entry %+v, want the run that started at 9", e)
+	}
+	if d.Revision() != 20 {
+		t.Errorf("revision %d", d.Revision())
+	}
+}
+
+// What is missing after an outage is gone only once it had time to come back.
+func TestMissingServersGetTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory()
+	d.Apply([]Entry{ready("x", 1, 1), ready("y", 1, 2), ready("z", 1, 3)}, now)
+	d.Missing(map[backend.ID]bool{"x": true}, 3, 2*time.Second, now)
+	if n := len(d.View().Service("s")); n != 3 {
+		t.Fatalf("%d servers right after the listing", n)
+	}
+	d.Apply([]Entry{ready("y", 1, 5)}, now.Add(time.Second))
+	if ended := d.Expire(now.Add(1900 * time.Millisecond)); len(ended) != 0 {
+		t.Errorf("ended early: %v", ended)
+	}
+	if ended := d.Expire(now.Add(2 * time.Second)); len(ended) != 1 || ended[0].ID != "z" {
+		t.Errorf("ended: %v", ended)
+	}
+	d.Lapsed("x", 9, now.Add(5*time.Second))
+	d.Expire(now.Add(6 * time.Second))
+	if d.View().Server("x") != nil {
+		t.Error("a server whose row lapsed is still there")
+	}
+}
+
+func TestWeightsOnlyGrow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory()
+	d.Apply([]Entry{ready("x", 1, 1)}, now)
+	if !d.SetWeights("x", 1, "m", 3) || d.SetWeights("x", 1, "m", 2) || d.SetWeights("x", 2, "m", 9) {
+		t.Error("weights of another run or older ones were taken")
+	}
+	d.Apply([]Entry{ready("x", 1, 2)}, now) // Announced before the load.
+	if e := d.View().Server("x"); e.Weights["m"] != 3 || e.WeightsText() != "m=3" {
+		t.Errorf("weights %v", e.Weights)
+	}
+	d.Apply([]Entry{ready("x", 2, 3)}, now)
+	if e := d.View().Server("x"); e.Weights["m"] != 1 {
+		t.Errorf("weights of a new run: %v", e.Weights)
+	}
+}
+
+func TestBehindCountsFromFirstMissedVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGoals()
+	g.Add("m", Goal{Version: 2, Since: now})
+	g.Add("m", Goal{Version: 5, Since: now.Add(6 * time.Second)})
+	if !g.Add("m", Goal{Version: 7, Since: now.Add(9 * time.Second)}) || g.Add("m", Goal{Version: 5, Since: now.Add(8 * time.Second)}) {
+		t.Error("the newest version isn't told from a known one")
+	}
+	at := now.Add(10 * time.Second)
+	for held, want := range map[uint64]time.Duration{1: 10 * time.Second, 2: 4 * time.Second, 5: time.Second, 7: 0, 8: 0} {
+		if got := g.Behind("m", held, at); got != want {
+			t.Errorf("version %d is behind by %v, want %v", held, got, want)
+		}
+	}
+	if g.Wanted("m") != 7 || g.Wanted("other") != 0 {
+		t.Errorf("wanted %d", g.Wanted("m"))
+	}
+	// A VM that knew a version earlier corrects the time.
+	g.Add("m", Goal{Version: 7, Since: now.Add(7 * time.Second)})
+	if got := g.Behind("m", 5, at); got != 3*time.Second {
+		t.Errorf("behind by %v after the correction", got)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,7 +232,7 @@
 			return a.serverError(caller, resp)
 		}
 	}
-	if t.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
+	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return a.relayStream(caller, resp)
 	}
 	if t.begun {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	catalog  atomic.Pointer[catalog.Catalog]
 	members  atomic.Int64
 	reserved atomic.Pointer[map[string]bool]
+	closed   atomic.Bool
 	budgets  sync.Map // of *dispatch.RetryBudget by service
 	meters   meters
 }
@@ -83,6 +84,9 @@
 // load weights.
 func (g *Gateway) Reserve(ids map[string]bool) { g.reserved.Store(&ids) }
 
+// Close refuses all further calls; those that run go on.
+func (g *Gateway) Close() { g.closed.Store(true) }
+
 func (g *Gateway) budget(service string) *dispatch.RetryBudget {
 	if b, ok := g.budgets.Load(service); ok {
 		return b.(*dispatch.RetryBudget)
@@ -126,6 +130,9 @@
 	t.catalog = g.Catalog()
 	t.account = &catalog.Account{}
 	t.deadline = c.Arrived.Add(c.Patience)
+	if g.closed.Load() {
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, "stopping", "this VM is about to stop", minRetryAfter)
+	}
 	if t.catalog == nil {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_configuration", "this VM has no configuration yet", configWait)
 	}
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,231 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serve accepts connections and hands each to f with its number, from 1.
+func serve(t *testing.T, f func(n int, c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(n, c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(c net.Conn) (*http.Request, error) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nKeep-Alive: timeout=5\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+}
+
+func request(id string) *Request {
+	return &Request{Method: "GET", Target: "/x?y=1", Host: "h.example", Header: http.Header{"Id": {id}}}
+}
+
+func matches(id string) func(*http.Response) bool {
+	return func(r *http.Response) bool { return r.Header.Get("Id") == id }
+}
+
+func exchange(t *testing.T, p *Pool, addr, id string) (string, *Conn, error) {
+	t.Helper()
+	c, err := p.Get(context.Background(), "owner", addr, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	resp, err := c.Send(context.Background(), request(id), matches(id))
+	if err != nil {
+		p.Discard(c)
+		return "", c, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		p.Discard(c)
+		return "", c, err
+	}
+	p.Release(c, resp)
+	return string(body), c, nil
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	addr := serve(t, func(n int, c net.Conn) {
+		conns.Store(int32(n))
+		for {
+			r, err := readRequest(c)
+			if err != nil {
+				return
+			}
+			reply(c, r.Header.Get("Id"), "ok")
+		}
+	})
+	p := NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if body, _, err := exchange(t, p, addr, id); err != nil || body != "ok" {
+			t.Fatalf("%s: body %q, err %v", id, body, err)
+		}
+	}
+	if conns.Load() != 1 {
+		t.Errorf("%d connections for 3 requests", conns.Load())
+	}
+	p.CloseIdle(func(string) bool { return false })
+	if len(p.hosts) != 0 {
+		t.Error("connections of an owner that ended are kept")
+	}
+}
+
+// An answer to an earlier request that comes late is passed over.
+func TestLateAnswerToAnotherRequest(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {
+		r, err := readRequest(c)
+		if err != nil {
+			return
+		}
+		reply(c, "other", "bad")
+		reply(c, r.Header.Get("Id"), "good")
+	})
+	if body, _, err := exchange(t, NewPool(), addr, "a"); err != nil || body != "good" {
+		t.Errorf("body %q, err %v", body, err)
+	}
+}
+
+// A connection on which bytes are left is not used again.
+func TestSurplusBytesEndConnection(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {
+		for {
+			r, err := readRequest(c)
+			if err != nil {
+				return
+			}
+			reply(c, r.Header.Get("Id"), "ok")
+			reply(c, r.Header.Get("Id"), "again")
+		}
+	})
+	p := NewPool()
+	for _, id := range []string{"a", "b", "a"} {
+		if body, c, err := exchange(t, p, addr, id); err != nil || body != "ok" || c.Reused {
+			t.Errorf("%s: body %q, reused %v, err %v", id, body, c.Reused, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A connection that the server has closed is found out before a request is
+// written to it.
+func TestClosedIdleConnection(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {
+		if r, err := readRequest(c); err == nil {
+			reply(c, r.Header.Get("Id"), "ok")
+		}
+		c.Close()
+	})
+	p := NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if body, _, err := exchange(t, p, addr, id); err != nil || body != "ok" {
+			t.Errorf("%s: body %q, err %v", id, body, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestUnreachableServerIsNotWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	p := NewPool()
+	if _, err := p.Get(context.Background(), "o", addr, 0); !errors.Is(err, ErrNotWritten) {
+		t.Errorf("error %v", err)
+	}
+	if len(p.hosts) != 0 {
+		t.Error("a failed connection counts as open")
+	}
+}
+
+func TestConnectionLimit(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {})
+	p := NewPool()
+	first, err := p.Get(context.Background(), "o", addr, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Get(context.Background(), "o", addr, 1); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("second connection: %v", err)
+	}
+	p.Discard(first)
+	if _, err := p.Get(context.Background(), "o", addr, 1); err != nil {
+		t.Errorf("after the first was closed: %v", err)
+	}
+}
+
+// A server may answer before it has read a long body. Nothing else may be sent
+// on that connection then.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	addr := serve(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			line, err := br.ReadString('\n')
+			if err != nil || line == "\r\n" {
+				break
+			}
+		}
+		reply(c, "a", "no")
+		time.Sleep(500 * time.Millisecond)
+	})
+	p := NewPool()
+	c, err := p.Get(context.Background(), "o", addr, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request("a")
+	r.Method, r.Body = "POST", make([]byte, 16<<20)
+	resp, err := c.Send(context.Background(), r, matches("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "no" {
+		t.Fatalf("body %q, err %v", body, err)
+	}
+	p.Release(c, resp)
+	if len(p.hosts) != 0 {
+		t.Error("a connection with an unfinished body is kept")
+	}
+}
+
+func TestIdleTimeoutHeader(t *testing.T) {
+	for value, want := range map[string]time.Duration{"timeout=7": 7 * time.Second, "max=5, timeout=2": 2 * time.Second, "timeout=x": 0, "": 0} {
+		if got, _ := idleTimeout(http.Header{"Keep-Alive": {value}}); got != want {
+			t.Errorf("%q: %v", value, got)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -361,3 +361,6 @@
 		n.log.Warn("metrics_write_failed", zap.Error(err))
 	}
 }
+
+// Knows reports whether a backend server counts as present.
+func (n *Node) Knows(id backend.ID) bool { return n.directory.View().Server(id) != nil }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -147,7 +147,8 @@
 	}
 	w.advance(l.slot(now))
 	limit := l.limit(b)
-	used := w.sum() + l.others(id, limit, now) + l.predecessors(b.contract(l.settings), now)
+	heard, silent := l.others(id, limit, now)
+	used := w.sum() + heard + max(silent, l.predecessors(b.contract(l.settings), now))
 	v := Verdict{Used: used, Limit: limit, Admitted: used+units <= limit}
 	if v.Admitted {
 		w.counts[w.slot%buckets] += units
@@ -175,11 +176,11 @@
 	return contract + slackUse*(contract*l.settings.Overshoot+l.settings.Slack)
 }
 
-// others returns the usage of the other VMs. One that wasn't heard of lately may
-// use its share of the bound.
-func (l *Ledger) others(id account.ID, limit float64, now time.Time) float64 {
+// others returns the usage of the VMs that were heard of, and what those may use
+// that were not: their shares of the bound.
+func (l *Ledger) others(id account.ID, limit float64, now time.Time) (total, silent float64) {
 	fair := limit / float64(l.members)
-	total, heard := 0.0, 0
+	heard := 0
 	for name, p := range l.peers {
 		age := now.Sub(p.at)
 		if age > l.settings.Window {
@@ -191,10 +192,7 @@
 			heard++
 		}
 	}
-	if silent := l.members - 1 - heard; silent > 0 {
-		total += fair * float64(silent)
-	}
-	return total
+	return total, fair * float64(max(0, l.members-1-heard))
 }
 
 // estimate returns what a process has admitted in the window, from its last
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,185 @@
+package quota
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+const id account.ID = "a"
+
+var settings = Settings{Window: 8 * time.Second, Overshoot: 0.1, Slack: 190_000}
+
+var bound = Bound{Rate: 50_000, Burst: 50_000}
+
+// fleet plays several VMs that exchange counts.
+type fleet struct {
+	now      time.Time
+	ledgers  []*Ledger
+	born     []time.Time
+	process  []Process
+	admitted []event
+}
+
+type event struct {
+	at    time.Time
+	units float64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0)}
+	for i := range n {
+		f.ledgers = append(f.ledgers, nil)
+		f.born = append(f.born, time.Time{})
+		f.process = append(f.process, Process{VM: vm.ID(strconv.Itoa(i))})
+		f.start(i, true)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, fresh bool) {
+	f.ledgers[i] = NewLedger(settings, fresh, func() time.Time { return f.now })
+	f.ledgers[i].SetMembers(len(f.ledgers))
+	f.born[i] = f.now
+	f.process[i].Incarnation++
+}
+
+// exchange delivers the counts of all VMs for which up holds to all others.
+func (f *fleet) exchange(up func(i int) bool) {
+	for i, from := range f.ledgers {
+		for j, to := range f.ledgers {
+			if i != j && up(i) && up(j) {
+				to.Heard(f.process[i], f.now.Sub(f.born[i]), from.Usages())
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(i int, units float64) bool {
+	v := f.ledgers[i].Admit(id, bound, units)
+	if v.Admitted {
+		f.admitted = append(f.admitted, event{f.now, units})
+	}
+	return v.Admitted
+}
+
+// most returns the most that was admitted in any window.
+func (f *fleet) most() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, e := range f.admitted {
+		sum += e.units
+		for e.at.Sub(f.admitted[first].at) >= settings.Window {
+			sum -= f.admitted[first].units
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// promised is what the fleet may admit in a window.
+func promised() float64 {
+	return (bound.Rate*settings.Window.Seconds()+bound.Burst)*(1+settings.Overshoot) + settings.Slack
+}
+
+func TestFleetKeepsBoundUnderFlood(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no window exceeds the bound through floods, silence and restarts", prop.ForAll(
+		func(seed int64, vms int, restartAll bool) bool {
+			rng := rand.New(rand.NewSource(seed))
+			f := newFleet(vms)
+			for tick := range 1200 {
+				f.now = f.now.Add(25 * time.Millisecond)
+				// Four times the rate, over all VMs.
+				for range 4 {
+					f.ask(rng.Intn(vms), 400+rng.Float64()*2000)
+				}
+				if tick%10 == 0 {
+					silent := rng.Intn(vms * 3)
+					f.exchange(func(i int) bool { return i != silent })
+				}
+				if tick == 600 {
+					for i := range vms {
+						if restartAll || i == 0 {
+							f.start(i, false)
+						}
+					}
+				}
+			}
+			return f.most() <= promised()
+		},
+		gen.Int64(), gen.IntRange(2, 9), gen.Bool()))
+	properties.TestingRun(t)
+}
+
+// An account within its rate is never refused while nothing fails, also if all
+// its callers use one VM.
+func TestWithinRateIsAdmitted(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		f := newFleet(6)
+		for tick := range 1600 {
+			f.now = f.now.Add(25 * time.Millisecond)
+			i := 0
+			if spread {
+				i = tick % 6
+			}
+			if !f.ask(i, bound.Rate*0.95/40) {
+				t.Fatalf("spread %v: refused at tick %d", spread, tick)
+			}
+			if tick%10 == 0 {
+				f.exchange(func(int) bool { return true })
+			}
+		}
+	}
+}
+
+// After a restart of all VMs an account at half its rate is served on.
+func TestRestartOfAllServesNormalUse(t *testing.T) {
+	f := newFleet(6)
+	refused := 0
+	for tick := range 1200 {
+		f.now = f.now.Add(25 * time.Millisecond)
+		if tick == 400 {
+			f.now = f.now.Add(time.Second)
+			for i := range 6 {
+				f.start(i, false)
+			}
+		}
+		if !f.ask(tick%6, bound.Rate*0.5/40) {
+			refused++
+		}
+		if tick%10 == 0 {
+			f.exchange(func(int) bool { return true })
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests refused within the rate", refused)
+	}
+}
+
+func TestRefusalTellsWhenRoomIsFree(t *testing.T) {
+	f := newFleet(1)
+	for f.ask(0, 10_000) {
+	}
+	v := f.ledgers[0].Admit(id, bound, 10_000)
+	if v.Admitted || v.RetryAfter <= 0 || v.RetryAfter > settings.Window {
+		t.Errorf("verdict %+v", v)
+	}
+	if !f.ledgers[0].Admit(id, Bound{}, 1e12).Admitted {
+		t.Error("an account without a bound is refused")
+	}
+	f.ledgers[0].Return(id, 200_000)
+	if !f.ask(0, 10_000) {
+		t.Error("refused although units were returned")
+	}
+}
