Place long prompts by what engines and the store hold, without herding

Their memory holds each prompt about once and copies drove each other out; VMs that saw the same load chose the same engine; a stream whose prompt was read slowly was sent to a second engine, which read it too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -94,11 +94,15 @@
 
 // TransferRate returns the speed of cache transfers in tokens a second; 0 if it
 // is not known.
-func (e *Engine) TransferRate() float64 {
+func (e *Engine) TransferRate() float64 { return e.TransferRateOver(e.LinkBitRate) }
+
+// TransferRateOver returns the speed over a link of a bit rate, if it is the
+// slower one.
+func (e *Engine) TransferRateOver(bitRate float64) float64 {
 	if e.TokenBytes <= 0 {
 		return 0
 	}
-	return e.LinkBitRate / 8 / float64(e.TokenBytes)
+	return min(bitRate, e.LinkBitRate) / 8 / float64(e.TokenBytes)
 }
 
 // KVStore describes the store of kept KV cache.
@@ -106,6 +110,8 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	CacheTokens   int    `json:"cache_tokens"`
+	// LinkBitRate is the speed of its link, in bits a second.
+	LinkBitRate float64 `json:"link_bit_rate"`
 }
 
 // Account is a client account and what it may use.
@@ -190,6 +196,18 @@
 // Service returns a service, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// Store returns a store of kept cache, in the domain if there is one, or nil.
+func (c *Catalog) Store(domain string) *KVStore {
+	var store *KVStore
+	for i := range c.Services {
+		s := c.Services[i].KVStore
+		if s != nil && (store == nil || s.FailureDomain == domain && store.FailureDomain != domain) {
+			store = s
+		}
+	}
+	return store
+}
+
 // HasAccounts reports whether requests need a key.
 func (c *Catalog) HasAccounts() bool { return len(c.Accounts) > 0 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,13 +67,15 @@
 	cancel  context.CancelFunc
 	silence *time.Timer
 	conduct selector.Conduct
+	// saves is set if the engine keeps a copy of the shared parts in the store.
+	saves bool
 }
 
 // try sends the call to one server and relays the answer.
 func (t *task) try(ctx context.Context, service *catalog.Service, c selector.Candidate) *failure {
 	a := &attempt{t: t, service: service, c: c, conduct: selector.Neutral}
 	t.outcome.server = string(c.Entry.ID)
-	a.run = t.g.opts.Servers.Begin(&c, t.prompt)
+	a.run = t.g.opts.Servers.Begin(&c, t.prompt, t.g.opts.Model.PrefillRate)
 	f := a.exchange(ctx)
 	a.run.End(a.conduct)
 	return f
@@ -147,9 +149,7 @@
 			out.Weights = a.c.Entry.Weights[t.call.Model]
 			out.Salt += "-" + strconv.FormatUint(out.Weights, 10)
 		}
-		if a.c.FetchFrom != nil {
-			out.FetchFrom = a.c.FetchFrom.Address
-		}
+		out.FetchFrom, out.SaveTo = a.c.Fetch.Address, a.saveTo()
 	}
 	a.watchSilence()
 	resp, err := a.conn.Send(ctx, &hop.Request{
@@ -169,6 +169,32 @@
 	return resp, nil
 }
 
+// saveTo returns where the engine keeps a copy of the shared parts, if they are
+// read anew or the store doesn't have them.
+func (a *attempt) saveTo() string {
+	t := a.t
+	store := t.store()
+	if store == nil || a.c.Fetch.Source == sourceStore {
+		return ""
+	}
+	if t.g.opts.Shelf.Holds(t.prompt, a.c.Weights(t.call.Model), store.CacheTokens) > 0 {
+		return ""
+	}
+	a.saves = true
+	return store.Address
+}
+
+// noteStore keeps track of what the store holds, once the prompt was read.
+func (a *attempt) noteStore() {
+	t := a.t
+	switch {
+	case a.saves:
+		t.g.opts.Shelf.Saved(t.prompt, a.c.Weights(t.call.Model))
+	case a.c.Fetch.Source == sourceStore:
+		t.g.opts.Shelf.Used(t.prompt, a.c.Weights(t.call.Model))
+	}
+}
+
 // watchSilence lets a request that may be repeated leave a server that doesn't
 // answer, while another attempt is allowed.
 func (a *attempt) watchSilence() {
@@ -176,11 +202,22 @@
 	if !t.route.Repeatable() || t.sends+1 >= t.route.MaxAttempts {
 		return
 	}
-	wait := max(minSilence, silenceFactor*t.route.Objective)
-	if t.route.Kind == catalog.Stream {
-		wait = max(maxPause, t.route.Objective*3/2)
+	if t.route.Kind != catalog.Stream {
+		a.silence = time.AfterFunc(max(minSilence, silenceFactor*t.route.Objective), a.cancel)
+		return
 	}
-	a.silence = time.AfterFunc(wait, a.cancel)
+	a.silence = time.AfterFunc(maxPause, a.checkSilence)
+}
+
+// checkSilence leaves an engine that has sent nothing to any request for too
+// long. One that sends to others is busy, and another one would have to read the
+// prompt anew.
+func (a *attempt) checkSilence() {
+	if left := maxPause - a.run.SilentFor(); left > 0 {
+		a.silence.Reset(left)
+		return
+	}
+	a.cancel()
 }
 
 // lost returns the failure of an attempt whose request was sent.
@@ -204,14 +241,20 @@
 
 func isReset(err error) bool { return strings.Contains(err.Error(), "reset by peer") }
 
+// priority returns the rank for the server, from 0 to 9: the account's priority
+// comes before the route's.
 func (t *task) priority() int {
 	p := t.route.Priority
 	if t.account.Priority != nil {
-		p = *t.account.Priority
+		p = *t.account.Priority*routeRanks + min(p, routeRanks-1)
 	}
 	return min(9, max(0, p))
 }
 
+// routeRanks is the number of ranks that tell the routes of one account's
+// priority apart.
+const routeRanks = 2
+
 // answer relays the answer, or returns why it can't be.
 func (a *attempt) answer(caller context.Context, resp *http.Response) *failure {
 	t := a.t
@@ -333,6 +376,7 @@
 func (a *attempt) relayStream(caller context.Context, resp *http.Response) *failure {
 	t := a.t
 	events := sse.NewRawReader(resp.Body, 0)
+	first := true
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
@@ -341,15 +385,17 @@
 		if err != nil {
 			return a.lost(caller, "stream_cut", err)
 		}
-		if a.silence != nil {
-			a.silence.Reset(maxPause)
-		}
+		a.run.Heard()
 		if event.ID >= 0 && event.ID <= t.lastEvent {
 			continue // The caller has it.
 		}
 		if f := a.begin(caller, resp); f != nil {
 			return f
 		}
+		if first {
+			first = false
+			a.noteStore()
+		}
 		if err := t.sink.Piece(event.Bytes); err != nil {
 			return a.lost(caller, "caller_gone", err)
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,9 @@
 	// FetchFrom is the address of an engine from which cached parts are to be
 	// fetched; empty for none.
 	FetchFrom string
+	// SaveTo is the address of the store that keeps a copy of the shared parts;
+	// empty for none.
+	SaveTo string
 	// LastEvent is the number of the last event that the caller has, or -1.
 	LastEvent int64
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	Pool          *hop.Pool
 	Quota         *quota.Ledger
 	Suspects      *Suspects
+	Shelf         *selector.Shelf
 	FailureDomain string
 	Model         selector.Model
 	// RetryRatio and RetryReserve bound repeated sends to a service: a share of
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -91,13 +92,18 @@
 	budget.Earn()
 	if service.Engine != nil && t.call.Model != "" {
 		t.prompt = selector.NewPrompt(t.call.Model, t.scope(), t.call.PromptTokens, t.call.Parts)
+		t.prompt.EngineTokens = service.Engine.CacheTokens
 	}
 	for {
 		candidate, ok := t.choose(service)
+		if ok && t.awaits(&candidate) && clock.Sleep(ctx, min(candidate.Wait(), readPoll)) {
+			continue
+		}
 		if !ok {
 			t.fail(verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait))
 			return
 		}
+		t.tried = append(t.tried, selector.KeyOf(candidate.Entry))
 		failure := t.try(ctx, service, candidate)
 		if failure == nil {
 			return
@@ -156,6 +162,9 @@
 		c := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
 		g.opts.Servers.Fill(&c, t.prompt)
 		c.Behind = t.behind(e, now)
+		if g.opts.Model.TooOld(&c) {
+			continue
+		}
 		if reserved[string(e.ID)] {
 			held = append(held, c)
 			continue
@@ -165,37 +174,91 @@
 	if len(candidates) == 0 {
 		candidates = held
 	}
-	model := g.opts.Model
 	if t.prompt != nil && t.prompt.Fetchable() {
-		model.TransferRate = service.Engine.TransferRate()
 		for i := range candidates {
-			t.findSource(&candidates[i], candidates, held)
+			t.findSource(service, &candidates[i], candidates, held)
 		}
 	}
 	q := selector.Query{
 		Objective:    t.route.Objective,
 		Waited:       t.waited(),
 		PromptTokens: t.call.PromptTokens,
+		SharedTokens: t.sharedTokens(),
 		BodyBytes:    len(t.call.Body),
 	}
-	i, loss := model.Pick(q, candidates, rand.Float64())
+	if t.prompt != nil {
+		q.EngineTokens = t.prompt.EngineTokens
+	}
+	i, loss := g.opts.Model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
 		return selector.Candidate{}, false
 	}
 	t.outcome.loss, t.outcome.chosen = loss, candidates[i]
-	t.tried = append(t.tried, selector.KeyOf(candidates[i].Entry))
 	return candidates[i], true
 }
 
-// findSource sets from where a candidate can fetch parts of the prompt. Servers
-// that get no requests for now still serve fetches until they load.
-func (t *task) findSource(c *selector.Candidate, candidates, held []selector.Candidate) {
+const (
+	// readPoll is the time after which a request that waits for the reading of a
+	// shared part looks for an engine again.
+	readPoll = 50 * time.Millisecond
+	// readPatience is the share of the latency objective that may pass so.
+	readPatience = 0.4
+)
+
+// awaits reports whether the request should wait until another request's reading
+// of its shared parts is done.
+func (t *task) awaits(c *selector.Candidate) bool {
+	if t.prompt == nil || !t.prompt.Keepable() || c.Wait() <= 0 {
+		return false
+	}
+	return t.waited()+min(c.Wait(), readPoll) < time.Duration(readPatience*float64(t.route.Objective))
+}
+
+func (t *task) sharedTokens() int {
+	if t.prompt == nil {
+		return 0
+	}
+	return t.prompt.SharedTokens()
+}
+
+// findSource sets from where a candidate can fetch parts of the prompt: another
+// engine, else the store. Servers that get no requests for now still serve
+// fetches until they load.
+func (t *task) findSource(service *catalog.Service, c *selector.Candidate, candidates, held []selector.Candidate) {
 	for _, list := range [][]selector.Candidate{candidates, held} {
 		from, tokens := selector.Source(c, t.prompt, list)
-		if from != nil && tokens > int(c.FetchTokens) {
-			c.FetchFrom, c.FetchTokens = from, float64(tokens)
+		if from != nil && float64(tokens) > c.Fetch.Tokens {
+			c.Fetch = selector.Fetch{
+				Tokens: float64(tokens), Source: string(from.Entry.ID), Address: from.Entry.Address,
+				FailureDomain: from.Entry.FailureDomain, Rate: service.Engine.TransferRate(), In: from.CachedIn,
+			}
 		}
 	}
+	if c.Fetch.Tokens > 0 {
+		return
+	}
+	store := t.store()
+	if store == nil {
+		return
+	}
+	kept := t.g.opts.Shelf.Holds(t.prompt, c.Weights(t.call.Model), store.CacheTokens)
+	if tokens := float64(kept) - c.CachedTokens; tokens > 0 {
+		c.Fetch = selector.Fetch{
+			Tokens: tokens, Source: sourceStore, Address: store.Address, FailureDomain: store.FailureDomain,
+			Rate: service.Engine.TransferRateOver(store.LinkBitRate),
+		}
+	}
+}
+
+// sourceStore names the store of kept cache as the source of a fetch.
+const sourceStore = "store"
+
+// store returns the store that keeps long shared parts, or nil.
+func (t *task) store() *catalog.KVStore {
+	if t.prompt == nil || !t.prompt.Keepable() {
+		return nil
+	}
+	return t.catalog.Store(t.g.opts.FailureDomain)
 }
 
 func (t *task) hasTried(e *fleet.Entry) bool {
@@ -282,21 +345,18 @@
 // placementFields tell on what the last choice of an engine was based.
 func (t *task) placementFields() []zap.Field {
 	c := &t.outcome.chosen
-	source := ""
-	if c.FetchFrom != nil {
-		source = string(c.FetchFrom.ID)
-	}
 	return []zap.Field{
 		zap.Int("prompt_tokens", t.call.PromptTokens),
 		zap.Int("shared_tokens", t.prompt.SharedTokens()),
 		zap.String("prefix", t.prompt.Name()),
 		zap.Float64("cached", c.CachedTokens),
-		zap.Float64("fetched", c.FetchTokens),
-		zap.String("fetch_from", source),
+		zap.Float64("fetched", c.Fetch.Tokens),
+		zap.String("fetch_from", c.Fetch.Source),
 		zap.Uint64("weights", c.Weights(t.call.Model)),
 		zap.Duration("weights_behind", c.Behind),
 		zap.Int("running", c.Running),
 		zap.Float64("backlog", c.Backlog),
+		zap.Float64("pressure", c.Pressure),
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -40,6 +40,8 @@
 	Started int64      `json:"s"`
 	Running int        `json:"n"`
 	Backlog int        `json:"b,omitempty"`
+	Churn   int        `json:"c,omitempty"`
+	Memory  int        `json:"m,omitempty"`
 }
 
 // WeightsGoal is the version of a model that the sender knows to be named.
@@ -92,6 +94,8 @@
 	Crashes  map[string]int             `json:"crash,omitempty"`
 	// Placements are the prompts that the sender placed lately.
 	Placements []selector.Placement `json:"place,omitempty"`
+	// Kept are the prompts whose parts the store has got lately.
+	Kept []selector.Kept `json:"kept,omitempty"`
 }
 
 // Peer is another VM as last heard of.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -297,7 +297,7 @@
 func loadReports(t *selector.Table) []gossip.ServerLoad {
 	var out []gossip.ServerLoad
 	for key, r := range t.Loads() {
-		out = append(out, gossip.ServerLoad{ID: key.ID, Started: key.Started, Running: r.Running, Backlog: int(r.Backlog)})
+		out = append(out, gossip.ServerLoad{ID: key.ID, Started: key.Started, Running: r.Running, Backlog: int(r.Backlog), Churn: int(r.Churn), Memory: int(r.Memory)})
 	}
 	return out
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,7 @@
 	pool      *hop.Pool
 	quota     *quota.Ledger
 	suspects  *gateway.Suspects
+	shelf     *selector.Shelf
 	gossip    *gossip.Node
 	peerHTTP  *http.Server
 	listener  net.Listener
@@ -182,10 +183,6 @@
 // millisecond.
 const nominalPrefillRate = 55_000
 
-// keepFactor is for how many reuse windows an engine is expected to hold a part
-// that isn't used: its memory turns over in 15 to 20 s at the loads of today.
-const keepFactor = 1.5
-
 // New returns a node that listens for its peers and serves nothing yet.
 func New(opts Options) (*Node, error) {
 	n := &Node{
@@ -202,8 +199,9 @@
 		behind:    map[vm.ID]time.Time{},
 		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
 	}
-	n.servers = selector.NewTable(time.Duration(keepFactor*float64(opts.Bounds.ReuseWindow)), n.now)
+	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
+	n.shelf = selector.NewShelf(n.now)
 	n.suspects = gateway.NewSuspects(n.now)
 	n.Gateway = gateway.New(gateway.Options{
 		Log:           opts.Log,
@@ -215,6 +213,7 @@
 		Pool:          n.pool,
 		Quota:         n.quota,
 		Suspects:      n.suspects,
+		Shelf:         n.shelf,
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		RetryRatio:    opts.Bounds.RetryRatio,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -98,6 +98,7 @@
 		Loads:       loadReports(n.servers),
 		Crashes:     n.suspects.Own(),
 		Placements:  n.servers.TakePlacements(),
+		Kept:        n.shelf.Take(),
 	}
 	if c := n.Gateway.Catalog(); c != nil {
 		d.Catalog = c.Version
@@ -142,7 +143,7 @@
 		for _, l := range p.Loads {
 			key := selector.ServerKey{ID: l.ID, Started: l.Started}
 			r := loads[key]
-			loads[key] = selector.Report{Running: r.Running + l.Running, Backlog: r.Backlog + float64(l.Backlog)}
+			loads[key] = selector.Report{Running: r.Running + l.Running, Backlog: r.Backlog + float64(l.Backlog), Churn: r.Churn + float64(l.Churn), Memory: r.Memory + float64(l.Memory)}
 		}
 		for _, id := range p.Reserved {
 			reserved[string(id)] = true
@@ -157,6 +158,7 @@
 	n.Gateway.Reserve(reserved)
 	n.Gateway.SetMembers(members)
 	n.quota.SetMembers(members)
+	n.servers.SetMembers(members)
 }
 
 // received takes a newer digest of a peer.
@@ -175,6 +177,9 @@
 	for _, m := range p.Placements {
 		n.servers.Placed(m)
 	}
+	for _, k := range p.Kept {
+		n.shelf.Heard(k)
+	}
 	if n.ahead(p) {
 		go n.fetch(p)
 	}
--- a/internal/selector/prompt.go
+++ b/internal/selector/prompt.go
@@ -30,6 +30,8 @@
 type Prompt struct {
 	Model  string
 	Tokens int
+	// EngineTokens is the memory of an engine that may run the request.
+	EngineTokens int
 	// chain holds, for each part, a hash of it and all parts before it.
 	chain []link
 }
@@ -53,6 +55,14 @@
 	return p
 }
 
+// ownTokens is the length of the last part.
+func (p *Prompt) ownTokens() int {
+	if len(p.chain) == 0 {
+		return p.Tokens
+	}
+	return p.chain[len(p.chain)-1].tokens
+}
+
 // SharedTokens is the length of the parts that other requests may share: all
 // but the last, which is the request's own.
 func (p *Prompt) SharedTokens() int {
@@ -75,63 +85,19 @@
 // engines.
 func (p *Prompt) Fetchable() bool { return p.SharedTokens() >= fetchFrom }
 
+// Keepable reports whether the shared parts are worth a place in the store and a
+// message to other VMs.
+func (p *Prompt) Keepable() bool { return p.SharedTokens() >= tellFrom }
+
 // Placement tells other VMs that an engine has got the shared parts of a prompt.
 type Placement struct {
 	ID      backend.ID `json:"i"`
 	Started int64      `json:"s"`
 	Model   string     `json:"m"`
 	Weights uint64     `json:"w"`
-	// Prefix is the hash of the shared parts.
+	// Prefix is the hash of the shared parts, and Tokens their length.
 	Prefix uint64 `json:"p"`
-}
-
-// holdings is what this VM believes of an engine's cache since the engine's
-// weights last changed.
-type holdings struct {
-	weights uint64
-	parts   map[uint64]time.Time
-}
-
-// maxHoldings bounds the parts remembered of one engine.
-const maxHoldings = 4096
-
-func (h *holdings) sync(weights uint64) {
-	if h.parts == nil || weights != h.weights || len(h.parts) > maxHoldings {
-		h.weights, h.parts = weights, map[uint64]time.Time{}
-	}
-}
-
-// expect returns how many leading tokens of the prompt an engine with these
-// weights holds: those used within keep.
-func (h *holdings) expect(p *Prompt, weights uint64, now time.Time, keep time.Duration) int {
-	if h.weights != weights {
-		return 0
-	}
-	// A link implies those before it, which other VMs don't name.
-	for i := len(p.chain) - 1; i >= 0; i-- {
-		used, ok := h.parts[p.chain[i].hash]
-		if !ok || now.Sub(used) > keep {
-			continue
-		}
-		sum := 0
-		for _, l := range p.chain[:i+1] {
-			sum += l.tokens
-		}
-		return sum
-	}
-	return 0
-}
-
-// add notes that an engine gets the prompt, and reports whether it held the
-// shared parts before.
-func (h *holdings) add(p *Prompt, weights uint64, now time.Time, keep time.Duration) bool {
-	h.sync(weights)
-	held := false
-	for i, l := range p.chain {
-		if i == len(p.chain)-2 {
-			held = now.Sub(h.parts[l.hash]) < keep/2
-		}
-		h.parts[l.hash] = now
-	}
-	return held
+	Tokens int    `json:"t"`
+	// ReadIn is the time in which the engine is expected to have read them.
+	ReadIn time.Duration `json:"r,omitempty"`
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -19,6 +19,10 @@
 	Waited time.Duration
 	// PromptTokens is the length of the prompt; 0 for plain requests.
 	PromptTokens int
+	// EngineTokens is the memory of a server, in tokens; 0 for plain requests.
+	EngineTokens int
+	// SharedTokens is the length of the prompt's shared parts.
+	SharedTokens int
 	// BodyBytes is what is sent to the server.
 	BodyBytes int
 }
@@ -35,10 +39,15 @@
 	// CachedTokens are the leading tokens of the prompt that the server holds,
 	// as an expectation.
 	CachedTokens float64
-	// FetchTokens are the tokens after those that the server can fetch from
-	// FetchFrom.
-	FetchTokens float64
-	FetchFrom   *fleet.Entry
+	// CachedIn is the time in which the server will have read them.
+	CachedIn time.Duration
+	// Memory are the tokens of the server's running requests.
+	Memory float64
+	// Fetch is from where the server can get tokens after those.
+	Fetch Fetch
+	// Pressure is the share of the server's memory that prompts use within the
+	// time in which they come again.
+	Pressure float64
 	// FailureRate is the recent share of failures, in [0, 1].
 	FailureRate float64
 	// Latency is the recent time to the first byte on top of the reading of
@@ -57,14 +66,36 @@
 	return c.Entry.Weights[model]
 }
 
+// Fetch is a transfer of cached tokens to an engine.
+type Fetch struct {
+	Tokens float64
+	// Source names the engine or store, Address is its host:port.
+	Source, Address string
+	FailureDomain   string
+	// Rate is the speed of the transfer within a domain, in tokens a second.
+	Rate float64
+	// In is the time in which the source will have read the tokens.
+	In time.Duration
+}
+
+// time returns how long the transfer to a domain takes; between domains it is
+// twice as long.
+func (f *Fetch) time(domain string) time.Duration {
+	if f.Tokens <= 0 || f.Rate <= 0 {
+		return 0
+	}
+	d := seconds(f.Tokens / f.Rate)
+	if f.FailureDomain != domain {
+		d *= 2
+	}
+	return d
+}
+
 // Model holds what the loss function assumes of a deployment.
 type Model struct {
 	// PrefillRate is the speed at which an engine reads prompts, in tokens a
 	// second.
 	PrefillRate float64
-	// TransferRate is the speed at which engines fetch cached tokens from one
-	// another, in tokens a second; 0 if they don't.
-	TransferRate float64
 	// VersionBound is the time after which a request must not begin on older
 	// weights.
 	VersionBound time.Duration
@@ -83,6 +114,14 @@
 	// on older weights, from oldWeightsGrace on. Source: the rules' payoff.
 	oldWeightsLoss  = 0.2
 	oldWeightsGrace = 1500 * time.Millisecond
+	// slotsFrom and slotsFull are the shares of a server's slots in use between
+	// which a request begins to wait for one. What is known of them lags.
+	slotsFrom = 0.7
+	slotsFull = 1.2
+	// memoryFrom and memoryFull are the shares of a server's memory, counted with
+	// parts that its requests share, between which it runs out.
+	memoryFrom = 0.9
+	memoryFull = 1.6
 	// boundMargin is how long before the version bound a server is avoided.
 	boundMargin = 2 * time.Second
 	// prefillLoss is what reading a prompt costs the requests after it, as a
@@ -91,6 +130,9 @@
 	// fetchLoss is the cost of a fetch: the price of the transfer, and the room
 	// that another copy takes.
 	fetchLoss = 0.03
+	// pressureFrom is the share of a server's memory in use from which added
+	// parts begin to drive out others.
+	pressureFrom = 0.5
 	// crossLoss is the price of a kilobyte that crosses failure domains, as a
 	// share of a request's credit.
 	crossLoss = 0.0015
@@ -106,16 +148,18 @@
 // objective is far away, queues cost next to nothing and weights, cached
 // prompts and distance decide.
 func (m Model) Loss(q Query, c *Candidate) float64 {
-	missing := max(0, float64(q.PromptTokens)-c.CachedTokens-c.FetchTokens)
+	missing := max(0, float64(q.PromptTokens)-c.CachedTokens-c.Fetch.Tokens)
 	read := seconds(missing / m.PrefillRate)
-	expected := q.Waited + c.Latency + seconds(c.Backlog/m.PrefillRate) + read + m.transfer(c)
+	expected := q.Waited + m.Expected(q, c)
 	loss := lateLoss * ramp(share(expected, q.Objective), lateFrom, lateFull)
 	loss += prefillLoss * min(1, share(read, q.Objective))
 	loss += m.weightsLoss(c)
-	if c.FetchTokens > 0 {
+	if c.Fetch.Tokens > 0 {
 		loss += fetchLoss
 	}
-	loss += crowdLoss * c.crowding()
+	loss += m.displacement(q, c)
+	loss += lateLoss * ramp(c.memoryUse(q), memoryFrom, memoryFull)
+	loss += crowdLoss*c.crowding() + lateLoss*ramp(c.crowding(), slotsFrom, slotsFull)
 	if !c.SameDomain {
 		loss += baseCross + crossLoss*float64(q.BodyBytes)/1024
 	}
@@ -123,24 +167,19 @@
 	return loss + c.FailureRate*max(0, 1-loss)
 }
 
-// transfer returns the time that a fetch takes; between domains it is twice as
-// long.
-func (m Model) transfer(c *Candidate) time.Duration {
-	if c.FetchFrom == nil || m.TransferRate <= 0 {
-		return 0
-	}
-	d := seconds(c.FetchTokens / m.TransferRate)
-	if c.FetchFrom.FailureDomain != c.Entry.FailureDomain {
-		d *= 2
-	}
-	return d
+// displacement is the cost of parts that are driven out of the server's memory
+// and read again later. It answers deployments whose engines together hold the
+// prompts in use about once: there a second copy of one costs another its place.
+func (m Model) displacement(q Query, c *Candidate) float64 {
+	added := max(0, float64(q.SharedTokens)-c.CachedTokens)
+	return prefillLoss * min(1, share(seconds(added/m.PrefillRate), q.Objective)) * ramp(c.Pressure, pressureFrom, 1)
 }
 
 func (m Model) weightsLoss(c *Candidate) float64 {
 	switch {
 	case c.Behind <= 0:
 		return 0
-	case m.VersionBound > 0 && c.Behind > m.VersionBound-boundMargin:
+	case m.TooOld(c):
 		return 1
 	case c.Behind > oldWeightsGrace:
 		return oldWeightsLoss
@@ -149,6 +188,36 @@
 	}
 }
 
+// Wait is the time until the cached tokens that are counted on were read. A
+// request that is sent before reads them itself.
+func (c *Candidate) Wait() time.Duration {
+	if c.Fetch.Tokens > 0 {
+		return max(c.CachedIn, c.Fetch.In)
+	}
+	return c.CachedIn
+}
+
+// memoryUse returns the server's memory in use once it runs the request, as a
+// share. Above 1 it drops the newest request and reads it again.
+func (c *Candidate) memoryUse(q Query) float64 {
+	if q.EngineTokens <= 0 {
+		return 0
+	}
+	return (c.Memory + float64(q.PromptTokens)) / float64(q.EngineTokens)
+}
+
+// Expected returns the expected time from now to the first byte.
+func (m Model) Expected(q Query, c *Candidate) time.Duration {
+	missing := max(0, float64(q.PromptTokens)-c.CachedTokens-c.Fetch.Tokens)
+	return c.Wait() + c.Latency + seconds((c.Backlog+missing)/m.PrefillRate) + c.Fetch.time(c.Entry.FailureDomain)
+}
+
+// TooOld reports whether a candidate's weights are so old that no request may
+// begin there any more.
+func (m Model) TooOld(c *Candidate) bool {
+	return m.VersionBound > 0 && c.Behind > m.VersionBound-boundMargin
+}
+
 func (c *Candidate) crowding() float64 {
 	if c.Entry.Slots <= 0 {
 		return 0
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -10,7 +10,7 @@
 
 const model = "m"
 
-var deployment = Model{PrefillRate: 60_000, TransferRate: 600_000, VersionBound: 15 * time.Second}
+var deployment = Model{PrefillRate: 60_000, VersionBound: 15 * time.Second}
 
 func engine(id string, domain string, weights uint64) *fleet.Entry {
 	return &fleet.Entry{ID: backend.ID(id), Started: 1, FailureDomain: domain, Slots: 64, Weights: map[string]uint64{model: weights}}
@@ -79,15 +79,19 @@
 	now := time.Unix(1000, 0)
 	table := NewTable(15*time.Second, func() time.Time { return now })
 	x := engine("x", "a", 1)
+	const memory = 160_000
 	first := NewPrompt(model, "s", 12_500, []Part{{"doc", 12_000}, {"own-1", 500}})
 	second := NewPrompt(model, "s", 12_700, []Part{{"doc", 12_000}, {"own-2", 700}})
 	other := NewPrompt(model, "wall", 12_700, []Part{{"doc", 12_000}, {"own-2", 700}})
+	for _, p := range []*Prompt{first, second, other} {
+		p.EngineTokens = memory
+	}
 	cached := func(e *fleet.Entry, p *Prompt) float64 {
 		c := Candidate{Entry: e}
 		table.Fill(&c, p)
 		return c.CachedTokens
 	}
-	run := table.Begin(&Candidate{Entry: x}, first)
+	run := table.Begin(&Candidate{Entry: x}, first, 60_000)
 	if got := cached(x, second); got != 12_000 {
 		t.Errorf("expects %v cached tokens, want 12000", got)
 	}
@@ -113,15 +117,19 @@
 		t.Errorf("peer expects %v cached tokens", c.CachedTokens)
 	}
 	from, tokens := Source(&Candidate{Entry: engine("y", "b", 1)}, second, []Candidate{c})
-	if from == nil || from.ID != "x" || tokens != 12_000 {
+	if from == nil || from.Entry.ID != "x" || tokens != 12_000 {
 		t.Errorf("source %v with %d tokens", from, tokens)
 	}
 	if from, _ := Source(&Candidate{Entry: engine("y", "b", 2)}, second, []Candidate{c}); from != nil {
 		t.Error("a source with other weights")
 	}
-	now = now.Add(16 * time.Second)
+	// What is used after it drives it out.
+	filler := NewPrompt(model, "s", 150_000, []Part{{"filler", 140_000}, {"own-3", 10_000}})
+	filler.EngineTokens = memory
+	now = now.Add(time.Second)
+	table.Begin(&Candidate{Entry: x}, filler, 60_000)
 	if got := cached(x, second); got != 0 {
-		t.Errorf("expects %v tokens that weren't used for 16 s", got)
+		t.Errorf("expects %v tokens that were driven out", got)
 	}
 }
 
@@ -135,7 +143,7 @@
 		table.Fill(&c, p)
 		return c
 	}
-	run := table.Begin(&Candidate{Entry: x}, p)
+	run := table.Begin(&Candidate{Entry: x}, p, 60_000)
 	table.SetPeers(map[ServerKey]Report{KeyOf(x): {Running: 2, Backlog: 500}})
 	if c := state(); c.Running != 3 || c.Backlog != 1500 {
 		t.Errorf("running %d, backlog %v", c.Running, c.Backlog)
@@ -155,3 +163,105 @@
 		t.Error("a server that ended is kept")
 	}
 }
+
+// Until a VM has told of its load, it expects the other VMs to do alike: without
+// that all of them rush to the same engine.
+func TestUntoldLoadCountsForAllVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	table.SetMembers(8)
+	x := engine("x", "a", 1)
+	p := NewPrompt(model, "s", 1000, []Part{{"own", 1000}})
+	table.Begin(&Candidate{Entry: x}, p, 60_000)
+	c := Candidate{Entry: x}
+	table.Fill(&c, p)
+	if c.Running != 8 || c.Backlog != 8000 {
+		t.Errorf("running %d, backlog %v before the load was told", c.Running, c.Backlog)
+	}
+	table.Loads()
+	table.Fill(&c, p)
+	if c.Running != 1 || c.Backlog != 1000 {
+		t.Errorf("running %d, backlog %v after it was told", c.Running, c.Backlog)
+	}
+}
+
+// A part that is still being read is counted on, with the time that it takes;
+// one whose request ended before it was read isn't.
+func TestPartsThatAreBeingRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	first := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own-1", 1000}})
+	second := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own-2", 1000}})
+	first.EngineTokens, second.EngineTokens = 160_000, 160_000
+	state := func() Candidate {
+		c := Candidate{Entry: x}
+		table.Fill(&c, second)
+		return c
+	}
+	run := table.Begin(&Candidate{Entry: x}, first, 60_000)
+	now = now.Add(100 * time.Millisecond)
+	if c := state(); c.CachedTokens != 29_000 || c.Wait() != 400*time.Millisecond {
+		t.Errorf("cached %v, wait %v", c.CachedTokens, c.Wait())
+	}
+	run.End(Neutral)
+	if c := state(); c.CachedTokens != 0 {
+		t.Errorf("counts on %v tokens that were not read", c.CachedTokens)
+	}
+	run = table.Begin(&Candidate{Entry: x}, first, 60_000)
+	now = now.Add(200 * time.Millisecond)
+	run.Answered(60_000)
+	if c := state(); c.CachedTokens != 29_000 || c.Wait() != 0 {
+		t.Errorf("after the first event: cached %v, wait %v", c.CachedTokens, c.Wait())
+	}
+	now = now.Add(3 * time.Second)
+	if got := run.SilentFor(); got != 3*time.Second {
+		t.Errorf("silent for %v", got)
+	}
+	run.Heard()
+	if got := run.SilentFor(); got != 0 {
+		t.Errorf("silent for %v after an event", got)
+	}
+}
+
+func TestFullServersAreAvoided(t *testing.T) {
+	q := review()
+	q.EngineTokens = 160_000
+	base := Candidate{Entry: engine("x", "a", 1), SameDomain: true}
+	other := Candidate{Entry: engine("y", "b", 1)}
+	crowded, full := base, base
+	crowded.Running = 64
+	full.Memory = 200_000
+	for name, c := range map[string]Candidate{"slots": crowded, "memory": full} {
+		if got := pick(t, q, c, other); got != "y" {
+			t.Errorf("%s in use: chose %s", name, got)
+		}
+	}
+	old := base
+	old.Behind = deployment.VersionBound - time.Second
+	if !deployment.TooOld(&old) || deployment.TooOld(&base) {
+		t.Error("weights at the version bound may still begin")
+	}
+}
+
+func TestShelf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewShelf(func() time.Time { return now })
+	p := NewPrompt(model, "s", 12_500, []Part{{"doc", 12_000}, {"own", 500}})
+	s.Saved(p, 3)
+	if s.Holds(p, 3, 100_000) != 12_000 || s.Holds(p, 4, 100_000) != 0 {
+		t.Error("the shelf mixes up weights")
+	}
+	peer := NewShelf(func() time.Time { return now })
+	for _, k := range s.Take() {
+		peer.Heard(k)
+	}
+	if peer.Holds(p, 3, 100_000) != 12_000 || len(s.Take()) != 0 {
+		t.Error("another VM doesn't know what was kept")
+	}
+	now = now.Add(time.Second)
+	s.Saved(NewPrompt(model, "s", 90_000, []Part{{"filler", 80_000}, {"own", 10_000}}), 3)
+	if s.Holds(p, 3, 100_000) != 0 {
+		t.Error("counts on a part that was driven out")
+	}
+}
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -33,15 +33,28 @@
 // Report is the load that one VM puts on a server.
 type Report struct {
 	Running int
+	// Backlog are the prompt tokens that it is to read.
 	Backlog float64
+	// Memory are the tokens of its running requests.
+	Memory float64
+	// Churn is the rate of unshared tokens that it gets, in tokens a second.
+	Churn float64
 }
 
+// tellShare is into how many spans the reuse time is divided; once in each the
+// other VMs are told that a part is still used.
+const tellShare = 4
+
 // server is what this VM knows of a server's load and conduct.
 type server struct {
 	running int
 	backlog float64
 	// peers is the load that other VMs reported.
 	peers Report
+	// fresh is the load that was added since other VMs were last told.
+	fresh Report
+	// heard is when the server last sent anything to this VM.
+	heard time.Time
 	good  float64
 	bad   float64
 	// seen is when good and bad were last decayed.
@@ -56,15 +69,17 @@
 	servers map[ServerKey]*server
 	// placed are the placements that other VMs have to hear of.
 	placed []Placement
-	// keep is for how long an engine is expected to hold an unused part.
-	keep time.Duration
-	now  func() time.Time
+	// reuse is the time within which a part is expected to be used again.
+	reuse time.Duration
+	// members is the number of VMs that send to the servers.
+	members int
+	now     func() time.Time
 }
 
-// NewTable returns an empty table. Keep is for how long an engine is expected to
-// hold a part that isn't used.
-func NewTable(keep time.Duration, now func() time.Time) *Table {
-	return &Table{servers: map[ServerKey]*server{}, keep: keep, now: now}
+// NewTable returns an empty table. Reuse is the time within which a shared part
+// of prompts is expected to be used again.
+func NewTable(reuse time.Duration, now func() time.Time) *Table {
+	return &Table{servers: map[ServerKey]*server{}, reuse: reuse, members: 1, now: now}
 }
 
 func (t *Table) server(key ServerKey) *server {
@@ -88,19 +103,24 @@
 	s := t.server(KeyOf(c.Entry))
 	now := t.now()
 	s.decay(now)
-	c.Running = s.running + s.peers.Running
-	c.Backlog = s.backlog + s.peers.Backlog
+	// Other VMs see the same and do alike until they hear of it.
+	unseen := float64(t.members - 1)
+	c.Running = s.running + s.peers.Running + int(unseen*float64(s.fresh.Running))
+	c.Backlog = s.backlog + s.peers.Backlog + unseen*s.fresh.Backlog
 	c.FailureRate = s.bad / (s.good + s.bad + priorAnswers)
 	c.Latency = s.latency
 	if prompt != nil {
-		c.CachedTokens = float64(s.parts.expect(prompt, c.Entry.Weights[prompt.Model], now, t.keep))
+		cached, ready := s.parts.expect(prompt, c.Entry.Weights[prompt.Model], now)
+		c.CachedTokens, c.CachedIn = float64(cached), ready
+		c.Memory = s.parts.running + s.parts.peersRunning
+		c.Pressure = s.parts.pressure(prompt, t.reuse, now)
 	}
 }
 
 // Source finds, for the engine of a candidate, another engine on the same
 // weights from which it can fetch most of the prompt's parts. It returns nil if
 // none holds more.
-func Source(c *Candidate, prompt *Prompt, sources []Candidate) (*fleet.Entry, int) {
+func Source(c *Candidate, prompt *Prompt, sources []Candidate) (*Candidate, int) {
 	weights := c.Entry.Weights[prompt.Model]
 	var best *Candidate
 	for i := range sources {
@@ -115,7 +135,7 @@
 	if best == nil {
 		return nil, 0
 	}
-	return best.Entry, int(best.CachedTokens - c.CachedTokens)
+	return best, int(best.CachedTokens - c.CachedTokens)
 }
 
 // betterSource prefers the source that holds more, then one in the domain of the
@@ -140,7 +160,7 @@
 		return
 	}
 	s.parts.sync(p.Weights)
-	s.parts.parts[p.Prefix] = t.now()
+	s.parts.parts[p.Prefix] = holding{used: t.now(), tokens: p.Tokens, ready: t.now().Add(p.ReadIn)}
 }
 
 // TakePlacements returns the placements since the last call.
@@ -159,25 +179,32 @@
 	sent    time.Time
 	prefill float64
 	reading bool
+	memory  float64
+	prompt  *Prompt
 }
 
-// Begin notes that a request is sent. Missing are the prompt tokens that the
-// server has to read.
-func (t *Table) Begin(c *Candidate, prompt *Prompt) *Run {
+// Begin notes that a request is sent. Rate is the speed at which the server reads
+// prompts, in tokens a second.
+func (t *Table) Begin(c *Candidate, prompt *Prompt, rate float64) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Run{t: t, key: KeyOf(c.Entry), sent: t.now()}
 	s := t.server(r.key)
 	s.running++
+	s.fresh.Running++
 	if prompt != nil {
-		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens-c.FetchTokens), true
+		r.memory, r.prompt = float64(prompt.Tokens), prompt
+		s.parts.running += r.memory
+		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens-c.Fetch.Tokens), true
 		s.backlog += r.prefill
+		s.fresh.Backlog += r.prefill
 		weights := c.Entry.Weights[prompt.Model]
-		held := s.parts.add(prompt, weights, r.sent, t.keep)
-		if !held && prompt.SharedTokens() >= tellFrom {
+		takes := c.Latency + seconds((c.Backlog+r.prefill)/rate) + c.Fetch.time(c.Entry.FailureDomain)
+		told := s.parts.add(prompt, weights, r.sent, r.sent.Add(takes), t.reuse/tellShare)
+		if !told && prompt.Keepable() {
 			t.placed = append(t.placed, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
-				Prefix: prompt.chain[len(prompt.chain)-2].hash,
+				Prefix: prompt.chain[len(prompt.chain)-2].hash, Tokens: prompt.SharedTokens(), ReadIn: takes,
 			})
 		}
 	}
@@ -189,7 +216,11 @@
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
 	s := r.t.server(r.key)
+	s.heard = r.t.now()
 	took := r.t.now().Sub(r.sent) - seconds(r.prefill/rate)
+	if r.prompt != nil {
+		s.parts.read(r.prompt, r.t.now())
+	}
 	s.latency += time.Duration(latencyGain * float64(max(0, took)-s.latency))
 	r.stopReading(s)
 }
@@ -225,6 +256,10 @@
 	defer r.t.mu.Unlock()
 	s := r.t.server(r.key)
 	s.running--
+	s.parts.running -= r.memory
+	if r.reading {
+		s.parts.drop(r.prompt, r.t.now())
+	}
 	r.stopReading(s)
 	s.decay(r.t.now())
 	switch conduct {
@@ -237,25 +272,55 @@
 	}
 }
 
-// Loads returns the load that this VM puts on servers.
+// Loads returns the load that this VM puts on servers, to be told to other VMs.
 func (t *Table) Loads() map[ServerKey]Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[ServerKey]Report{}
+	now := t.now()
 	for key, s := range t.servers {
-		if s.running > 0 {
-			out[key] = Report{Running: s.running, Backlog: s.backlog}
+		s.fresh = Report{}
+		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.parts.churnRate(now), Memory: s.parts.running}
+		if r.Running > 0 || r.Churn >= 1 {
+			out[key] = r
 		}
 	}
 	return out
 }
 
+// SetMembers sets the number of VMs that send to the servers, this one included.
+func (t *Table) SetMembers(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members = max(1, n)
+}
+
+// Heard notes that the server sent something.
+func (r *Run) Heard() {
+	r.t.mu.Lock()
+	defer r.t.mu.Unlock()
+	r.t.server(r.key).heard = r.t.now()
+}
+
+// SilentFor returns for how long the server has sent nothing to any request of
+// this VM, since this one was sent at most.
+func (r *Run) SilentFor() time.Duration {
+	r.t.mu.Lock()
+	defer r.t.mu.Unlock()
+	last := r.t.server(r.key).heard
+	if last.Before(r.sent) {
+		last = r.sent
+	}
+	return r.t.now().Sub(last)
+}
+
 // SetPeers sets the load that all other VMs put on servers.
 func (t *Table) SetPeers(loads map[ServerKey]Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, s := range t.servers {
 		s.peers = loads[key]
+		s.parts.peers, s.parts.peersRunning = s.peers.Churn, s.peers.Memory
 	}
 }
 
