Sum failure domains up for one another; let two VMs of a domain read the feeds

Cause: every VM sent its digest to every other and read both feeds. Change: digests stay in the domain; two relays a domain exchange summaries; two VMs a domain follow the store, the others fetch what is new from them.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -228,13 +228,15 @@
 	return ended
 }
 
-// Export returns all entries for another VM, ends included.
-func (d *Directory) Export() []Entry {
+// Export returns the entries after a revision for another VM, ends included.
+func (d *Directory) Export(after platform.Version) []Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]Entry, 0, len(d.entries))
+	var out []Entry
 	for _, e := range d.entries {
-		out = append(out, *e)
+		if e.Revision > after {
+			out = append(out, *e)
+		}
 	}
 	return out
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -2,12 +2,19 @@
 // few times a second over UDP: who lives, what each knows of the configuration
 // and of backend servers, and what each admits and sends. What a digest shows to
 // be newer elsewhere is fetched over HTTP from that VM.
+//
+// Digests go to the VMs of the sender's failure domain. Two relays of each domain
+// sum them up for the other domains, whose relays pass the summary on within
+// theirs, so that little crosses domains and the traffic of a VM grows with the
+// size of its domain only.
 package gossip
 
 import (
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -86,6 +93,8 @@
 	Servers platform.Version `json:"srv"`
 	Goals   []WeightsGoal    `json:"goals,omitempty"`
 	Held    []WeightsHeld    `json:"held,omitempty"`
+	// Following is set if the sender reads the store's feeds and hears from them.
+	Following bool `json:"fol,omitempty"`
 	// Reserved are the engines that the order giver is about to load or is
 	// loading; they should get no new requests.
 	Reserved []backend.ID               `json:"rsv,omitempty"`
@@ -98,6 +107,46 @@
 	Kept []selector.Kept `json:"kept,omitempty"`
 }
 
+// MemberState is what a summary says of a VM.
+type MemberState struct {
+	Member
+	Ready   bool `json:"ready,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Summary is what a relay tells the other failure domains of its own.
+type Summary struct {
+	// From is the relay.
+	From        Member         `json:"from"`
+	Incarnation vm.Incarnation `json:"inc"`
+	Sequence    uint64         `json:"seq"`
+	// Forwarded is set once a relay of another domain passes the summary on.
+	Forwarded bool          `json:"fwd,omitempty"`
+	Members   []MemberState `json:"members"`
+	// Uptime is that of the domain's oldest process.
+	Uptime     time.Duration              `json:"up"`
+	Giver      bool                       `json:"giver,omitempty"`
+	Catalog    catalog.Version            `json:"cat"`
+	Servers    platform.Version           `json:"srv"`
+	Goals      []WeightsGoal              `json:"goals,omitempty"`
+	Held       []WeightsHeld              `json:"held,omitempty"`
+	Reserved   []backend.ID               `json:"rsv,omitempty"`
+	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
+	Loads      []ServerLoad               `json:"load,omitempty"`
+	Crashes    map[string]int             `json:"crash,omitempty"`
+	Placements []selector.Placement       `json:"place,omitempty"`
+	Kept       []selector.Kept            `json:"kept,omitempty"`
+}
+
+// message is a datagram: one of the two.
+type message struct {
+	Digest  *Digest  `json:"d,omitempty"`
+	Summary *Summary `json:"s,omitempty"`
+}
+
+// relayCount is the number of relays of a domain: one may be lost.
+const relayCount = 2
+
 // Peer is another VM as last heard of.
 type Peer struct {
 	Digest
@@ -117,8 +166,10 @@
 	Listen string
 	Log    *zap.Logger
 	Now    func() time.Time
-	// Received is called with each newer digest, from one goroutine.
-	Received func(p *Peer)
+	// Received is called with each newer digest, and Summarized with each newer
+	// summary of another domain, from one goroutine.
+	Received   func(p *Peer)
+	Summarized func(s *Summary)
 }
 
 // Node sends and receives digests.
@@ -128,6 +179,8 @@
 
 	mu    sync.Mutex
 	peers map[vm.ID]*Peer
+	// relays holds the last summary of each relay of other domains.
+	relays map[vm.ID]*Summary
 }
 
 // New opens the socket.
@@ -140,7 +193,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s/udp", opts.Listen)
 	}
-	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}}, nil
+	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}}, nil
 }
 
 // Run receives digests until ctx ends.
@@ -158,15 +211,57 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		var d Digest
-		if err := json.Unmarshal(buf[:size], &d); err != nil || d.ID == "" {
-			n.opts.Log.Warn("gossip_digest_malformed", zap.Stringer("from", from), zap.Error(err))
+		var m message
+		if err := json.Unmarshal(buf[:size], &m); err != nil {
+			n.opts.Log.Warn("gossip_malformed", zap.Stringer("from", from), zap.Error(err))
 			continue
 		}
-		if p := n.accept(d); p != nil {
+		n.receive(&m)
+	}
+}
+
+func (n *Node) receive(m *message) {
+	if m.Digest != nil && m.Digest.ID != "" {
+		if p := n.accept(*m.Digest); p != nil {
 			n.opts.Received(p)
 		}
 	}
+	if s := m.Summary; s != nil && s.From.ID != "" && n.acceptSummary(s) {
+		if !s.Forwarded {
+			n.forward(*s)
+		}
+		n.opts.Summarized(s)
+	}
+}
+
+// acceptSummary keeps a summary of another domain unless a newer one of the
+// relay is known, and notes its members.
+func (n *Node) acceptSummary(s *Summary) bool {
+	if s.From.FailureDomain == n.opts.Self.FailureDomain {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.relays[s.From.ID]; old != nil && old.Incarnation == s.Incarnation && s.Sequence <= old.Sequence {
+		return false
+	}
+	n.relays[s.From.ID] = s
+	now := n.opts.Now()
+	for _, m := range s.Members {
+		p := n.peers[m.ID]
+		if p == nil {
+			p = &Peer{}
+			n.peers[m.ID] = p
+		}
+		p.Member, p.Ready, p.Leaving, p.At = m.Member, m.Ready, m.Leaving, now
+	}
+	return true
+}
+
+// forward passes a summary on within the own domain.
+func (n *Node) forward(s Summary) {
+	s.Forwarded = true
+	n.send(message{Summary: &s}, n.domainPeers())
 }
 
 // accept keeps a digest unless a newer one of the VM is known.
@@ -241,14 +336,68 @@
 	return out
 }
 
-// Send sends a digest to all peers.
-func (n *Node) Send(d Digest) {
-	data, err := json.Marshal(d)
+// domainPeers lists the other VMs of the own domain.
+func (n *Node) domainPeers() []Peer {
+	return slices.DeleteFunc(n.Peers(), func(p Peer) bool { return p.FailureDomain != n.opts.Self.FailureDomain })
+}
+
+// Rank returns the place of this VM among the live ones of its domain, by ID
+// from 0.
+func (n *Node) Rank() int {
+	now := n.opts.Now()
+	rank := 0
+	for _, p := range n.domainPeers() {
+		if p.Alive(now) && p.ID < n.opts.Self.ID {
+			rank++
+		}
+	}
+	return rank
+}
+
+// IsRelay reports whether this VM sums its domain up for the others.
+func (n *Node) IsRelay() bool { return n.Rank() < relayCount }
+
+// Send sends a digest to the VMs of the own domain.
+func (n *Node) Send(d Digest) { n.send(message{Digest: &d}, n.domainPeers()) }
+
+// SendSummary sends a summary to the relays of the other domains: this VM's rank
+// says to which, so that two relays make two paths.
+func (n *Node) SendSummary(s Summary) {
+	now := n.opts.Now()
+	domains := map[string][]Peer{}
+	for _, p := range n.Peers() {
+		if p.FailureDomain != n.opts.Self.FailureDomain {
+			domains[p.FailureDomain] = append(domains[p.FailureDomain], p)
+		}
+	}
+	rank := n.Rank()
+	alone := len(s.Members) == 1
+	var targets []Peer
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b Peer) int {
+			if x, y := a.Alive(now), b.Alive(now); x != y {
+				if x {
+					return -1
+				}
+				return 1
+			}
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
+		targets = append(targets, list[min(rank, len(list)-1)])
+		if alone && len(list) > 1 {
+			targets = append(targets, list[1])
+		}
+	}
+	n.send(message{Summary: &s}, targets)
+}
+
+func (n *Node) send(m message, to []Peer) {
+	data, err := json.Marshal(m)
 	if err != nil {
 		n.opts.Log.Error("gossip_encode_failed", zap.Error(err))
 		return
 	}
-	for _, p := range n.Peers() {
+	for _, p := range to {
 		addr, err := net.ResolveUDPAddr("udp4", p.Peer)
 		if err != nil {
 			n.opts.Log.Warn("peer_address_invalid", zap.String("peer", string(p.ID)), zap.Error(err))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +16,6 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/platform"
-	"papayaspan.dev/papayaspan/internal/selector"
 )
 
 const (
@@ -38,6 +38,8 @@
 	name     string
 	after    platform.Version
 	failures int
+	// healthy is set while the store answers.
+	healthy atomic.Bool
 	// lostAt is when the store was last found unreachable, returned when it
 	// answered again.
 	lostAt, returned time.Time
@@ -45,6 +47,7 @@
 
 // failed notes a failed call and returns the pause before the next.
 func (n *Node) failed(f *feedState, err error) time.Duration {
+	f.healthy.Store(false)
 	if f.failures == 0 {
 		f.lostAt = n.now()
 		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Error(err))
@@ -55,6 +58,7 @@
 }
 
 func (n *Node) succeeded(f *feedState) {
+	f.healthy.Store(true)
 	if f.failures == 0 {
 		return
 	}
@@ -68,6 +72,13 @@
 	f.name = table
 	loaded := false
 	for ctx.Err() == nil {
+		if loaded && !n.following() {
+			// Others read it for this VM.
+			if !clock.Sleep(ctx, digestInterval) {
+				return
+			}
+			continue
+		}
 		var err error
 		if !loaded {
 			err = n.load(ctx, f, table, all)
@@ -193,7 +204,10 @@
 		}
 		entries = append(entries, e)
 	}
-	n.applyServers(entries, "store")
+	if len(entries) > 0 {
+		n.applyServers(entries, "store")
+		n.wake()
+	}
 }
 
 func (n *Node) decodeServer(c platform.Change) fleet.Entry {
@@ -292,12 +306,3 @@
 	version uint64
 	at      time.Time
 }
-
-// loadReports returns the loads for the digest.
-func loadReports(t *selector.Table) []gossip.ServerLoad {
-	var out []gossip.ServerLoad
-	for key, r := range t.Loads() {
-		out = append(out, gossip.ServerLoad{ID: key.ID, Started: key.Started, Running: r.Running, Backlog: int(r.Backlog), Churn: int(r.Churn), Memory: int(r.Memory)})
-	}
-	return out
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 	planner   *rollout.Planner
 
 	sequence atomic.Uint64
+	members  atomic.Int64
 	leaving  atomic.Bool
 	kick     chan struct{}
 	// lastOrder is used by the order loop only.
@@ -168,6 +169,10 @@
 	held     map[backend.ID]heldWeights
 	behind   map[vm.ID]time.Time
 	fetching bool
+	// domains are the last summaries of other failure domains.
+	domains map[string]domainState
+	// relayed are the placements that the other domains have to hear of.
+	relayed relayed
 
 	operatorFeed, serverFeed feedState
 	loops                    sync.WaitGroup
@@ -197,6 +202,7 @@
 		kick:      make(chan struct{}, 1),
 		held:      map[backend.ID]heldWeights{},
 		behind:    map[vm.ID]time.Time{},
+		domains:   map[string]domainState{},
 		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
 	}
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
@@ -235,11 +241,12 @@
 		return errors.Wrapf(err, "listen on %s", n.opts.Peer)
 	}
 	g, err := gossip.New(gossip.Options{
-		Self:     n.member(),
-		Listen:   n.opts.Peer,
-		Log:      n.log,
-		Now:      n.now,
-		Received: n.received,
+		Self:       n.member(),
+		Listen:     n.opts.Peer,
+		Log:        n.log,
+		Now:        n.now,
+		Received:   n.received,
+		Summarized: n.summarized,
 	})
 	if err != nil {
 		_ = l.Close()
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -57,7 +57,7 @@
 // again.
 func (n *Node) leaseStep(ctx context.Context) time.Duration {
 	held := n.keeper.Term().Fencing
-	if held == 0 && (n.Leaving() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
+	if held == 0 && (n.Leaving() || !n.following() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
 		return n.opts.Bounds.Lease / 6
 	}
 	n.keeper.Step(ctx)
@@ -219,9 +219,7 @@
 	if !n.directory.SetWeights(e.ID, e.Started, model, version) {
 		return
 	}
-	n.mu.Lock()
-	n.held[e.ID] = heldWeights{started: e.Started, model: model, version: version, at: n.now()}
-	n.mu.Unlock()
+	n.tell(e.ID, heldWeights{started: e.Started, model: model, version: version, at: n.now()})
 	n.log.Info("engine_loaded", zap.String("server", string(e.ID)), zap.String("model", model), zap.Uint64("version", version))
 	n.wake()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
 )
@@ -24,9 +25,15 @@
 	// digestInterval is the time between digests. Quotas and loads are corrected
 	// by them; their excess within two intervals fits the slack of quotas.
 	digestInterval = 250 * time.Millisecond
+	// largeFleet is the number of VMs from which digests come half as often: each
+	// VM then has a small share of the load that they tell of.
+	largeFleet = 16
 	// fetchAfter is for how long a peer must be ahead until its state is
 	// fetched: the store's feed brings most news within that time.
 	fetchAfter = 300 * time.Millisecond
+	// fetchFarAfter is the same for a peer in another failure domain: one of the
+	// own domain most likely has it by then.
+	fetchFarAfter = 800 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's state.
 	fetchTimeout = 700 * time.Millisecond
 	peerIdle     = 30 * time.Second
@@ -52,12 +59,13 @@
 }
 
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
-	known, err := strconv.ParseUint(r.URL.Query().Get("catalog"), 10, 64)
-	if err != nil {
-		http.Error(w, "the parameter catalog is not a number", http.StatusBadRequest)
+	known, err1 := strconv.ParseUint(r.URL.Query().Get("catalog"), 10, 64)
+	revision, err2 := strconv.ParseUint(r.URL.Query().Get("servers"), 10, 64)
+	if err1 != nil || err2 != nil {
+		http.Error(w, "the parameters catalog and servers must be numbers", http.StatusBadRequest)
 		return
 	}
-	s := state{Servers: n.directory.Export()}
+	s := state{Servers: n.directory.Export(platform.Version(revision))}
 	if c := n.Gateway.Catalog(); c != nil && uint64(c.Version) > known {
 		s.Catalog = &c.Snapshot
 	}
@@ -71,14 +79,22 @@
 func (n *Node) sendDigests(ctx context.Context) {
 	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			if tick%2 == 1 && n.memberCount() >= largeFleet {
+				continue
+			}
 		case <-n.kick:
 		}
-		n.gossip.Send(n.digest())
+		d := n.digest()
+		n.gossip.Send(d)
+		n.keepForRelay(d.Placements, d.Kept)
+		if n.gossip.IsRelay() {
+			n.gossip.SendSummary(n.summary(d))
+		}
 		n.housekeep()
 	}
 }
@@ -93,9 +109,10 @@
 		Leaving:     n.Leaving(),
 		Ready:       n.Ready(),
 		Giver:       n.keeper.Term().Valid(now, 0),
+		Following:   n.following() && n.operatorFeed.healthy.Load() && n.serverFeed.healthy.Load(),
 		Servers:     n.directory.Revision(),
 		Usage:       n.quota.Usages(),
-		Loads:       loadReports(n.servers),
+		Loads:       loadList(n.servers.Loads()),
 		Crashes:     n.suspects.Own(),
 		Placements:  n.servers.TakePlacements(),
 		Kept:        n.shelf.Take(),
@@ -140,11 +157,7 @@
 		if !p.Alive(now) {
 			continue
 		}
-		for _, l := range p.Loads {
-			key := selector.ServerKey{ID: l.ID, Started: l.Started}
-			r := loads[key]
-			loads[key] = selector.Report{Running: r.Running + l.Running, Backlog: r.Backlog + float64(l.Backlog), Churn: r.Churn + float64(l.Churn), Memory: r.Memory + float64(l.Memory)}
-		}
+		addLoads(loads, p.Loads)
 		for _, id := range p.Reserved {
 			reserved[string(id)] = true
 		}
@@ -153,65 +166,118 @@
 	for _, id := range n.reserved {
 		reserved[string(id)] = true
 	}
+	for _, d := range n.domains {
+		if now.Sub(d.at) >= gossip.SilenceLimit {
+			continue
+		}
+		addLoads(loads, d.summary.Loads)
+		for _, id := range d.summary.Reserved {
+			reserved[string(id)] = true
+		}
+	}
 	n.mu.Unlock()
 	n.servers.SetPeers(loads)
 	n.Gateway.Reserve(reserved)
+	n.members.Store(int64(members))
 	n.Gateway.SetMembers(members)
 	n.quota.SetMembers(members)
 	n.servers.SetMembers(members)
 }
 
+// memberCount returns the number of VMs heard of lately, this one included.
+func (n *Node) memberCount() int { return int(max(1, n.members.Load())) }
+
+func addLoads(sum map[selector.ServerKey]selector.Report, list []gossip.ServerLoad) {
+	for _, l := range list {
+		key := selector.ServerKey{ID: l.ID, Started: l.Started}
+		r := sum[key]
+		r.Running += l.Running
+		r.Backlog += float64(l.Backlog)
+		r.Churn += float64(l.Churn)
+		r.Memory += float64(l.Memory)
+		sum[key] = r
+	}
+}
+
 // received takes a newer digest of a peer.
 func (n *Node) received(p *gossip.Peer) {
-	n.quota.Heard(quota.Process{VM: p.ID, Incarnation: p.Incarnation}, p.Uptime, p.Usage)
+	n.quota.Heard(quota.Report{From: quota.Process{VM: p.ID, Incarnation: p.Incarnation}, Uptime: p.Uptime, Usages: p.Usage})
 	n.suspects.Heard(p.ID, p.Crashes)
-	for _, g := range p.Goals {
-		n.setGoal(g.Model, fleet.Goal{Version: g.Version, Since: n.now().Add(-g.Age)}, string(p.ID))
-	}
-	for _, h := range p.Held {
-		n.directory.SetWeights(h.ID, h.Started, h.Model, h.Version)
-	}
+	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
+	n.keepForRelay(p.Placements, p.Kept)
 	if len(p.Reserved) > 0 {
 		n.housekeep()
 	}
-	for _, m := range p.Placements {
+	if n.ahead(p.Member, p.Catalog, p.Servers) {
+		go n.fetch(p.Member)
+	}
+}
+
+// learn takes over what another VM tells of weights and prompts.
+func (n *Node) learn(from string, goals []gossip.WeightsGoal, held []gossip.WeightsHeld, placed []selector.Placement, kept []selector.Kept) {
+	for _, g := range goals {
+		n.setGoal(g.Model, fleet.Goal{Version: g.Version, Since: n.now().Add(-g.Age)}, from)
+	}
+	for _, h := range held {
+		if n.directory.SetWeights(h.ID, h.Started, h.Model, h.Version) {
+			n.tell(h.ID, heldWeights{started: h.Started, model: h.Model, version: h.Version, at: n.now()})
+		}
+	}
+	for _, m := range placed {
 		n.servers.Placed(m)
 	}
-	for _, k := range p.Kept {
+	for _, k := range kept {
 		n.shelf.Heard(k)
 	}
-	if n.ahead(p) {
-		go n.fetch(p)
-	}
+}
+
+// tell notes a version that a server holds for the next digests.
+func (n *Node) tell(id backend.ID, h heldWeights) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[id] = h
 }
 
 // ahead reports whether a peer has known more for some time, so that its state
 // should be fetched now.
-func (n *Node) ahead(p *gossip.Peer) bool {
+func (n *Node) ahead(p gossip.Member, catalogKnown catalog.Version, serversKnown platform.Version) bool {
 	var version catalog.Version
 	if c := n.Gateway.Catalog(); c != nil {
 		version = c.Version
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if p.Catalog <= version && p.Servers <= n.directory.Revision() {
+	if catalogKnown <= version && serversKnown <= n.directory.Revision() {
 		delete(n.behind, p.ID)
 		return false
 	}
 	since, known := n.behind[p.ID]
 	if !known {
-		n.behind[p.ID] = n.now()
-		return false
+		since = n.now()
+		n.behind[p.ID] = since
 	}
-	if n.now().Sub(since) < fetchAfter || n.fetching {
+	if n.now().Sub(since) < n.fetchAfter(p) || n.fetching {
 		return false
 	}
 	n.fetching = true
 	return true
 }
 
+// fetchAfter returns for how long a peer must be ahead until its state is
+// fetched. A VM that doesn't read the feeds itself asks at the next digest.
+func (n *Node) fetchAfter(p gossip.Member) time.Duration {
+	switch {
+	case p.FailureDomain != n.opts.VM.FailureDomain:
+		return fetchFarAfter
+	case n.following():
+		return fetchAfter
+	default:
+		return 0
+	}
+}
+
 // fetch takes over a peer's state.
-func (n *Node) fetch(p *gossip.Peer) {
+func (n *Node) fetch(p gossip.Member) {
 	defer func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -231,12 +297,15 @@
 
 var peerClient = &http.Client{Timeout: fetchTimeout}
 
-func (n *Node) fetchState(p *gossip.Peer) (state, error) {
+func (n *Node) fetchState(p gossip.Member) (state, error) {
 	var version catalog.Version
 	if c := n.Gateway.Catalog(); c != nil {
 		version = c.Version
 	}
-	q := url.Values{"catalog": {strconv.FormatUint(uint64(version), 10)}}
+	q := url.Values{
+		"catalog": {strconv.FormatUint(uint64(version), 10)},
+		"servers": {strconv.FormatUint(uint64(n.directory.Revision()), 10)},
+	}
 	var s state
 	resp, err := peerClient.Get("http://" + p.Peer + pathState + "?" + q.Encode())
 	if err != nil {
@@ -259,5 +328,12 @@
 			return true
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.domains {
+		if d.summary.Giver && now.Sub(d.at) < gossip.SilenceLimit {
+			return true
+		}
+	}
 	return false
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -63,6 +63,23 @@
 	elder bool
 	// ended is set once another process of the VM was heard of.
 	ended bool
+	// members is the number of VMs that the counts are of.
+	members int
+	// domain is set if the counts are a sum over another failure domain.
+	domain bool
+}
+
+// Report is what was heard of other VMs.
+type Report struct {
+	// From is a process, or the name of a failure domain without incarnation.
+	From Process
+	// Members is the number of VMs that the counts are of, Domain is set if they
+	// are a sum over another failure domain.
+	Members int
+	Domain  bool
+	// Uptime is the age of the (oldest) process.
+	Uptime time.Duration
+	Usages map[account.ID]Usage
 }
 
 // window counts units over a sliding window.
@@ -189,7 +206,7 @@
 		}
 		total += l.estimate(p, id, age, fair)
 		if !p.ended {
-			heard++
+			heard += p.members
 		}
 	}
 	return total, fair * float64(max(0, l.members-1-heard))
@@ -203,7 +220,7 @@
 	case p.ended:
 		return u.Window * (1 - float64(age)/float64(l.settings.Window))
 	case age > reportAge:
-		return max(u.Window, fair)
+		return max(u.Window, fair*float64(p.members))
 	default:
 		part := l.settings.Window.Seconds() / buckets
 		return u.Window + u.Recent*(age+gaugeLag).Seconds()/part
@@ -227,18 +244,44 @@
 	return limit * left
 }
 
-// Heard notes the counts of a process of another VM. Uptime is the age of the
-// process.
-func (l *Ledger) Heard(from Process, uptime time.Duration, usages map[account.ID]Usage) {
+// Heard notes the counts of other VMs.
+func (l *Ledger) Heard(r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, p := range l.peers {
-		if name.VM == from.VM && name != from && !p.ended {
+		if name.VM == r.From.VM && name != r.From && !p.ended {
 			p.ended = true
 			l.peers[name] = p
 		}
 	}
-	l.peers[from] = peer{at: l.now(), usages: usages, elder: uptime > l.settings.Window}
+	l.peers[r.From] = peer{
+		at: l.now(), usages: r.Usages, elder: r.Uptime > l.settings.Window,
+		members: max(1, r.Members), domain: r.Domain,
+	}
+}
+
+// DomainUsages returns the counts of this VM and of the processes that were heard
+// of one by one: the VMs of the own failure domain.
+func (l *Ledger) DomainUsages() map[account.ID]Usage {
+	out := l.Usages()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, p := range l.peers {
+		age := now.Sub(p.at)
+		if p.domain || age > l.settings.Window {
+			continue
+		}
+		for id, u := range p.usages {
+			sum := out[id]
+			sum.Window += l.estimate(p, id, age, 0)
+			if !p.ended && age <= reportAge {
+				sum.Recent += u.Recent
+			}
+			out[id] = sum
+		}
+	}
+	return out
 }
 
 // SetMembers sets the number of VMs that share the bound, this one included.
