Spread choices over engines that are as good; load a sixth of the engines at once

Cause: at 86 VMs all chose the same engines by the same state (busiest engine 3.1 times the mean), and 3 of 60 engines loaded at a time. Change: the margin within which engines count as equal grows with the VMs that choose; a sixth of the engines, three at least, load at once.

--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -185,6 +185,7 @@
 		PromptTokens: t.call.PromptTokens,
 		SharedTokens: t.sharedTokens(),
 		BodyBytes:    len(t.call.Body),
+		Senders:      int(g.members.Load()),
 	}
 	if t.prompt != nil {
 		q.EngineTokens = t.prompt.EngineTokens
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -15,9 +15,10 @@
 
 // Settings are the limits of the planner.
 type Settings struct {
-	// MaxLoading bounds the engines that load at once; beyond it they load
-	// slower.
-	MaxLoading int
+	// MaxLoading and LoadingShare bound the engines that load at once: the number,
+	// or the share of all engines if that is more. Beyond it they load slower.
+	MaxLoading   int
+	LoadingShare float64
 	// DrainWait is for how long an engine gets no new requests, at most, before
 	// its order is sent.
 	DrainWait time.Duration
@@ -32,11 +33,12 @@
 // DefaultSettings suit engines that load weights in two to three seconds.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxLoading:  3,
-		DrainWait:   700 * time.Millisecond,
-		ResendAfter: 1 * time.Second,
-		LoadTime:    2 * time.Second,
-		LoadTimeout: 8 * time.Second,
+		MaxLoading:   3,
+		LoadingShare: 1.0 / 6,
+		DrainWait:    700 * time.Millisecond,
+		ResendAfter:  1 * time.Second,
+		LoadTime:     2 * time.Second,
+		LoadTimeout:  8 * time.Second,
 	}
 }
 
@@ -86,6 +88,8 @@
 	settings Settings
 	mu       sync.Mutex
 	loads    map[backend.ID]*load
+	// most is the number of engines that may load at once.
+	most int
 	// loadTime is the mean time from an accepted order to the new weights.
 	loadTime time.Duration
 }
@@ -106,6 +110,7 @@
 	for i := range engines {
 		byID[engines[i].ID] = &engines[i]
 	}
+	p.most = max(p.settings.MaxLoading, int(p.settings.LoadingShare*float64(len(engines))))
 	p.drop(byID, now)
 	p.reserve(engines, now)
 	var plan Plan
@@ -116,7 +121,7 @@
 		if l.accepted {
 			plan.Watch = append(plan.Watch, id)
 		}
-		if p.due(l, e, now) && (!l.sent.IsZero() || loading < p.settings.MaxLoading) {
+		if p.due(l, e, now) && (!l.sent.IsZero() || loading < p.most) {
 			if l.sent.IsZero() {
 				loading++
 			}
@@ -159,7 +164,7 @@
 // load, beyond those that load on. A load that will soon be over makes room
 // already, so that the next engine is empty by then.
 func (p *Planner) room(now time.Time) int {
-	room := p.settings.MaxLoading
+	room := p.most
 	for _, l := range p.loads {
 		if !l.accepted || now.Sub(l.sent) < p.loadTime-p.settings.DrainWait {
 			room--
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -19,6 +19,8 @@
 	Waited time.Duration
 	// PromptTokens is the length of the prompt; 0 for plain requests.
 	PromptTokens int
+	// Senders is the number of VMs that choose by the same state.
+	Senders int
 	// EngineTokens is the memory of a server, in tokens; 0 for plain requests.
 	EngineTokens int
 	// SharedTokens is the length of the prompt's shared parts.
@@ -136,8 +138,8 @@
 	// crossLoss is the price of a kilobyte that crosses failure domains, as a
 	// share of a request's credit.
 	crossLoss = 0.0015
-	// baseCross is the same for a request without a body.
-	baseCross = 0.004
+	// baseCross is the same for heads and answers, of about two kilobytes.
+	baseCross = 0.015
 	// crowdLoss spreads load between servers that are equal otherwise, for each
 	// share of its slots that a server has in use.
 	crowdLoss = 0.1
@@ -252,8 +254,9 @@
 		}
 	}
 	var equal []int
+	margin := min(maxEqualLoss, equalLoss*float64(max(1, q.Senders)))
 	for i, l := range losses {
-		if l <= least+equalLoss {
+		if l <= least+margin {
 			equal = append(equal, i)
 		}
 	}
@@ -263,5 +266,10 @@
 	return best, least
 }
 
-// equalLoss is the difference in loss that is below the error of the estimate.
-const equalLoss = 0.002
+// equalLoss is the difference in loss that is below the error of the estimate, for
+// each VM that chooses by the same state, and maxEqualLoss its bound. The more VMs
+// choose before they hear of one another, the more their choices must differ.
+const (
+	equalLoss    = 0.001
+	maxEqualLoss = 0.04
+)
