Refuse long prompts at once when every engine's queue is too long

Change: Admit, a decision of its own: a long prompt goes to an engine only if its queue leaves time, else it is refused with the time at which a queue has drained.

--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -96,14 +96,14 @@
 		t.prompt.EngineTokens = service.Engine.CacheTokens
 	}
 	for {
-		candidate, ok := t.choose(service)
-		if ok && t.awaits(&candidate) && clock.Sleep(ctx, min(candidate.Wait(), readPoll)) {
-			continue
-		}
-		if !ok {
-			t.fail(verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait))
+		candidate, refusal := t.choose(service)
+		if refusal != nil {
+			t.fail(refusal)
 			return
 		}
+		if t.awaits(&candidate) && clock.Sleep(ctx, min(candidate.Wait(), readPoll)) {
+			continue
+		}
 		t.tried = append(t.tried, selector.KeyOf(candidate.Entry))
 		failure := t.try(ctx, service, candidate)
 		if failure == nil {
@@ -150,8 +150,8 @@
 	return "shared"
 }
 
-// choose returns the server for the next attempt.
-func (t *task) choose(service *catalog.Service) (selector.Candidate, bool) {
+// choose returns the server for the next attempt, or why there is none.
+func (t *task) choose(service *catalog.Service) (selector.Candidate, *verdict.Error) {
 	g := t.g
 	now := g.opts.Now()
 	reserved := *g.reserved.Load()
@@ -193,10 +193,25 @@
 	}
 	i, loss := g.opts.Model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
-		return selector.Candidate{}, false
+		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait)
 	}
 	t.outcome.loss, t.outcome.chosen = loss, candidates[i]
-	return candidates[i], true
+	if t.prompt == nil || t.begun {
+		return candidates[i], nil
+	}
+	j, ok := g.opts.Model.Admit(q, candidates, i)
+	if !ok {
+		return selector.Candidate{}, t.overloaded(&candidates[i])
+	}
+	t.outcome.chosen = candidates[j]
+	return candidates[j], nil
+}
+
+// overloaded refuses a request whose prompt no engine can read in time. Callers
+// come back when the shortest queue has drained, spread over as much time again.
+func (t *task) overloaded(c *selector.Candidate) *verdict.Error {
+	after := time.Duration((1 + rand.Float64()) * float64(max(serverWait, t.g.opts.Model.QueueTime(c))))
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, "engines_full", "the engines have more prompts to read than they can in time", after)
 }
 
 const (
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -38,6 +38,10 @@
 	Running int
 	// Backlog are the prompt tokens that the server is to read before.
 	Backlog float64
+	// KnownRunning and KnownBacklog are the parts of those that were told or sent,
+	// without what other VMs are assumed to send.
+	KnownRunning int
+	KnownBacklog float64
 	// CachedTokens are the leading tokens of the prompt that the server holds,
 	// as an expectation.
 	CachedTokens float64
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -103,10 +103,12 @@
 	s := t.server(KeyOf(c.Entry))
 	now := t.now()
 	s.decay(now)
+	c.KnownRunning = s.running + s.peers.Running
+	c.KnownBacklog = s.backlog + s.peers.Backlog
 	// Other VMs see the same and do alike until they hear of it.
 	unseen := float64(t.members - 1)
-	c.Running = s.running + s.peers.Running + int(unseen*float64(s.fresh.Running))
-	c.Backlog = s.backlog + s.peers.Backlog + unseen*s.fresh.Backlog
+	c.Running = c.KnownRunning + int(unseen*float64(s.fresh.Running))
+	c.Backlog = c.KnownBacklog + unseen*s.fresh.Backlog
 	c.FailureRate = s.bad / (s.good + s.bad + priorAnswers)
 	c.Latency = s.latency
 	if prompt != nil {
