Allow less queue to long prompts; prove the refusal under a played overload

Cause: reviews admitted at 0.6 of the objective were late by their own reading; a connection to a dark engine took half a second to fail. Change: 0.4 of the objective; 250 ms for a connection. Tests play an overload.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -24,7 +24,7 @@
 const (
 	// connectTimeout bounds a connection attempt. Servers are a few milliseconds
 	// away, and a lost first packet is sent again only after a second.
-	connectTimeout = 500 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
 	// userTimeout closes a connection whose bytes are not acknowledged.
 	userTimeout = 1500 * time.Millisecond
 	// idleKeepAlive finds idle connections that went silent.
--- a/internal/selector/admit.go
+++ b/internal/selector/admit.go
@@ -5,7 +5,7 @@
 const (
 	// queueLimit is the share of the latency objective for which a long prompt
 	// may wait in an engine's queue. The rest is for its own reading.
-	queueLimit = 0.6
+	queueLimit = 0.4
 	// shortPrompt is the length in tokens, up to which a prompt adds next to
 	// nothing to a queue: one piece in which engines read.
 	shortPrompt = 2048
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -265,3 +265,73 @@
 		t.Error("counts on a part that was driven out")
 	}
 }
+
+// At an overload long prompts are refused, short ones pass, and the length of a
+// prompt doesn't decide.
+func TestAdmitUnderOverload(t *testing.T) {
+	queue := func(tokens float64) Candidate {
+		return Candidate{Entry: engine("x", "a", 1), SameDomain: true, Backlog: tokens, KnownBacklog: tokens}
+	}
+	long, longer, short := review(), review(), review()
+	longer.PromptTokens, short.PromptTokens = 60_000, 400
+	full, free := queue(60_000), queue(6_000)
+	for _, c := range []struct {
+		name       string
+		q          Query
+		candidates []Candidate
+		want       int
+		ok         bool
+	}{
+		{"room", long, []Candidate{free}, 0, true},
+		{"room for a larger prompt", longer, []Candidate{free}, 0, true},
+		{"no room", long, []Candidate{full, full}, 0, false},
+		{"no room for a larger prompt", longer, []Candidate{full}, 0, false},
+		{"another engine has room", long, []Candidate{full, free}, 1, true},
+		{"a short prompt passes", short, []Candidate{full}, 0, true},
+	} {
+		got, ok := deployment.Admit(c.q, c.candidates, 0)
+		if ok != c.ok || ok && got != c.want {
+			t.Errorf("%s: engine %d, admitted %v", c.name, got, ok)
+		}
+	}
+	busy := queue(0)
+	busy.KnownRunning = 64
+	if _, ok := deployment.Admit(long, []Candidate{busy}, 0); ok {
+		t.Error("a long prompt took the last slot")
+	}
+}
+
+// Plays an overload of long prompts at one engine, half as many again as it can
+// read, with short ones between: what callers get with and without the refusal.
+func TestOverloadServesMoreInTime(t *testing.T) {
+	play := func(admit bool) (inTime, short int) {
+		const step = 10 * time.Millisecond
+		backlog := 0.0
+		for i := range 3000 {
+			backlog = max(0, backlog-deployment.PrefillRate*step.Seconds())
+			c := Candidate{Entry: engine("x", "a", 1), Backlog: backlog, KnownBacklog: backlog, SameDomain: true}
+			q := review()
+			if i%4 != 0 {
+				q.PromptTokens = 400
+			} else {
+				q.PromptTokens = 3600
+			}
+			if _, ok := deployment.Admit(q, []Candidate{c}, 0); admit && !ok {
+				continue
+			}
+			if deployment.Expected(q, &c) <= q.Objective {
+				inTime++
+				if q.PromptTokens == 400 {
+					short++
+				}
+			}
+			backlog += float64(q.PromptTokens)
+		}
+		return inTime, short
+	}
+	without, shortWithout := play(false)
+	with, shortWith := play(true)
+	if with < 2*without || shortWith < 2*shortWithout || shortWith != 2250 {
+		t.Errorf("answers in time: %d with the refusal, %d without; of short prompts %d and %d of 2250", with, without, shortWith, shortWithout)
+	}
+}
