--- a/cmd/papayaspand/edge.go
+++ b/cmd/papayaspand/edge.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -20,6 +21,9 @@
 	level    string
 }
 
+// logCloseTimeout bounds the write of the last lines at the end of the process.
+const logCloseTimeout = 50 * time.Millisecond
+
 // Name implements subcommands.Command.
 func (*edgeCmd) Name() string { return "edge" }
 
@@ -39,7 +43,13 @@
 
 // Execute implements subcommands.Command.
 func (c *edgeCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	log, err := logging.New(os.Stdout, c.level)
+	out := logging.NewWriter(os.Stdout)
+	defer func() {
+		if err := out.Close(logCloseTimeout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	log, err := logging.New(out, c.level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -49,7 +59,7 @@
 		log.Error("settings_invalid", logging.Error(err))
 		return subcommands.ExitUsageError
 	}
-	p, err := platform.New(s, log)
+	p, err := platform.New(s, log, out.Dropped)
 	if err != nil {
 		log.Error("start_failed", logging.Error(err))
 		return subcommands.ExitFailure
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,13 @@
 	retryAfter time.Duration
 }
 
+func (f *failure) verdict() verdict.Verdict {
+	if f.mayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // final returns the answer to the caller if no attempt is left.
 func (f *failure) final(t *task) *verdict.Error {
 	if !f.mayHaveRun {
@@ -67,6 +75,8 @@
 	cancel  context.CancelFunc
 	silence *time.Timer
 	conduct selector.Conduct
+	// silent is set if the attempt was given up because the server sent nothing.
+	silent atomic.Bool
 	// saves is set if the engine keeps a copy of the shared parts in the store.
 	saves bool
 }
@@ -203,7 +213,7 @@
 		return
 	}
 	if t.route.Kind != catalog.Stream {
-		a.silence = time.AfterFunc(max(minSilence, silenceFactor*t.route.Objective), a.cancel)
+		a.silence = time.AfterFunc(max(minSilence, silenceFactor*t.route.Objective), a.giveUp)
 		return
 	}
 	a.silence = time.AfterFunc(maxPause, a.checkSilence)
@@ -217,12 +227,21 @@
 		a.silence.Reset(left)
 		return
 	}
+	a.giveUp()
+}
+
+// giveUp ends the attempt, so that another server can be tried.
+func (a *attempt) giveUp() {
+	a.silent.Store(true)
 	a.cancel()
 }
 
 // lost returns the failure of an attempt whose request was sent.
 func (a *attempt) lost(caller context.Context, code string, err error) *failure {
 	f := &failure{code: code, err: err, sent: true, mayHaveRun: true}
+	if a.silent.Load() {
+		f.code = "server_silent"
+	}
 	if caller.Err() != nil {
 		f.code = "caller_gone"
 		f.callerGone = a.t.left() > 0
@@ -367,7 +386,7 @@
 	t.outcome.status = status
 	if t.firstByte == 0 {
 		t.firstByte = t.waited()
-		t.g.meters.firstByte.Update(t.firstByte.Milliseconds())
+		t.g.meters.firstByte[t.route.Kind].Update(t.firstByte.Milliseconds())
 	}
 }
 
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
 
 // reservoirSize and reservoirAlpha are the parameters of the histograms: 1,028
 // samples with an exponential decay that favours the last five minutes, as the
@@ -11,21 +16,32 @@
 )
 
 type meters struct {
-	requests, refused, failed, retries, resumes metrics.Meter
-	firstByte, total                            metrics.Histogram
+	registry                           metrics.Registry
+	requests, refused, failed, retries metrics.Meter
+	firstByte, total                   map[catalog.Kind]metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
-	return meters{
+	m := meters{
+		registry:  r,
 		requests:  metrics.GetOrRegisterMeter("requests", r),
 		refused:   metrics.GetOrRegisterMeter("requests_refused", r),
 		failed:    metrics.GetOrRegisterMeter("requests_failed", r),
 		retries:   metrics.GetOrRegisterMeter("retries", r),
-		resumes:   metrics.GetOrRegisterMeter("resumes", r),
-		firstByte: histogram("first_byte_ms"),
-		total:     histogram("total_ms"),
+		firstByte: map[catalog.Kind]metrics.Histogram{},
+		total:     map[catalog.Kind]metrics.Histogram{},
+	}
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.AtMostOnce, catalog.Stream} {
+		m.firstByte[kind] = histogram("first_byte_ms." + string(kind))
+		m.total[kind] = histogram("total_ms." + string(kind))
 	}
+	return m
+}
+
+// count counts a call or an attempt that ended badly, by cause and verdict.
+func (m *meters) count(what, cause string, v verdict.Verdict) {
+	metrics.GetOrRegisterCounter(what+"."+cause+"."+v.String(), m.registry).Inc(1)
 }
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -355,7 +355,12 @@
 	if e := t.outcome.refusal; e != nil {
 		fields = append(fields, zap.Duration("retry_after", e.RetryAfter), logging.NamedError("cause", e.Cause))
 	}
-	t.g.meters.total.Update(t.waited().Milliseconds())
+	if t.route != nil {
+		t.g.meters.total[t.route.Kind].Update(t.waited().Milliseconds())
+	}
+	if t.outcome.reason != "" {
+		t.g.meters.count("call", t.outcome.reason, t.ran)
+	}
 	t.g.opts.Log.Info("request_done", fields...)
 }
 
@@ -392,6 +397,7 @@
 }
 
 func (t *task) logAttempt(c selector.Candidate, f *failure) {
+	t.g.meters.count("attempt", f.code, f.verdict())
 	t.g.opts.Log.Warn("attempt_failed",
 		zap.String("request_id", t.call.ID),
 		zap.String("server", string(c.Entry.ID)),
--- /dev/null
+++ b/internal/logging/writer_test.go
@@ -0,0 +1,80 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// Logging goes on at full speed while nobody reads the output, within a bounded
+// buffer, and what was dropped is told once somebody does.
+func TestUnreadPipeDoesNotBlock(t *testing.T) {
+	r, pipe, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	w := NewWriter(pipe)
+	log, err := New(w, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lines = 20_000
+	began := time.Now()
+	for i := range lines {
+		log.Info("request_done", zap.Int("number", i), zap.String("filler", strings.Repeat("x", 200)))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("%d lines took %v", lines, took)
+	}
+	if w.Dropped() == 0 || w.Dropped() >= lines {
+		t.Errorf("%d of %d lines dropped", w.Dropped(), lines)
+	}
+	got := make(chan string)
+	go func() {
+		data, _ := io.ReadAll(r)
+		got <- string(data)
+	}()
+	if err := w.Close(2 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	pipe.Close()
+	if text := <-got; !strings.Contains(text, "event=log_lines_dropped") || !strings.Contains(text, "number=0 ") {
+		t.Error("the dropped lines are not told, or the first line is missing")
+	}
+}
+
+func TestCloseWritesWhatWaits(t *testing.T) {
+	var out syncBuffer
+	w := NewWriter(&out)
+	log, err := New(w, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Warn("a", Error(errors.New("plain words")), Error(nil))
+	if err := w.Close(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	text := out.b.String()
+	if !strings.Contains(text, `event=a error="plain words"`) || strings.Contains(text, "errorVerbose") || strings.Count(text, "\n") != 1 {
+		t.Errorf("output %q", text)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,8 @@
 // Options are what a Node is made of.
 type Options struct {
 	Log *zap.Logger
+	// LogDropped returns the number of log lines dropped so far.
+	LogDropped func() uint64
 	// VM describes this VM; its incarnation tells this process from earlier ones.
 	VM vm.VM
 	// Peer is where other routers reach this one, host:port on TCP and UDP.
@@ -210,6 +212,7 @@
 		domains:   map[string]domainState{},
 		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
 	}
+	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
 	n.shelf = selector.NewShelf(n.now)
