--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -38,6 +38,12 @@
 	// slackUse is the part of the permitted excess that is given out. The rest
 	// covers what VMs admit before they hear of one another.
 	slackUse = 0.35
+	// smallReserve is the share of an account's bound that only its small requests
+	// may use, and smallShare is what counts as small, as a share of the bound. An
+	// account over its rate would else lose a booking to a single long prompt,
+	// which counts a hundred times as much.
+	smallReserve = 0.1
+	smallShare   = 0.005
 	// reportAge is the age from which another VM's count is no longer trusted.
 	// Counts come a few times a second.
 	reportAge = 1500 * time.Millisecond
@@ -179,6 +185,9 @@
 	limit := l.limit(b, now)
 	heard, silent := l.others(id, limit, now)
 	used := w.sum() + heard + max(silent, l.predecessors(b.contract(l.settings), now))
+	if units > smallShare*b.contract(l.settings) {
+		limit -= smallReserve * b.contract(l.settings)
+	}
 	v := Verdict{Used: used, Limit: limit, Admitted: used+units <= limit}
 	if v.Admitted {
 		w.counts[w.slot%buckets] += units
