--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,8 +10,11 @@
 package gossip
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -40,6 +43,8 @@
 	forgetAfter = 10 * time.Second
 	// maxDatagram bounds a digest, in bytes.
 	maxDatagram = 60 << 10
+	// maxSummary bounds a summary once decompressed, in bytes.
+	maxSummary = 1 << 20
 )
 
 // ServerLoad is the load that the sender puts on a backend server.
@@ -228,12 +233,12 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		var m message
-		if err := json.Unmarshal(buf[:size], &m); err != nil {
+		m, err := decode(buf[:size])
+		if err != nil {
 			n.opts.Log.Warn("gossip_malformed", zap.Stringer("from", from), logging.Error(err))
 			continue
 		}
-		n.receive(&m)
+		n.receive(m)
 	}
 }
 
@@ -408,8 +413,42 @@
 	n.send(message{Summary: &s}, targets)
 }
 
-func (n *Node) send(m message, to []Peer) {
+// encode returns the datagram of a message. Summaries, which cross domains, are
+// compressed (RFC 1951).
+func encode(m message) ([]byte, error) {
 	data, err := json.Marshal(m)
+	if err != nil || m.Summary == nil || m.Summary.Forwarded {
+		return data, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress summary")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress summary")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress summary")
+	}
+	return b.Bytes(), nil
+}
+
+// decode reads a datagram, compressed or not.
+func decode(data []byte) (*message, error) {
+	if len(data) > 0 && data[0] != '{' {
+		plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxSummary))
+		if err != nil {
+			return nil, errors.Wrap(err, "decompress summary")
+		}
+		data = plain
+	}
+	var m message
+	return &m, errors.Wrap(json.Unmarshal(data, &m), "gossip message")
+}
+
+func (n *Node) send(m message, to []Peer) {
+	data, err := encode(m)
 	if err != nil {
 		n.opts.Log.Error("gossip_encode_failed", logging.Error(err))
 		return
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,11 +1,13 @@
 package gossip
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -58,3 +60,48 @@
 		t.Error("silent peers are kept")
 	}
 }
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	for _, m := range []message{
+		{Digest: &Digest{Member: Member{ID: "x"}, Sequence: 7}},
+		{Summary: &Summary{From: Member{ID: "x"}, Sequence: 8, Reserved: []backend.ID{"e"}}},
+		{Summary: &Summary{From: Member{ID: "x"}, Sequence: 9, Forwarded: true}},
+	} {
+		data, err := encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(data)
+		if err != nil || !reflect.DeepEqual(*got, m) {
+			t.Errorf("decoded %+v of %+v, err %v", got, m, err)
+		}
+	}
+	for _, bad := range []string{"", "{", "\x01\x02", "[]"} {
+		if m, err := decode([]byte(bad)); err == nil {
+			t.Errorf("%q decoded to %+v", bad, m)
+		}
+	}
+}
+
+// A relay's summary reaches the members, and an older one is refused.
+func TestSummaryTellsOfMembers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNode(&now)
+	n.opts.Self.FailureDomain = "a"
+	s := &Summary{From: Member{ID: "r", FailureDomain: "b"}, Sequence: 5, Members: []MemberState{{Member: Member{ID: "r", FailureDomain: "b"}, Ready: true}, {Member: Member{ID: "q", FailureDomain: "b"}, Leaving: true}}}
+	if !n.acceptSummary(s) || n.acceptSummary(s) {
+		t.Error("a summary is taken once")
+	}
+	if own := (&Summary{From: Member{ID: "o", FailureDomain: "a"}, Sequence: 1}); n.acceptSummary(own) {
+		t.Error("took a summary of its own domain")
+	}
+	alive := 0
+	for _, p := range n.Peers() {
+		if p.Alive(now) && p.FailureDomain == "b" {
+			alive++
+		}
+	}
+	if alive != 2 || n.Rank() != 0 || len(n.domainPeers()) != 0 {
+		t.Errorf("%d of the domain alive, rank %d", alive, n.Rank())
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -30,13 +31,19 @@
 	// longer lists after an outage: it announces itself again within about two
 	// seconds of the store's return.
 	lapseHold = 2300 * time.Millisecond
+	// serverPause is how long changes of servers are left to collect: each call
+	// to the store has a price, and a roll-out changes several servers a second. It
+	// is short against the time within which a leaving server must be known.
+	serverPause = 250 * time.Millisecond
 	// memberInterval is the time between two reads of the members.
 	memberInterval = 15 * time.Second
 )
 
 // feedState is what one loop knows of its feed.
 type feedState struct {
-	name     string
+	name string
+	// pause is how long changes are left to collect after some came.
+	pause    time.Duration
 	after    platform.Version
 	failures int
 	// healthy is set while the store answers.
@@ -103,13 +110,13 @@
 }
 
 func (n *Node) load(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version)) error {
-	rows, version, err := n.opts.Feed.Rows(ctx, table)
+	list, err := n.opts.Feed.Rows(ctx, table)
 	if err != nil {
 		return err
 	}
 	n.succeeded(f)
-	f.after = version
-	all(rows, version)
+	f.after = list.Version
+	all(list.Rows, list.Version)
 	return nil
 }
 
@@ -122,6 +129,7 @@
 	f.after = next
 	if len(changes) > 0 {
 		some(changes)
+		clock.Sleep(ctx, f.pause)
 	}
 	return nil
 }
@@ -177,6 +185,7 @@
 }
 
 func (n *Node) followServers(ctx context.Context) {
+	n.serverFeed.pause = serverPause
 	n.follow(ctx, &n.serverFeed, n.opts.ServerTable, n.listServers, n.changeServers)
 }
 
@@ -282,12 +291,17 @@
 const deregisterTimeout = 200 * time.Millisecond
 
 func (n *Node) readMembers(ctx context.Context) error {
-	rows, _, err := n.opts.Feed.Rows(ctx, n.opts.MemberTable)
+	list, err := n.opts.Feed.Rows(ctx, n.opts.MemberTable)
 	if err != nil {
 		return err
 	}
-	members := make([]gossip.Member, 0, len(rows))
-	for _, r := range rows {
+	n.storeClock.set(list.Now, n.now())
+	members := make([]gossip.Member, 0, len(list.Rows))
+	for _, r := range list.Rows {
+		if strings.HasPrefix(r.Key, n.goalKey("")) {
+			n.readGoals(r)
+			continue
+		}
 		var m gossip.Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			n.log.Warn("member_row_malformed", zap.String("key", r.Key), logging.Error(err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,10 @@
 	kick     chan struct{}
 	// lastOrder is used by the order loop only.
 	lastOrder time.Time
+	// keptGoals are the versions whose naming is kept in the store; it is used by
+	// the order loop only.
+	keptGoals  map[string]uint64
+	storeClock storeClock
 	// claim is the newest that is known of a holder's term.
 	claim atomic.Pointer[claim]
 
@@ -209,6 +213,7 @@
 		kick:      make(chan struct{}, 1),
 		held:      map[backend.ID]heldWeights{},
 		behind:    map[vm.ID]time.Time{},
+		keptGoals: map[string]uint64{},
 		domains:   map[string]domainState{},
 		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
 	}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -21,11 +21,19 @@
 	Deleted bool
 }
 
+// Listing is a whole table.
+type Listing struct {
+	Rows []Row
+	// Version is that up to which the rows are complete.
+	Version Version
+	// Now is the store's steady clock.
+	Now time.Duration
+}
+
 // Feed reports changes of rows as they happen.
 type Feed interface {
-	// Rows returns all rows of a table and the version up to which they are
-	// complete.
-	Rows(ctx context.Context, table string) ([]Row, Version, error)
+	// Rows returns all rows of a table.
+	Rows(ctx context.Context, table string) (Listing, error)
 	// Changes returns the changes after a version, in order, and the version to
 	// go on from. It returns as soon as there is one, and without any after
 	// wait. Its errors include ErrHistoryGone.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -143,7 +143,7 @@
 	// share of a request's credit.
 	crossLoss = 0.0015
 	// baseCross is the same for heads and answers, of about two kilobytes.
-	baseCross = 0.015
+	baseCross = 0.025
 	// crowdLoss spreads load between servers that are equal otherwise, for each
 	// share of its slots that a server has in use.
 	crowdLoss = 0.1
@@ -260,7 +260,7 @@
 	var equal []int
 	margin := min(maxEqualLoss, equalLoss*float64(max(1, q.Senders)))
 	for i, l := range losses {
-		if l <= least+margin {
+		if l <= least+margin && candidates[i].SameDomain == candidates[best].SameDomain {
 			equal = append(equal, i)
 		}
 	}
