Count a prompt as read at the first event, and tell of long ones at once

Cause: engines send the head of a stream at once. Loads were applied once a digest. At 86 VMs a busy engine looked silent after 1.8 s, and 201 of 1,205 streams were sent to a second one that read the prompt again. Change: the first event counts; digests go out when a long prompt is placed and are applied as they come; before the first event an engine may be silent for three objectives. Compressors are kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,6 +75,8 @@
 	cancel  context.CancelFunc
 	silence *time.Timer
 	conduct selector.Conduct
+	// read is set once the first event has come.
+	read atomic.Bool
 	// silent is set if the attempt was given up because the server sent nothing.
 	silent atomic.Bool
 	// saves is set if the engine keeps a copy of the shared parts in the store.
@@ -86,6 +88,9 @@
 	a := &attempt{t: t, service: service, c: c, conduct: selector.Neutral}
 	t.outcome.server = string(c.Entry.ID)
 	a.run = t.g.opts.Servers.Begin(&c, t.prompt, t.g.opts.Model.PrefillRate)
+	if t.prompt != nil && t.prompt.Keepable() {
+		t.g.opts.Placed()
+	}
 	f := a.exchange(ctx)
 	a.run.End(a.conduct)
 	return f
@@ -223,7 +228,11 @@
 // long. One that sends to others is busy, and another one would have to read the
 // prompt anew.
 func (a *attempt) checkSilence() {
-	if left := maxPause - a.run.SilentFor(); left > 0 {
+	pause := maxPause
+	if !a.read.Load() {
+		pause = max(maxPause, silenceFactor*a.t.route.Objective)
+	}
+	if left := pause - a.run.SilentFor(); left > 0 {
 		a.silence.Reset(left)
 		return
 	}
@@ -278,7 +287,7 @@
 func (a *attempt) answer(caller context.Context, resp *http.Response) *failure {
 	t := a.t
 	head := t.g.opts.Dialect.Head(a.c.Entry.ID, resp)
-	a.run.Answered(t.g.opts.Model.PrefillRate)
+	a.run.Heard()
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.c.Entry.ID, a.c.Entry.Started, t.call.Model, head.WeightsVersion)
 	}
@@ -340,6 +349,7 @@
 	if err != nil {
 		return a.lost(caller, "answer_cut", err)
 	}
+	a.run.Answered(t.g.opts.Model.PrefillRate)
 	t.note(resp.StatusCode)
 	if len(body) <= holdBytes {
 		a.served()
@@ -404,6 +414,13 @@
 		if err != nil {
 			return a.lost(caller, "stream_cut", err)
 		}
+		if first {
+			// Engines send the head before they have read the prompt.
+			first = false
+			a.read.Store(true)
+			a.run.Answered(t.g.opts.Model.PrefillRate)
+			a.noteStore()
+		}
 		a.run.Heard()
 		if event.ID >= 0 && event.ID <= t.lastEvent {
 			continue // The caller has it.
@@ -411,10 +428,6 @@
 		if f := a.begin(caller, resp); f != nil {
 			return f
 		}
-		if first {
-			first = false
-			a.noteStore()
-		}
 		if err := t.sink.Piece(event.Bytes); err != nil {
 			return a.lost(caller, "caller_gone", err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	Shelf         *selector.Shelf
 	FailureDomain string
 	Model         selector.Model
+	// Placed is called when a long prompt is sent to an engine, so that other VMs
+	// hear of it soon. It must not block.
+	Placed func()
 	// RetryRatio and RetryReserve bound repeated sends to a service: a share of
 	// the requests for it, plus a reserve of this VM.
 	RetryRatio, RetryReserve float64
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+// plainDialect takes every answer for a signed one.
+type plainDialect struct{}
+
+func (plainDialect) Header(c *Call, _ Outgoing) http.Header { return c.Header.Clone() }
+
+func (plainDialect) Belongs(*Call, *http.Response) bool { return true }
+
+func (plainDialect) Head(backend.ID, *http.Response) Head { return Head{Sealed: true} }
+
+// recorder is a Sink that keeps what it gets.
+type recorder struct {
+	body    strings.Builder
+	refusal *verdict.Error
+	aborted bool
+}
+
+func (r *recorder) Answer(_ int, _ http.Header, body []byte) error {
+	r.body.Write(body)
+	return nil
+}
+
+func (r *recorder) Begin(int, http.Header) error { return nil }
+
+func (r *recorder) Piece(p []byte) error {
+	r.body.Write(p)
+	return nil
+}
+
+func (r *recorder) Refuse(e *verdict.Error) { r.refusal = e }
+
+func (r *recorder) Abort() { r.aborted = true }
+
+func newTestGateway(t *testing.T, engine http.HandlerFunc) (*Gateway, *selector.Table) {
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	directory := fleet.NewDirectory()
+	directory.Apply([]fleet.Entry{{
+		ID: "e", Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
+		State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 1,
+	}}, time.Now())
+	servers := selector.NewTable(10*time.Second, time.Now)
+	g := New(Options{
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Dialect: plainDialect{}, Directory: directory,
+		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
+		Quota:    quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
+		Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
+		Model: selector.Model{PrefillRate: 50_000}, RetryReserve: 10, Placed: func() {}, Now: time.Now,
+	})
+	g.Publish(catalog.Snapshot{
+		Version:  1,
+		Routes:   []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Stream, Timeout: 3 * time.Second, Objective: time.Second, MaxAttempts: 1, Targets: []catalog.Target{{Service: "llm", Weight: 1}}}},
+		Services: []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Slots: 8, CacheTokens: 160_000, TokenBytes: 1000, LinkBitRate: 1e9}}},
+	})
+	return g, servers
+}
+
+func modelCall() *Call {
+	return &Call{
+		ID: "1", Method: "POST", Target: "/x", Path: "/x", Host: "h", Header: http.Header{}, Arrived: time.Now(),
+		Model: "m", Parts: []selector.Part{{ID: "doc", Tokens: 9000}, {ID: "own", Tokens: 1000}}, PromptTokens: 10_000, LastEvent: -1,
+	}
+}
+
+// Engines send the head of a stream before they have read the prompt: until the
+// first event the prompt counts as backlog.
+func TestPromptCountsUntilFirstEvent(t *testing.T) {
+	head, events := make(chan struct{}), make(chan struct{})
+	g, servers := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.(http.Flusher).Flush()
+		close(head)
+		<-events
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		w.(http.Flusher).Flush()
+		<-events
+	})
+	backlog := func() float64 { return servers.Loads()[selector.ServerKey{ID: "e"}].Backlog }
+	sink, done := &recorder{}, make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Serve(context.Background(), modelCall(), sink)
+	}()
+	<-head
+	time.Sleep(50 * time.Millisecond)
+	if got := backlog(); got != 10_000 {
+		t.Errorf("backlog %v after the head, want 10000", got)
+	}
+	events <- struct{}{}
+	for deadline := time.Now().Add(2 * time.Second); backlog() != 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := backlog(); got != 0 {
+		t.Errorf("backlog %v after the first event", got)
+	}
+	events <- struct{}{}
+	<-done
+	if sink.body.String() != "id: 1\ndata: a\n\n" || sink.refusal != nil || sink.aborted {
+		t.Errorf("the caller got %q, %v, aborted %v", sink.body.String(), sink.refusal, sink.aborted)
+	}
+}
+
+// A request that no server can take is refused at once, with a time to come back
+// that the caller would wait for.
+func TestRefusalIsImmediate(t *testing.T) {
+	g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
+	g.opts.Directory.Apply([]fleet.Entry{{ID: "e", Revision: 2, Gone: true}}, time.Now())
+	c, sink := modelCall(), &recorder{}
+	c.Patience = 900 * time.Millisecond
+	began := time.Now()
+	g.Serve(context.Background(), c, sink)
+	if time.Since(began) > 100*time.Millisecond || sink.refusal == nil || sink.refusal.Verdict != verdict.NotRun {
+		t.Fatalf("refusal %+v after %v", sink.refusal, time.Since(began))
+	}
+	if after := sink.refusal.RetryAfter; after <= 0 || after > 300*time.Millisecond {
+		t.Errorf("come back in %v, want at most a third of 900 ms", after)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -413,6 +413,15 @@
 	n.send(message{Summary: &s}, targets)
 }
 
+// writers keeps compressors, which are large.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // The level is valid.
+	}
+	return w
+}}
+
 // encode returns the datagram of a message. Summaries, which cross domains, are
 // compressed (RFC 1951).
 func encode(m message) ([]byte, error) {
@@ -420,11 +429,10 @@
 	if err != nil || m.Summary == nil || m.Summary.Forwarded {
 		return data, err
 	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress summary")
-	}
+	w.Reset(&b)
 	if _, err := w.Write(data); err != nil {
 		return nil, errors.Wrap(err, "compress summary")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,7 @@
 		Quota:         n.quota,
 		Suspects:      n.suspects,
 		Shelf:         n.shelf,
+		Placed:        n.wake,
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		RetryRatio:    opts.Bounds.RetryRatio,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,6 +14,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/logging"
@@ -26,6 +27,8 @@
 	// digestInterval is the time between digests. Quotas and loads are corrected
 	// by them; their excess within two intervals fits the slack of quotas.
 	digestInterval = 250 * time.Millisecond
+	// digestPause is the least time between digests that are sent for news.
+	digestPause = 40 * time.Millisecond
 	// largeFleet is the number of VMs from which digests come half as often: each
 	// VM then has a small share of the load that they tell of.
 	largeFleet = 16
@@ -80,6 +83,7 @@
 func (n *Node) sendDigests(ctx context.Context) {
 	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
+	var last time.Time
 	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
@@ -90,6 +94,10 @@
 			}
 		case <-n.kick:
 		}
+		if pause := digestPause - n.now().Sub(last); pause > 0 {
+			clock.Sleep(ctx, pause)
+		}
+		last = n.now()
 		d := n.digest()
 		n.gossip.Send(d)
 		n.keepForRelay(d.Placements, d.Kept)
@@ -148,6 +156,13 @@
 	}
 	view := n.directory.View()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
+	n.applyPeers()
+}
+
+// applyPeers applies what the other VMs told last: their loads, what they
+// reserved and how many they are.
+func (n *Node) applyPeers() {
+	now := n.now()
 	loads := map[selector.ServerKey]selector.Report{}
 	reserved := map[string]bool{}
 	members := 1
@@ -208,9 +223,7 @@
 	n.heardClaim(p.Claim)
 	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
 	n.keepForRelay(p.Placements, p.Kept)
-	if len(p.Reserved) > 0 {
-		n.housekeep()
-	}
+	n.applyPeers()
 	if n.ahead(p.Member, p.Catalog, p.Servers) {
 		go n.fetch(p.Member)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -91,9 +91,7 @@
 	n.suspects.Heard(name, s.Crashes)
 	n.heardClaim(s.Claim)
 	n.learn(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
-	if len(s.Reserved) > 0 {
-		n.housekeep()
-	}
+	n.applyPeers()
 	if n.ahead(s.From, s.Catalog, s.Servers) {
 		go n.fetch(s.From)
 	}
