--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -60,8 +60,8 @@
 	hostKey
 	br *bufio.Reader
 	// Reused is set if the connection carried a request before.
-	Reused    bool
-	idleSince time.Time
+	Reused bool
+	// idleUntil is when the connection is no longer used.
 	idleUntil time.Time
 	written   atomic.Bool
 	writeErr  chan error
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -128,7 +128,7 @@
 		idle = defaultIdle
 	}
 	now := p.now()
-	c.idleSince, c.idleUntil = now, now.Add(idle-idleMargin)
+	c.idleUntil = now.Add(idle - idleMargin)
 	p.mu.Lock()
 	h := p.hosts[c.hostKey]
 	h.idle = append(h.idle, c)
