Believe the end of a server when other VMs heard from the store all along

Change: digests and summaries say for how long a VM has heard from the store; the hold applies only if none has for that long.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -116,6 +116,8 @@
 	Held    []WeightsHeld    `json:"held,omitempty"`
 	// Following is set if the sender reads the store's feeds and hears from them.
 	Following bool `json:"fol,omitempty"`
+	// FollowingFor is for how long without a failure.
+	FollowingFor time.Duration `json:"ff,omitempty"`
 	// Reserved are the engines that the order giver is about to load or is
 	// loading; they should get no new requests.
 	Reserved []backend.ID               `json:"rsv,omitempty"`
@@ -145,19 +147,21 @@
 	Forwarded bool          `json:"fwd,omitempty"`
 	Members   []MemberState `json:"members"`
 	// Uptime is that of the domain's oldest process.
-	Uptime     time.Duration              `json:"up"`
-	Giver      bool                       `json:"giver,omitempty"`
-	Claim      *LeaseClaim                `json:"claim,omitempty"`
-	Catalog    catalog.Version            `json:"cat"`
-	Servers    platform.Version           `json:"srv"`
-	Goals      []WeightsGoal              `json:"goals,omitempty"`
-	Held       []WeightsHeld              `json:"held,omitempty"`
-	Reserved   []backend.ID               `json:"rsv,omitempty"`
-	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
-	Loads      []ServerLoad               `json:"load,omitempty"`
-	Crashes    map[string]int             `json:"crash,omitempty"`
-	Placements []selector.Placement       `json:"place,omitempty"`
-	Kept       []selector.Kept            `json:"kept,omitempty"`
+	Uptime time.Duration `json:"up"`
+	// FollowingFor is for how long some VM of the domain has followed the store.
+	FollowingFor time.Duration              `json:"ff,omitempty"`
+	Giver        bool                       `json:"giver,omitempty"`
+	Claim        *LeaseClaim                `json:"claim,omitempty"`
+	Catalog      catalog.Version            `json:"cat"`
+	Servers      platform.Version           `json:"srv"`
+	Goals        []WeightsGoal              `json:"goals,omitempty"`
+	Held         []WeightsHeld              `json:"held,omitempty"`
+	Reserved     []backend.ID               `json:"rsv,omitempty"`
+	Usage        map[account.ID]quota.Usage `json:"use,omitempty"`
+	Loads        []ServerLoad               `json:"load,omitempty"`
+	Crashes      map[string]int             `json:"crash,omitempty"`
+	Placements   []selector.Placement       `json:"place,omitempty"`
+	Kept         []selector.Kept            `json:"kept,omitempty"`
 }
 
 // message is a datagram: one of the two.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -46,8 +46,8 @@
 	pause    time.Duration
 	after    platform.Version
 	failures int
-	// healthy is set while the store answers.
-	healthy atomic.Bool
+	// healthy is since when the store answers, nil while it doesn't.
+	healthy atomic.Pointer[time.Time]
 	// lostAt is when the store was last found unreachable, returned when it
 	// answered again.
 	lostAt, returned time.Time
@@ -55,7 +55,7 @@
 
 // failed notes a failed call and returns the pause before the next.
 func (n *Node) failed(f *feedState, err error) time.Duration {
-	f.healthy.Store(false)
+	f.healthy.Store(nil)
 	if f.failures == 0 {
 		f.lostAt = n.now()
 		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), logging.Error(err))
@@ -66,7 +66,10 @@
 }
 
 func (n *Node) succeeded(f *feedState) {
-	f.healthy.Store(true)
+	if f.healthy.Load() == nil {
+		now := n.now()
+		f.healthy.Store(&now)
+	}
 	if f.failures == 0 {
 		return
 	}
@@ -200,12 +203,16 @@
 		listed[e.ID] = !e.Gone
 	}
 	n.applyServers(entries, "store")
-	n.directory.Missing(listed, version, lapseHold, n.now())
+	hold := lapseHold
+	if n.storeWasUp() {
+		hold = 0
+	}
+	n.directory.Missing(listed, version, hold, n.now())
 }
 
 func (n *Node) changeServers(changes []platform.Change) {
 	entries := make([]fleet.Entry, 0, len(changes))
-	afterOutage := !n.serverFeed.returned.IsZero() && n.now().Sub(n.serverFeed.returned) < lapseHold
+	afterOutage := !n.serverFeed.returned.IsZero() && n.now().Sub(n.serverFeed.returned) < lapseHold && !n.storeWasUp()
 	for _, c := range changes {
 		e := n.decodeServer(c)
 		if c.Deleted && afterOutage {
@@ -220,6 +227,25 @@
 	}
 }
 
+// storeWasUp reports whether another VM has heard from the store for so long that
+// no row can have lapsed in an outage.
+func (n *Node) storeWasUp() bool {
+	now := n.now()
+	for _, p := range n.gossip.Peers() {
+		if p.Alive(now) && p.FollowingFor >= lapseHold {
+			return true
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.domains {
+		if now.Sub(d.at) < gossip.SilenceLimit && d.summary.FollowingFor >= lapseHold {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) decodeServer(c platform.Change) fleet.Entry {
 	e, err := n.opts.Decoder.Server(c)
 	if err != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -110,21 +110,23 @@
 
 func (n *Node) digest() gossip.Digest {
 	now := n.now()
+	following := n.followingFor(now)
 	d := gossip.Digest{
-		Member:      n.member(),
-		Incarnation: n.opts.VM.Incarnation,
-		Sequence:    n.sequence.Add(1),
-		Uptime:      now.Sub(n.started),
-		Leaving:     n.Leaving(),
-		Ready:       n.Ready(),
-		Giver:       n.keeper.Term().Valid(now, 0),
-		Following:   n.following() && n.operatorFeed.healthy.Load() && n.serverFeed.healthy.Load(),
-		Servers:     n.directory.Revision(),
-		Usage:       n.quota.Usages(),
-		Loads:       loadList(n.servers.Loads()),
-		Crashes:     n.suspects.Own(),
-		Placements:  n.servers.TakePlacements(),
-		Kept:        n.shelf.Take(),
+		Member:       n.member(),
+		Incarnation:  n.opts.VM.Incarnation,
+		Sequence:     n.sequence.Add(1),
+		Uptime:       now.Sub(n.started),
+		Leaving:      n.Leaving(),
+		Ready:        n.Ready(),
+		Giver:        n.keeper.Term().Valid(now, 0),
+		Following:    following > 0,
+		FollowingFor: following,
+		Servers:      n.directory.Revision(),
+		Usage:        n.quota.Usages(),
+		Loads:        loadList(n.servers.Loads()),
+		Crashes:      n.suspects.Own(),
+		Placements:   n.servers.TakePlacements(),
+		Kept:         n.shelf.Take(),
 	}
 	if c := n.Gateway.Catalog(); c != nil {
 		d.Catalog = c.Version
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -41,20 +41,21 @@
 // summary sums the own domain up for the others. The digest is this VM's own.
 func (n *Node) summary(d gossip.Digest) gossip.Summary {
 	s := gossip.Summary{
-		From:        d.Member,
-		Incarnation: d.Incarnation,
-		Sequence:    d.Sequence,
-		Members:     []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving}},
-		Uptime:      d.Uptime,
-		Giver:       d.Giver,
-		Claim:       d.Claim,
-		Catalog:     d.Catalog,
-		Servers:     d.Servers,
-		Goals:       d.Goals,
-		Held:        d.Held,
-		Reserved:    slices.Clone(d.Reserved),
-		Usage:       n.quota.DomainUsages(),
-		Crashes:     maps.Clone(d.Crashes),
+		From:         d.Member,
+		Incarnation:  d.Incarnation,
+		Sequence:     d.Sequence,
+		Members:      []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving}},
+		Uptime:       d.Uptime,
+		FollowingFor: d.FollowingFor,
+		Giver:        d.Giver,
+		Claim:        d.Claim,
+		Catalog:      d.Catalog,
+		Servers:      d.Servers,
+		Goals:        d.Goals,
+		Held:         d.Held,
+		Reserved:     slices.Clone(d.Reserved),
+		Usage:        n.quota.DomainUsages(),
+		Crashes:      maps.Clone(d.Crashes),
 	}
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
@@ -65,6 +66,7 @@
 		}
 		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving})
 		s.Uptime = max(s.Uptime, p.Uptime)
+		s.FollowingFor = max(s.FollowingFor, p.FollowingFor)
 		s.Giver = s.Giver || p.Giver
 		s.Reserved = append(s.Reserved, p.Reserved...)
 		addLoads(loads, p.Loads)
@@ -112,6 +114,16 @@
 	return true
 }
 
+// followingFor returns for how long this VM has read both feeds without a
+// failure; 0 if it doesn't.
+func (n *Node) followingFor(now time.Time) time.Duration {
+	operator, servers := n.operatorFeed.healthy.Load(), n.serverFeed.healthy.Load()
+	if operator == nil || servers == nil || !n.following() {
+		return 0
+	}
+	return max(1, min(now.Sub(*operator), now.Sub(*servers)))
+}
+
 // followers is the number of VMs of a failure domain that read the store's feeds
 // for all: one may be lost.
 const followers = 2
