Take callers only once the servers are known

Change: ready needs a list of servers too. Result: TestNotReadyBeforeServersAreKnown failed before and passes; the platform's tests pass under the race detector.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -255,6 +255,7 @@
 }
 
 func (n *Node) applyServers(entries []fleet.Entry, source string) {
+	defer n.serversKnown.Store(true)
 	for _, e := range n.directory.Apply(entries, n.now()) {
 		n.logServer(e, source)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,8 @@
 	// the order loop only.
 	keptGoals  map[string]uint64
 	storeClock storeClock
+	// serversKnown is set once the servers were listed.
+	serversKnown atomic.Bool
 	// claim is the newest that is known of a holder's term.
 	claim atomic.Pointer[claim]
 
@@ -322,7 +324,9 @@
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
 // Ready reports whether the VM may get callers.
-func (n *Node) Ready() bool { return n.Gateway.Catalog() != nil && !n.Leaving() }
+func (n *Node) Ready() bool {
+	return n.Gateway.Catalog() != nil && n.serversKnown.Load() && !n.Leaving()
+}
 
 // Stop ends the loops.
 func (n *Node) Stop() {
