Learn when servers give up resting connections

Cause: servers may drop idle connections without a notice and sooner than usual; whatever is sent next is reset, and a request that must not be repeated is lost. Change: a request that is reset at once on a reused connection teaches for how long connections may rest; longer ones are not used for ten seconds.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -30,6 +30,10 @@
 	// idleKeepAlive finds idle connections that went silent.
 	idleKeepAlive = 1 * time.Second
 	readBuffer    = 4 << 10
+	// dropNotice is the time within which a server resets a request on a
+	// connection that it had given up: a round trip between failure domains, with
+	// room for a busy VM.
+	dropNotice = 30 * time.Millisecond
 	// maxCrossed is how many answers to other requests may come first.
 	maxCrossed = 4
 	// concurrentBody is the body size, in bytes, from which the body is written
@@ -63,9 +67,15 @@
 	Reused bool
 	// idleUntil is when the connection is no longer used.
 	idleUntil time.Time
-	written   atomic.Bool
-	writeErr  chan error
-	broken    bool
+	// restedFrom is when the connection became idle, and rested for how long it
+	// was when it was last taken.
+	restedFrom time.Time
+	rested     time.Duration
+	// dropped is set if the server had given the idle connection up unnoticed.
+	dropped  bool
+	written  atomic.Bool
+	writeErr chan error
+	broken   bool
 }
 
 func dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -119,12 +129,14 @@
 		}
 		return nil, errors.Wrap(err, "write request")
 	}
+	sent := time.Now()
 	for range maxCrossed {
 		resp, err := c.readHead(r)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
+			c.dropped = c.Reused && time.Since(sent) < dropNotice
 			return nil, errors.Wrap(err, "read answer")
 		}
 		if match(resp) {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -229,3 +229,47 @@
 		}
 	}
 }
+
+// A server that gives up resting connections without a notice costs one request;
+// after that, connections that have rested as long are not used.
+func TestDroppedConnectionsAreLearnt(t *testing.T) {
+	const rest = 60 * time.Millisecond
+	var lost atomic.Int32
+	addr := serve(t, func(_ int, c net.Conn) {
+		last := time.Now()
+		for {
+			r, err := readRequest(c)
+			if err != nil {
+				return
+			}
+			if time.Since(last) > rest {
+				lost.Add(1)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
+			}
+			reply(c, r.Header.Get("Id"), "ok")
+			last = time.Now()
+		}
+	})
+	p := NewPool()
+	failed := 0
+	for range 6 {
+		if _, _, err := exchange(t, p, addr, "a"); err != nil {
+			failed++
+		}
+		time.Sleep(2 * rest)
+	}
+	if failed != 1 || lost.Load() != 1 {
+		t.Errorf("%d requests failed and %d were lost, want one", failed, lost.Load())
+	}
+	for range 3 { // Connections that rest for less are still used.
+		_, c, err := exchange(t, p, addr, "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.rested > rest {
+			t.Errorf("a connection was used that had rested for %v", c.rested)
+		}
+	}
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -17,6 +17,11 @@
 	// idleMargin is how long before the server's timeout a connection is no
 	// longer used, so that the close doesn't cross a request.
 	idleMargin = 500 * time.Millisecond
+	// After a server gave up a connection that had rested, connections are used
+	// only if they rested for less than restShare of that time, for restMemory.
+	// Such servers drop what rests for some hundred milliseconds, for seconds.
+	restShare  = 0.75
+	restMemory = 10 * time.Second
 )
 
 // ErrNoConnection means that the server's share of connections is used up.
@@ -27,6 +32,10 @@
 	mu    sync.Mutex
 	hosts map[hostKey]*host
 	now   func() time.Time
+	// restLimit bounds the rest of a connection that is used again, until
+	// restUntil.
+	restLimit time.Duration
+	restUntil time.Time
 }
 
 // hostKey names a server's run and its address.
@@ -65,7 +74,9 @@
 		if c == nil {
 			return nil
 		}
-		if c.sound(p.now()) {
+		now := p.now()
+		c.rested = now.Sub(c.restedFrom)
+		if p.mayRest(c.rested, now) && c.sound(now) {
 			c.Reused = true
 			return c
 		}
@@ -73,6 +84,26 @@
 	}
 }
 
+// mayRest reports whether a connection may be used that has rested for d.
+func (p *Pool) mayRest(d time.Duration, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.After(p.restUntil) || d < p.restLimit
+}
+
+// noteDropped learns from a connection that a server gave up unnoticed. All
+// servers are taken to do alike: each that has to be learnt apart costs a request.
+func (p *Pool) noteDropped(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	limit := time.Duration(restShare * float64(c.rested))
+	if now.After(p.restUntil) || limit < p.restLimit {
+		p.restLimit = limit
+	}
+	p.restUntil = now.Add(restMemory)
+}
+
 func (p *Pool) popIdle(key hostKey) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,6 +143,9 @@
 
 // Discard closes a connection.
 func (p *Pool) Discard(c *Conn) {
+	if c.dropped {
+		p.noteDropped(c)
+	}
 	_ = c.Close()
 	p.unreserve(c.hostKey)
 }
@@ -128,7 +162,7 @@
 		idle = defaultIdle
 	}
 	now := p.now()
-	c.idleUntil = now.Add(idle - idleMargin)
+	c.idleUntil, c.restedFrom = now.Add(idle-idleMargin), now
 	p.mu.Lock()
 	h := p.hosts[c.hostKey]
 	h.idle = append(h.idle, c)
