Send callers to as many VMs as the calls need, strongest first

Cause: on the grown deployments callers were spread over 73 and 86 VMs, most of them with a fifth of a core and 10 Mbit/s, at 9 calls a second each. Every VM chose engines by what the others had told half a second ago, and kept its own connections. Change: VMs tell their processor and their rate of calls; callers of a domain are sent to the strongest few, four at least, and to more as the rate grows. The others stand by.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,9 @@
 // Catalog returns the configuration in force, or nil.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
 
+// Calls returns the number of calls so far.
+func (g *Gateway) Calls() int64 { return g.meters.requests.Count() }
+
 // SetMembers sets the number of VMs that share the servers' connections.
 func (g *Gateway) SetMembers(n int) { g.members.Store(int64(max(1, n))) }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -80,6 +80,8 @@
 	Caller string `json:"caller"`
 	// Peer is where digests go and where states are fetched, host:port.
 	Peer string `json:"peer"`
+	// Cores is the processor that the VM has, in cores; 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // LeaseClaim is what the holder of the lease for orders says of its term.
@@ -104,6 +106,8 @@
 	Uptime   time.Duration `json:"up"`
 	Leaving  bool          `json:"leaving,omitempty"`
 	Ready    bool          `json:"ready,omitempty"`
+	// Calls is the rate of calls that the sender gets, in calls a second.
+	Calls float64 `json:"calls,omitempty"`
 	// Giver is set if the sender holds the lease for orders to engines.
 	Giver bool `json:"giver,omitempty"`
 	// Claim is the last that the sender knows of a holder's term.
@@ -133,8 +137,9 @@
 // MemberState is what a summary says of a VM.
 type MemberState struct {
 	Member
-	Ready   bool `json:"ready,omitempty"`
-	Leaving bool `json:"leaving,omitempty"`
+	Ready   bool    `json:"ready,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Calls   float64 `json:"calls,omitempty"`
 }
 
 // Summary is what a relay tells the other failure domains of its own.
@@ -279,7 +284,7 @@
 			p = &Peer{}
 			n.peers[m.ID] = p
 		}
-		p.Member, p.Ready, p.Leaving, p.At = m.Member, m.Ready, m.Leaving, now
+		p.Member, p.Ready, p.Leaving, p.Calls, p.At = m.Member, m.Ready, m.Leaving, m.Calls, now
 	}
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/rollout"
 	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/steer"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -174,6 +175,8 @@
 	storeClock storeClock
 	// serversKnown is set once the servers were listed.
 	serversKnown atomic.Bool
+	// calls is the rate of calls; it is used by the digest loop only.
+	calls steer.Meter
 	// claim is the newest that is known of a holder's term.
 	claim atomic.Pointer[claim]
 
@@ -279,6 +282,7 @@
 		FailureDomain: n.opts.VM.FailureDomain,
 		Caller:        n.opts.VM.CallerAddress,
 		Peer:          n.opts.Peer,
+		Cores:         n.opts.VM.Cores,
 	}
 }
 
@@ -347,31 +351,37 @@
 	}
 }
 
-// Addresses returns where callers of a failure domain should connect: the VMs of
-// that domain, or all if it has too few.
+// Addresses returns where callers of a failure domain should connect: VMs of
+// that domain, and of others if it has too few.
 func (n *Node) Addresses(domain string) []string {
-	var near, far []string
-	add := func(d, address string) {
-		if d == domain {
-			near = append(near, address)
+	var near, far []steer.VM
+	add := func(domainOf string, v steer.VM) {
+		if domainOf == domain {
+			near = append(near, v)
 		} else {
-			far = append(far, address)
+			far = append(far, v)
 		}
 	}
 	if n.Ready() {
-		add(n.opts.VM.FailureDomain, n.opts.VM.CallerAddress)
+		self := n.opts.VM
+		add(self.FailureDomain, steer.VM{ID: self.ID, Cores: self.Cores, Calls: n.calls.Last(), Address: self.CallerAddress})
 	}
 	now := n.now()
 	for _, p := range n.gossip.Peers() {
 		if p.Alive(now) && p.Ready && !p.Leaving {
-			add(p.FailureDomain, p.Caller)
+			add(p.FailureDomain, steer.VM{ID: p.ID, Cores: p.Cores, Calls: p.Calls, Address: p.Caller})
 		}
 	}
-	if len(near) >= minAddresses || len(far) == 0 {
-		return near
+	picked := steer.Pick(near)
+	if missing := minAddresses - len(picked); missing > 0 {
+		rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+		picked = append(picked, far[:min(len(far), missing)]...)
 	}
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near, far[:min(len(far), minAddresses-len(near))]...)
+	addresses := make([]string, 0, len(picked))
+	for _, v := range picked {
+		addresses = append(addresses, v.Address)
+	}
+	return addresses
 }
 
 // minAddresses is the least number of VMs that callers choose from, so that the
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -118,6 +118,7 @@
 		Uptime:       now.Sub(n.started),
 		Leaving:      n.Leaving(),
 		Ready:        n.Ready(),
+		Calls:        n.calls.Rate(n.Gateway.Calls(), now),
 		Giver:        n.keeper.Term().Valid(now, 0),
 		Following:    following > 0,
 		FollowingFor: following,
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -18,6 +18,8 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress is where other routers connect, host:port.
 	PeerAddress string `json:"peer_address"`
+	// Cores is the processor that the VM has, in cores; 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
 	// Leaving is set while the VM drains.
 	Leaving bool `json:"leaving,omitempty"`
 }
