Give each prompt one of the stores of kept cache

Cause: the grown deployments have three stores. Change: a prompt's store is chosen by rendezvous; what is known of stores names them. Together they keep three times as much.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 )
 
 // Version orders configurations. It grows in uneven steps.
@@ -196,16 +197,18 @@
 // Service returns a service, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
-// Store returns a store of kept cache, in the domain if there is one, or nil.
-func (c *Catalog) Store(domain string) *KVStore {
-	var store *KVStore
+// Store returns the store that keeps the cache of a prompt, or nil without one.
+// Each prompt has one store, so that stores together keep as many prompts as
+// their memory allows and all VMs look in the same place.
+func (c *Catalog) Store(prompt rendezvous.Key) *KVStore {
+	var best *KVStore
 	for i := range c.Services {
 		s := c.Services[i].KVStore
-		if s != nil && (store == nil || s.FailureDomain == domain && store.FailureDomain != domain) {
-			store = s
+		if s != nil && (best == nil || prompt.Score(s.Address) > prompt.Score(best.Address)) {
+			best = s
 		}
 	}
-	return store
+	return best
 }
 
 // HasAccounts reports whether requests need a key.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,9 +1,11 @@
 package catalog
 
 import (
+	"strconv"
 	"testing"
 
 	"papayaspan.dev/papayaspan/internal/account"
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 )
 
 func TestLookups(t *testing.T) {
@@ -42,3 +44,28 @@
 		}
 	}
 }
+
+// Every VM looks for a prompt in the same store, and the stores share the prompts.
+func TestStoresShareThePrompts(t *testing.T) {
+	store := func(name, domain string) Service {
+		return Service{Name: name, KVStore: &KVStore{Address: name + ":1", FailureDomain: domain}}
+	}
+	a := New(Snapshot{Services: []Service{store("x", "a"), store("y", "b"), store("z", "c"), {Name: "app"}}})
+	b := New(Snapshot{Services: []Service{store("z", "c"), {Name: "app"}, store("x", "a"), store("y", "b")}})
+	count := map[string]int{}
+	for i := range 3000 {
+		key := rendezvous.NewKey(strconv.Itoa(i))
+		if a.Store(key).Address != b.Store(key).Address {
+			t.Fatal("two VMs look in different stores")
+		}
+		count[a.Store(key).Address]++
+	}
+	for address, n := range count {
+		if len(count) != 3 || n < 850 || n > 1150 { // A third is 1000; 150 are 5 standard deviations.
+			t.Errorf("%s keeps %d of 3000 prompts", address, n)
+		}
+	}
+	if New(Snapshot{}).Store(1) != nil {
+		t.Error("a store without stores")
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,8 +79,9 @@
 	read atomic.Bool
 	// silent is set if the attempt was given up because the server sent nothing.
 	silent atomic.Bool
-	// saves is set if the engine keeps a copy of the shared parts in the store.
-	saves bool
+	// saveAddress is the store in which the engine keeps a copy of the shared
+	// parts; empty for none.
+	saveAddress string
 }
 
 // try sends the call to one server and relays the answer.
@@ -192,10 +193,10 @@
 	if store == nil || a.c.Fetch.Source == sourceStore {
 		return ""
 	}
-	if t.g.opts.Shelf.Holds(t.prompt, a.c.Weights(t.call.Model), store.CacheTokens) > 0 {
+	if t.g.opts.Shelf.Holds(store.Address, t.prompt, a.c.Weights(t.call.Model), store.CacheTokens) > 0 {
 		return ""
 	}
-	a.saves = true
+	a.saveAddress = store.Address
 	return store.Address
 }
 
@@ -203,10 +204,10 @@
 func (a *attempt) noteStore() {
 	t := a.t
 	switch {
-	case a.saves:
-		t.g.opts.Shelf.Saved(t.prompt, a.c.Weights(t.call.Model))
+	case a.saveAddress != "":
+		t.g.opts.Shelf.Saved(a.saveAddress, t.prompt, a.c.Weights(t.call.Model))
 	case a.c.Fetch.Source == sourceStore:
-		t.g.opts.Shelf.Used(t.prompt, a.c.Weights(t.call.Model))
+		t.g.opts.Shelf.Used(a.c.Fetch.Address, t.prompt, a.c.Weights(t.call.Model))
 	}
 }
 
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -258,7 +258,7 @@
 	if store == nil {
 		return
 	}
-	kept := t.g.opts.Shelf.Holds(t.prompt, c.Weights(t.call.Model), store.CacheTokens)
+	kept := t.g.opts.Shelf.Holds(store.Address, t.prompt, c.Weights(t.call.Model), store.CacheTokens)
 	if tokens := float64(kept) - c.CachedTokens; tokens > 0 {
 		c.Fetch = selector.Fetch{
 			Tokens: tokens, Source: sourceStore, Address: store.Address, FailureDomain: store.FailureDomain,
@@ -275,7 +275,7 @@
 	if t.prompt == nil || !t.prompt.Keepable() {
 		return nil
 	}
-	return t.catalog.Store(t.g.opts.FailureDomain)
+	return t.catalog.Store(t.prompt.SharedKey())
 }
 
 func (t *task) hasTried(e *fleet.Entry) bool {
--- a/internal/selector/prompt.go
+++ b/internal/selector/prompt.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/rendezvous"
 )
 
 // Part is a piece of a prompt that requests may share.
@@ -73,12 +74,23 @@
 	return sum
 }
 
+// sharedHash names the shared parts; 0 if there are none.
+func (p *Prompt) sharedHash() uint64 {
+	if len(p.chain) < 2 {
+		return 0
+	}
+	return p.chain[len(p.chain)-2].hash
+}
+
+// SharedKey is the key by which the shared parts are given a store.
+func (p *Prompt) SharedKey() rendezvous.Key { return rendezvous.Key(p.sharedHash()) }
+
 // Name names the shared parts for logs, without revealing the prompt.
 func (p *Prompt) Name() string {
 	if len(p.chain) < 2 {
 		return ""
 	}
-	return strconv.FormatUint(p.chain[len(p.chain)-2].hash, 16)
+	return strconv.FormatUint(p.sharedHash(), 16)
 }
 
 // Fetchable reports whether the shared parts are worth a transfer between
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -248,24 +248,45 @@
 	now := time.Unix(1000, 0)
 	s := NewShelf(func() time.Time { return now })
 	p := NewPrompt(model, "s", 12_500, []Part{{"doc", 12_000}, {"own", 500}})
-	s.Saved(p, 3)
-	if s.Holds(p, 3, 100_000) != 12_000 || s.Holds(p, 4, 100_000) != 0 {
+	s.Saved("store", p, 3)
+	if s.Holds("store", p, 3, 100_000) != 12_000 || s.Holds("store", p, 4, 100_000) != 0 {
 		t.Error("the shelf mixes up weights")
 	}
 	peer := NewShelf(func() time.Time { return now })
 	for _, k := range s.Take() {
 		peer.Heard(k)
 	}
-	if peer.Holds(p, 3, 100_000) != 12_000 || len(s.Take()) != 0 {
+	if peer.Holds("store", p, 3, 100_000) != 12_000 || len(s.Take()) != 0 {
 		t.Error("another VM doesn't know what was kept")
 	}
 	now = now.Add(time.Second)
-	s.Saved(NewPrompt(model, "s", 90_000, []Part{{"filler", 80_000}, {"own", 10_000}}), 3)
-	if s.Holds(p, 3, 100_000) != 0 {
+	s.Saved("store", NewPrompt(model, "s", 90_000, []Part{{"filler", 80_000}, {"own", 10_000}}), 3)
+	if s.Holds("store", p, 3, 100_000) != 0 {
 		t.Error("counts on a part that was driven out")
 	}
 }
 
+// What one store keeps is not looked for in another, and takes no room there.
+func TestShelfTellsStoresApart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, peer := NewShelf(func() time.Time { return now }), NewShelf(func() time.Time { return now })
+	p := NewPrompt(model, "s", 12_500, []Part{{"doc", 12_000}, {"own", 500}})
+	s.Saved("near", p, 3)
+	now = now.Add(time.Second)
+	s.Saved("far", NewPrompt(model, "s", 90_000, []Part{{"filler", 80_000}, {"own", 10_000}}), 3)
+	for _, k := range s.Take() {
+		peer.Heard(k)
+	}
+	for name, shelf := range map[string]*Shelf{"own": s, "peer": peer} {
+		if shelf.Holds("far", p, 3, 100_000) != 0 {
+			t.Errorf("%s: a store is taken to hold what another keeps", name)
+		}
+		if shelf.Holds("near", p, 3, 100_000) != 12_000 {
+			t.Errorf("%s: parts of another store drive out a part", name)
+		}
+	}
+}
+
 // At an overload long prompts are refused, short ones pass, and the length of a
 // prompt doesn't decide.
 func TestAdmitUnderOverload(t *testing.T) {
--- a/internal/selector/shelf.go
+++ b/internal/selector/shelf.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// shelfKey names shared parts that were read with some weights.
+// shelfKey names shared parts in a store that were read with some weights.
 type shelfKey struct {
+	store           string
 	prefix, weights uint64
 }
 
-// Shelf is what this VM believes of a store of kept cache: the parts that
-// engines sent there. The store drops what was used least recently. It is safe
-// for concurrent use.
+// Shelf is what this VM believes of the stores of kept cache: the parts that
+// engines sent there. A store drops what was used least recently. It is safe for
+// concurrent use.
 type Shelf struct {
 	now   func() time.Time
 	mu    sync.Mutex
@@ -23,6 +24,8 @@
 
 // Kept tells other VMs that a store has got the shared parts of a prompt.
 type Kept struct {
+	// Store is the store's address.
+	Store   string `json:"s"`
 	Prefix  uint64 `json:"p"`
 	Weights uint64 `json:"w"`
 	Tokens  int    `json:"t"`
@@ -33,22 +36,22 @@
 	return &Shelf{now: now, parts: map[shelfKey]holding{}}
 }
 
-func keyOf(p *Prompt, weights uint64) shelfKey {
-	return shelfKey{prefix: p.chain[len(p.chain)-2].hash, weights: weights}
+func keyOf(store string, p *Prompt, weights uint64) shelfKey {
+	return shelfKey{store: store, prefix: p.sharedHash(), weights: weights}
 }
 
 // Holds returns the shared tokens of the prompt that a store with a capacity in
 // tokens holds.
-func (s *Shelf) Holds(p *Prompt, weights uint64, capacity int) int {
+func (s *Shelf) Holds(store string, p *Prompt, weights uint64, capacity int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x, ok := s.parts[keyOf(p, weights)]
+	x, ok := s.parts[keyOf(store, p, weights)]
 	if !ok {
 		return 0
 	}
 	sum := 0
-	for _, o := range s.parts {
-		if o.used.After(x.used) {
+	for key, o := range s.parts {
+		if key.store == store && o.used.After(x.used) {
 			sum += o.tokens
 		}
 	}
@@ -59,19 +62,23 @@
 }
 
 // Used notes that the parts are fetched from the store.
-func (s *Shelf) Used(p *Prompt, weights uint64) { s.put(keyOf(p, weights), p.SharedTokens()) }
+func (s *Shelf) Used(store string, p *Prompt, weights uint64) {
+	s.put(keyOf(store, p, weights), p.SharedTokens())
+}
 
 // Saved notes that an engine has read the parts and sends them to the store.
-func (s *Shelf) Saved(p *Prompt, weights uint64) {
-	key := keyOf(p, weights)
+func (s *Shelf) Saved(store string, p *Prompt, weights uint64) {
+	key := keyOf(store, p, weights)
 	s.put(key, p.SharedTokens())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = append(s.told, Kept{Prefix: key.prefix, Weights: weights, Tokens: p.SharedTokens()})
+	s.told = append(s.told, Kept{Store: store, Prefix: key.prefix, Weights: weights, Tokens: p.SharedTokens()})
 }
 
 // Heard notes what another VM tells.
-func (s *Shelf) Heard(k Kept) { s.put(shelfKey{prefix: k.Prefix, weights: k.Weights}, k.Tokens) }
+func (s *Shelf) Heard(k Kept) {
+	s.put(shelfKey{store: k.Store, prefix: k.Prefix, weights: k.Weights}, k.Tokens)
+}
 
 func (s *Shelf) put(key shelfKey, tokens int) {
 	s.mu.Lock()
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -206,7 +206,7 @@
 		if !told && prompt.Keepable() {
 			t.placed = append(t.placed, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
-				Prefix: prompt.chain[len(prompt.chain)-2].hash, Tokens: prompt.SharedTokens(), ReadIn: takes,
+				Prefix: prompt.sharedHash(), Tokens: prompt.SharedTokens(), ReadIn: takes,
 			})
 		}
 	}
