Keep accounts waiting from the first admission on in the fairness check

The check says that it keeps accounts waiting and did not. Change: requests wait before the first admission, and the check fails if an account runs out of them. The bound is as before; the four seeds stay as cases.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -135,13 +135,26 @@
 func fairness(newScheduler func() scheduler, seed int64) error {
 	d := newDrive(newScheduler(), seed)
 	weights := map[account.ID]float64{"flood": 1, "a": 1, "b": 2, "c": 0.5}
-	for range 400 {
+	enqueue := func() {
 		for _, id := range []account.ID{"flood", "flood", "flood", "flood", "flood", "a", "b", "c"} {
 			for range 2 {
 				d.enqueue(d.request(id, weights[id]))
 			}
 		}
+	}
+	// No account may run out of requests while the engines fill up: it would get
+	// no credit for that time, and the bound holds for waiting accounts.
+	for range 8 {
+		enqueue()
+	}
+	for range 400 {
+		enqueue()
 		d.admit()
+		for id := range weights {
+			if d.waiting[id] == 0 {
+				return errors.Errorf("%s was not kept waiting", id)
+			}
+		}
 		d.finishOne()
 	}
 	for x, wx := range weights {
@@ -233,6 +246,18 @@
 	return nil
 }
 
+// unfairSeeds broke the bound when the accounts were idle while the engines filled
+// up: an account that had nothing waiting then got no credit for that time.
+var unfairSeeds = []int64{3093521367688254183, 9151636454784645619, 1172734810633838082, 1514546885947821217}
+
+func TestFairnessSeeds(t *testing.T) {
+	for _, seed := range unfairSeeds {
+		if err := fairness(newFair, seed); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 func TestQueueProperties(t *testing.T) {
 	for desc, c := range map[string]check{
 		"per-account fairness": fairness,
