--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,34 +3,26 @@
 // and of backend servers, and what each admits and sends. What a digest shows to
 // be newer elsewhere is fetched over HTTP from that VM.
 //
-// Digests go to the VMs of the sender's failure domain. Two relays of each domain
+// Digests go to the VMs of the sender's failure domain; news of placed prompts go
+// at once to those that take calls, and to the others a few times a second. Two
+// relays of each domain
 // sum them up for the other domains, whose relays pass the summary on within
 // theirs, so that little crosses domains and the traffic of a VM grows with the
 // size of its domain only.
 package gossip
 
 import (
-	"bytes"
-	"compress/flate"
+	"cmp"
 	"context"
-	"encoding/json"
-	"io"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"papayaspan.dev/papayaspan/internal/account"
-	"papayaspan.dev/papayaspan/internal/backend"
-	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/logging"
-	"papayaspan.dev/papayaspan/internal/platform"
-	"papayaspan.dev/papayaspan/internal/quota"
-	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -43,138 +35,14 @@
 	forgetAfter = 10 * time.Second
 	// maxDatagram bounds a digest, in bytes.
 	maxDatagram = 60 << 10
-	// maxSummary bounds a summary once decompressed, in bytes.
-	maxSummary = 1 << 20
+	// everyoneInterval is the least time between two summaries of a domain that
+	// are passed on to all VMs; those that take calls get every one.
+	everyoneInterval = 400 * time.Millisecond
+	// busyCalls is the rate of calls, in calls a second, from which a VM needs
+	// what others place at once.
+	busyCalls = 0.5
 )
 
-// ServerLoad is the load that the sender puts on a backend server.
-type ServerLoad struct {
-	ID      backend.ID `json:"i"`
-	Started int64      `json:"s"`
-	Running int        `json:"n"`
-	Backlog int        `json:"b,omitempty"`
-	Churn   int        `json:"c,omitempty"`
-	Memory  int        `json:"m,omitempty"`
-}
-
-// WeightsGoal is the version of a model that the sender knows to be named.
-type WeightsGoal struct {
-	Model   string        `json:"m"`
-	Version uint64        `json:"v"`
-	Age     time.Duration `json:"a"`
-}
-
-// WeightsHeld is the version of a model that the sender knows a server to hold.
-type WeightsHeld struct {
-	ID      backend.ID `json:"i"`
-	Started int64      `json:"s"`
-	Model   string     `json:"m"`
-	Version uint64     `json:"v"`
-}
-
-// Member is how a VM is reached.
-type Member struct {
-	ID            vm.ID  `json:"id"`
-	FailureDomain string `json:"domain"`
-	// Caller is where callers connect, host:port.
-	Caller string `json:"caller"`
-	// Peer is where digests go and where states are fetched, host:port.
-	Peer string `json:"peer"`
-	// Cores is the processor that the VM has, in cores; 0 if unknown.
-	Cores float64 `json:"cores,omitempty"`
-}
-
-// LeaseClaim is what the holder of the lease for orders says of its term.
-type LeaseClaim struct {
-	Fencing  uint64 `json:"f"`
-	Renewals uint64 `json:"r"`
-	// Left is the time for which it may still give orders; 0 if it gave the lease
-	// up.
-	Left time.Duration `json:"l"`
-	// OrderAge is the time since its last order; negative if it gave none.
-	OrderAge time.Duration `json:"o"`
-	// Age is the time since the holder said so.
-	Age time.Duration `json:"a"`
-}
-
-// Digest is what a VM tells the others.
-type Digest struct {
-	Member
-	Incarnation vm.Incarnation `json:"inc"`
-	// Sequence grows with each digest of a process.
-	Sequence uint64        `json:"seq"`
-	Uptime   time.Duration `json:"up"`
-	Leaving  bool          `json:"leaving,omitempty"`
-	Ready    bool          `json:"ready,omitempty"`
-	// Calls is the rate of calls that the sender gets, in calls a second.
-	Calls float64 `json:"calls,omitempty"`
-	// Giver is set if the sender holds the lease for orders to engines.
-	Giver bool `json:"giver,omitempty"`
-	// Claim is the last that the sender knows of a holder's term.
-	Claim *LeaseClaim `json:"claim,omitempty"`
-	// Catalog is the version of the configuration in force.
-	Catalog catalog.Version `json:"cat"`
-	// Servers is the revision of the newest server entry known.
-	Servers platform.Version `json:"srv"`
-	Goals   []WeightsGoal    `json:"goals,omitempty"`
-	Held    []WeightsHeld    `json:"held,omitempty"`
-	// Following is set if the sender reads the store's feeds and hears from them.
-	Following bool `json:"fol,omitempty"`
-	// FollowingFor is for how long without a failure.
-	FollowingFor time.Duration `json:"ff,omitempty"`
-	// Reserved are the engines that the order giver is about to load or is
-	// loading; they should get no new requests.
-	Reserved []backend.ID               `json:"rsv,omitempty"`
-	Usage    map[account.ID]quota.Usage `json:"use,omitempty"`
-	Loads    []ServerLoad               `json:"load,omitempty"`
-	Crashes  map[string]int             `json:"crash,omitempty"`
-	// Placements are the prompts that the sender placed lately.
-	Placements []selector.Placement `json:"place,omitempty"`
-	// Kept are the prompts whose parts the store has got lately.
-	Kept []selector.Kept `json:"kept,omitempty"`
-}
-
-// MemberState is what a summary says of a VM.
-type MemberState struct {
-	Member
-	Ready   bool    `json:"ready,omitempty"`
-	Leaving bool    `json:"leaving,omitempty"`
-	Calls   float64 `json:"calls,omitempty"`
-}
-
-// Summary is what a relay tells the other failure domains of its own.
-type Summary struct {
-	// From is the relay.
-	From        Member         `json:"from"`
-	Incarnation vm.Incarnation `json:"inc"`
-	Sequence    uint64         `json:"seq"`
-	// Forwarded is set once a relay of another domain passes the summary on.
-	Forwarded bool          `json:"fwd,omitempty"`
-	Members   []MemberState `json:"members"`
-	// Uptime is that of the domain's oldest process.
-	Uptime time.Duration `json:"up"`
-	// FollowingFor is for how long some VM of the domain has followed the store.
-	FollowingFor time.Duration              `json:"ff,omitempty"`
-	Giver        bool                       `json:"giver,omitempty"`
-	Claim        *LeaseClaim                `json:"claim,omitempty"`
-	Catalog      catalog.Version            `json:"cat"`
-	Servers      platform.Version           `json:"srv"`
-	Goals        []WeightsGoal              `json:"goals,omitempty"`
-	Held         []WeightsHeld              `json:"held,omitempty"`
-	Reserved     []backend.ID               `json:"rsv,omitempty"`
-	Usage        map[account.ID]quota.Usage `json:"use,omitempty"`
-	Loads        []ServerLoad               `json:"load,omitempty"`
-	Crashes      map[string]int             `json:"crash,omitempty"`
-	Placements   []selector.Placement       `json:"place,omitempty"`
-	Kept         []selector.Kept            `json:"kept,omitempty"`
-}
-
-// message is a datagram: one of the two.
-type message struct {
-	Digest  *Digest  `json:"d,omitempty"`
-	Summary *Summary `json:"s,omitempty"`
-}
-
 // relayCount is the number of relays of a domain: one may be lost.
 const relayCount = 2
 
@@ -212,8 +80,20 @@
 	peers map[vm.ID]*Peer
 	// relays holds the last summary of each relay of other domains.
 	relays map[vm.ID]*Summary
+	// forwarded is when a summary of a domain was last passed on to all.
+	forwarded map[string]time.Time
 }
 
+// Audience says which VMs of the domain a message is for.
+type Audience uint8
+
+const (
+	// Everyone are all VMs of the domain.
+	Everyone Audience = iota
+	// Busy are those that take calls, and the relays.
+	Busy
+)
+
 // New opens the socket.
 func New(opts Options) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp4", opts.Listen)
@@ -224,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s/udp", opts.Listen)
 	}
-	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}}, nil
+	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, forwarded: map[string]time.Time{}}, nil
 }
 
 // Run receives digests until ctx ends.
@@ -292,7 +172,19 @@
 // forward passes a summary on within the own domain.
 func (n *Node) forward(s Summary) {
 	s.Forwarded = true
-	n.send(message{Summary: &s}, n.domainPeers())
+	n.send(message{Summary: &s}, n.listeners(n.forwardTo(s.From.FailureDomain)))
+}
+
+// forwardTo returns who gets the next summary of a domain.
+func (n *Node) forwardTo(domain string) Audience {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Now()
+	if now.Sub(n.forwarded[domain]) < everyoneInterval {
+		return Busy
+	}
+	n.forwarded[domain] = now
+	return Everyone
 }
 
 // accept keeps a digest unless a newer one of the VM is known.
@@ -372,13 +264,43 @@
 	return slices.DeleteFunc(n.Peers(), func(p Peer) bool { return p.FailureDomain != n.opts.Self.FailureDomain })
 }
 
-// Rank returns the place of this VM among the live ones of its domain, by ID
-// from 0.
+// listeners lists the other VMs of the own domain that a message is for.
+func (n *Node) listeners(a Audience) []Peer {
+	peers := n.domainPeers()
+	if a == Everyone {
+		return peers
+	}
+	now := n.opts.Now()
+	slices.SortFunc(peers, func(a, b Peer) int { return stronger(&a, &b, now) })
+	busy := peers[:0]
+	for i, p := range peers {
+		if i < relayCount || p.Calls >= busyCalls {
+			busy = append(busy, p)
+		}
+	}
+	return busy
+}
+
+// stronger orders VMs by their fitness for duties: live ones first, then by
+// processor, then by ID.
+func stronger(a, b *Peer, now time.Time) int {
+	if x, y := a.Alive(now), b.Alive(now); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.ID, b.ID))
+}
+
+// Rank returns the place of this VM among the live ones of its domain, from 0,
+// the strongest.
 func (n *Node) Rank() int {
 	now := n.opts.Now()
+	self := Peer{Digest: Digest{Member: n.opts.Self}, At: now}
 	rank := 0
 	for _, p := range n.domainPeers() {
-		if p.Alive(now) && p.ID < n.opts.Self.ID {
+		if p.Alive(now) && stronger(&p, &self, now) < 0 {
 			rank++
 		}
 	}
@@ -388,8 +310,8 @@
 // IsRelay reports whether this VM sums its domain up for the others.
 func (n *Node) IsRelay() bool { return n.Rank() < relayCount }
 
-// Send sends a digest to the VMs of the own domain.
-func (n *Node) Send(d Digest) { n.send(message{Digest: &d}, n.domainPeers()) }
+// Send sends a digest to VMs of the own domain.
+func (n *Node) Send(d Digest, to Audience) { n.send(message{Digest: &d}, n.listeners(to)) }
 
 // SendSummary sends a summary to the relays of the other domains: this VM's rank
 // says to which, so that two relays make two paths.
@@ -405,15 +327,7 @@
 	alone := len(s.Members) == 1
 	var targets []Peer
 	for _, list := range domains {
-		slices.SortFunc(list, func(a, b Peer) int {
-			if x, y := a.Alive(now), b.Alive(now); x != y {
-				if x {
-					return -1
-				}
-				return 1
-			}
-			return strings.Compare(string(a.ID), string(b.ID))
-		})
+		slices.SortFunc(list, func(a, b Peer) int { return stronger(&a, &b, now) })
 		targets = append(targets, list[min(rank, len(list)-1)])
 		if alone && len(list) > 1 {
 			targets = append(targets, list[1])
@@ -422,48 +336,6 @@
 	n.send(message{Summary: &s}, targets)
 }
 
-// writers keeps compressors, which are large.
-var writers = sync.Pool{New: func() any {
-	w, err := flate.NewWriter(nil, flate.BestSpeed)
-	if err != nil {
-		panic(err) // The level is valid.
-	}
-	return w
-}}
-
-// encode returns the datagram of a message. Summaries, which cross domains, are
-// compressed (RFC 1951).
-func encode(m message) ([]byte, error) {
-	data, err := json.Marshal(m)
-	if err != nil || m.Summary == nil || m.Summary.Forwarded {
-		return data, err
-	}
-	w := writers.Get().(*flate.Writer)
-	defer writers.Put(w)
-	var b bytes.Buffer
-	w.Reset(&b)
-	if _, err := w.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress summary")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress summary")
-	}
-	return b.Bytes(), nil
-}
-
-// decode reads a datagram, compressed or not.
-func decode(data []byte) (*message, error) {
-	if len(data) > 0 && data[0] != '{' {
-		plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxSummary))
-		if err != nil {
-			return nil, errors.Wrap(err, "decompress summary")
-		}
-		data = plain
-	}
-	var m message
-	return &m, errors.Wrap(json.Unmarshal(data, &m), "gossip message")
-}
-
 func (n *Node) send(m message, to []Peer) {
 	data, err := encode(m)
 	if err != nil {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +14,7 @@
 )
 
 func newNode(now *time.Time) *Node {
-	return &Node{opts: Options{Self: Member{ID: "self"}, Log: zap.NewNop(), Now: func() time.Time { return *now }}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}}
+	return &Node{opts: Options{Self: Member{ID: "self"}, Log: zap.NewNop(), Now: func() time.Time { return *now }}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, forwarded: map[string]time.Time{}}
 }
 
 func digest(id vm.ID, incarnation vm.Incarnation, sequence uint64, uptime time.Duration) Digest {
@@ -105,3 +107,48 @@
 		t.Errorf("%d of the domain alive, rank %d", alive, n.Rank())
 	}
 }
+
+// News of prompts goes to the relays and to the VMs that take calls, not to the
+// many that stand by; the strongest VMs are the relays.
+func TestNewsGoesToBusyVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNode(&now)
+	n.opts.Self.FailureDomain, n.opts.Self.Cores = "a", 0.2
+	for i := range 20 {
+		d := digest(vm.ID(fmt.Sprintf("vm-%02d", i)), 1, 1, time.Minute)
+		d.FailureDomain, d.Cores = "a", 0.2
+		switch i {
+		case 7, 9:
+			d.Cores = 0.8
+		case 12, 13, 14:
+			d.Calls = 30
+		}
+		n.accept(d)
+	}
+	var got []string
+	for _, p := range n.listeners(Busy) {
+		got = append(got, string(p.ID))
+	}
+	if want := []string{"vm-07", "vm-09", "vm-12", "vm-13", "vm-14"}; !slices.Equal(got, want) {
+		t.Errorf("news goes to %v, want %v", got, want)
+	}
+	if all := n.listeners(Everyone); len(all) != 20 || n.IsRelay() {
+		t.Errorf("%d VMs in all, this one is a relay: %v", len(all), n.IsRelay())
+	}
+}
+
+// Standing-by VMs get summaries of a domain a few times a second only.
+func TestForwardingIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNode(&now)
+	all := 0
+	for range 100 { // Over ten seconds.
+		if n.forwardTo("b") == Everyone {
+			all++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if all < 15 || all > 25 {
+		t.Errorf("%d of 100 summaries go to all", all)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,11 @@
 	members  atomic.Int64
 	leaving  atomic.Bool
 	kick     chan struct{}
+	// tellAll is set if the next digest is for all VMs of the domain.
+	tellAll atomic.Bool
+	// untold are the placements that only the VMs that take calls were told of; it
+	// is used by the digest loop only.
+	untold relayed
 	// lastOrder is used by the order loop only.
 	lastOrder time.Time
 	// keptGoals are the versions whose naming is kept in the store; it is used by
@@ -238,7 +243,7 @@
 		Quota:         n.quota,
 		Suspects:      n.suspects,
 		Shelf:         n.shelf,
-		Placed:        n.wake,
+		Placed:        n.tellBusy,
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		RetryRatio:    opts.Bounds.RetryRatio,
@@ -343,8 +348,14 @@
 	n.log.Info("node_stopped", zap.String("vm", string(n.opts.VM.ID)))
 }
 
-// wake sends a digest at once.
+// wake sends a digest to all VMs of the domain at once.
 func (n *Node) wake() {
+	n.tellAll.Store(true)
+	n.tellBusy()
+}
+
+// tellBusy sends a digest at once to the VMs that take calls.
+func (n *Node) tellBusy() {
 	select {
 	case n.kick <- struct{}{}:
 	default:
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -29,6 +29,9 @@
 	digestInterval = 250 * time.Millisecond
 	// digestPause is the least time between digests that are sent for news.
 	digestPause = 40 * time.Millisecond
+	// summaryPause is the least time between summaries that are sent for placed
+	// prompts: bytes between failure domains are dear.
+	summaryPause = 100 * time.Millisecond
 	// largeFleet is the number of VMs from which digests come half as often: each
 	// VM then has a small share of the load that they tell of.
 	largeFleet = 16
@@ -83,8 +86,9 @@
 func (n *Node) sendDigests(ctx context.Context) {
 	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
-	var last time.Time
+	var last, summarized time.Time
 	for tick := 0; ; tick++ {
+		audience := gossip.Everyone
 		select {
 		case <-ctx.Done():
 			return
@@ -93,21 +97,39 @@
 				continue
 			}
 		case <-n.kick:
+			if !n.tellAll.Load() {
+				audience = gossip.Busy
+			}
 		}
 		if pause := digestPause - n.now().Sub(last); pause > 0 {
 			clock.Sleep(ctx, pause)
 		}
+		if n.tellAll.Swap(false) {
+			audience = gossip.Everyone
+		}
 		last = n.now()
 		d := n.digest()
-		n.gossip.Send(d)
 		n.keepForRelay(d.Placements, d.Kept)
-		if n.gossip.IsRelay() {
+		n.gossip.Send(n.address(d, audience), audience)
+		if n.gossip.IsRelay() && (audience == gossip.Everyone || last.Sub(summarized) >= summaryPause) {
+			summarized = last
 			n.gossip.SendSummary(n.summary(d))
 		}
 		n.housekeep()
 	}
 }
 
+// address adds to a digest for all VMs what only some were told of before.
+func (n *Node) address(d gossip.Digest, to gossip.Audience) gossip.Digest {
+	n.untold.placements = newest(append(n.untold.placements, d.Placements...))
+	n.untold.kept = newest(append(n.untold.kept, d.Kept...))
+	if to == gossip.Everyone {
+		d.Placements, d.Kept = n.untold.placements, n.untold.kept
+		n.untold = relayed{}
+	}
+	return d
+}
+
 func (n *Node) digest() gossip.Digest {
 	now := n.now()
 	following := n.followingFor(now)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -34,7 +34,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MaxLoading:   3,
-		LoadingShare: 1.0 / 6,
+		LoadingShare: 0.2,
 		DrainWait:    700 * time.Millisecond,
 		ResendAfter:  1 * time.Second,
 		LoadTime:     2 * time.Second,
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -45,6 +45,10 @@
 // other VMs are told that a part is still used.
 const tellShare = 4
 
+// retoldWithin is the time within which a placement that comes again is the same
+// one: it is told at once to some VMs, and to all with the next digest.
+const retoldWithin = 700 * time.Millisecond
+
 // server is what this VM knows of a server's load and conduct.
 type server struct {
 	running int
@@ -162,6 +166,9 @@
 		return
 	}
 	s.parts.sync(p.Weights)
+	if x, ok := s.parts.parts[p.Prefix]; ok && t.now().Sub(x.used) < retoldWithin {
+		return
+	}
 	s.parts.parts[p.Prefix] = holding{used: t.now(), tokens: p.Tokens, ready: t.now().Add(p.ReadIn)}
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -32,7 +32,7 @@
 	// reach another.
 	minVMs = 4
 	// callTime is the processor time of a call. Source: docs/CAPACITY.md.
-	callTime = 1500 * time.Microsecond
+	callTime = 800 * time.Microsecond
 	// maxUse is the share of a VM's processor up to which calls are planned for.
 	// The rest is for bursts until more VMs take callers, and for gossip.
 	maxUse = 0.4
