Explain a request from the logs of several VMs

Change: papayaspan explain -id ID FILE... prints the request's lines, what its VM learnt of the store and the configuration before, and what all VMs learnt of its servers. Log lines are read by go-logfmt. Result: TestExplain, with a clock that is 0.7 s ahead.

--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,194 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+)
+
+// explain prints what the routers' logs say of one request: its own lines, and
+// what the VMs learnt of its servers around that time.
+type explain struct {
+	env
+	id     string
+	window time.Duration
+	skew   time.Duration
+}
+
+func (*explain) Name() string { return "explain" }
+func (*explain) Synopsis() string {
+	return "print what the logs of several VMs say of one request"
+}
+func (*explain) Usage() string {
+	return `papayaspan explain -id ID [-window 3s] [-skew 1s] LOG...
+  Reads one log file for each VM and prints, in the order of time, the decisions on
+  the request, what its VM learnt meanwhile, and what all VMs learnt of the servers
+  that it was sent to.
+`
+}
+func (c *explain) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.id, "id", "", "`id` of the request")
+	f.DurationVar(&c.window, "window", 3*time.Second, "how long before the request events count")
+	f.DurationVar(&c.skew, "skew", time.Second, "by how much the clocks of VMs may differ")
+}
+
+// logLine is one line of a VM's log.
+type logLine struct {
+	vm     string
+	at     time.Time
+	fields map[string]string
+	text   string
+}
+
+func (c *explain) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.id == "" || f.NArg() == 0 {
+		return c.usage("explain needs -id and at least one log file")
+	}
+	var lines []logLine
+	for _, path := range f.Args() {
+		read, err := readLog(path)
+		if err != nil {
+			return c.usage("%v", err)
+		}
+		lines = append(lines, read...)
+	}
+	related := relatedLines(lines, c.id, c.window, c.skew)
+	if len(related) == 0 {
+		fmt.Fprintf(c.err, "no line of the request %q in %d files\n", c.id, f.NArg())
+		return subcommands.ExitFailure
+	}
+	first := requestStart(related, c.id)
+	for _, l := range related {
+		fmt.Fprintf(c.out, "%+8.3fs %s %s\n", l.at.Sub(first).Seconds(), l.vm, l.text)
+	}
+	return subcommands.ExitSuccess
+}
+
+// readLog reads a file of logfmt lines. Lines without a time or an event, such as a
+// crash's stack, are left out.
+func readLog(path string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	defer file.Close()
+	lines, err := parseLog(file, strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)))
+	return lines, errors.Wrapf(err, "log %s", path)
+}
+
+func parseLog(r io.Reader, vm string) ([]logLine, error) {
+	var lines []logLine
+	d := logfmt.NewDecoder(r)
+	for d.ScanRecord() {
+		l := logLine{vm: vm, fields: map[string]string{}}
+		var text []string
+		for d.ScanKeyval() {
+			key, value := string(d.Key()), string(d.Value())
+			l.fields[key] = value
+			if key != "time" && key != "level" {
+				text = append(text, key+"="+quoted(value))
+			}
+		}
+		at, err := time.Parse(time.RFC3339Nano, l.fields["time"])
+		if err != nil || l.fields["event"] == "" {
+			continue
+		}
+		l.at, l.text = at, strings.Join(text, " ")
+		lines = append(lines, l)
+	}
+	return lines, d.Err()
+}
+
+func quoted(value string) string {
+	if strings.ContainsAny(value, " \"=") {
+		return fmt.Sprintf("%q", value)
+	}
+	return value
+}
+
+// relatedLines selects the lines of a request, of its VM and of its servers, in
+// the order of time. Lines of other VMs count if they may be of that time by
+// clocks that differ by up to skew.
+func relatedLines(lines []logLine, id string, window, skew time.Duration) []logLine {
+	own := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool { return l.fields["request_id"] != id })
+	if len(own) == 0 {
+		return nil
+	}
+	from, to := requestStart(own, id).Add(-window), own[0].at
+	vms, servers := map[string]bool{}, map[string]bool{}
+	for _, l := range own {
+		if l.at.After(to) {
+			to = l.at
+		}
+		vms[l.vm] = true
+		for _, name := range []string{"server", "fetch_from"} {
+			if v := l.fields[name]; v != "" {
+				servers[v] = true
+			}
+		}
+	}
+	out := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
+		if l.fields["request_id"] == id {
+			return false
+		}
+		margin := skew
+		if vms[l.vm] {
+			margin = 0
+		}
+		outside := l.at.Before(from.Add(-margin)) || l.at.After(to.Add(margin))
+		return outside || !tellsOf(l, servers, vms[l.vm])
+	})
+	slices.SortStableFunc(out, func(a, b logLine) int { return cmp.Or(a.at.Compare(b.at), strings.Compare(a.vm, b.vm)) })
+	return out
+}
+
+// tellsOf reports whether a line, which is not of the request, explains what became
+// of it: what was learnt of its servers or, on its VM, of the store, the
+// configuration and the VM itself.
+func tellsOf(l logLine, servers map[string]bool, ownVM bool) bool {
+	if l.fields["request_id"] != "" {
+		return false
+	}
+	if servers[l.fields["server"]] {
+		return true
+	}
+	if !ownVM {
+		return false
+	}
+	switch l.fields["event"] {
+	case "store_lost", "store_regained", "feed_history_gone", "catalog_in_force", "weights_named",
+		"node_started", "leave_started", "node_stopped", "log_lines_dropped", "peer_heard":
+		return true
+	}
+	return false
+}
+
+// requestStart returns when the request arrived, by its VM's clock: its last line
+// comes at its end and names the time since.
+func requestStart(lines []logLine, id string) time.Time {
+	var start time.Time
+	for _, l := range lines {
+		if l.fields["request_id"] != id {
+			continue
+		}
+		at := l.at
+		if total, err := time.ParseDuration(l.fields["total"] + "s"); err == nil {
+			at = at.Add(-total)
+		}
+		if start.IsZero() || at.Before(start) {
+			start = at
+		}
+	}
+	return start
+}
--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,60 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The clock of vm-b is 700 ms ahead.
+const (
+	logA = `time=2026-01-01T00:00:08.000000000Z level=info event=catalog_in_force version=3 source=store
+time=2026-01-01T00:00:09.500000000Z level=warn event=store_lost feed=servers error="read: connection timed out"
+time=2026-01-01T00:00:10.100000000Z level=info event=request_done request_id=other server=i-1 status=200 total=0.1
+time=2026-01-01T00:00:10.400000000Z level=warn event=attempt_failed request_id=r1 server=i-1 failure=answer_lost sent=true
+time=2026-01-01T00:00:10.500000000Z level=info event=request_done request_id=r1 server=i-2 status=502 total=0.500000000 reason=answer_lost
+goroutine 1 [running]:
+`
+	logB = `time=2026-01-01T00:00:02.000000000Z level=info event=server_known server=i-1 gone=false
+time=2026-01-01T00:00:11.000000000Z level=info event=server_known server=i-1 gone=true
+time=2026-01-01T00:00:11.000000000Z level=info event=server_known server=i-9 gone=true
+time=2026-01-01T00:00:11.000000000Z level=warn event=store_lost feed=servers
+`
+)
+
+func TestExplain(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	a, b := write("vm-a.log", logA), write("vm-b.log", logB)
+	var out, errs bytes.Buffer
+	if code := Run(context.Background(), []string{"explain", "-id", "r1", a, b}, &out, &errs); code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	want := []string{
+		"  -2.000s vm-a event=catalog_in_force version=3 source=store",
+		`  -0.500s vm-a event=store_lost feed=servers error="read: connection timed out"`,
+		"  +0.400s vm-a event=attempt_failed request_id=r1 server=i-1 failure=answer_lost sent=true",
+		"  +0.500s vm-a event=request_done request_id=r1 server=i-2 status=502 total=0.500000000 reason=answer_lost",
+		"  +1.000s vm-b event=server_known server=i-1 gone=true",
+	}
+	if got := strings.TrimRight(out.String(), "\n"); got != strings.Join(want, "\n") {
+		t.Errorf("printed\n%s\nwant\n%s", got, strings.Join(want, "\n"))
+	}
+	for _, args := range [][]string{{"explain", "-id", "r1"}, {"explain", a}, {"explain", "-id", "r1", filepath.Join(dir, "none")}} {
+		if code := Run(context.Background(), args, &out, &errs); code != ExitUsage {
+			t.Errorf("%v: exit code %d", args, code)
+		}
+	}
+	if code := Run(context.Background(), []string{"explain", "-id", "nobody", a}, &out, &errs); code != ExitNotRun {
+		t.Errorf("exit code %d for an unknown request", code)
+	}
+}
