Leave servers that are silent or take no connections, and tell of them

Change: a server that takes no connection is left until a probe reaches it; one that owes an answer and stays silent is left as its silence grows; VMs tell of both at once, unless most of their servers are silent to them. TestSilentServersAreLeft, TestUnreachableServerIsLeftUntilItIsBack failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,6 +94,10 @@
 	}
 	f := a.exchange(ctx)
 	a.run.End(a.conduct)
+	if a.conduct == selector.Unreachable {
+		t.g.watchDown(c.Entry, a.connections())
+		t.g.opts.Placed()
+	}
 	return f
 }
 
@@ -325,7 +329,7 @@
 		a.t.sends--
 	case head.Misdirected:
 		f.code = "misdirected"
-		a.conduct = selector.Unreachable
+		a.conduct = selector.Misdirected
 		a.t.sends--
 	}
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	reserved atomic.Pointer[map[string]bool]
 	closed   atomic.Bool
 	budgets  sync.Map // of *dispatch.RetryBudget by service
+	probes   sync.Map // of true by selector.ServerKey, the servers that watchDown watches
 	meters   meters
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +142,59 @@
 		t.Errorf("come back in %v, want at most a third of 900 ms", after)
 	}
 }
+
+// A server that takes no connections costs one attempt, not one of each request,
+// and gets requests again once it takes connections.
+func TestUnreachableServerIsLeftUntilItIsBack(t *testing.T) {
+	var good, back atomic.Int32
+	answer := func(n *atomic.Int32) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			n.Add(1)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		}
+	}
+	g, _ := newTestGateway(t, answer(&good))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	down := fleet.Entry{ID: "down", Service: "llm", Address: address, Slots: 8, State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 2}
+	g.opts.Directory.Apply([]fleet.Entry{down}, time.Now())
+	calls := 0
+	serve := func(n int) {
+		t.Helper()
+		for range n {
+			c, sink := modelCall(), &recorder{}
+			calls++
+			c.Parts[0].ID = strconv.Itoa(calls) // Nothing of it is cached anywhere.
+			g.Serve(context.Background(), c, sink)
+			if sink.refusal != nil {
+				t.Fatalf("refused: %+v", sink.refusal)
+			}
+		}
+	}
+	failed := func() int64 {
+		return metrics.GetOrRegisterCounter("attempt.not_connected.not_run", g.opts.Metrics).Count()
+	}
+	serve(40)
+	if failed() != 1 || good.Load() != 40 {
+		t.Errorf("%d attempts failed and %d requests were answered, want 1 and 40", failed(), good.Load())
+	}
+	l, err = net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: answer(&back)}}
+	server.Start()
+	t.Cleanup(server.Close)
+	for deadline := time.Now().Add(4 * time.Second); back.Load() == 0 && time.Now().Before(deadline); {
+		serve(2)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if back.Load() == 0 || failed() != 1 {
+		t.Errorf("%d requests at the server that is back, %d attempts failed", back.Load(), failed())
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,6 +20,9 @@
 	Backlog int        `json:"b,omitempty"`
 	Churn   int        `json:"c,omitempty"`
 	Memory  int        `json:"m,omitempty"`
+	// Silent is for how long the server has not answered the sender, in
+	// milliseconds.
+	Silent int64 `json:"q,omitempty"`
 }
 
 // WeightsGoal is the version of a model that the sender knows to be named.
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -57,13 +57,27 @@
 	if c := p.takeIdle(key); c != nil {
 		return c, nil
 	}
+	return p.open(ctx, key, limit)
+}
+
+// Open connects to a server and keeps the connection for a request to come.
+func (p *Pool) Open(ctx context.Context, owner, addr string, limit int) error {
+	c, err := p.open(ctx, hostKey{owner: owner, addr: addr}, limit)
+	if err != nil {
+		return err
+	}
+	p.keep(c, defaultIdle)
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, key hostKey, limit int) (*Conn, error) {
 	if !p.reserve(key, limit) {
 		return nil, errors.WithStack(ErrNoConnection)
 	}
-	conn, err := dial(ctx, addr)
+	conn, err := dial(ctx, key.addr)
 	if err != nil {
 		p.unreserve(key)
-		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", addr, err)
+		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", key.addr, err)
 	}
 	return &Conn{Conn: conn, hostKey: key, br: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
@@ -161,6 +175,11 @@
 	if !stated {
 		idle = defaultIdle
 	}
+	p.keep(c, idle)
+}
+
+// keep takes an idle connection that its server keeps open for a time.
+func (p *Pool) keep(c *Conn, idle time.Duration) {
 	now := p.now()
 	c.idleUntil, c.restedFrom = now.Add(idle-idleMargin), now
 	p.mu.Lock()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -237,6 +237,7 @@
 		r.Backlog += float64(l.Backlog)
 		r.Churn += float64(l.Churn)
 		r.Memory += float64(l.Memory)
+		r.Silent = max(r.Silent, time.Duration(l.Silent)*time.Millisecond)
 		sum[key] = r
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -135,6 +135,7 @@
 		out = append(out, gossip.ServerLoad{
 			ID: key.ID, Started: key.Started, Running: r.Running,
 			Backlog: int(r.Backlog), Churn: int(r.Churn), Memory: int(r.Memory),
+			Silent: r.Silent.Milliseconds(),
 		})
 	}
 	slices.SortFunc(out, func(a, b gossip.ServerLoad) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -56,6 +56,8 @@
 	Pressure float64
 	// FailureRate is the recent share of failures, in [0, 1].
 	FailureRate float64
+	// Silent is for how long the server owes an answer and has sent nothing.
+	Silent time.Duration
 	// Latency is the recent time to the first byte on top of the reading of
 	// prompts.
 	Latency time.Duration
@@ -144,6 +146,12 @@
 	crossLoss = 0.0015
 	// baseCross is the same for heads and answers, of about two kilobytes.
 	baseCross = 0.025
+	// silentFrom and silentFull are the silences between which a server that owes
+	// an answer goes from unsuspected to given up. Engines send the head of an
+	// answer and then events within a few hundred milliseconds, plain services
+	// answer in less; callers leave after two seconds.
+	silentFrom = 300 * time.Millisecond
+	silentFull = 1 * time.Second
 	// crowdLoss spreads load between servers that are equal otherwise, for each
 	// share of its slots that a server has in use.
 	crowdLoss = 0.1
@@ -170,7 +178,13 @@
 		loss += baseCross + crossLoss*float64(q.BodyBytes)/1024
 	}
 	// A failure loses the whole credit of what would have been left.
-	return loss + c.FailureRate*max(0, 1-loss)
+	return loss + max(c.FailureRate, c.suspicion())*max(0, 1-loss)
+}
+
+// suspicion is the likelihood that the server answers nobody. It answers servers
+// that fall silent without closing their connections.
+func (c *Candidate) suspicion() float64 {
+	return ramp(float64(c.Silent), float64(silentFrom), float64(silentFull))
 }
 
 // displacement is the cost of parts that are driven out of the server's memory
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -356,3 +357,82 @@
 		t.Errorf("answers in time: %d with the refusal, %d without; of short prompts %d and %d of 2250", with, without, shortWith, shortWithout)
 	}
 }
+
+// A server that owes an answer and stays silent is left, one that takes no
+// connection until it does again.
+func TestSilentServersAreLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x, y := engine("x", "a", 1), engine("y", "a", 1)
+	picks := func() string {
+		candidates := []Candidate{{Entry: x, SameDomain: true}, {Entry: y, SameDomain: true, Running: 3}}
+		table.Fill(&candidates[0], nil)
+		i, _ := deployment.Pick(Query{Objective: time.Second}, candidates, 0)
+		return string(candidates[i].Entry.ID)
+	}
+	run := table.Begin(&Candidate{Entry: x}, nil, 60_000)
+	now = now.Add(200 * time.Millisecond)
+	if picks() != "x" {
+		t.Error("left after 200 ms, which an answer may take")
+	}
+	now = now.Add(700 * time.Millisecond)
+	if picks() != "y" {
+		t.Error("not left after 0.9 s of silence")
+	}
+	run.Heard()
+	if picks() != "x" {
+		t.Error("not used again once heard")
+	}
+	run.End(Good)
+	now = now.Add(time.Minute)
+	if picks() != "x" {
+		t.Error("a server that owes nothing counts as silent")
+	}
+	table.Begin(&Candidate{Entry: x}, nil, 60_000).End(Unreachable)
+	now = now.Add(time.Minute)
+	if picks() != "y" || !table.Down(KeyOf(x)) {
+		t.Error("a server that takes no connection is used")
+	}
+	table.Reachable(KeyOf(x))
+	if picks() != "x" {
+		t.Error("not used again once reachable")
+	}
+}
+
+// VMs tell each other of silent servers; an own answer counts for more, and a VM
+// that hears of hardly any server doesn't blame them.
+func TestSilenceIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	a, b := NewTable(time.Minute, clock), NewTable(time.Minute, clock)
+	x := engine("x", "a", 1)
+	silence := func(table *Table) time.Duration {
+		c := Candidate{Entry: x}
+		table.Fill(&c, nil)
+		return c.Silent
+	}
+	silence(b) // b has to know the server.
+	a.Begin(&Candidate{Entry: x}, nil, 60_000)
+	for i := range 4 {
+		a.Begin(&Candidate{Entry: engine(fmt.Sprint("good-", i), "a", 1)}, nil, 60_000).Heard()
+	}
+	now = now.Add(290 * time.Millisecond)
+	for i := range 4 {
+		a.Begin(&Candidate{Entry: engine(fmt.Sprint("good-", i), "a", 1)}, nil, 60_000).Heard()
+	}
+	now = now.Add(200 * time.Millisecond)
+	b.SetPeers(a.Loads())
+	if got := silence(b); got != 490*time.Millisecond {
+		t.Errorf("told of %v of silence", got)
+	}
+	b.Begin(&Candidate{Entry: x}, nil, 60_000).Heard()
+	if got := silence(b); got != 0 {
+		t.Errorf("%v of silence in spite of an own answer", got)
+	}
+	now = now.Add(time.Second)
+	for key, r := range a.Loads() {
+		if r.Silent > 0 {
+			t.Errorf("a VM that hears from none blames %v", key)
+		}
+	}
+}
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -39,6 +39,9 @@
 	Memory float64
 	// Churn is the rate of unshared tokens that it gets, in tokens a second.
 	Churn float64
+	// Silent is for how long the server owes that VM an answer and has sent it
+	// nothing, or has taken no connection from it.
+	Silent time.Duration
 }
 
 // tellShare is into how many spans the reuse time is divided; once in each the
@@ -59,8 +62,13 @@
 	fresh Report
 	// heard is when the server last sent anything to this VM.
 	heard time.Time
-	good  float64
-	bad   float64
+	// owes is from when the server owes an answer to the first of the requests
+	// that run there; it counts while any runs.
+	owes time.Time
+	// downSince is since when the server takes no connection; zero if it does.
+	downSince time.Time
+	good      float64
+	bad       float64
 	// seen is when good and bad were last decayed.
 	seen    time.Time
 	latency time.Duration
@@ -100,6 +108,27 @@
 	s.good, s.bad, s.seen = s.good*f, s.bad*f, now
 }
 
+// ownEvidence is the age up to which an answer to this VM counts for more than
+// the silence that others met: they may be cut off from the server.
+const ownEvidence = 300 * time.Millisecond
+
+// silence returns for how long the server owes this VM an answer and has sent
+// nothing, or has taken no connection.
+func (s *server) silence(now time.Time) time.Duration {
+	silent := time.Duration(0)
+	if s.running > 0 {
+		last := s.owes
+		if s.heard.After(last) {
+			last = s.heard
+		}
+		silent = max(0, now.Sub(last))
+	}
+	if !s.downSince.IsZero() {
+		silent = max(silent, silentFull, now.Sub(s.downSince))
+	}
+	return silent
+}
+
 // Fill sets what the table knows of a candidate.
 func (t *Table) Fill(c *Candidate, prompt *Prompt) {
 	t.mu.Lock()
@@ -114,6 +143,10 @@
 	c.Running = c.KnownRunning + int(unseen*float64(s.fresh.Running))
 	c.Backlog = c.KnownBacklog + unseen*s.fresh.Backlog
 	c.FailureRate = s.bad / (s.good + s.bad + priorAnswers)
+	c.Silent = s.silence(now)
+	if now.Sub(s.heard) > ownEvidence {
+		c.Silent = max(c.Silent, s.peers.Silent)
+	}
 	c.Latency = s.latency
 	if prompt != nil {
 		cached, ready := s.parts.expect(prompt, c.Entry.Weights[prompt.Model], now)
@@ -199,6 +232,7 @@
 	defer t.mu.Unlock()
 	r := &Run{t: t, key: KeyOf(c.Entry), sent: t.now()}
 	s := t.server(r.key)
+	owes := r.sent
 	s.running++
 	s.fresh.Running++
 	if prompt != nil {
@@ -209,6 +243,7 @@
 		s.fresh.Backlog += r.prefill
 		weights := c.Entry.Weights[prompt.Model]
 		takes := c.Latency + seconds((c.Backlog+r.prefill)/rate) + c.Fetch.time(c.Entry.FailureDomain)
+		owes = r.sent.Add(takes)
 		told := s.parts.add(prompt, weights, r.sent, r.sent.Add(takes), t.reuse/tellShare)
 		if !told && prompt.Keepable() {
 			t.placed = append(t.placed, Placement{
@@ -217,6 +252,9 @@
 			})
 		}
 	}
+	if s.running == 1 {
+		s.owes = owes
+	}
 	return r
 }
 
@@ -225,7 +263,7 @@
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
 	s := r.t.server(r.key)
-	s.heard = r.t.now()
+	s.heard, s.downSince = r.t.now(), time.Time{}
 	took := r.t.now().Sub(r.sent) - seconds(r.prefill/rate)
 	if r.prompt != nil {
 		s.parts.read(r.prompt, r.t.now())
@@ -253,11 +291,13 @@
 	Failed
 	// Unreachable is a connection that could not be made.
 	Unreachable
+	// Misdirected is an answer of another server, which has the address now.
+	Misdirected
 )
 
-// unreachableWeight is the number of failures that a server counts for which
-// takes no connection: nothing else will get through either.
-const unreachableWeight = 4
+// misdirectedWeight is the number of failures that a server counts for whose
+// address another one has: nothing else will get through either.
+const misdirectedWeight = 4
 
 // End notes the end of a request.
 func (r *Run) End(conduct Conduct) {
@@ -277,7 +317,29 @@
 	case Failed:
 		s.bad++
 	case Unreachable:
-		s.bad += unreachableWeight
+		if s.downSince.IsZero() && s.heard.Before(r.sent) {
+			s.downSince = r.t.now()
+		}
+	case Misdirected:
+		s.bad += misdirectedWeight
+	}
+}
+
+// Down reports whether the run of a server takes no connections, as far as this
+// VM has tried.
+func (t *Table) Down(key ServerKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[key]
+	return s != nil && !s.downSince.IsZero()
+}
+
+// Reachable notes that a server takes connections.
+func (t *Table) Reachable(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil {
+		s.downSince = time.Time{}
 	}
 }
 
@@ -287,16 +349,36 @@
 	defer t.mu.Unlock()
 	out := map[ServerKey]Report{}
 	now := t.now()
+	cutOff := t.cutOff(now)
 	for key, s := range t.servers {
 		s.fresh = Report{}
 		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.parts.churnRate(now), Memory: s.parts.running}
-		if r.Running > 0 || r.Churn >= 1 {
+		if silent := s.silence(now); silent >= silentFrom && !cutOff {
+			r.Silent = silent
+		}
+		if r.Running > 0 || r.Churn >= 1 || r.Silent > 0 {
 			out[key] = r
 		}
 	}
 	return out
 }
 
+// cutOff reports whether most servers that owe this VM an answer are silent: then
+// the VM is more likely cut off than they are.
+func (t *Table) cutOff(now time.Time) bool {
+	owing, silent := 0, 0
+	for _, s := range t.servers {
+		if s.running == 0 && s.downSince.IsZero() {
+			continue
+		}
+		owing++
+		if s.silence(now) >= silentFrom {
+			silent++
+		}
+	}
+	return silent > 1 && 2*silent > owing
+}
+
 // SetMembers sets the number of VMs that send to the servers, this one included.
 func (t *Table) SetMembers(n int) {
 	t.mu.Lock()
@@ -308,7 +390,8 @@
 func (r *Run) Heard() {
 	r.t.mu.Lock()
 	defer r.t.mu.Unlock()
-	r.t.server(r.key).heard = r.t.now()
+	s := r.t.server(r.key)
+	s.heard, s.downSince = r.t.now(), time.Time{}
 }
 
 // SilentFor returns for how long the server has sent nothing to any request of
