--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -267,7 +267,7 @@
 	}
 	a.conduct = selector.Failed
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err) {
-		a.t.g.opts.Suspects.Lost(a.t.content())
+		a.t.g.connectionLost(a.c.Entry, a.t.content(), a.connections())
 	}
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,9 @@
 	closed   atomic.Bool
 	budgets  sync.Map // of *dispatch.RetryBudget by service
 	probes   sync.Map // of true by selector.ServerKey, the servers that watchDown watches
-	meters   meters
+	// crashChecks are the running checks, of *crashCheck by selector.ServerKey.
+	crashChecks sync.Map
+	meters      meters
 }
 
 // New returns a gateway without a configuration.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -198,3 +199,46 @@
 		t.Errorf("%d requests at the server that is back, %d attempts failed", back.Load(), failed())
 	}
 }
+
+// A server that resets connections doesn't convict a content that many callers
+// send; one that crashes does, for all that it ran.
+func TestOnlyCrashesMakeSuspects(t *testing.T) {
+	reset := func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+	g, _ := newTestGateway(t, reset)
+	send := func() *recorder {
+		sink := &recorder{}
+		g.Serve(context.Background(), modelCall(), sink)
+		return sink
+	}
+	for range 2 * maxCrashes {
+		if sink := send(); sink.refusal == nil || sink.refusal.Code != "answer_lost" {
+			t.Fatalf("got %+v, want a lost answer", sink.refusal)
+		}
+		time.Sleep(crashDelay + 20*time.Millisecond)
+	}
+	for i := range maxCrashes {
+		crashing := httptest.NewUnstartedServer(nil)
+		crashing.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			crashing.Listener.Close()
+			reset(w, r)
+		})
+		crashing.Start()
+		g.opts.Directory.Apply([]fleet.Entry{{
+			ID: "e", Service: "llm", Address: strings.TrimPrefix(crashing.URL, "http://"), Slots: 8, State: fleet.Ready,
+			Weights: map[string]uint64{"m": 1}, Started: int64(i + 1), Revision: platform.Version(i + 2),
+		}}, time.Now())
+		if sink := send(); sink.refusal == nil || sink.refusal.Verdict != verdict.MayHaveRun {
+			t.Fatalf("crash %d: %+v", i, sink.refusal)
+		}
+		time.Sleep(crashDelay + 50*time.Millisecond)
+	}
+	if sink := send(); sink.refusal == nil || sink.refusal.Code != "crashes_servers" {
+		t.Errorf("after %d crashes: %+v", maxCrashes, sink.refusal)
+	}
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/selector"
 )
 
@@ -52,9 +54,11 @@
 	}()
 }
 
-// probe opens a connection to a server, for the next request to use.
+// probe opens a connection to a server, for the next request to use, and reports
+// whether it takes any. One whose connections are used up does.
 func (g *Gateway) probe(e *fleet.Entry, connections int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	return g.opts.Pool.Open(ctx, string(e.ID), e.Address, connections) == nil
+	err := g.opts.Pool.Open(ctx, string(e.ID), e.Address, connections)
+	return err == nil || errors.Is(err, hop.ErrNoConnection)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,8 @@
 	LogDropped func() uint64
 	// VM describes this VM; its incarnation tells this process from earlier ones.
 	VM vm.VM
-	// Peer is where other routers reach this one, host:port on TCP and UDP.
+	// Peer is where this router listens for the others, host:port on TCP and UDP.
+	// They reach it at the VM's peer address, if it has one.
 	Peer string
 	// First is set if the deployment starts for the first time.
 	First bool
@@ -282,11 +283,15 @@
 }
 
 func (n *Node) member() gossip.Member {
+	peer := n.opts.VM.PeerAddress
+	if peer == "" {
+		peer = n.opts.Peer
+	}
 	return gossip.Member{
 		ID:            n.opts.VM.ID,
 		FailureDomain: n.opts.VM.FailureDomain,
 		Caller:        n.opts.VM.CallerAddress,
-		Peer:          n.opts.Peer,
+		Peer:          peer,
 		Cores:         n.opts.VM.Cores,
 	}
 }
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -334,6 +334,15 @@
 	return s != nil && !s.downSince.IsZero()
 }
 
+// TakeDown notes that a server takes no connections.
+func (t *Table) TakeDown(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil && s.downSince.IsZero() {
+		s.downSince = t.now()
+	}
+}
+
 // Reachable notes that a server takes connections.
 func (t *Table) Reachable(key ServerKey) {
 	t.mu.Lock()
