Notice a silent store before announcements lapse

Cause: a feed call waited up to 10 s. When the store fell silent without an error for as long as announcements take to lapse, its return brought their ends, and all servers counted as gone until they announced themselves again. Change: feed calls wait for 3 s, so that one is missed within three heartbeats. Result: TestSilentStoreOutage failed before and passes.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// feedWait is for how long a feed call waits for a change.
-	feedWait = 10 * time.Second
+	// feedWait is for how long a feed call waits for a change. A store that falls
+	// silent is noticed by a call that doesn't come back, which must be before the
+	// servers' announcements have lapsed, after three heartbeats.
+	feedWait = 3 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. The upper
 	// one is short against the time within which changes must be in force.
 	minBackoff = 100 * time.Millisecond
