Tell when shared parts were read, and wait for that rather than read them again

A fetch that comes before the part was read finds nothing, the end of a reading was not told, and long readings take about 1.6 times as long as was assumed (62 prompt tokens a millisecond and more for attention). Change: VMs tell when a part was read; its expected end has a margin of 0.3; the speed of reading is learnt from prompts without a queue before them; a request waits for a reading that takes less time than its own would, up to the objective; a part that was driven out counts only once it was read again.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,7 +88,7 @@
 func (t *task) try(ctx context.Context, service *catalog.Service, c selector.Candidate) *failure {
 	a := &attempt{t: t, service: service, c: c, conduct: selector.Neutral}
 	t.outcome.server = string(c.Entry.ID)
-	a.run = t.g.opts.Servers.Begin(&c, t.prompt, t.g.opts.Model.PrefillRate)
+	a.run = t.g.opts.Servers.Begin(&c, t.prompt, t.g.model().PrefillRate)
 	if t.prompt != nil && t.prompt.Keepable() {
 		t.g.opts.Placed()
 	}
@@ -354,7 +354,7 @@
 	if err != nil {
 		return a.lost(caller, "answer_cut", err)
 	}
-	a.run.Answered(t.g.opts.Model.PrefillRate)
+	a.run.Answered(t.g.model().PrefillRate)
 	t.note(resp.StatusCode)
 	if len(body) <= holdBytes {
 		a.served()
@@ -423,8 +423,11 @@
 			// Engines send the head before they have read the prompt.
 			first = false
 			a.read.Store(true)
-			a.run.Answered(t.g.opts.Model.PrefillRate)
+			a.run.Answered(t.g.model().PrefillRate)
 			a.noteStore()
+			if t.prompt != nil && t.prompt.Keepable() {
+				t.g.opts.Placed()
+			}
 		}
 		a.run.Heard()
 		if event.ID >= 0 && event.ID <= t.lastEvent {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,13 @@
 // Close refuses all further calls; those that run go on.
 func (g *Gateway) Close() { g.closed.Store(true) }
 
+// model returns the model of the deployment by what was learnt so far.
+func (g *Gateway) model() selector.Model {
+	m := g.opts.Model
+	m.PrefillRate = g.opts.Servers.PrefillRate(m.PrefillRate)
+	return m
+}
+
 func (g *Gateway) budget(service string) *dispatch.RetryBudget {
 	if b, ok := g.budgets.Load(service); ok {
 		return b.(*dispatch.RetryBudget)
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -153,6 +153,7 @@
 // choose returns the server for the next attempt, or why there is none.
 func (t *task) choose(service *catalog.Service) (selector.Candidate, *verdict.Error) {
 	g := t.g
+	model := g.model()
 	now := g.opts.Now()
 	reserved := *g.reserved.Load()
 	var candidates, held []selector.Candidate
@@ -163,7 +164,7 @@
 		c := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
 		g.opts.Servers.Fill(&c, t.prompt)
 		c.Behind = t.behind(e, now)
-		if g.opts.Model.TooOld(&c) {
+		if model.TooOld(&c) {
 			continue
 		}
 		if reserved[string(e.ID)] {
@@ -191,7 +192,7 @@
 	if t.prompt != nil {
 		q.EngineTokens = t.prompt.EngineTokens
 	}
-	i, loss := g.opts.Model.Pick(q, candidates, rand.Float64())
+	i, loss := model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
 		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait)
 	}
@@ -199,7 +200,7 @@
 	if t.prompt == nil || t.begun {
 		return candidates[i], nil
 	}
-	j, ok := g.opts.Model.Admit(q, candidates, i)
+	j, ok := model.Admit(q, candidates, i)
 	if !ok {
 		return selector.Candidate{}, t.overloaded(&candidates[i])
 	}
@@ -210,25 +211,24 @@
 // overloaded refuses a request whose prompt no engine can read in time. Callers
 // come back when the shortest queue has drained, spread over as much time again.
 func (t *task) overloaded(c *selector.Candidate) *verdict.Error {
-	after := time.Duration((1 + rand.Float64()) * float64(max(serverWait, t.g.opts.Model.QueueTime(c))))
+	after := time.Duration((1 + rand.Float64()) * float64(max(serverWait, t.g.model().QueueTime(c))))
 	return verdict.RefuseUntil(http.StatusServiceUnavailable, "engines_full", "the engines have more prompts to read than they can in time", after)
 }
 
-const (
-	// readPoll is the time after which a request that waits for the reading of a
-	// shared part looks for an engine again.
-	readPoll = 50 * time.Millisecond
-	// readPatience is the share of the latency objective that may pass so.
-	readPatience = 0.4
-)
+// readPoll is the time after which a request that waits for the reading of a
+// shared part looks for an engine again.
+const readPoll = 50 * time.Millisecond
 
 // awaits reports whether the request should wait until another request's reading
-// of its shared parts is done.
+// of its shared parts is done: that takes less time than reading them once more,
+// and no engine's. It doesn't wait beyond the objective, as what the wait is
+// based on may be wrong.
 func (t *task) awaits(c *selector.Candidate) bool {
 	if t.prompt == nil || !t.prompt.Keepable() || c.Wait() <= 0 {
 		return false
 	}
-	return t.waited()+min(c.Wait(), readPoll) < time.Duration(readPatience*float64(t.route.Objective))
+	anew := t.g.model().ReadTime(t.prompt.SharedTokens())
+	return c.Wait() < anew && t.waited()+min(c.Wait(), readPoll) < t.route.Objective
 }
 
 func (t *task) sharedTokens() int {
--- a/internal/selector/holdings.go
+++ b/internal/selector/holdings.go
@@ -112,17 +112,20 @@
 	return h.usedSince(now.Add(-within), now) / (usableMemory * float64(p.EngineTokens))
 }
 
-// add notes that an engine gets the prompt and will have read it at a time, and
-// reports whether it held the shared parts and others were told lately.
-func (h *holdings) add(p *Prompt, weights uint64, now, ready time.Time, tellAgain time.Duration) bool {
+// add notes that an engine gets the prompt, of which it is expected to hold the
+// first tokens, and will have read the rest at a time. It reports whether it held
+// the shared parts and others were told lately.
+func (h *holdings) add(p *Prompt, cached float64, weights uint64, now, ready time.Time, tellAgain time.Duration) bool {
 	h.sync(weights)
-	told := false
+	told, sum := false, 0
 	for i, l := range p.chain {
 		x := h.parts[l.hash]
+		sum += l.tokens
+		held := float64(sum) <= cached
 		if i == len(p.chain)-2 {
-			told = now.Sub(x.used) < tellAgain
+			told = held && now.Sub(x.used) < tellAgain
 		}
-		if x.ready.IsZero() {
+		if !held || x.ready.IsZero() {
 			x.ready = ready
 		}
 		h.parts[l.hash] = holding{used: now, tokens: l.tokens, ready: x.ready}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -232,6 +232,9 @@
 	return c.Wait() + c.Latency + seconds((c.Backlog+missing)/m.PrefillRate) + c.Fetch.time(c.Entry.FailureDomain)
 }
 
+// ReadTime is the time that an engine takes to read so many tokens.
+func (m Model) ReadTime(tokens int) time.Duration { return seconds(float64(tokens) / m.PrefillRate) }
+
 // TooOld reports whether a candidate's weights are so old that no request may
 // begin there any more.
 func (m Model) TooOld(c *Candidate) bool {
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -85,6 +85,7 @@
 	reuse time.Duration
 	// members is the number of VMs that send to the servers.
 	members int
+	speed   speed
 	now     func() time.Time
 }
 
@@ -199,10 +200,16 @@
 		return
 	}
 	s.parts.sync(p.Weights)
-	if x, ok := s.parts.parts[p.Prefix]; ok && t.now().Sub(x.used) < retoldWithin {
+	now := t.now()
+	ready := now.Add(p.ReadIn)
+	if x, ok := s.parts.parts[p.Prefix]; ok && now.Sub(x.used) < retoldWithin {
+		if ready.Before(x.ready) {
+			x.ready = ready
+			s.parts.parts[p.Prefix] = x
+		}
 		return
 	}
-	s.parts.parts[p.Prefix] = holding{used: t.now(), tokens: p.Tokens, ready: t.now().Add(p.ReadIn)}
+	s.parts.parts[p.Prefix] = holding{used: now, tokens: p.Tokens, ready: ready}
 }
 
 // TakePlacements returns the placements since the last call.
@@ -220,9 +227,14 @@
 	key     ServerKey
 	sent    time.Time
 	prefill float64
+	// ahead are the prompt tokens that the server had to read before.
+	ahead   float64
+	fetches bool
 	reading bool
-	memory  float64
-	prompt  *Prompt
+	// told is set if other VMs were told of the placement.
+	told   bool
+	memory float64
+	prompt *Prompt
 }
 
 // Begin notes that a request is sent. Rate is the speed at which the server reads
@@ -239,16 +251,18 @@
 		r.memory, r.prompt = float64(prompt.Tokens), prompt
 		s.parts.running += r.memory
 		r.prefill, r.reading = max(0, float64(prompt.Tokens)-c.CachedTokens-c.Fetch.Tokens), true
+		r.ahead, r.fetches = c.Backlog, c.Fetch.Tokens > 0
 		s.backlog += r.prefill
 		s.fresh.Backlog += r.prefill
 		weights := c.Entry.Weights[prompt.Model]
 		takes := c.Latency + seconds((c.Backlog+r.prefill)/rate) + c.Fetch.time(c.Entry.FailureDomain)
 		owes = r.sent.Add(takes)
-		told := s.parts.add(prompt, weights, r.sent, r.sent.Add(takes), t.reuse/tellShare)
+		told := s.parts.add(prompt, c.CachedTokens, weights, r.sent, r.sent.Add(margin(takes)), t.reuse/tellShare)
 		if !told && prompt.Keepable() {
+			r.told = true
 			t.placed = append(t.placed, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
-				Prefix: prompt.sharedHash(), Tokens: prompt.SharedTokens(), ReadIn: takes,
+				Prefix: prompt.sharedHash(), Tokens: prompt.SharedTokens(), ReadIn: margin(takes),
 			})
 		}
 	}
@@ -264,10 +278,18 @@
 	defer r.t.mu.Unlock()
 	s := r.t.server(r.key)
 	s.heard, s.downSince = r.t.now(), time.Time{}
-	took := r.t.now().Sub(r.sent) - seconds(r.prefill/rate)
-	if r.prompt != nil {
+	took := r.t.now().Sub(r.sent)
+	if r.prompt != nil && r.reading {
 		s.parts.read(r.prompt, r.t.now())
+		r.t.speed.learn(took, r)
+		if r.told {
+			r.t.placed = append(r.t.placed, Placement{
+				ID: r.key.ID, Started: r.key.Started, Model: r.prompt.Model, Weights: s.parts.weights,
+				Prefix: r.prompt.sharedHash(), Tokens: r.prompt.SharedTokens(),
+			})
+		}
 	}
+	took -= seconds((r.prefill + r.ahead) / rate)
 	s.latency += time.Duration(latencyGain * float64(max(0, took)-s.latency))
 	r.stopReading(s)
 }
