--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,13 +46,14 @@
 
 // Gateway serves calls.
 type Gateway struct {
-	opts     Options
-	catalog  atomic.Pointer[catalog.Catalog]
-	members  atomic.Int64
-	reserved atomic.Pointer[map[string]bool]
-	closed   atomic.Bool
-	budgets  sync.Map // of *dispatch.RetryBudget by service
-	probes   sync.Map // of true by selector.ServerKey, the servers that watchDown watches
+	opts    Options
+	catalog atomic.Pointer[catalog.Catalog]
+	// members is the number of VMs, senders that of those which take calls.
+	members, senders atomic.Int64
+	reserved         atomic.Pointer[map[string]bool]
+	closed           atomic.Bool
+	budgets          sync.Map // of *dispatch.RetryBudget by service
+	probes           sync.Map // of true by selector.ServerKey, the servers that watchDown watches
 	// crashChecks are the running checks, of *crashCheck by selector.ServerKey.
 	crashChecks sync.Map
 	meters      meters
@@ -61,7 +62,7 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts, meters: newMeters(opts.Metrics)}
-	g.members.Store(1)
+	g.SetMembers(1, 1)
 	g.reserved.Store(&map[string]bool{})
 	return g
 }
@@ -87,8 +88,12 @@
 // Calls returns the number of calls so far.
 func (g *Gateway) Calls() int64 { return g.meters.requests.Count() }
 
-// SetMembers sets the number of VMs that share the servers' connections.
-func (g *Gateway) SetMembers(n int) { g.members.Store(int64(max(1, n))) }
+// SetMembers sets the number of VMs, and of those which take calls and so share
+// the servers' connections.
+func (g *Gateway) SetMembers(members, senders int) {
+	g.members.Store(int64(max(1, members)))
+	g.senders.Store(int64(max(1, senders)))
+}
 
 // Reserve names the servers that get no new requests, because they are about to
 // load weights.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -242,3 +243,32 @@
 		t.Errorf("after %d crashes: %+v", maxCrashes, sink.refusal)
 	}
 }
+
+// When many servers crash at once they look idle to all. A request that finds them
+// closed goes on to one that isn't.
+func TestManyServersDownAtOnce(t *testing.T) {
+	g, servers := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	})
+	good := g.opts.Directory.View().Server("e")
+	for range 4 { // The good one is busy.
+		servers.Begin(&selector.Candidate{Entry: good}, nil, 50_000)
+	}
+	for i := range 9 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		g.opts.Directory.Apply([]fleet.Entry{{
+			ID: backend.ID(fmt.Sprint("down-", i)), Service: "llm", Address: l.Addr().String(), Slots: 8, State: fleet.Ready,
+			Weights: map[string]uint64{"m": 1}, Revision: platform.Version(i + 2),
+		}}, time.Now())
+	}
+	sink := &recorder{}
+	g.Serve(context.Background(), modelCall(), sink)
+	if sink.refusal != nil || sink.body.Len() == 0 {
+		t.Errorf("refused with a good server left: %+v", sink.refusal)
+	}
+}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -129,6 +129,9 @@
 	if t.sends >= max(1, t.route.MaxAttempts) {
 		return false
 	}
+	if t.sends == 0 && t.waited() > t.left() {
+		return false // A refusal now leaves the caller time to come back.
+	}
 	return !f.mayHaveRun && !t.begun || t.route.Repeatable()
 }
 
@@ -136,8 +139,8 @@
 	// minAttempt is the least time left that is worth another attempt.
 	minAttempt = 15 * time.Millisecond
 	// maxOffers bounds the servers that one call is offered to, those included
-	// which could not be reached.
-	maxOffers = 5
+	// which could not be reached: a third of a large deployment's may crash at once.
+	maxOffers = 20
 	// serverWait is when a caller should come back that found no server.
 	serverWait = 300 * time.Millisecond
 )
@@ -187,7 +190,7 @@
 		PromptTokens: t.call.PromptTokens,
 		SharedTokens: t.sharedTokens(),
 		BodyBytes:    len(t.call.Body),
-		Senders:      int(g.members.Load()),
+		Senders:      int(g.senders.Load()),
 	}
 	if t.prompt != nil {
 		q.EngineTokens = t.prompt.EngineTokens
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,9 @@
 // Alive reports whether the peer was heard of lately.
 func (p *Peer) Alive(now time.Time) bool { return !p.At.IsZero() && now.Sub(p.At) < SilenceLimit }
 
+// TakesCalls reports whether callers are sent to the peer, as far as heard.
+func (p *Peer) TakesCalls() bool { return p.Calls >= busyCalls }
+
 // Options configure a Node.
 type Options struct {
 	Self Member
@@ -274,7 +277,7 @@
 	slices.SortFunc(peers, func(a, b Peer) int { return stronger(&a, &b, now) })
 	busy := peers[:0]
 	for i, p := range peers {
-		if i < relayCount || p.Calls >= busyCalls {
+		if i < relayCount || p.TakesCalls() {
 			busy = append(busy, p)
 		}
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -37,8 +37,12 @@
 	// to the store has a price, and a roll-out changes several servers a second. It
 	// is short against the time within which a leaving server must be known.
 	serverPause = 250 * time.Millisecond
-	// memberInterval is the time between two reads of the members.
-	memberInterval = 15 * time.Second
+	// memberInterval is the time between two reads of the members by a VM that
+	// follows the store, standbyInterval by others: a VM that starts reads the
+	// members and makes itself known to them, so the rest of the reads are for the
+	// case that its digests are lost.
+	memberInterval  = 15 * time.Second
+	standbyInterval = 60 * time.Second
 )
 
 // feedState is what one loop knows of its feed.
@@ -281,7 +285,11 @@
 			announced = n.announce(ctx) == nil
 		}
 		err := n.readMembers(ctx)
-		pause := time.Duration((0.75 + rand.Float64()/2) * float64(memberInterval))
+		interval := standbyInterval
+		if n.following() {
+			interval = memberInterval
+		}
+		pause := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
 		if err != nil || !announced {
 			failures++
 			pause = min(maxBackoff, minBackoff<<min(failures, 8))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -190,12 +190,9 @@
 	now := n.now()
 	loads := map[selector.ServerKey]selector.Report{}
 	reserved := map[string]bool{}
-	members := 1
-	for _, p := range n.gossip.Peers() {
-		if p.At.IsZero() || now.Sub(p.At) > n.opts.Bounds.Quota.Window {
-			continue
-		}
-		members++
+	peers := n.gossip.Peers()
+	members, senders := countMembers(peers, now, n.opts.Bounds.Quota.Window)
+	for _, p := range peers {
 		if !p.Alive(now) {
 			continue
 		}
@@ -221,9 +218,29 @@
 	n.servers.SetPeers(loads)
 	n.Gateway.Reserve(reserved)
 	n.members.Store(int64(members))
-	n.Gateway.SetMembers(members)
-	n.quota.SetMembers(members)
-	n.servers.SetMembers(members)
+	n.Gateway.SetMembers(members, senders)
+	n.quota.SetMembers(senders)
+	n.servers.SetSenders(senders)
+}
+
+// countMembers returns the number of VMs heard of within a time, this one included,
+// and of those to which callers are sent: they share the rates of accounts and the
+// servers, and choose by the same state. While no calls come all of them count.
+func countMembers(peers []gossip.Peer, now time.Time, within time.Duration) (members, senders int) {
+	members, senders = 1, 1
+	for _, p := range peers {
+		if p.At.IsZero() || now.Sub(p.At) > within {
+			continue
+		}
+		members++
+		if p.TakesCalls() {
+			senders++
+		}
+	}
+	if senders == 1 {
+		senders = members
+	}
+	return members, senders
 }
 
 // memberCount returns the number of VMs heard of lately, this one included.
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/gossip"
+)
+
+// VMs that stand by don't choose engines and use no rate: counting them made each
+// VM expect seventy others to follow its choice.
+func TestStandbyVMsAreNoSenders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := make([]gossip.Peer, 72)
+	for i := range peers {
+		peers[i].At = now.Add(-time.Second)
+	}
+	if members, senders := countMembers(peers, now, 8*time.Second); members != 73 || senders != 73 {
+		t.Errorf("%d VMs, %d senders before calls come", members, senders)
+	}
+	for i := range 11 {
+		peers[6*i].Calls = 40
+	}
+	peers[1].At = now.Add(-9 * time.Second)
+	if members, senders := countMembers(peers, now, 8*time.Second); members != 72 || senders != 12 {
+		t.Errorf("%d VMs, %d senders, want 72 and 12", members, senders)
+	}
+}
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -170,7 +170,7 @@
 func TestUntoldLoadCountsForAllVMs(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := NewTable(time.Minute, func() time.Time { return now })
-	table.SetMembers(8)
+	table.SetSenders(8)
 	x := engine("x", "a", 1)
 	p := NewPrompt(model, "s", 1000, []Part{{"own", 1000}})
 	table.Begin(&Candidate{Entry: x}, p, 60_000)
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -83,8 +83,8 @@
 	placed []Placement
 	// reuse is the time within which a part is expected to be used again.
 	reuse time.Duration
-	// members is the number of VMs that send to the servers.
-	members int
+	// senders is the number of VMs that send to the servers.
+	senders int
 	speed   speed
 	now     func() time.Time
 }
@@ -92,7 +92,7 @@
 // NewTable returns an empty table. Reuse is the time within which a shared part
 // of prompts is expected to be used again.
 func NewTable(reuse time.Duration, now func() time.Time) *Table {
-	return &Table{servers: map[ServerKey]*server{}, reuse: reuse, members: 1, now: now}
+	return &Table{servers: map[ServerKey]*server{}, reuse: reuse, senders: 1, now: now}
 }
 
 func (t *Table) server(key ServerKey) *server {
@@ -140,7 +140,7 @@
 	c.KnownRunning = s.running + s.peers.Running
 	c.KnownBacklog = s.backlog + s.peers.Backlog
 	// Other VMs see the same and do alike until they hear of it.
-	unseen := float64(t.members - 1)
+	unseen := float64(t.senders - 1)
 	c.Running = c.KnownRunning + int(unseen*float64(s.fresh.Running))
 	c.Backlog = c.KnownBacklog + unseen*s.fresh.Backlog
 	c.FailureRate = s.bad / (s.good + s.bad + priorAnswers)
@@ -410,11 +410,11 @@
 	return silent > 1 && 2*silent > owing
 }
 
-// SetMembers sets the number of VMs that send to the servers, this one included.
-func (t *Table) SetMembers(n int) {
+// SetSenders sets the number of VMs that send to the servers, this one included.
+func (t *Table) SetSenders(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.members = max(1, n)
+	t.senders = max(1, n)
 }
 
 // Heard notes that the server sent something.
