Count VMs that only get the platform's checks as standing by; leave misdirected servers

Change: VMs with a tenth of the busiest VM's calls, two a second at least, count. A run of a server whose address another has is left for good. Silent engines are no sources of cached parts. Result: TestStandbyVMsAreNoSenders, TestNewsGoesToBusyVMs with the checks, TestSilentServersAreLeft and TestSilentEnginesAreNoSources failed before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,9 +38,11 @@
 	// everyoneInterval is the least time between two summaries of a domain that
 	// are passed on to all VMs; those that take calls get every one.
 	everyoneInterval = 400 * time.Millisecond
-	// busyCalls is the rate of calls, in calls a second, from which a VM needs
-	// what others place at once.
-	busyCalls = 0.5
+	// busyCalls and busyShare are the rate of calls, in calls a second and as a share
+	// of the busiest VM's, from which callers are sent to a VM. The platform's own
+	// checks come to all of them, about once a second.
+	busyCalls = 2
+	busyShare = 0.1
 )
 
 // relayCount is the number of relays of a domain: one may be lost.
@@ -58,8 +60,14 @@
 // Alive reports whether the peer was heard of lately.
 func (p *Peer) Alive(now time.Time) bool { return !p.At.IsZero() && now.Sub(p.At) < SilenceLimit }
 
-// TakesCalls reports whether callers are sent to the peer, as far as heard.
-func (p *Peer) TakesCalls() bool { return p.Calls >= busyCalls }
+// TakeCalls returns those of the peers to which callers are sent, as far as heard.
+func TakeCalls(peers []Peer) []Peer {
+	least := float64(busyCalls)
+	for _, p := range peers {
+		least = max(least, busyShare*p.Calls)
+	}
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Calls < least })
+}
 
 // Options configure a Node.
 type Options struct {
@@ -275,13 +283,8 @@
 	}
 	now := n.opts.Now()
 	slices.SortFunc(peers, func(a, b Peer) int { return stronger(&a, &b, now) })
-	busy := peers[:0]
-	for i, p := range peers {
-		if i < relayCount || p.TakesCalls() {
-			busy = append(busy, p)
-		}
-	}
-	return busy
+	relays := min(relayCount, len(peers))
+	return append(TakeCalls(peers[relays:]), peers[:relays]...)
 }
 
 // stronger orders VMs by their fitness for duties: live ones first, then by
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -116,7 +116,7 @@
 	n.opts.Self.FailureDomain, n.opts.Self.Cores = "a", 0.2
 	for i := range 20 {
 		d := digest(vm.ID(fmt.Sprintf("vm-%02d", i)), 1, 1, time.Minute)
-		d.FailureDomain, d.Cores = "a", 0.2
+		d.FailureDomain, d.Cores, d.Calls = "a", 0.2, 0.8 // The platform's own checks.
 		switch i {
 		case 7, 9:
 			d.Cores = 0.8
@@ -129,7 +129,7 @@
 	for _, p := range n.listeners(Busy) {
 		got = append(got, string(p.ID))
 	}
-	if want := []string{"vm-07", "vm-09", "vm-12", "vm-13", "vm-14"}; !slices.Equal(got, want) {
+	if want := []string{"vm-07", "vm-09", "vm-12", "vm-13", "vm-14"}; !slices.Equal(slices.Sorted(slices.Values(got)), want) {
 		t.Errorf("news goes to %v, want %v", got, want)
 	}
 	if all := n.listeners(Everyone); len(all) != 20 || n.IsRelay() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -227,16 +228,8 @@
 // and of those to which callers are sent: they share the rates of accounts and the
 // servers, and choose by the same state. While no calls come all of them count.
 func countMembers(peers []gossip.Peer, now time.Time, within time.Duration) (members, senders int) {
-	members, senders = 1, 1
-	for _, p := range peers {
-		if p.At.IsZero() || now.Sub(p.At) > within {
-			continue
-		}
-		members++
-		if p.TakesCalls() {
-			senders++
-		}
-	}
+	heard := slices.DeleteFunc(slices.Clone(peers), func(p gossip.Peer) bool { return p.At.IsZero() || now.Sub(p.At) > within })
+	members, senders = 1+len(heard), 1+len(gossip.TakeCalls(heard))
 	if senders == 1 {
 		senders = members
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -18,6 +18,12 @@
 	if members, senders := countMembers(peers, now, 8*time.Second); members != 73 || senders != 73 {
 		t.Errorf("%d VMs, %d senders before calls come", members, senders)
 	}
+	for i := range peers {
+		peers[i].Calls = 0.8 // The platform's own checks.
+	}
+	if _, senders := countMembers(peers, now, 8*time.Second); senders != 73 {
+		t.Errorf("%d senders while only checks come", senders)
+	}
 	for i := range 11 {
 		peers[6*i].Calls = 40
 	}
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -402,6 +402,11 @@
 	if picks() != "x" {
 		t.Error("not used again once reachable")
 	}
+	table.Begin(&Candidate{Entry: x}, nil, 60_000).End(Misdirected)
+	now = now.Add(10 * time.Second)
+	if picks() != "y" {
+		t.Error("a server is used whose address another one has")
+	}
 }
 
 // VMs tell each other of silent servers; an own answer counts for more, and a VM
@@ -539,3 +544,19 @@
 		t.Errorf("learnt %v tokens a second, want 40,000", got)
 	}
 }
+
+// An engine that is silent is no source of cached parts.
+func TestSilentEnginesAreNoSources(t *testing.T) {
+	p := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own", 1000}})
+	to := &Candidate{Entry: engine("to", "a", 1)}
+	sources := []Candidate{
+		{Entry: engine("dark", "a", 1), CachedTokens: 29_000, Silent: 2 * time.Second},
+		{Entry: engine("far", "b", 1), CachedTokens: 29_000},
+	}
+	if s, tokens := Source(to, p, sources); s == nil || s.Entry.ID != "far" || tokens != 29_000 {
+		t.Errorf("fetches %d tokens from %+v", tokens, s)
+	}
+	if s, _ := Source(to, p, sources[:1]); s != nil {
+		t.Errorf("fetches from %s", s.Entry.ID)
+	}
+}
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -159,13 +159,14 @@
 
 // Source finds, for the engine of a candidate, another engine on the same
 // weights from which it can fetch most of the prompt's parts. It returns nil if
-// none holds more.
+// none holds more. Engines that are silent to all are no sources: an engine waits
+// some hundred milliseconds for one, and then reads the parts itself.
 func Source(c *Candidate, prompt *Prompt, sources []Candidate) (*Candidate, int) {
 	weights := c.Entry.Weights[prompt.Model]
 	var best *Candidate
 	for i := range sources {
 		s := &sources[i]
-		if s.Entry.ID == c.Entry.ID || s.Entry.Weights[prompt.Model] != weights || s.CachedTokens <= c.CachedTokens {
+		if s.suspicion() > 0 || s.Entry.ID == c.Entry.ID || s.Entry.Weights[prompt.Model] != weights || s.CachedTokens <= c.CachedTokens {
 			continue
 		}
 		if best == nil || betterSource(s, best, c) {
@@ -317,10 +318,6 @@
 	Misdirected
 )
 
-// misdirectedWeight is the number of failures that a server counts for whose
-// address another one has: nothing else will get through either.
-const misdirectedWeight = 4
-
 // End notes the end of a request.
 func (r *Run) End(conduct Conduct) {
 	r.t.mu.Lock()
@@ -343,7 +340,8 @@
 			s.downSince = r.t.now()
 		}
 	case Misdirected:
-		s.bad += misdirectedWeight
+		// This run of the server is over: it will not be at the address again.
+		s.downSince = r.t.now()
 	}
 }
 
