Split the slack for repeated sends between the VMs that take calls

Cause: each VM kept an eighteenth of the fleet's slack, fitted to nine VMs. With thirty that take calls the sum would be above the bound. Change: half of the slack is split between the VMs that take calls, nine at least, as their number changes. Result: TestRetrySlackIsShared; with the fixed share 40 VMs would send 400 times more at a slack of 180.

--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -73,6 +73,14 @@
 	return &RetryBudget{ratio: ratio, reserve: reserve, balance: reserve}
 }
 
+// SetReserve changes the most that the budget holds. What it holds beyond is lost.
+func (b *RetryBudget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = reserve
+	b.balance = min(b.balance, reserve)
+}
+
 // Earn counts a request.
 func (b *RetryBudget) Earn() {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,9 @@
 	// Placed is called when a long prompt is sent to an engine, so that other VMs
 	// hear of it soon. It must not block.
 	Placed func()
-	// RetryRatio and RetryReserve bound repeated sends to a service: a share of
-	// the requests for it, plus a reserve of this VM.
-	RetryRatio, RetryReserve float64
+	// RetryRatio and RetrySlack bound repeated sends to a service by all VMs
+	// together: a share of the requests for it, and a number beyond that.
+	RetryRatio, RetrySlack float64
 	// Now is the boot-time clock.
 	Now func() time.Time
 }
@@ -92,7 +92,24 @@
 // the servers' connections.
 func (g *Gateway) SetMembers(members, senders int) {
 	g.members.Store(int64(max(1, members)))
-	g.senders.Store(int64(max(1, senders)))
+	if g.senders.Swap(int64(max(1, senders))) == int64(senders) {
+		return
+	}
+	g.budgets.Range(func(_, b any) bool {
+		b.(*dispatch.RetryBudget).SetReserve(g.retryReserve())
+		return true
+	})
+}
+
+// fewSenders is the least number of VMs that the slack for repeated sends is split
+// between: more may take calls before this VM has heard of them. It is the size of
+// the smaller deployments.
+const fewSenders = 9
+
+// retryReserve is this VM's share of the slack. Half of the slack is left for VMs
+// that begin or cease to take calls.
+func (g *Gateway) retryReserve() float64 {
+	return g.opts.RetrySlack / 2 / float64(max(fewSenders, g.senders.Load()))
 }
 
 // Reserve names the servers that get no new requests, because they are about to
@@ -113,7 +130,7 @@
 	if b, ok := g.budgets.Load(service); ok {
 		return b.(*dispatch.RetryBudget)
 	}
-	b, _ := g.budgets.LoadOrStore(service, dispatch.NewRetryBudget(g.opts.RetryRatio, g.opts.RetryReserve))
+	b, _ := g.budgets.LoadOrStore(service, dispatch.NewRetryBudget(g.opts.RetryRatio, g.retryReserve()))
 	return b.(*dispatch.RetryBudget)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,7 +72,7 @@
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:    quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
 		Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
-		Model: selector.Model{PrefillRate: 50_000}, RetryReserve: 10, Placed: func() {}, Now: time.Now,
+		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Placed: func() {}, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
 		Version:  1,
@@ -272,3 +272,20 @@
 		t.Errorf("refused with a good server left: %+v", sink.refusal)
 	}
 }
+
+// Repeated sends of all VMs together stay within the slack, however many VMs take
+// calls.
+func TestRetrySlackIsShared(t *testing.T) {
+	for _, senders := range []int{1, 8, 40} {
+		g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
+		budget := g.budget("llm") // It exists before the other VMs are known.
+		g.SetMembers(senders, senders)
+		sends := 0
+		for budget.Spend() {
+			sends++
+		}
+		if total := float64(sends * senders); total > g.opts.RetrySlack/2 || sends == 0 {
+			t.Errorf("%d VMs send %v times more, the slack is %v", senders, total, g.opts.RetrySlack)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,10 +201,6 @@
 	cancel                   context.CancelFunc
 }
 
-// fleetSize is the number of VMs that the retry reserve is split between before
-// the members are known. It is the larger of today's deployments.
-const fleetSize = 9
-
 // nominalPrefillRate is the speed of an engine's prompt reading, in tokens a
 // second, that is assumed: engines of the kind in use read 50 to 70 tokens a
 // millisecond.
@@ -248,7 +244,7 @@
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		RetryRatio:    opts.Bounds.RetryRatio,
-		RetryReserve:  opts.Bounds.RetrySlack / fleetSize / 2,
+		RetrySlack:    opts.Bounds.RetrySlack,
 		Now:           n.now,
 	})
 	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
