--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -126,9 +126,14 @@
 // owner names the run of the server.
 func (a *attempt) owner() string { return string(a.c.Entry.ID) }
 
-// senderChange is by how much the number of VMs that take calls may grow before all
-// have heard of it.
-const senderChange = 2
+const (
+	// senderChange is by how much the number of VMs that take calls may grow before
+	// all have heard of it.
+	senderChange = 2
+	// minConnections is the least number of connections of a VM to a server: a
+	// request need not wait for another one's answer.
+	minConnections = 2
+)
 
 // connections is this VM's share of the connections that a server accepts.
 func (a *attempt) connections() int {
@@ -136,11 +141,8 @@
 		return 0
 	}
 	g := a.t.g
-	share := max(int(g.members.Load()), 1)
-	if crowd := senderChange * int(g.senders.Load()); crowd < share {
-		share = crowd
-	}
-	return max(2, a.service.MaxConnections/share)
+	sharers := min(g.members.Load(), senderChange*g.senders.Load())
+	return max(minConnections, a.service.MaxConnections/int(sharers))
 }
 
 func (a *attempt) unsent(caller context.Context, err error) *failure {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,10 +53,10 @@
 	reserved         atomic.Pointer[map[string]bool]
 	closed           atomic.Bool
 	budgets          sync.Map // of *dispatch.RetryBudget by service
-	probes           sync.Map // of true by selector.ServerKey, the servers that watchDown watches
-	// crashChecks are the running checks, of *crashCheck by selector.ServerKey.
-	crashChecks sync.Map
-	meters      meters
+	// probes holds the key (selector.ServerKey) of each server that watchDown
+	// watches, crashChecks the *crashCheck that runs for a key.
+	probes, crashChecks sync.Map
+	meters              meters
 }
 
 // New returns a gateway without a configuration.
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -224,8 +224,8 @@
 
 // awaits reports whether the request should wait until another request's reading
 // of its shared parts is done: that takes less time than reading them once more,
-// and no engine's. It doesn't wait beyond the objective, as what the wait is
-// based on may be wrong.
+// and spares the engines. It doesn't wait beyond the objective, as the expected
+// end of the reading may be wrong.
 func (t *task) awaits(c *selector.Candidate) bool {
 	if t.prompt == nil || !t.prompt.Keepable() || c.Wait() <= 0 {
 		return false
