Log on what a send is based, and how old the news of servers is

Vanished rows that still count as servers, states taken over from other VMs and corrected times of naming left no line at all.

request_done has the revisions, the age of the news, the delay to the write and the weights now; sent_in_doubt says so at the send, as the process may be killed before the request ends. Digests carry the age of the evidence that no newer server entry exists, so that VMs that don't read the store know it too. No decision uses any of it.

Tests: the packages' own, with race detector.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -179,31 +179,36 @@
 
 // Missing notes the servers that a whole listing of the store, complete up to a
 // revision, doesn't name. They count as gone after the time given, unless they
-// announce themselves again.
-func (d *Directory) Missing(listed map[backend.ID]bool, revision platform.Version, after time.Duration, now time.Time) {
+// announce themselves again. It returns those that it noted.
+func (d *Directory) Missing(listed map[backend.ID]bool, revision platform.Version, after time.Duration, now time.Time) []backend.ID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var noted []backend.ID
 	for id, e := range d.entries {
 		if _, known := d.suspect[id]; known || e.Gone || listed[id] || e.Revision > revision {
 			continue
 		}
 		d.suspect[id] = now.Add(after)
+		noted = append(noted, id)
 	}
+	return noted
 }
 
 // Lapsed notes that the store dropped a server's row at a revision, for which an
 // outage may be the reason. The server counts as gone at the time given, unless
-// it announces itself again.
-func (d *Directory) Lapsed(id backend.ID, revision platform.Version, until time.Time) {
+// it announces itself again. Lapsed reports whether the server counted as present.
+func (d *Directory) Lapsed(id backend.ID, revision platform.Version, until time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.revision = max(d.revision, revision)
 	if e := d.entries[id]; e == nil || e.Gone || e.Revision > revision {
-		return
+		return false
 	}
-	if _, known := d.suspect[id]; !known {
+	_, known := d.suspect[id]
+	if !known {
 		d.suspect[id] = until
 	}
+	return !known
 }
 
 // Expire ends the suspects whose time is over and returns them.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -83,7 +83,7 @@
 	g := NewGoals()
 	g.Add("m", Goal{Version: 2, Since: now})
 	g.Add("m", Goal{Version: 5, Since: now.Add(6 * time.Second)})
-	if !g.Add("m", Goal{Version: 7, Since: now.Add(9 * time.Second)}) || g.Add("m", Goal{Version: 5, Since: now.Add(8 * time.Second)}) {
+	if g.Add("m", Goal{Version: 7, Since: now.Add(9 * time.Second)}) != Newest || g.Add("m", Goal{Version: 5, Since: now.Add(8 * time.Second)}) != Known {
 		t.Error("the newest version isn't told from a known one")
 	}
 	at := now.Add(10 * time.Second)
@@ -96,7 +96,9 @@
 		t.Errorf("wanted %d", g.Wanted("m"))
 	}
 	// A VM that knew a version earlier corrects the time.
-	g.Add("m", Goal{Version: 7, Since: now.Add(7 * time.Second)})
+	if g.Add("m", Goal{Version: 7, Since: now.Add(7 * time.Second)}) != Corrected {
+		t.Error("an earlier time isn't told from a known one")
+	}
 	if got := g.Behind("m", 5, at); got != 3*time.Second {
 		t.Errorf("behind by %v after the correction", got)
 	}
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -57,9 +57,23 @@
 	return 0
 }
 
-// Add notes a named version and reports whether it is the newest. Of two times
-// for one version the earlier one holds.
-func (g *Goals) Add(model string, goal Goal) bool {
+// Learnt says what a named version changed in what was known.
+type Learnt uint8
+
+const (
+	// Known means that nothing changed.
+	Known Learnt = iota
+	// Corrected means that the version was known, and was named earlier than
+	// thought.
+	Corrected
+	// Older means that the version wasn't known, and that a newer one is.
+	Older
+	// Newest means that no newer version is known.
+	Newest
+)
+
+// Add notes a named version. Of two times for one version the earlier one holds.
+func (g *Goals) Add(model string, goal Goal) Learnt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old := g.All()
@@ -69,7 +83,7 @@
 	})
 	switch {
 	case found && !goal.Since.Before(list[i].Since):
-		return false
+		return Known
 	case found:
 		list = slices.Clone(list)
 		list[i].Since = goal.Since
@@ -80,5 +94,12 @@
 	next := maps.Clone(old)
 	next[model] = list
 	g.goals.Store(&next)
-	return !found && i == len(list)-1
+	switch {
+	case found:
+		return Corrected
+	case goal.Version < list[len(list)-1].Version:
+		return Older
+	default:
+		return Newest
+	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -179,6 +179,7 @@
 		out.FetchFrom, out.SaveTo = a.c.Fetch.Address, a.saveTo()
 	}
 	a.watchSilence()
+	a.noteEvidence()
 	resp, err := a.conn.Send(ctx, &hop.Request{
 		Method: t.call.Method,
 		Target: t.call.Target,
--- /dev/null
+++ b/internal/gateway/evidence.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+const (
+	// doubtfulAge is the age of the news of servers from which a send is logged when
+	// it happens: the time within which a leave must be known, drain_ms on the
+	// deployments' sheets.
+	doubtfulAge = 2 * time.Second
+	// doubtfulShare is the same for older weights, as a share of the time after which
+	// no request may begin on them.
+	doubtfulShare = 0.5
+)
+
+// evidence is what was known of a server when a request was written to it.
+type evidence struct {
+	// revision is that of the server's entry, known that of the newest entry of any.
+	revision, known platform.Version
+	// newsAge is the age of the news of servers, delay the time since the server was
+	// chosen.
+	newsAge, delay time.Duration
+	weights        uint64
+	// behind is for how long newer weights had been named.
+	behind time.Duration
+}
+
+func (e *evidence) fields() []zap.Field {
+	return []zap.Field{
+		zap.Uint64("server_revision", uint64(e.revision)),
+		zap.Uint64("known_revision", uint64(e.known)),
+		zap.Duration("news_age", e.newsAge),
+		zap.Duration("write_delay", e.delay),
+		zap.Uint64("weights", e.weights),
+		zap.Duration("weights_behind", e.behind),
+	}
+}
+
+// noteEvidence keeps on what the send is based. A send that the rules may not allow
+// is logged now: the process may end before the request does.
+func (a *attempt) noteEvidence() {
+	t, now := a.t, a.t.g.opts.Now()
+	e := evidence{
+		revision: a.c.Entry.Revision,
+		known:    t.g.opts.Directory.Revision(),
+		newsAge:  t.g.opts.NewsAge(),
+		delay:    now.Sub(t.chosenAt),
+		weights:  a.c.Weights(t.call.Model),
+		behind:   t.behind(a.c.Entry, now),
+	}
+	t.outcome.evidence = e
+	late := time.Duration(doubtfulShare * float64(t.g.opts.Model.VersionBound))
+	if e.behind > max(0, late) || e.newsAge > doubtfulAge {
+		t.g.opts.Log.Info("sent_in_doubt", append(e.fields(),
+			zap.String("request_id", t.call.ID), zap.String("server", string(a.c.Entry.ID)), zap.Int64("server_started", a.c.Entry.Started))...)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// Placed is called when a long prompt is sent to an engine, so that other VMs
 	// hear of it soon. It must not block.
 	Placed func()
+	// NewsAge returns the age of the evidence that the servers known here are all
+	// there are; negative if there is none. Only logs use it.
+	NewsAge func() time.Duration
 	// RetryRatio and RetrySlack bound repeated sends to a service by all VMs
 	// together: a share of the requests for it, and a number beyond that.
 	RetryRatio, RetrySlack float64
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,7 +72,7 @@
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:    quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
 		Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
-		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Placed: func() {}, Now: time.Now,
+		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Placed: func() {}, NewsAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
 		Version:  1,
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -30,6 +30,8 @@
 	deadline time.Time
 	units    float64
 	prompt   *selector.Prompt
+	// chosenAt is when the server of the present attempt was chosen.
+	chosenAt time.Time
 	// tried are the servers that the call was offered to.
 	tried []selector.ServerKey
 	// sends counts the servers to which the call was sent.
@@ -62,6 +64,8 @@
 	loss    float64
 	chosen  selector.Candidate
 	refusal *verdict.Error
+	// evidence is what was known of the server when the request was written.
+	evidence evidence
 }
 
 func (t *task) left() time.Duration { return t.deadline.Sub(t.g.opts.Now()) }
@@ -158,6 +162,7 @@
 	g := t.g
 	model := g.model()
 	now := g.opts.Now()
+	t.chosenAt = now
 	reserved := *g.reserved.Load()
 	var candidates, held []selector.Candidate
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
@@ -349,6 +354,7 @@
 		zap.Duration("left", t.left()),
 		zap.Float64("expected_loss", t.outcome.loss),
 	}
+	fields = append(fields, t.outcome.evidence.fields()...)
 	if t.prompt != nil {
 		fields = append(fields, t.placementFields()...)
 	}
@@ -377,8 +383,6 @@
 		zap.Float64("cached", c.CachedTokens),
 		zap.Float64("fetched", c.Fetch.Tokens),
 		zap.String("fetch_from", c.Fetch.Source),
-		zap.Uint64("weights", c.Weights(t.call.Model)),
-		zap.Duration("weights_behind", c.Behind),
 		zap.Int("running", c.Running),
 		zap.Float64("backlog", c.Backlog),
 		zap.Float64("pressure", c.Pressure),
@@ -411,5 +415,6 @@
 		zap.Bool("sent", f.sent),
 		zap.Bool("may_have_run", f.mayHaveRun),
 		zap.Duration("waited", t.waited()),
+		zap.Duration("news_age", t.g.opts.NewsAge()),
 		logging.Error(f.err))
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -84,8 +84,11 @@
 	Catalog catalog.Version `json:"cat"`
 	// Servers is the revision of the newest server entry known.
 	Servers platform.Version `json:"srv"`
-	Goals   []WeightsGoal    `json:"goals,omitempty"`
-	Held    []WeightsHeld    `json:"held,omitempty"`
+	// NewsAge is the age of the evidence that no newer entry exists; 0 if there is
+	// none.
+	NewsAge time.Duration `json:"na,omitempty"`
+	Goals   []WeightsGoal `json:"goals,omitempty"`
+	Held    []WeightsHeld `json:"held,omitempty"`
 	// Following is set if the sender reads the store's feeds and hears from them.
 	Following bool `json:"fol,omitempty"`
 	// FollowingFor is for how long without a failure.
@@ -122,19 +125,21 @@
 	// Uptime is that of the domain's oldest process.
 	Uptime time.Duration `json:"up"`
 	// FollowingFor is for how long some VM of the domain has followed the store.
-	FollowingFor time.Duration              `json:"ff,omitempty"`
-	Giver        bool                       `json:"giver,omitempty"`
-	Claim        *LeaseClaim                `json:"claim,omitempty"`
-	Catalog      catalog.Version            `json:"cat"`
-	Servers      platform.Version           `json:"srv"`
-	Goals        []WeightsGoal              `json:"goals,omitempty"`
-	Held         []WeightsHeld              `json:"held,omitempty"`
-	Reserved     []backend.ID               `json:"rsv,omitempty"`
-	Usage        map[account.ID]quota.Usage `json:"use,omitempty"`
-	Loads        []ServerLoad               `json:"load,omitempty"`
-	Crashes      map[string]int             `json:"crash,omitempty"`
-	Placements   []selector.Placement       `json:"place,omitempty"`
-	Kept         []selector.Kept            `json:"kept,omitempty"`
+	FollowingFor time.Duration    `json:"ff,omitempty"`
+	Giver        bool             `json:"giver,omitempty"`
+	Claim        *LeaseClaim      `json:"claim,omitempty"`
+	Catalog      catalog.Version  `json:"cat"`
+	Servers      platform.Version `json:"srv"`
+	// NewsAge is as in a Digest.
+	NewsAge    time.Duration              `json:"na,omitempty"`
+	Goals      []WeightsGoal              `json:"goals,omitempty"`
+	Held       []WeightsHeld              `json:"held,omitempty"`
+	Reserved   []backend.ID               `json:"rsv,omitempty"`
+	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
+	Loads      []ServerLoad               `json:"load,omitempty"`
+	Crashes    map[string]int             `json:"crash,omitempty"`
+	Placements []selector.Placement       `json:"place,omitempty"`
+	Kept       []selector.Kept            `json:"kept,omitempty"`
 }
 
 // message is a datagram: one of the two.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -49,22 +49,36 @@
 type feedState struct {
 	name string
 	// pause is how long changes are left to collect after some came.
-	pause    time.Duration
+	pause time.Duration
+	// answered, if set, is called when all changes that the store told are applied.
+	answered func()
 	after    platform.Version
 	failures int
 	// healthy is since when the store answers, nil while it doesn't.
 	healthy atomic.Pointer[time.Time]
+	// heard is when the store last answered, nil before it has.
+	heard atomic.Pointer[time.Time]
 	// lostAt is when the store was last found unreachable, returned when it
 	// answered again.
 	lostAt, returned time.Time
 }
 
+// age returns the time since the store last answered; negative if it never has.
+func (f *feedState) age(now time.Time) time.Duration {
+	heard := f.heard.Load()
+	if heard == nil {
+		return -1
+	}
+	return now.Sub(*heard)
+}
+
 // failed notes a failed call and returns the pause before the next.
 func (n *Node) failed(f *feedState, err error) time.Duration {
 	f.healthy.Store(nil)
 	if f.failures == 0 {
 		f.lostAt = n.now()
-		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), logging.Error(err))
+		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)),
+			zap.Duration("store_age", f.age(f.lostAt)), logging.Error(err))
 	}
 	f.failures++
 	pause := min(maxBackoff, minBackoff<<min(f.failures-1, 8))
@@ -72,15 +86,16 @@
 }
 
 func (n *Node) succeeded(f *feedState) {
+	now := n.now()
+	f.heard.Store(&now)
 	if f.healthy.Load() == nil {
-		now := n.now()
 		f.healthy.Store(&now)
 	}
 	if f.failures == 0 {
 		return
 	}
 	f.failures = 0
-	f.returned = n.now()
+	f.returned = now
 	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Duration("outage", f.returned.Sub(f.lostAt)))
 }
 
@@ -126,6 +141,9 @@
 	n.succeeded(f)
 	f.after = list.Version
 	all(list.Rows, list.Version)
+	if f.answered != nil {
+		f.answered()
+	}
 	return nil
 }
 
@@ -138,6 +156,11 @@
 	f.after = next
 	if len(changes) > 0 {
 		some(changes)
+	}
+	if f.answered != nil {
+		f.answered()
+	}
+	if len(changes) > 0 {
 		clock.Sleep(ctx, f.pause)
 	}
 	return nil
@@ -185,16 +208,21 @@
 }
 
 func (n *Node) setGoal(model string, goal fleet.Goal, source string) {
-	if !n.goals.Add(model, goal) {
+	learnt := n.goals.Add(model, goal)
+	if learnt == fleet.Known {
 		return
 	}
 	n.log.Info("weights_named", zap.String("model", model), zap.Uint64("version", goal.Version),
-		zap.String("source", source), zap.Duration("age", n.now().Sub(goal.Since)))
-	n.wake()
+		zap.String("source", source), zap.Duration("age", n.now().Sub(goal.Since)),
+		zap.Bool("newest", learnt == fleet.Newest), zap.Bool("corrected", learnt == fleet.Corrected))
+	if learnt == fleet.Newest {
+		n.wake()
+	}
 }
 
 func (n *Node) followServers(ctx context.Context) {
 	n.serverFeed.pause = serverPause
+	n.serverFeed.answered = func() { n.noteNews(n.now()) }
 	n.follow(ctx, &n.serverFeed, n.opts.ServerTable, n.listServers, n.changeServers)
 }
 
@@ -213,7 +241,7 @@
 	if n.storeWasUp() {
 		hold = 0
 	}
-	n.directory.Missing(listed, version, hold, n.now())
+	n.logVanished(n.directory.Missing(listed, version, hold, n.now()), version, hold)
 }
 
 func (n *Node) changeServers(changes []platform.Change) {
@@ -222,7 +250,9 @@
 	for _, c := range changes {
 		e := n.decodeServer(c)
 		if c.Deleted && afterOutage {
-			n.directory.Lapsed(e.ID, e.Revision, n.now().Add(lapseHold))
+			if n.directory.Lapsed(e.ID, e.Revision, n.now().Add(lapseHold)) {
+				n.logVanished([]backend.ID{e.ID}, e.Revision, lapseHold)
+			}
 			continue
 		}
 		entries = append(entries, e)
@@ -268,6 +298,14 @@
 	n.servers.Keep(n.directory.View())
 }
 
+// logVanished tells of servers whose rows are gone and that count as present for
+// a time, as an outage may be the reason.
+func (n *Node) logVanished(ids []backend.ID, revision platform.Version, hold time.Duration) {
+	for _, id := range ids {
+		n.log.Info("server_vanished", zap.String("server", string(id)), zap.Uint64("revision", uint64(revision)), zap.Duration("hold", hold))
+	}
+}
+
 func (n *Node) logServer(e *fleet.Entry, source string) {
 	n.log.Info("server_known",
 		zap.String("server", string(e.ID)), zap.String("service", e.Service), zap.String("address", e.Address),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,6 +181,9 @@
 	storeClock storeClock
 	// serversKnown is set once the servers were listed.
 	serversKnown atomic.Bool
+	// news is when the servers known here were last known to be all there were, nil
+	// before that.
+	news atomic.Pointer[time.Time]
 	// calls is the rate of calls; it is used by the digest loop only.
 	calls steer.Meter
 	// claim is the newest that is known of a holder's term.
@@ -241,6 +244,7 @@
 		Suspects:      n.suspects,
 		Shelf:         n.shelf,
 		Placed:        n.tellBusy,
+		NewsAge:       func() time.Duration { return n.newsAge() },
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		RetryRatio:    opts.Bounds.RetryRatio,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -146,6 +146,7 @@
 		Following:    following > 0,
 		FollowingFor: following,
 		Servers:      n.directory.Revision(),
+		NewsAge:      max(0, n.newsAge()),
 		Usage:        n.quota.Usages(),
 		Loads:        loadList(n.servers.Loads()),
 		Crashes:      n.suspects.Own(),
@@ -258,6 +259,7 @@
 	n.suspects.Heard(p.ID, p.Crashes)
 	n.heardClaim(p.Claim)
 	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
+	n.confirm(p.Servers, p.NewsAge)
 	n.keepForRelay(p.Placements, p.Kept)
 	n.applyPeers()
 	if n.ahead(p.Member, p.Catalog, p.Servers) {
@@ -265,6 +267,35 @@
 	}
 }
 
+// confirm notes that another VM had evidence of some age that no entry newer than a
+// revision exists.
+func (n *Node) confirm(revision platform.Version, age time.Duration) {
+	if age <= 0 || revision > n.directory.Revision() {
+		return
+	}
+	n.noteNews(n.now().Add(-age))
+}
+
+// noteNews notes when the servers known here were all there were.
+func (n *Node) noteNews(at time.Time) {
+	for {
+		old := n.news.Load()
+		if old != nil && !at.After(*old) || n.news.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// newsAge returns the age of the evidence that the servers known here are all there
+// are; negative if there is none.
+func (n *Node) newsAge() time.Duration {
+	at := n.news.Load()
+	if at == nil {
+		return -1
+	}
+	return max(1, n.now().Sub(*at))
+}
+
 // learn takes over what another VM tells of weights and prompts.
 func (n *Node) learn(from string, goals []gossip.WeightsGoal, held []gossip.WeightsHeld, placed []selector.Placement, kept []selector.Kept) {
 	for _, g := range goals {
@@ -336,11 +367,14 @@
 		n.fetching = false
 		delete(n.behind, p.ID)
 	}()
+	began, known := n.now(), n.directory.Revision()
 	s, err := n.fetchState(p)
 	if err != nil {
 		n.log.Info("state_fetch_failed", zap.String("peer", string(p.ID)), logging.Error(err))
 		return
 	}
+	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Uint64("after", uint64(known)),
+		zap.Int("servers", len(s.Servers)), zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
 	if s.Catalog != nil {
 		n.publish(*s.Catalog, string(p.ID))
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -51,6 +51,7 @@
 		Claim:        d.Claim,
 		Catalog:      d.Catalog,
 		Servers:      d.Servers,
+		NewsAge:      d.NewsAge,
 		Goals:        d.Goals,
 		Held:         d.Held,
 		Reserved:     slices.Clone(d.Reserved),
@@ -93,6 +94,7 @@
 	n.suspects.Heard(name, s.Crashes)
 	n.heardClaim(s.Claim)
 	n.learn(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
+	n.confirm(s.Servers, s.NewsAge)
 	n.applyPeers()
 	if n.ahead(s.From, s.Catalog, s.Servers) {
 		go n.fetch(s.From)
