--- /dev/null
+++ b/internal/gateway/recheck_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/platform"
+)
+
+// testEngine counts the requests that reach it.
+type testEngine struct {
+	entry fleet.Entry
+	got   atomic.Int32
+}
+
+func newTestEngine(t *testing.T, id backend.ID, revision platform.Version, weights uint64) *testEngine {
+	e := &testEngine{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		e.got.Add(1)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	}))
+	t.Cleanup(server.Close)
+	e.entry = fleet.Entry{
+		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
+		State: fleet.Ready, Weights: map[string]uint64{"m": weights}, Revision: revision,
+	}
+	return e
+}
+
+// Between the choice and the write a connection is opened, and the VM may be busy.
+func TestServerThatLeavesBeforeTheWriteGetsNoRequest(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) { reached.Add(1) })
+	other := newTestEngine(t, "other", 3, 1)
+	g.opts.Placed = func() {
+		leaving := *g.opts.Directory.View().All()[0]
+		leaving.State, leaving.Revision = fleet.Draining, 2
+		g.opts.Directory.Apply([]fleet.Entry{leaving, other.entry}, time.Now())
+		g.opts.Placed = func() {}
+	}
+	sink := &recorder{}
+	g.Serve(context.Background(), modelCall(), sink)
+	if reached.Load() != 0 || other.got.Load() != 1 || sink.body.Len() == 0 {
+		t.Errorf("%d requests at the server that leaves, %d at the other one; the caller got %q", reached.Load(), other.got.Load(), sink.body.String())
+	}
+}
+
+func TestEngineWhoseWeightsBecomeTooOldBeforeTheWriteGetsNoRequest(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) { reached.Add(1) })
+	var ahead atomic.Int64
+	g.opts.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	g.opts.Model.VersionBound = 6 * time.Second
+	g.opts.Goals.Add("m", fleet.Goal{Version: 2, Since: time.Now()})
+	other := newTestEngine(t, "other", 3, 2)
+	g.opts.Placed = func() {
+		g.opts.Placed = func() {}
+		ahead.Store(int64(7 * time.Second))
+		g.opts.Directory.Apply([]fleet.Entry{other.entry}, time.Now())
+	}
+	c, sink := modelCall(), &recorder{}
+	c.Arrived = c.Arrived.Add(5 * time.Second) // Its deadline isn't the reason.
+	g.Serve(context.Background(), c, sink)
+	if reached.Load() != 0 || other.got.Load() != 1 {
+		t.Errorf("%d requests at the engine on old weights, %d at the other one", reached.Load(), other.got.Load())
+	}
+}
+
+// A run begins with its first token, which may come long after the send.
+func TestRunThatHasNotBegunIsEndedBeforeTheVersionBound(t *testing.T) {
+	ended := make(chan time.Time, 1)
+	g, _ := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(6 * time.Second):
+		}
+		ended <- time.Now()
+	})
+	g.Publish(catalog.Snapshot{
+		Version: 2,
+		Routes: []catalog.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: catalog.Stream, Resumable: true, Timeout: 10 * time.Second, Objective: 3 * time.Second,
+			MaxAttempts: 2, Targets: []catalog.Target{{Service: "llm", Weight: 1}},
+		}},
+		Services: []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Slots: 8, CacheTokens: 160_000, TokenBytes: 1000, LinkBitRate: 1e9}}},
+	})
+	named := time.Now()
+	g.opts.Model.VersionBound = 4 * time.Second
+	g.opts.Goals.Add("m", fleet.Goal{Version: 2, Since: named})
+	other := newTestEngine(t, "other", 3, 2)
+	time.AfterFunc(time.Second, func() { g.opts.Directory.Apply([]fleet.Entry{other.entry}, time.Now()) })
+	sink := &recorder{}
+	g.Serve(context.Background(), modelCall(), sink)
+	if took := (<-ended).Sub(named); took > g.opts.Model.VersionBound {
+		t.Errorf("the run could begin for %v, the bound is %v", took, g.opts.Model.VersionBound)
+	}
+	if other.got.Load() != 1 || sink.body.Len() == 0 {
+		t.Errorf("%d requests at the engine on the new weights, the caller got %q", other.got.Load(), sink.body.String())
+	}
+}
--- /dev/null
+++ b/internal/node/servers_test.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// serverStore is a table of servers with its history.
+type serverStore struct {
+	revision platform.Version
+	rows     map[string]platform.Row
+	history  []platform.Change
+}
+
+func newServerStore() *serverStore { return &serverStore{rows: map[string]platform.Row{}} }
+
+func (s *serverStore) write(id string, state fleet.State, started int64) {
+	value, err := json.Marshal(fleet.Entry{ID: backend.ID(id), Service: "s", Address: "127.0.0.1:1", State: state, Started: started})
+	if err != nil {
+		panic(err)
+	}
+	s.change(platform.Change{Row: platform.Row{Key: id, Value: value}})
+}
+
+func (s *serverStore) remove(id string) {
+	s.change(platform.Change{Row: platform.Row{Key: id}, Deleted: true})
+}
+
+func (s *serverStore) change(c platform.Change) {
+	s.revision++
+	c.Version = s.revision
+	s.history = append(s.history, c)
+	if c.Deleted {
+		delete(s.rows, c.Key)
+	} else {
+		s.rows[c.Key] = c.Row
+	}
+}
+
+func (s *serverStore) Rows(context.Context, string) (platform.Listing, error) {
+	l := platform.Listing{Version: s.revision}
+	for _, r := range s.rows {
+		l.Rows = append(l.Rows, r)
+	}
+	return l, nil
+}
+
+func (s *serverStore) Changes(_ context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
+	var out []platform.Change
+	for _, c := range s.history {
+		if c.Version > after {
+			out = append(out, c)
+		}
+	}
+	return out, s.revision, nil
+}
+
+// entryDecoder reads rows of a serverStore.
+type entryDecoder struct{}
+
+func (entryDecoder) Operator([]platform.Row) Operator { return Operator{} }
+
+func (entryDecoder) Server(c platform.Change) (fleet.Entry, error) {
+	e := fleet.Entry{ID: backend.ID(c.Key), Revision: c.Version, Gone: true}
+	if c.Deleted {
+		return e, nil
+	}
+	err := json.Unmarshal(c.Value, &e)
+	e.Revision, e.Gone = c.Version, err != nil
+	return e, err
+}
+
+// testVM is a VM that reads servers from a store and from other VMs when told to.
+type testVM struct {
+	*Node
+	t       *testing.T
+	address string
+	at      time.Time
+}
+
+func newTestVM(t *testing.T, store *serverStore) *testVM {
+	n, err := New(Options{
+		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
+		Peer: "127.0.0.1:0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
+		Bounds: Bounds{VersionBound: 20 * time.Second, Lease: 3 * time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = n.listener.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.gossip.Run(ctx) // Closes the socket.
+	})
+	v := &testVM{Node: n, t: t, at: time.Unix(1000, 0)}
+	n.now = func() time.Time { return v.at }
+	v.address = serve(t, n.peerHandler())
+	return v
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// lists reads all servers from the store, reads the changes since.
+func (v *testVM) lists() {
+	if err := v.load(context.Background(), &v.serverFeed, "servers", v.listServers); err != nil {
+		v.t.Fatal(err)
+	}
+}
+
+func (v *testVM) reads() {
+	if err := v.watch(context.Background(), &v.serverFeed, "servers", v.changeServers); err != nil {
+		v.t.Fatal(err)
+	}
+}
+
+// fetches takes over the state of another VM.
+func (v *testVM) fetches(address string) { v.fetch(gossip.Member{ID: "other", Peer: address}) }
+
+// delayed returns the address of an answer that a VM gave earlier to whoever knows
+// nothing.
+func (v *testVM) delayed() string {
+	resp, err := http.Get("http://" + v.address + pathState + "?catalog=0&servers=0")
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	return serve(v.t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+}
+
+func (v *testVM) passes(d time.Duration) {
+	v.at = v.at.Add(d)
+	v.directory.Expire(v.at)
+}
+
+// uses returns the servers that get requests.
+func (v *testVM) uses() []string {
+	var ids []string
+	for _, e := range v.directory.View().Service("s") {
+		ids = append(ids, string(e.ID))
+	}
+	return ids
+}
+
+func (v *testVM) wantUses(ids ...string) {
+	v.t.Helper()
+	if got := v.uses(); !slices.Equal(got, ids) {
+		v.t.Errorf("uses %v, want %v", got, ids)
+	}
+}
+
+// A VM that starts again reads the store, then hears from one that lags.
+func TestLaggingVMDoesNotBringBackAServerThatLeft(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	lagging, started := newTestVM(t, store), newTestVM(t, store)
+	lagging.lists()
+	store.remove("x")
+	started.lists()
+	started.fetches(lagging.address)
+	started.wantUses()
+}
+
+func TestDelayedStateDoesNotBringBackAServerThatLeft(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	v, other := newTestVM(t, store), newTestVM(t, store)
+	v.lists()
+	other.lists()
+	address := other.delayed()
+	store.remove("x")
+	v.reads()
+	v.passes(61 * time.Second)
+	store.write("y", fleet.Ready, 1)
+	v.reads()
+	v.fetches(address)
+	v.wantUses("y")
+}
+
+// The other VM has started after the server left and never knew it.
+func TestStateOfAVMThatNeverKnewAServerEndsIt(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	v, started := newTestVM(t, store), newTestVM(t, store)
+	v.lists()
+	store.remove("x")
+	store.write("y", fleet.Ready, 1)
+	started.lists()
+	v.fetches(started.address)
+	v.wantUses("y")
+}
+
+func TestEndFoundByListingReachesVMsThatDoNotReadTheStore(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	reader, other := newTestVM(t, store), newTestVM(t, store)
+	reader.lists()
+	other.lists()
+	store.remove("x")
+	store.write("y", fleet.Ready, 1)
+	reader.lists()
+	reader.passes(5 * time.Second)
+	reader.wantUses("y")
+	other.passes(5 * time.Second)
+	other.fetches(reader.address)
+	other.wantUses("y")
+}
+
+// Clocks of servers don't order what the store has ordered.
+func TestLeaveWithEarlierStartIsBelieved(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 9)
+	v := newTestVM(t, store)
+	v.lists()
+	store.write("x", fleet.Draining, 5)
+	v.reads()
+	v.wantUses()
+}
+
+func TestLateAnnouncementDoesNotUndoALeave(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 5)
+	v, other := newTestVM(t, store), newTestVM(t, store)
+	v.lists()
+	store.write("x", fleet.Draining, 5)
+	v.reads()
+	store.write("x", fleet.Ready, 5)
+	v.reads()
+	v.wantUses()
+	other.fetches(v.address)
+	other.wantUses()
+	store.write("x", fleet.Ready, 8) // Another run.
+	v.reads()
+	v.wantUses("x")
+}
+
+// Rows that lapsed in an outage are back within lapseHold of the store's return.
+func TestHoldOfVanishedServersCountsFromTheStoresReturn(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	v := newTestVM(t, store)
+	v.lists()
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.passes(5 * time.Second)
+	v.reads()
+	v.passes(lapseHold - 200*time.Millisecond)
+	store.remove("x")
+	v.reads()
+	v.passes(100 * time.Millisecond)
+	v.wantUses("x")
+	v.passes(200 * time.Millisecond)
+	v.wantUses()
+}
