--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -72,12 +72,17 @@
 	Newest
 )
 
+// correction is the least difference of two times of naming that counts as a
+// correction. Clocks are compared over a network, which takes a few milliseconds.
+const correction = 100 * time.Millisecond
+
 // Add notes a named version. Of two times for one version the earlier one holds.
 func (g *Goals) Add(model string, goal Goal) Learnt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	old := g.All()
 	list := old[model]
+	corrected := false
 	i, found := slices.BinarySearchFunc(list, goal.Version, func(x Goal, v uint64) int {
 		return int(int64(x.Version) - int64(v))
 	})
@@ -85,6 +90,7 @@
 	case found && !goal.Since.Before(list[i].Since):
 		return Known
 	case found:
+		corrected = list[i].Since.Sub(goal.Since) >= correction
 		list = slices.Clone(list)
 		list[i].Since = goal.Since
 	default:
@@ -95,8 +101,10 @@
 	next[model] = list
 	g.goals.Store(&next)
 	switch {
-	case found:
+	case corrected:
 		return Corrected
+	case found:
+		return Known
 	case goal.Version < list[len(list)-1].Version:
 		return Older
 	default:
