Know up to which revision nothing of the servers was missed

What callers and servers saw: requests went on to a server that had left, from VMs that had heard from the store and from others since.

Cause: the directory of servers had one number, the revision of the newest entry that had come by any way. It raised that number over changes it had not seen, so nobody asked for these again; ends that were found by a listing, or had been forgotten, or were of servers not known, did not outweigh an older state that came later. Class: state merged from several sources by a mark that is not contiguous, and ends that are forgotten.

Fix: all that is passed on is an update: complete above one revision, up to another, or the whole state at a revision. A VM keeps the revision up to which it has missed nothing, raises it by updates without a gap only, and ignores an update that ends before it. A whole update ends what it doesn't name. A VM that lags beyond the ends that are remembered gets the whole state. Digests name the newest change, so that nobody fetches for revisions of other tables.

A server of the first state of a VM that knows nothing itself no longer counts as known servers.

TestNewerRevisionWins expected revision 20 after a late row of an older run at 21; it expects 21 now, as that row was seen. Its other checks are as they were.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -1,7 +1,8 @@
 // Package fleet knows the backend servers of a deployment whose servers
 // announce themselves in the platform's store, and the weights that they are to
-// run. What is known comes from the store or, when the store can't be reached,
-// from other VMs; revisions decide what is newer.
+// run. What is known comes from the store or from other VMs; revisions decide what is
+// newer. Each VM knows up to which revision it has missed nothing, and tells others
+// so with all that it passes on.
 package fleet
 
 import (
@@ -17,9 +18,8 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 )
 
-// tombstoneAge is how long the end of a server is remembered, so that an older
-// state from another VM doesn't bring it back. It is far above the few seconds
-// that states of other VMs lag.
+// tombstoneAge is how long the end of a server is remembered, to tell VMs that lag.
+// VMs lag for a few seconds; who lags more is told all servers instead.
 const tombstoneAge = 60 * time.Second
 
 // State is what a server says of itself.
@@ -53,6 +53,23 @@
 	Revision platform.Version `json:"revision"`
 	// Gone marks the end of the server.
 	Gone bool `json:"gone,omitempty"`
+	// Hold is set if the row is gone and an outage may be the reason: a server that
+	// was known counts as present for so long, unless it announces itself again.
+	Hold time.Duration `json:"hold,omitempty"`
+}
+
+// Update is what a source knows of the servers.
+type Update struct {
+	// After and UpTo bound the revisions of which nothing is missing: above the
+	// first, up to the second.
+	After platform.Version `json:"after"`
+	UpTo  platform.Version `json:"up_to"`
+	// Whole is set if Entries name all servers that there were at UpTo.
+	Whole   bool    `json:"whole,omitempty"`
+	Entries []Entry `json:"entries"`
+	// Hold is for how long servers that a whole update doesn't name count as
+	// present, unless they announce themselves again.
+	Hold time.Duration `json:"-"`
 }
 
 // WeightsText lists the weights for logs: "model=version", sorted and joined by
@@ -88,27 +105,32 @@
 	return slices.SortedFunc(maps.Values(v.byID), func(a, b *Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
+// record is what is kept of a server.
+type record struct {
+	*Entry
+	// holdUntil is until when a server without a row counts as present; zero with a
+	// row.
+	holdUntil time.Time
+	// goneAt is when the end became known.
+	goneAt time.Time
+}
+
 // Directory collects entries and publishes views. It is safe for concurrent
 // use.
 type Directory struct {
 	mu      sync.Mutex
-	entries map[backend.ID]*Entry
-	goneAt  map[backend.ID]time.Time
-	// suspect are servers that the store no longer listed when it came back; they
-	// count as gone at the time given.
-	suspect map[backend.ID]time.Time
-	// revision grows with the newest row applied.
-	revision platform.Version
-	view     atomic.Pointer[View]
+	records map[backend.ID]*record
+	// known is the revision up to which nothing was missed, newest that of the newest
+	// change up to there.
+	known, newest platform.Version
+	// forgotten is the revision up to which ends may not be remembered.
+	forgotten platform.Version
+	view      atomic.Pointer[View]
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{
-		entries: map[backend.ID]*Entry{},
-		goneAt:  map[backend.ID]time.Time{},
-		suspect: map[backend.ID]time.Time{},
-	}
+	d := &Directory{records: map[backend.ID]*record{}}
 	d.publish()
 	return d
 }
@@ -116,23 +138,50 @@
 // View returns the servers as known now.
 func (d *Directory) View() *View { return d.view.Load() }
 
-// Revision returns the version of the newest row applied.
-func (d *Directory) Revision() platform.Version {
+// Known returns the revision up to which nothing was missed.
+func (d *Directory) Known() platform.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known
+}
+
+// Newest returns the revision of the newest change up to Known. Whoever knows up to
+// there can learn nothing here.
+func (d *Directory) Newest() platform.Version {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revision
+	return d.newest
 }
 
-// Apply merges entries and returns those that changed what is known.
-func (d *Directory) Apply(entries []Entry, now time.Time) []*Entry {
+// Apply merges an update and returns the entries that changed what is known. An
+// update that ends before what is known is ignored: it may name servers that have
+// left since.
+func (d *Directory) Apply(u Update, now time.Time) []*Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if u.UpTo < d.known {
+		return nil
+	}
 	var changed []*Entry
-	for i := range entries {
-		if e := d.apply(&entries[i], now); e != nil {
-			changed = append(changed, e)
+	named := map[backend.ID]bool{}
+	latest := platform.Version(0)
+	for i := range u.Entries {
+		e := &u.Entries[i]
+		named[e.ID] = true
+		latest = max(latest, e.Revision)
+		if kept := d.apply(e, now); kept != nil {
+			changed = append(changed, kept)
 		}
 	}
+	if u.Whole {
+		changed = append(changed, d.endUnnamed(named, u, now)...)
+		latest = max(latest, u.UpTo)
+		d.forgotten = max(d.forgotten, u.UpTo)
+	}
+	if u.Whole || u.After <= d.known {
+		d.known = max(d.known, u.UpTo)
+		d.newest = max(d.newest, min(latest, d.known))
+	}
 	d.forget(now)
 	if len(changed) > 0 {
 		d.publish()
@@ -141,91 +190,99 @@
 }
 
 func (d *Directory) apply(e *Entry, now time.Time) *Entry {
-	old := d.entries[e.ID]
-	if old != nil && (e.Revision <= old.Revision || !e.Gone && e.Started < old.Started) {
+	r := d.records[e.ID]
+	if r == nil {
+		r = &record{Entry: &Entry{ID: e.ID, Gone: true}, goneAt: now}
+		d.records[e.ID] = r
+	}
+	if e.Revision <= r.Revision {
 		return nil
 	}
-	d.revision = max(d.revision, e.Revision)
-	delete(d.suspect, e.ID)
 	if e.Gone {
-		if old == nil {
-			return nil
-		}
-		gone := *old
-		gone.Gone, gone.Revision = true, e.Revision
-		e = &gone
-		d.goneAt[e.ID] = now
-	} else {
-		delete(d.goneAt, e.ID)
+		return d.end(r, e.Revision, e.Hold, now)
 	}
-	kept := *e
-	if old != nil && old.Same(e) {
-		kept.Weights = newest(old.Weights, kept.Weights)
+	next := r.merge(e)
+	r.Entry = &next
+	if next.Gone {
+		return nil
+	}
+	r.goneAt, r.holdUntil = time.Time{}, time.Time{}
+	if e.Hold > 0 {
+		return d.end(r, e.Revision, e.Hold, now)
 	}
-	d.entries[e.ID] = &kept
-	return &kept
+	return &next
 }
 
-// newest merges two states of the weights of one run; versions only grow.
-func newest(a, b map[string]uint64) map[string]uint64 {
-	out := maps.Clone(b)
-	for model, version := range a {
-		if have, ok := out[model]; ok && have < version {
-			out[model] = version
+// merge returns what is known of a server after a newer row than the last. A row of
+// an older run came late.
+func (r *record) merge(e *Entry) Entry {
+	next := *e
+	if e.Started < r.Started {
+		next = *r.Entry
+	}
+	next.Revision, next.Hold = e.Revision, 0
+	if r.Same(&next) {
+		next.Weights = mergeWeights(r.Weights, next.Weights)
+	}
+	return next
+}
+
+// end notes that a server's row is gone, and returns the entry if that changes what
+// is known.
+func (d *Directory) end(r *record, revision platform.Version, hold time.Duration, now time.Time) *Entry {
+	next := *r.Entry
+	next.Revision = max(r.Revision, revision)
+	changed := !r.Gone
+	if hold > 0 && !r.Gone {
+		if until := now.Add(hold); r.holdUntil.IsZero() || until.Before(r.holdUntil) {
+			r.holdUntil = until
 		}
+		told := next
+		told.Hold = hold
+		r.Entry = &next
+		return &told
 	}
-	return out
+	next.Gone = true
+	r.Entry, r.holdUntil = &next, time.Time{}
+	if !changed {
+		return nil
+	}
+	r.goneAt = now
+	return &next
 }
 
-// Missing notes the servers that a whole listing of the store, complete up to a
-// revision, doesn't name. They count as gone after the time given, unless they
-// announce themselves again. It returns those that it noted.
-func (d *Directory) Missing(listed map[backend.ID]bool, revision platform.Version, after time.Duration, now time.Time) []backend.ID {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var noted []backend.ID
-	for id, e := range d.entries {
-		if _, known := d.suspect[id]; known || e.Gone || listed[id] || e.Revision > revision {
+// endUnnamed ends the servers that a whole update doesn't name.
+func (d *Directory) endUnnamed(named map[backend.ID]bool, u Update, now time.Time) []*Entry {
+	var ended []*Entry
+	for id, r := range d.records {
+		if named[id] || r.Gone || r.Revision > u.UpTo || !r.holdUntil.IsZero() {
 			continue
 		}
-		d.suspect[id] = now.Add(after)
-		noted = append(noted, id)
+		ended = append(ended, d.end(r, u.UpTo, u.Hold, now))
 	}
-	return noted
+	return ended
 }
 
-// Lapsed notes that the store dropped a server's row at a revision, for which an
-// outage may be the reason. The server counts as gone at the time given, unless
-// it announces itself again. Lapsed reports whether the server counted as present.
-func (d *Directory) Lapsed(id backend.ID, revision platform.Version, until time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.revision = max(d.revision, revision)
-	if e := d.entries[id]; e == nil || e.Gone || e.Revision > revision {
-		return false
-	}
-	_, known := d.suspect[id]
-	if !known {
-		d.suspect[id] = until
+// mergeWeights merges two states of the weights of one run; versions only grow.
+func mergeWeights(a, b map[string]uint64) map[string]uint64 {
+	out := maps.Clone(b)
+	for model, version := range a {
+		if have, ok := out[model]; ok && have < version {
+			out[model] = version
+		}
 	}
-	return !known
+	return out
 }
 
-// Expire ends the suspects whose time is over and returns them.
+// Expire ends the servers without a row whose time is over and returns them.
 func (d *Directory) Expire(now time.Time) []*Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var ended []*Entry
-	for id, until := range d.suspect {
-		if now.Before(until) {
-			continue
+	for _, r := range d.records {
+		if !r.holdUntil.IsZero() && !now.Before(r.holdUntil) {
+			ended = append(ended, d.end(r, r.Revision, 0, now))
 		}
-		delete(d.suspect, id)
-		gone := *d.entries[id]
-		gone.Gone = true
-		d.entries[id] = &gone
-		d.goneAt[id] = now
-		ended = append(ended, &gone)
 	}
 	if len(ended) > 0 {
 		d.publish()
@@ -233,17 +290,22 @@
 	return ended
 }
 
-// Export returns the entries after a revision for another VM, ends included.
-func (d *Directory) Export(after platform.Version) []Entry {
+// Export returns what another VM lacks that has missed nothing up to a revision.
+func (d *Directory) Export(after platform.Version, now time.Time) Update {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []Entry
-	for _, e := range d.entries {
-		if e.Revision > after {
-			out = append(out, *e)
+	u := Update{After: after, UpTo: d.known, Whole: after < d.forgotten, Entries: []Entry{}}
+	for _, r := range d.records {
+		if u.Whole && r.Gone || !u.Whole && r.Revision <= after {
+			continue
 		}
+		e := *r.Entry
+		if !r.holdUntil.IsZero() {
+			e.Hold = max(1, r.holdUntil.Sub(now))
+		}
+		u.Entries = append(u.Entries, e)
 	}
-	return out
+	return u
 }
 
 // SetWeights notes the version of a model that a server answered with, ahead of
@@ -254,39 +316,39 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.entries[id]
-	if old == nil || old.Started != started || old.Weights[model] >= version {
+	r := d.records[id]
+	if r == nil || r.Started != started || r.Weights[model] >= version {
 		return false
 	}
-	next := *old
-	next.Weights = maps.Clone(old.Weights)
+	next := *r.Entry
+	next.Weights = maps.Clone(r.Weights)
 	if next.Weights == nil {
 		next.Weights = map[string]uint64{}
 	}
 	next.Weights[model] = version
-	d.entries[id] = &next
+	r.Entry = &next
 	d.publish()
 	return true
 }
 
 func (d *Directory) forget(now time.Time) {
-	for id, at := range d.goneAt {
-		if now.Sub(at) > tombstoneAge {
-			delete(d.goneAt, id)
-			delete(d.entries, id)
+	for id, r := range d.records {
+		if r.Gone && now.Sub(r.goneAt) > tombstoneAge {
+			d.forgotten = max(d.forgotten, r.Revision)
+			delete(d.records, id)
 		}
 	}
 }
 
 func (d *Directory) publish() {
 	v := &View{byService: map[string][]*Entry{}, byID: map[backend.ID]*Entry{}}
-	for id, e := range d.entries {
-		if e.Gone {
+	for id, r := range d.records {
+		if r.Gone {
 			continue
 		}
-		v.byID[id] = e
-		if e.Usable() {
-			v.byService[e.Service] = append(v.byService[e.Service], e)
+		v.byID[id] = r.Entry
+		if r.Usable() {
+			v.byService[r.Service] = append(v.byService[r.Service], r.Entry)
 		}
 	}
 	for _, list := range v.byService {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,29 +12,38 @@
 	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", State: Ready, Started: started, Weights: map[string]uint64{"m": 1}, Revision: platform.Version(revision)}
 }
 
+// apply merges entries of the store's feed, up to the newest of them.
+func apply(d *Directory, now time.Time, entries ...Entry) {
+	u := Update{After: d.Known(), UpTo: d.Known(), Entries: entries}
+	for _, e := range entries {
+		u.UpTo = max(u.UpTo, e.Revision)
+	}
+	d.Apply(u, now)
+}
+
 func TestNewerRevisionWins(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := NewDirectory()
-	d.Apply([]Entry{ready("x", 5, 10)}, now)
+	apply(d, now, ready("x", 5, 10))
 	draining := ready("x", 5, 12)
 	draining.State = Draining
-	d.Apply([]Entry{draining}, now)
-	d.Apply([]Entry{ready("x", 5, 11)}, now) // From a VM that lags.
+	apply(d, now, draining)
+	apply(d, now, ready("x", 5, 11)) // From a VM that lags.
 	if len(d.View().Service("s")) != 0 || d.View().Server("x") == nil {
 		t.Error("a draining server is used, or forgotten")
 	}
-	d.Apply([]Entry{{ID: "x", Revision: 14, Gone: true}}, now)
-	d.Apply([]Entry{ready("x", 5, 13)}, now)
+	apply(d, now, Entry{ID: "x", Revision: 14, Gone: true})
+	apply(d, now, ready("x", 5, 13))
 	if d.View().Server("x") != nil {
 		t.Error("a server that ended came back with an older state")
 	}
-	d.Apply([]Entry{ready("x", 9, 20)}, now)
-	d.Apply([]Entry{ready("x", 5, 21)}, now) // An announcement of the run before.
+	apply(d, now, ready("x", 9, 20))
+	apply(d, now, ready("x", 5, 21)) // An announcement of the run before.
 	if e := d.View().Server("x"); e == nil || e.Started != 9 {
 		t.Errorf("entry %+v, want the run that started at 9", e)
 	}
-	if d.Revision() != 20 {
-		t.Errorf("revision %d", d.Revision())
+	if d.Known() != 21 || d.Newest() != 21 {
+		t.Errorf("known up to %d, newest change %d", d.Known(), d.Newest())
 	}
 }
 
@@ -42,19 +51,19 @@
 func TestMissingServersGetTime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := NewDirectory()
-	d.Apply([]Entry{ready("x", 1, 1), ready("y", 1, 2), ready("z", 1, 3)}, now)
-	d.Missing(map[backend.ID]bool{"x": true}, 3, 2*time.Second, now)
+	apply(d, now, ready("x", 1, 1), ready("y", 1, 2), ready("z", 1, 3))
+	d.Apply(Update{UpTo: 3, Whole: true, Entries: []Entry{ready("x", 1, 1)}, Hold: 2 * time.Second}, now)
 	if n := len(d.View().Service("s")); n != 3 {
 		t.Fatalf("%d servers right after the listing", n)
 	}
-	d.Apply([]Entry{ready("y", 1, 5)}, now.Add(time.Second))
+	apply(d, now.Add(time.Second), ready("y", 1, 5))
 	if ended := d.Expire(now.Add(1900 * time.Millisecond)); len(ended) != 0 {
 		t.Errorf("ended early: %v", ended)
 	}
 	if ended := d.Expire(now.Add(2 * time.Second)); len(ended) != 1 || ended[0].ID != "z" {
 		t.Errorf("ended: %v", ended)
 	}
-	d.Lapsed("x", 9, now.Add(5*time.Second))
+	apply(d, now, Entry{ID: "x", Revision: 9, Gone: true, Hold: 5 * time.Second})
 	d.Expire(now.Add(6 * time.Second))
 	if d.View().Server("x") != nil {
 		t.Error("a server whose row lapsed is still there")
@@ -64,15 +73,15 @@
 func TestWeightsOnlyGrow(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := NewDirectory()
-	d.Apply([]Entry{ready("x", 1, 1)}, now)
+	apply(d, now, ready("x", 1, 1))
 	if !d.SetWeights("x", 1, "m", 3) || d.SetWeights("x", 1, "m", 2) || d.SetWeights("x", 2, "m", 9) {
 		t.Error("weights of another run or older ones were taken")
 	}
-	d.Apply([]Entry{ready("x", 1, 2)}, now) // Announced before the load.
+	apply(d, now, ready("x", 1, 2)) // Announced before the load.
 	if e := d.View().Server("x"); e.Weights["m"] != 3 || e.WeightsText() != "m=3" {
 		t.Errorf("weights %v", e.Weights)
 	}
-	d.Apply([]Entry{ready("x", 2, 3)}, now)
+	apply(d, now, ready("x", 2, 3))
 	if e := d.View().Server("x"); e.Weights["m"] != 1 {
 		t.Errorf("weights of a new run: %v", e.Weights)
 	}
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -20,7 +20,8 @@
 
 // evidence is what was known of a server when a request was written to it.
 type evidence struct {
-	// revision is that of the server's entry, known that of the newest entry of any.
+	// revision is that of the server's entry, known that up to which nothing of any
+	// server was missed.
 	revision, known platform.Version
 	// newsAge is the age of the news of servers, delay the time since the server was
 	// chosen.
@@ -47,7 +48,7 @@
 	t, now := a.t, a.t.g.opts.Now()
 	e := evidence{
 		revision: a.c.Entry.Revision,
-		known:    t.g.opts.Directory.Revision(),
+		known:    t.g.opts.Directory.Known(),
 		newsAge:  t.g.opts.NewsAge(),
 		delay:    now.Sub(t.chosenAt),
 		weights:  a.c.Weights(t.call.Model),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -62,10 +62,10 @@
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
 	directory := fleet.NewDirectory()
-	directory.Apply([]fleet.Entry{{
+	directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 		ID: "e", Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
 		State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 1,
-	}}, time.Now())
+	}}}, time.Now())
 	servers := selector.NewTable(10*time.Second, time.Now)
 	g := New(Options{
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Dialect: plainDialect{}, Directory: directory,
@@ -132,7 +132,7 @@
 // that the caller would wait for.
 func TestRefusalIsImmediate(t *testing.T) {
 	g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
-	g.opts.Directory.Apply([]fleet.Entry{{ID: "e", Revision: 2, Gone: true}}, time.Now())
+	g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{ID: "e", Revision: 2, Gone: true}}}, time.Now())
 	c, sink := modelCall(), &recorder{}
 	c.Patience = 900 * time.Millisecond
 	began := time.Now()
@@ -164,7 +164,7 @@
 	address := l.Addr().String()
 	l.Close()
 	down := fleet.Entry{ID: "down", Service: "llm", Address: address, Slots: 8, State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 2}
-	g.opts.Directory.Apply([]fleet.Entry{down}, time.Now())
+	g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{down}}, time.Now())
 	calls := 0
 	serve := func(n int) {
 		t.Helper()
@@ -230,10 +230,10 @@
 			reset(w, r)
 		})
 		crashing.Start()
-		g.opts.Directory.Apply([]fleet.Entry{{
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 			ID: "e", Service: "llm", Address: strings.TrimPrefix(crashing.URL, "http://"), Slots: 8, State: fleet.Ready,
 			Weights: map[string]uint64{"m": 1}, Started: int64(i + 1), Revision: platform.Version(i + 2),
-		}}, time.Now())
+		}}}, time.Now())
 		if sink := send(); sink.refusal == nil || sink.refusal.Verdict != verdict.MayHaveRun {
 			t.Fatalf("crash %d: %+v", i, sink.refusal)
 		}
@@ -261,10 +261,10 @@
 			t.Fatal(err)
 		}
 		l.Close()
-		g.opts.Directory.Apply([]fleet.Entry{{
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 			ID: backend.ID(fmt.Sprint("down-", i)), Service: "llm", Address: l.Addr().String(), Slots: 8, State: fleet.Ready,
 			Weights: map[string]uint64{"m": 1}, Revision: platform.Version(i + 2),
-		}}, time.Now())
+		}}}, time.Now())
 	}
 	sink := &recorder{}
 	g.Serve(context.Background(), modelCall(), sink)
--- a/internal/gateway/recheck_test.go
+++ b/internal/gateway/recheck_test.go
@@ -45,7 +45,7 @@
 	g.opts.Placed = func() {
 		leaving := *g.opts.Directory.View().All()[0]
 		leaving.State, leaving.Revision = fleet.Draining, 2
-		g.opts.Directory.Apply([]fleet.Entry{leaving, other.entry}, time.Now())
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{leaving, other.entry}}, time.Now())
 		g.opts.Placed = func() {}
 	}
 	sink := &recorder{}
@@ -66,7 +66,7 @@
 	g.opts.Placed = func() {
 		g.opts.Placed = func() {}
 		ahead.Store(int64(7 * time.Second))
-		g.opts.Directory.Apply([]fleet.Entry{other.entry}, time.Now())
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{other.entry}}, time.Now())
 	}
 	c, sink := modelCall(), &recorder{}
 	c.Arrived = c.Arrived.Add(5 * time.Second) // Its deadline isn't the reason.
@@ -101,7 +101,7 @@
 	g.opts.Model.VersionBound = 4 * time.Second
 	g.opts.Goals.Add("m", fleet.Goal{Version: 2, Since: named})
 	other := newTestEngine(t, "other", 3, 2)
-	time.AfterFunc(time.Second, func() { g.opts.Directory.Apply([]fleet.Entry{other.entry}, time.Now()) })
+	time.AfterFunc(time.Second, func() { g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{other.entry}}, time.Now()) })
 	sink := &recorder{}
 	g.Serve(context.Background(), modelCall(), sink)
 	if took := (<-ended).Sub(named); took > g.opts.Model.VersionBound {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -82,7 +82,8 @@
 	Claim *LeaseClaim `json:"claim,omitempty"`
 	// Catalog is the version of the configuration in force.
 	Catalog catalog.Version `json:"cat"`
-	// Servers is the revision of the newest server entry known.
+	// Servers is the revision of the newest change of servers known, none before it
+	// being missing.
 	Servers platform.Version `json:"srv"`
 	// NewsAge is the age of the evidence that no newer entry exists; 0 if there is
 	// none.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
@@ -99,8 +98,11 @@
 	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Duration("outage", f.returned.Sub(f.lostAt)))
 }
 
+// changesFunc takes the changes above a revision, up to another one.
+type changesFunc func(changes []platform.Change, after, upTo platform.Version)
+
 // follow reads a table whole, then its changes, until ctx ends.
-func (n *Node) follow(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version), some func([]platform.Change)) {
+func (n *Node) follow(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version), some changesFunc) {
 	f.name = table
 	loaded := false
 	for ctx.Err() == nil {
@@ -147,16 +149,15 @@
 	return nil
 }
 
-func (n *Node) watch(ctx context.Context, f *feedState, table string, some func([]platform.Change)) error {
-	changes, next, err := n.opts.Feed.Changes(ctx, table, f.after, feedWait)
+func (n *Node) watch(ctx context.Context, f *feedState, table string, some changesFunc) error {
+	after := f.after
+	changes, next, err := n.opts.Feed.Changes(ctx, table, after, feedWait)
 	if err != nil {
 		return err
 	}
 	n.succeeded(f)
 	f.after = next
-	if len(changes) > 0 {
-		some(changes)
-	}
+	some(changes, after, next)
 	if f.answered != nil {
 		f.answered()
 	}
@@ -169,7 +170,7 @@
 func (n *Node) followOperator(ctx context.Context) {
 	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable,
 		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) },
-		func(changes []platform.Change) {
+		func(changes []platform.Change, _, _ platform.Version) {
 			rows := make([]platform.Row, 0, len(changes))
 			for _, c := range changes {
 				if !c.Deleted {
@@ -229,36 +230,28 @@
 // listServers takes a whole listing. What it doesn't name may have lapsed in an
 // outage.
 func (n *Node) listServers(rows []platform.Row, version platform.Version) {
-	entries := make([]fleet.Entry, 0, len(rows))
-	listed := map[backend.ID]bool{}
+	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: lapseHold}
 	for _, r := range rows {
-		e := n.decodeServer(platform.Change{Row: r})
-		entries = append(entries, e)
-		listed[e.ID] = !e.Gone
+		u.Entries = append(u.Entries, n.decodeServer(platform.Change{Row: r}))
 	}
-	n.applyServers(entries, "store")
-	hold := lapseHold
 	if n.storeWasUp() {
-		hold = 0
+		u.Hold = 0
 	}
-	n.logVanished(n.directory.Missing(listed, version, hold, n.now()), version, hold)
+	n.applyServers(u, "store")
 }
 
-func (n *Node) changeServers(changes []platform.Change) {
-	entries := make([]fleet.Entry, 0, len(changes))
+func (n *Node) changeServers(changes []platform.Change, after, upTo platform.Version) {
+	u := fleet.Update{After: after, UpTo: upTo, Entries: make([]fleet.Entry, 0, len(changes))}
 	afterOutage := !n.serverFeed.returned.IsZero() && n.now().Sub(n.serverFeed.returned) < lapseHold && !n.storeWasUp()
 	for _, c := range changes {
 		e := n.decodeServer(c)
 		if c.Deleted && afterOutage {
-			if n.directory.Lapsed(e.ID, e.Revision, n.now().Add(lapseHold)) {
-				n.logVanished([]backend.ID{e.ID}, e.Revision, lapseHold)
-			}
-			continue
+			e.Hold = lapseHold
 		}
-		entries = append(entries, e)
+		u.Entries = append(u.Entries, e)
 	}
-	if len(entries) > 0 {
-		n.applyServers(entries, "store")
+	n.applyServers(u, "store")
+	if len(changes) > 0 {
 		n.wake()
 	}
 }
@@ -290,23 +283,22 @@
 	return e
 }
 
-func (n *Node) applyServers(entries []fleet.Entry, source string) {
-	defer n.serversKnown.Store(true)
-	for _, e := range n.directory.Apply(entries, n.now()) {
+func (n *Node) applyServers(u fleet.Update, source string) {
+	for _, e := range n.directory.Apply(u, n.now()) {
 		n.logServer(e, source)
 	}
 	n.servers.Keep(n.directory.View())
-}
-
-// logVanished tells of servers whose rows are gone and that count as present for
-// a time, as an outage may be the reason.
-func (n *Node) logVanished(ids []backend.ID, revision platform.Version, hold time.Duration) {
-	for _, id := range ids {
-		n.log.Info("server_vanished", zap.String("server", string(id)), zap.Uint64("revision", uint64(revision)), zap.Duration("hold", hold))
+	if n.directory.Known() > 0 {
+		n.serversKnown.Store(true)
 	}
 }
 
 func (n *Node) logServer(e *fleet.Entry, source string) {
+	if e.Hold > 0 {
+		n.log.Info("server_vanished", zap.String("server", string(e.ID)), zap.Uint64("revision", uint64(e.Revision)),
+			zap.Duration("hold", e.Hold), zap.String("source", source))
+		return
+	}
 	n.log.Info("server_known",
 		zap.String("server", string(e.ID)), zap.String("service", e.Service), zap.String("address", e.Address),
 		zap.String("failure_domain", e.FailureDomain), zap.String("state", string(e.State)), zap.Bool("gone", e.Gone),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -56,7 +56,7 @@
 // state is what a VM fetches from another.
 type state struct {
 	Catalog *catalog.Snapshot `json:"catalog,omitempty"`
-	Servers []fleet.Entry     `json:"servers"`
+	Servers fleet.Update      `json:"servers"`
 }
 
 func (n *Node) peerHandler() http.Handler {
@@ -73,7 +73,7 @@
 		http.Error(w, "the parameters catalog and servers must be numbers", http.StatusBadRequest)
 		return
 	}
-	s := state{Servers: n.directory.Export(platform.Version(revision))}
+	s := state{Servers: n.directory.Export(platform.Version(revision), n.now())}
 	if c := n.Gateway.Catalog(); c != nil && uint64(c.Version) > known {
 		s.Catalog = &c.Snapshot
 	}
@@ -145,7 +145,7 @@
 		Giver:        n.keeper.Term().Valid(now, 0),
 		Following:    following > 0,
 		FollowingFor: following,
-		Servers:      n.directory.Revision(),
+		Servers:      n.directory.Newest(),
 		NewsAge:      max(0, n.newsAge()),
 		Usage:        n.quota.Usages(),
 		Loads:        loadList(n.servers.Loads()),
@@ -270,7 +270,7 @@
 // confirm notes that another VM had evidence of some age that no entry newer than a
 // revision exists.
 func (n *Node) confirm(revision platform.Version, age time.Duration) {
-	if age <= 0 || revision > n.directory.Revision() {
+	if age <= 0 || revision > n.directory.Known() {
 		return
 	}
 	n.noteNews(n.now().Add(-age))
@@ -330,7 +330,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if catalogKnown <= version && serversKnown <= n.directory.Revision() {
+	if catalogKnown <= version && serversKnown <= n.directory.Known() {
 		delete(n.behind, p.ID)
 		return false
 	}
@@ -367,14 +367,15 @@
 		n.fetching = false
 		delete(n.behind, p.ID)
 	}()
-	began, known := n.now(), n.directory.Revision()
+	began, known := n.now(), n.directory.Known()
 	s, err := n.fetchState(p)
 	if err != nil {
 		n.log.Info("state_fetch_failed", zap.String("peer", string(p.ID)), logging.Error(err))
 		return
 	}
 	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Uint64("after", uint64(known)),
-		zap.Int("servers", len(s.Servers)), zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
+		zap.Uint64("up_to", uint64(s.Servers.UpTo)), zap.Bool("whole", s.Servers.Whole), zap.Int("servers", len(s.Servers.Entries)),
+		zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
 	if s.Catalog != nil {
 		n.publish(*s.Catalog, string(p.ID))
 	}
@@ -390,7 +391,7 @@
 	}
 	q := url.Values{
 		"catalog": {strconv.FormatUint(uint64(version), 10)},
-		"servers": {strconv.FormatUint(uint64(n.directory.Revision()), 10)},
+		"servers": {strconv.FormatUint(uint64(n.directory.Known()), 10)},
 	}
 	var s state
 	resp, err := peerClient.Get("http://" + p.Peer + pathState + "?" + q.Encode())
