Believe a leave whose start is earlier than the one known

What servers would see: requests after a leave that the store has taken, if the leave names an earlier start of the server than the row before, as when its clock was set back between two starts.

Cause: rows of an earlier start counted as late and were dropped, whatever they said. The store orders rows; clocks of servers don't. Fix: such a row still can't bring a server back, but its leave holds until a newer row says otherwise; a living server writes one within its heartbeat interval.

Evidence: TestLeaveWithEarlierStartIsBelieved failed before and passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -213,11 +213,17 @@
 	return &next
 }
 
-// merge returns what is known of a server after a newer row than the last. A row of
-// an older run came late.
+// merge returns what is known of a server after a newer row than the last. The store
+// orders the rows, and clocks of servers don't: a row counts as that of an older run
+// only if it would bring the server back.
 func (r *record) merge(e *Entry) Entry {
 	next := *e
-	if e.Started < r.Started {
+	older := e.Started < r.Started
+	switch {
+	case older && e.State == Draining && !r.Gone:
+		next = *r.Entry
+		next.State = Draining
+	case older && e.State != Draining:
 		next = *r.Entry
 	}
 	next.Revision, next.Hold = e.Revision, 0
