Keep a server's run out of use once it said that it leaves

Cause: a write of the server's own, older than its leave and carried out late, put 'ready' back into its row; the newest row was believed, until the row was removed. The platform's protocol allows such writes: a call without an answer may be carried out seconds later. Class: an end that is forgotten.

Fix: a run of a server, known by its start, that said it leaves is never used again. Another run under the same ID is. The state that VMs pass on says draining then, so those that missed the leave learn it too.

Not covered: a VM that starts after the late write and before the row is removed, and lists the row as it is.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -108,6 +108,9 @@
 // record is what is kept of a server.
 type record struct {
 	*Entry
+	// left is the run that announced its leave, by its start; 0 for none. A run that
+	// leaves never comes back, but a write of its own may be carried out late.
+	left int64
 	// holdUntil is until when a server without a row counts as present; zero with a
 	// row.
 	holdUntil time.Time
@@ -220,11 +223,16 @@
 	next := *e
 	older := e.Started < r.Started
 	switch {
-	case older && e.State == Draining && !r.Gone:
+	case e.State == Draining:
+		r.left = e.Started
+		if older && !r.Gone {
+			next = *r.Entry
+			next.State = Draining
+		}
+	case older:
 		next = *r.Entry
+	case r.left != 0 && e.Started == r.left:
 		next.State = Draining
-	case older && e.State != Draining:
-		next = *r.Entry
 	}
 	next.Revision, next.Hold = e.Revision, 0
 	if r.Same(&next) {
