Count the hold of vanished servers from the store's return

What callers would see: requests to a server that left without a report soon after an outage of the store, for up to 4.8 s after its leave; the bound is 2 s.

Cause: a row that vanishes within 2.3 s of the store's return may have lapsed in the outage, so its server counted as present for 2.3 s more, from the moment it vanished. After a dropped history, whole listings held servers without any outage.

Fix: the time left since the store's return, or since the start of a process that knows of no outage, is what vanished servers get.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -230,23 +230,20 @@
 // listServers takes a whole listing. What it doesn't name may have lapsed in an
 // outage.
 func (n *Node) listServers(rows []platform.Row, version platform.Version) {
-	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: lapseHold}
+	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: n.lapseLeft()}
 	for _, r := range rows {
 		u.Entries = append(u.Entries, n.decodeServer(platform.Change{Row: r}))
 	}
-	if n.storeWasUp() {
-		u.Hold = 0
-	}
 	n.applyServers(u, "store")
 }
 
 func (n *Node) changeServers(changes []platform.Change, after, upTo platform.Version) {
 	u := fleet.Update{After: after, UpTo: upTo, Entries: make([]fleet.Entry, 0, len(changes))}
-	afterOutage := !n.serverFeed.returned.IsZero() && n.now().Sub(n.serverFeed.returned) < lapseHold && !n.storeWasUp()
+	hold := n.lapseLeft()
 	for _, c := range changes {
 		e := n.decodeServer(c)
-		if c.Deleted && afterOutage {
-			e.Hold = lapseHold
+		if c.Deleted {
+			e.Hold = hold
 		}
 		u.Entries = append(u.Entries, e)
 	}
@@ -256,6 +253,20 @@
 	}
 }
 
+// lapseLeft returns for how long a server whose row is gone may still announce
+// itself again after an outage. A process that has just started doesn't know of
+// outages before.
+func (n *Node) lapseLeft() time.Duration {
+	if n.storeWasUp() {
+		return 0
+	}
+	returned := n.started
+	if n.serverFeed.returned.After(returned) {
+		returned = n.serverFeed.returned
+	}
+	return max(0, lapseHold-n.now().Sub(returned))
+}
+
 // storeWasUp reports whether another VM has heard from the store for so long that
 // no row can have lapsed in an outage.
 func (n *Node) storeWasUp() bool {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -110,6 +110,7 @@
 	})
 	v := &testVM{Node: n, t: t, at: time.Unix(1000, 0)}
 	n.now = func() time.Time { return v.at }
+	n.started = v.at
 	v.address = serve(t, n.peerHandler())
 	return v
 }
