Notice silent connections within the time for a leave

What callers and servers saw: a router whose open connections to the store fell silent, without an end, sent 78 of 162 requests to a server later than 2 s after its leave, up to 3.7 s; a new configuration was in force after 3.8 s.

Meanwhile no news counted as no change. All VMs that read the store may be silent at a time, so others' news doesn't help. A fetch between VMs went over a kept connection, which may be silent too.

Fix: a call for changes of servers waits 0.7 s, and is lost 0.7 s later. Fetches between VMs open a connection each. All VMs but the two of a domain that read the store pay nothing; those make 1.4 calls a second for servers where nothing changes, 0.3 before.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -20,10 +20,14 @@
 )
 
 const (
-	// feedWait is for how long a feed call waits for a change. A store that falls
-	// silent is noticed by a call that doesn't come back, which must be before the
-	// servers' announcements have lapsed, after three heartbeats.
-	feedWait = 3 * time.Second
+	// serverWait is for how long a call waits for a change of servers. A connection
+	// that falls silent is noticed by a call that doesn't come back in time: that, the
+	// call after it and the news to other VMs must fit the time within which a leave
+	// must be known, drain_ms on the deployments' sheets, 2 s.
+	serverWait = 700 * time.Millisecond
+	// operatorWait is the same for the operator's objects. When a call for servers
+	// fails, the call for these is made anew.
+	operatorWait = 3 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. The upper
 	// one is short against the time within which changes must be in force.
 	minBackoff = 100 * time.Millisecond
@@ -44,11 +48,20 @@
 	standbyInterval = 60 * time.Second
 )
 
+// errInterrupted means that a call was ended to be made anew.
+var errInterrupted = errors.New("the call was ended to be made anew")
+
 // feedState is what one loop knows of its feed.
 type feedState struct {
 	name string
+	// wait is for how long a call waits for a change.
+	wait time.Duration
+	// interrupt ends the call that is under way, nil without one.
+	interrupt atomic.Pointer[context.CancelFunc]
 	// pause is how long changes are left to collect after some came.
 	pause time.Duration
+	// lost, if set, is called when a call has failed.
+	lost func()
 	// answered, if set, is called when all changes that the store told are applied.
 	answered func()
 	after    platform.Version
@@ -74,6 +87,9 @@
 // failed notes a failed call and returns the pause before the next.
 func (n *Node) failed(f *feedState, err error) time.Duration {
 	f.healthy.Store(nil)
+	if f.lost != nil {
+		f.lost()
+	}
 	if f.failures == 0 {
 		f.lostAt = n.now()
 		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)),
@@ -124,6 +140,9 @@
 				loaded = false
 				continue
 			}
+			if errors.Is(err, errInterrupted) {
+				continue
+			}
 		}
 		if err == nil {
 			n.succeeded(f)
@@ -151,8 +170,15 @@
 
 func (n *Node) watch(ctx context.Context, f *feedState, table string, some changesFunc) error {
 	after := f.after
-	changes, next, err := n.opts.Feed.Changes(ctx, table, after, feedWait)
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.interrupt.Store(&cancel)
+	changes, next, err := n.opts.Feed.Changes(callCtx, table, after, f.wait)
+	f.interrupt.Store(nil)
 	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			return errInterrupted
+		}
 		return err
 	}
 	n.succeeded(f)
@@ -168,6 +194,7 @@
 }
 
 func (n *Node) followOperator(ctx context.Context) {
+	n.operatorFeed.wait = operatorWait
 	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable,
 		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) },
 		func(changes []platform.Change, _, _ platform.Version) {
@@ -223,6 +250,12 @@
 
 func (n *Node) followServers(ctx context.Context) {
 	n.serverFeed.pause = serverPause
+	n.serverFeed.wait = serverWait
+	n.serverFeed.lost = func() {
+		if interrupt := n.operatorFeed.interrupt.Load(); interrupt != nil {
+			(*interrupt)()
+		}
+	}
 	n.serverFeed.answered = func() { n.noteNews(n.now()) }
 	n.follow(ctx, &n.serverFeed, n.opts.ServerTable, n.listServers, n.changeServers)
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -382,7 +382,9 @@
 	n.applyServers(s.Servers, string(p.ID))
 }
 
-var peerClient = &http.Client{Timeout: fetchTimeout}
+// peerClient opens a connection for each fetch: one that is kept may have fallen
+// silent, and the time-out that shows it is a third of what a leave may take.
+var peerClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (n *Node) fetchState(p gossip.Member) (state, error) {
 	var version catalog.Version
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -201,6 +203,30 @@
 	v.wantUses("y")
 }
 
+// All connections between VMs may fall silent at a time.
+func TestStateIsNotFetchedOverAKeptConnection(t *testing.T) {
+	store := newServerStore()
+	v, other := newTestVM(t, store), newTestVM(t, store)
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(other.peerHandler())
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	for i := range 3 {
+		store.write("x", fleet.Ready, int64(i+1))
+		other.lists()
+		v.fetches(strings.TrimPrefix(server.URL, "http://"))
+	}
+	v.wantUses("x")
+	if opened.Load() != 3 {
+		t.Errorf("%d connections for 3 fetches", opened.Load())
+	}
+}
+
 // The other VM has started after the server left and never knew it.
 func TestStateOfAVMThatNeverKnewAServerEndsIt(t *testing.T) {
 	store := newServerStore()
