Don't let many namings make old weights look younger

Cause: six named versions of a model were remembered. An engine that lacks a seventh got the time of the oldest one left, so it counted as behind since then, and requests could begin there later than the version bound.

Fix: the oldest version that is remembered keeps the time of the first one before it.

Evidence: TestManyNamingsDoNotMakeOldWeightsYounger failed before (behind by 5 s after 12 versions in 11 s) and passes.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -87,6 +87,22 @@
 	}
 }
 
+// Versions may be named faster than engines load.
+func TestManyNamingsDoNotMakeOldWeightsYounger(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGoals()
+	for v := range uint64(12) {
+		g.Add("m", Goal{Version: v + 2, Since: now.Add(time.Duration(v) * time.Second)})
+	}
+	at := now.Add(11 * time.Second)
+	if got := g.Behind("m", 1, at); got < 11*time.Second {
+		t.Errorf("version 1 is behind by %v after 12 versions in 11 s", got)
+	}
+	if got := g.Behind("m", 12, at); got > time.Second {
+		t.Errorf("version 12 is behind by %v", got)
+	}
+}
+
 func TestBehindCountsFromFirstMissedVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := NewGoals()
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// goalHistory is the number of versions of a model that are remembered: an
-// engine that holds none of them is as far behind as can be.
+// goalHistory is the number of versions of a model that are remembered. The oldest
+// stands for those before it: engines that lack it count as behind since the first.
 const goalHistory = 6
 
 // Goal is a version of a model's weights that the operator named.
@@ -95,7 +95,11 @@
 		list[i].Since = goal.Since
 	default:
 		list = slices.Insert(slices.Clone(list), i, goal)
-		list = list[max(0, len(list)-goalHistory):]
+		for ; len(list) > goalHistory; list = list[1:] {
+			if list[0].Since.Before(list[1].Since) {
+				list[1].Since = list[0].Since
+			}
+		}
 	}
 	next := maps.Clone(old)
 	next[model] = list
