Keep in the store when each version of weights was named

What callers and servers would see: after a restart of all VMs, requests begin on weights that were replaced longer ago than the version bound.

Cause: the row that keeps the time of naming held the newest version alone.

Fix: the row holds all versions that are remembered. A writer reads it first, takes over what it says and writes under the condition that it is unchanged, so that a VM that knows less doesn't overwrite one that knows more.

--- a/internal/node/goals.go
+++ b/internal/node/goals.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/fleet"
@@ -41,10 +42,15 @@
 	return t.Sub(c.offset), !c.offset.IsZero()
 }
 
-// namedGoal is a row that keeps when weights were named: the operator's row
-// doesn't say, and after a restart of all VMs nobody would know.
+// namedGoal is a row that keeps when the weights of a model were named: the
+// operator's row doesn't say, and after a restart of all VMs nobody would know.
 type namedGoal struct {
-	Model   string        `json:"model"`
+	Model   string   `json:"model"`
+	Namings []naming `json:"namings"`
+}
+
+// naming is when a version was named.
+type naming struct {
 	Version uint64        `json:"version"`
 	Named   time.Duration `json:"named"` // By the store's steady clock.
 }
@@ -52,39 +58,63 @@
 // goalKey returns the key of a model's row, beside those of the members.
 func (n *Node) goalKey(model string) string { return n.opts.MemberTable + "/weights:" + model }
 
-// keepGoals writes when the newest weights were named. The holder of the lease
-// does it for all.
+// keepGoals writes when weights were named. The holder of the lease does it for all.
 func (n *Node) keepGoals(ctx context.Context) {
 	for model, list := range n.goals.All() {
-		goal := list[len(list)-1]
-		named, ok := n.storeClock.from(goal.Since)
-		if !ok || n.keptGoals[model] >= goal.Version {
+		newest := list[len(list)-1].Version
+		if n.keptGoals[model] >= newest {
 			continue
 		}
-		value, err := json.Marshal(namedGoal{Model: model, Version: goal.Version, Named: named})
-		if err == nil {
-			callCtx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-			err = n.opts.Table.Commit(callCtx, nil, []platform.Write{{Key: n.goalKey(model), Value: value}})
-			cancel()
-		}
-		if err != nil {
-			n.log.Info("goal_not_kept", zap.String("model", model), zap.Uint64("version", goal.Version), logging.Error(err))
+		if err := n.keepGoal(ctx, model, list); err != nil {
+			n.log.Info("goal_not_kept", zap.String("model", model), zap.Uint64("version", newest), logging.Error(err))
 			return // The next step tries again.
 		}
-		n.keptGoals[model] = goal.Version
+		n.keptGoals[model] = newest
 	}
 }
 
+// keepGoal adds what is known of a model to its row. Engines may be several versions
+// behind, so that the times of older versions count as well.
+func (n *Node) keepGoal(ctx context.Context, model string, list []fleet.Goal) error {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	key := n.goalKey(model)
+	rows, err := n.opts.Table.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	check := platform.Check{Key: key}
+	if len(rows) == 1 && rows[0].Value != nil {
+		check.Version = rows[0].Version
+		n.readGoals(rows[0])
+		list = n.goals.All()[model]
+	}
+	row := namedGoal{Model: model}
+	for _, goal := range list {
+		if named, ok := n.storeClock.from(goal.Since); ok {
+			row.Namings = append(row.Namings, naming{Version: goal.Version, Named: named})
+		}
+	}
+	if len(row.Namings) == 0 {
+		return errors.New("the store's clock is not known")
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode namings")
+	}
+	return n.opts.Table.Commit(ctx, []platform.Check{check}, []platform.Write{{Key: key, Value: value}})
+}
+
 // readGoals takes over when weights were named.
 func (n *Node) readGoals(r platform.Row) {
-	var g namedGoal
-	if err := json.Unmarshal(r.Value, &g); err != nil || g.Model == "" {
+	var row namedGoal
+	if err := json.Unmarshal(r.Value, &row); err != nil || row.Model == "" {
 		n.log.Warn("goal_row_malformed", zap.String("key", r.Key), logging.Error(err))
 		return
 	}
-	since, ok := n.storeClock.at(g.Named)
-	if !ok || since.After(n.now()) {
-		return
+	for _, g := range row.Namings {
+		if since, ok := n.storeClock.at(g.Named); ok && !since.After(n.now()) {
+			n.setGoal(row.Model, fleet.Goal{Version: g.Version, Since: since}, "store, as kept")
+		}
 	}
-	n.setGoal(g.Model, fleet.Goal{Version: g.Version, Since: since}, "store, as kept")
 }
--- a/internal/node/goals_restart_test.go
+++ b/internal/node/goals_restart_test.go
@@ -118,7 +118,7 @@
 
 // A VM that starts reads which weights are named before it reads when they were.
 func TestOldWeightsAreNotUsedBeforeTheTimeOfNamingIsKnown(t *testing.T) {
-	value, err := json.Marshal(namedGoal{Model: "m", Version: 2, Named: 495 * time.Second})
+	value, err := json.Marshal(namedGoal{Model: "m", Namings: []naming{{Version: 2, Named: 495 * time.Second}}})
 	if err != nil {
 		t.Fatal(err)
 	}
