Use no older weights before it is known when newer ones were named

What callers and servers would see: a VM that starts sends requests to engines whose weights were replaced long ago, until it has read when that was.

Cause: a process that starts read which weights are named and took that moment as the time of naming; the kept time came by another read, which may fail for seconds. After a gap of the feed the moment of the answer counted too, though the change may be as old as the gap. Class: an age that restarts with the process.

Fix: a version in the first answer has no time, and engines without it get no requests, until the kept rows were read, at once, or another VM tells. What these lack was named while no VM was there to keep it and counts as 5 s old. After a failure, changes count from the last answer before it.

Evidence: TestOldWeightsAreNotUsedBeforeTheTimeOfNamingIsKnown failed before (behind by 5 ms, named 17 s ago) and passes.

--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -15,10 +15,14 @@
 // Goal is a version of a model's weights that the operator named.
 type Goal struct {
 	Version uint64
-	// Since is when it was named, as far as known, by the boot-time clock.
+	// Since is when it was named, by the boot-time clock; zero if that isn't known.
 	Since time.Time
 }
 
+// unknownAge is the age of a version that was named at an unknown time: no request
+// may begin on older weights.
+const unknownAge = time.Hour
+
 // Goals are the weights that engines are to run, by model. It is safe for
 // concurrent use.
 type Goals struct {
@@ -50,6 +54,9 @@
 // none was.
 func (g *Goals) Behind(model string, held uint64, now time.Time) time.Duration {
 	for _, goal := range g.All()[model] {
+		if goal.Version > held && goal.Since.IsZero() {
+			return unknownAge
+		}
 		if goal.Version > held {
 			return max(now.Sub(goal.Since), 1)
 		}
@@ -76,7 +83,18 @@
 // correction. Clocks are compared over a network, which takes a few milliseconds.
 const correction = 100 * time.Millisecond
 
-// Add notes a named version. Of two times for one version the earlier one holds.
+// Unknown reports whether a version of any model was named at an unknown time.
+func (g *Goals) Unknown() bool {
+	for _, list := range g.All() {
+		if slices.ContainsFunc(list, func(goal Goal) bool { return goal.Since.IsZero() }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Add notes a named version. Of two times for one version the earlier one holds, and
+// any known one before an unknown one.
 func (g *Goals) Add(model string, goal Goal) Learnt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,10 +105,10 @@
 		return int(int64(x.Version) - int64(v))
 	})
 	switch {
-	case found && !goal.Since.Before(list[i].Since):
+	case found && (goal.Since.IsZero() || !list[i].Since.IsZero() && !goal.Since.Before(list[i].Since)):
 		return Known
 	case found:
-		corrected = list[i].Since.Sub(goal.Since) >= correction
+		corrected = list[i].Since.IsZero() || list[i].Since.Sub(goal.Since) >= correction
 		list = slices.Clone(list)
 		list[i].Since = goal.Since
 	default:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -70,6 +70,11 @@
 	healthy atomic.Pointer[time.Time]
 	// heard is when the store last answered, nil before it has.
 	heard atomic.Pointer[time.Time]
+	// since is from when the last answer's changes may be: now, or when the store
+	// answered last before a failure. It is zero in a process's first answer.
+	since time.Time
+	// broken is set if a call has failed since the last answer.
+	broken bool
 	// lostAt is when the store was last found unreachable, returned when it
 	// answered again.
 	lostAt, returned time.Time
@@ -87,6 +92,7 @@
 // failed notes a failed call and returns the pause before the next.
 func (n *Node) failed(f *feedState, err error) time.Duration {
 	f.healthy.Store(nil)
+	f.broken = true
 	if f.lost != nil {
 		f.lost()
 	}
@@ -102,6 +108,15 @@
 
 func (n *Node) succeeded(f *feedState) {
 	now := n.now()
+	switch before := f.heard.Load(); {
+	case before == nil:
+		f.since = time.Time{}
+	case f.broken:
+		f.since = *before
+	default:
+		f.since = now
+	}
+	f.broken = false
 	f.heard.Store(&now)
 	if f.healthy.Load() == nil {
 		f.healthy.Store(&now)
@@ -137,15 +152,15 @@
 			err = n.watch(ctx, f, table, some)
 			if errors.Is(err, platform.ErrHistoryGone) {
 				n.log.Info("feed_history_gone", zap.String("feed", table), zap.Uint64("revision", uint64(f.after)))
-				loaded = false
+				loaded, f.broken = false, true
 				continue
 			}
 			if errors.Is(err, errInterrupted) {
+				f.broken = true
 				continue
 			}
 		}
 		if err == nil {
-			n.succeeded(f)
 			continue
 		}
 		if !clock.Sleep(ctx, n.failed(f, err)) {
@@ -196,7 +211,7 @@
 func (n *Node) followOperator(ctx context.Context) {
 	n.operatorFeed.wait = operatorWait
 	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable,
-		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) },
+		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows, n.operatorFeed.since) },
 		func(changes []platform.Change, _, _ platform.Version) {
 			rows := make([]platform.Row, 0, len(changes))
 			for _, c := range changes {
@@ -204,11 +219,12 @@
 					rows = append(rows, c.Row)
 				}
 			}
-			n.applyOperator(rows)
+			n.applyOperator(rows, n.operatorFeed.since)
 		})
 }
 
-func (n *Node) applyOperator(rows []platform.Row) {
+// applyOperator takes rows that were written since a time; zero if that isn't known.
+func (n *Node) applyOperator(rows []platform.Row, since time.Time) {
 	o := n.opts.Decoder.Operator(rows)
 	for _, err := range o.Malformed {
 		n.log.Warn("operator_row_malformed", logging.Error(err))
@@ -217,7 +233,13 @@
 		n.publish(*o.Catalog, "store")
 	}
 	for model, version := range o.Goals {
-		n.setGoal(model, fleet.Goal{Version: version, Since: n.now()}, "store")
+		n.setGoal(model, fleet.Goal{Version: version, Since: since}, "store")
+	}
+	if n.goals.Unknown() {
+		select {
+		case n.undated <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -370,9 +392,15 @@
 		} else {
 			failures = 0
 		}
-		if !clock.Sleep(ctx, pause) {
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-n.undated:
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
+		timer.Stop()
 	}
 }
 
@@ -402,6 +430,7 @@
 const deregisterTimeout = 200 * time.Millisecond
 
 func (n *Node) readMembers(ctx context.Context) error {
+	unknown := n.goals.Unknown()
 	list, err := n.opts.Feed.Rows(ctx, n.opts.MemberTable)
 	if err != nil {
 		return err
@@ -420,6 +449,9 @@
 		}
 		members = append(members, m)
 	}
+	if unknown {
+		n.dateGoals()
+	}
 	n.gossip.Listed(members)
 	return nil
 }
--- a/internal/node/goals.go
+++ b/internal/node/goals.go
@@ -91,6 +91,9 @@
 	}
 	row := namedGoal{Model: model}
 	for _, goal := range list {
+		if goal.Since.IsZero() {
+			return errors.Errorf("the time of naming of version %d is not known", goal.Version)
+		}
 		if named, ok := n.storeClock.from(goal.Since); ok {
 			row.Namings = append(row.Namings, naming{Version: goal.Version, Named: named})
 		}
@@ -105,6 +108,23 @@
 	return n.opts.Table.Commit(ctx, []platform.Check{check}, []platform.Write{{Key: key, Value: value}})
 }
 
+// dateGoals dates the versions that were named at an unknown time, once the rows
+// that keep such times were read after the operator's. What they lack was named when
+// no VM was there to keep it, or right before.
+func (n *Node) dateGoals() {
+	for model, list := range n.goals.All() {
+		for _, goal := range list {
+			if goal.Since.IsZero() {
+				n.setGoal(model, fleet.Goal{Version: goal.Version, Since: n.now().Add(-unkeptAge)}, "not kept")
+			}
+		}
+	}
+}
+
+// unkeptAge is how long ago weights were named whose time no VM has kept. VMs keep it
+// within a second, and the platform starts processes again after a short delay.
+const unkeptAge = 5 * time.Second
+
 // readGoals takes over when weights were named.
 func (n *Node) readGoals(r platform.Row) {
 	var row namedGoal
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,8 @@
 	members  atomic.Int64
 	leaving  atomic.Bool
 	kick     chan struct{}
+	// undated asks for a read of the rows that keep when weights were named.
+	undated chan struct{}
 	// tellAll is set if the next digest is for all VMs of the domain.
 	tellAll atomic.Bool
 	// untold are the placements that only the VMs that take calls were told of; it
@@ -221,6 +223,7 @@
 		goals:     fleet.NewGoals(),
 		pool:      hop.NewPool(),
 		kick:      make(chan struct{}, 1),
+		undated:   make(chan struct{}, 1),
 		held:      map[backend.ID]heldWeights{},
 		behind:    map[vm.ID]time.Time{},
 		keptGoals: map[string]uint64{},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -158,6 +158,9 @@
 	}
 	for model, list := range n.goals.All() {
 		for _, g := range list {
+			if g.Since.IsZero() {
+				continue
+			}
 			d.Goals = append(d.Goals, gossip.WeightsGoal{Model: model, Version: g.Version, Age: now.Sub(g.Since)})
 		}
 	}
