Keep the time of naming as soon as a VM hears of new weights

Cause: only the holder of the lease kept the time. Fix: each VM that reads the store does, the first of its failure domain at once and the others a little later; who finds it kept writes nothing.

Evidence: TestNamingIsKeptBeforeAnyVMHoldsTheLease failed before and passes. Its rig runs the loop that keeps namings, and waits for the first answer of the store.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -268,6 +268,10 @@
 	if learnt == fleet.Newest {
 		n.wake()
 	}
+	select {
+	case n.named <- struct{}{}:
+	default:
+	}
 }
 
 func (n *Node) followServers(ctx context.Context) {
--- a/internal/node/goals.go
+++ b/internal/node/goals.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
@@ -58,8 +60,33 @@
 // goalKey returns the key of a model's row, beside those of the members.
 func (n *Node) goalKey(model string) string { return n.opts.MemberTable + "/weights:" + model }
 
-// keepGoals writes when weights were named. The holder of the lease does it for all.
-func (n *Node) keepGoals(ctx context.Context) {
+const (
+	// keepStagger is the time between the VMs of a failure domain that read the store,
+	// in which the first of them has most likely kept a naming.
+	keepStagger = 150 * time.Millisecond
+	// keepRetry is the pause after a failed attempt.
+	keepRetry = 300 * time.Millisecond
+)
+
+// keepNamings keeps in the store when weights were named, as soon as this VM hears of
+// it: all VMs may be killed right after.
+func (n *Node) keepNamings(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.named:
+		}
+		stagger := time.Duration((float64(n.gossip.Rank()) + rand.Float64()/2) * float64(keepStagger))
+		for n.following() && clock.Sleep(ctx, stagger) && !n.keepGoals(ctx) {
+			stagger = keepRetry
+		}
+	}
+}
+
+// keepGoals writes when weights were named, if that isn't kept yet. It returns false
+// if it must be tried again.
+func (n *Node) keepGoals(ctx context.Context) bool {
 	for model, list := range n.goals.All() {
 		newest := list[len(list)-1].Version
 		if n.keptGoals[model] >= newest {
@@ -67,10 +94,11 @@
 		}
 		if err := n.keepGoal(ctx, model, list); err != nil {
 			n.log.Info("goal_not_kept", zap.String("model", model), zap.Uint64("version", newest), logging.Error(err))
-			return // The next step tries again.
+			return false
 		}
 		n.keptGoals[model] = newest
 	}
+	return true
 }
 
 // keepGoal adds what is known of a model to its row. Engines may be several versions
@@ -86,7 +114,9 @@
 	check := platform.Check{Key: key}
 	if len(rows) == 1 && rows[0].Value != nil {
 		check.Version = rows[0].Version
-		n.readGoals(rows[0])
+		if kept := n.readGoals(rows[0]); kept >= list[len(list)-1].Version {
+			return nil
+		}
 		list = n.goals.All()[model]
 	}
 	row := namedGoal{Model: model}
@@ -125,16 +155,19 @@
 // within a second, and the platform starts processes again after a short delay.
 const unkeptAge = 5 * time.Second
 
-// readGoals takes over when weights were named.
-func (n *Node) readGoals(r platform.Row) {
+// readGoals takes over when weights were named, and returns the newest version kept.
+func (n *Node) readGoals(r platform.Row) uint64 {
 	var row namedGoal
 	if err := json.Unmarshal(r.Value, &row); err != nil || row.Model == "" {
 		n.log.Warn("goal_row_malformed", zap.String("key", r.Key), logging.Error(err))
-		return
+		return 0
 	}
+	newest := uint64(0)
 	for _, g := range row.Namings {
+		newest = max(newest, g.Version)
 		if since, ok := n.storeClock.at(g.Named); ok && !since.After(n.now()) {
 			n.setGoal(row.Model, fleet.Goal{Version: g.Version, Since: since}, "store, as kept")
 		}
 	}
+	return newest
 }
--- a/internal/node/goals_restart_test.go
+++ b/internal/node/goals_restart_test.go
@@ -93,14 +93,11 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.followOperator(ctx)
-	}()
+	n.loop(func() { n.followOperator(ctx) })
+	n.loop(func() { n.keepNamings(ctx) })
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		n.loops.Wait()
 		_ = n.listener.Close()
 		n.gossip.Run(ctx) // Closes the socket.
 	})
@@ -140,6 +137,7 @@
 func TestNamingIsKeptBeforeAnyVMHoldsTheLease(t *testing.T) {
 	store, table := &goalStore{named: make(chan platform.Change)}, &lockedTable{rows: rowTable{}}
 	n, ctx := newOperatorVM(t, store, table)
+	wait(t, "the named weights are known", func() bool { return n.goals.Wanted("m") == 2 })
 	if err := n.readMembers(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,8 @@
 	members  atomic.Int64
 	leaving  atomic.Bool
 	kick     chan struct{}
+	// named tells of versions whose time of naming is to be kept.
+	named chan struct{}
 	// undated asks for a read of the rows that keep when weights were named.
 	undated chan struct{}
 	// tellAll is set if the next digest is for all VMs of the domain.
@@ -178,7 +180,7 @@
 	// lastOrder is used by the order loop only.
 	lastOrder time.Time
 	// keptGoals are the versions whose naming is kept in the store; it is used by
-	// the order loop only.
+	// keepNamings only.
 	keptGoals  map[string]uint64
 	storeClock storeClock
 	// serversKnown is set once the servers were listed.
@@ -223,6 +225,7 @@
 		goals:     fleet.NewGoals(),
 		pool:      hop.NewPool(),
 		kick:      make(chan struct{}, 1),
+		named:     make(chan struct{}, 1),
 		undated:   make(chan struct{}, 1),
 		held:      map[backend.ID]heldWeights{},
 		behind:    map[vm.ID]time.Time{},
@@ -312,6 +315,7 @@
 	n.loop(func() { n.followServers(ctx) })
 	n.loop(func() { n.keepMembership(ctx) })
 	n.loop(func() { n.sendDigests(ctx) })
+	n.loop(func() { n.keepNamings(ctx) })
 	n.loop(func() { n.giveOrders(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -78,7 +78,6 @@
 	term := n.keeper.Term()
 	if term.Fencing != 0 {
 		n.ownClaim(n.keeper.Claim())
-		n.keepGoals(ctx)
 	}
 	if term.Fencing != held {
 		n.log.Info("order_lease", zap.Uint64("fencing", uint64(term.Fencing)), zap.Uint64("before", uint64(held)),
