Look at the server again before a request is written

What callers and servers would see: a request reaches a server that left, or an engine whose weights are too old by then, although the VM knows.

Cause: the server was chosen once, then a connection was opened, for up to 250 ms and more on a busy VM, and the request was written whatever had become known meanwhile. Class: check, then act later.

Fix: right before the write the state, the run and the weights are looked at again; if they don't allow the request any more, another server is chosen. Nothing was sent, so no attempt and no retry budget is used.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,10 @@
 		return a.unsent(caller, err)
 	}
 	a.conn = conn
+	if f := a.recheck(); f != nil {
+		t.g.opts.Pool.Discard(conn)
+		return f
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	resp, f := a.send(ctx, caller)
 	if f == nil {
@@ -123,6 +127,21 @@
 	return f
 }
 
+// recheck looks at the server again before the request is written. A connection was
+// opened since it was chosen, and the VM may have been busy.
+func (a *attempt) recheck() *failure {
+	t := a.t
+	now := t.g.opts.Directory.View().Server(a.c.Entry.ID)
+	switch {
+	case now == nil || !now.Usable() || !now.Same(a.c.Entry):
+		return &failure{code: "server_left", err: errors.Errorf("server %s has left since it was chosen", a.c.Entry.ID)}
+	case t.g.model().TooOld(&selector.Candidate{Behind: t.behind(now, t.g.opts.Now())}):
+		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s are too old by now", a.c.Entry.ID)}
+	}
+	a.c.Entry = now
+	return nil
+}
+
 // owner names the run of the server.
 func (a *attempt) owner() string { return string(a.c.Entry.ID) }
 
