Let no run begin on old weights after the version bound

Cause: engines were left out 2 s before the bound by the time of the choice. A run begins with its first token, after the engine's queue and the reading of the prompt, which takes longer than that on a busy or slow engine; nothing looked at the request once it was sent.

Fix: an engine on old weights gets a request only if twice the expected time to the first byte ends before the bound, and a stream without its first event 0.3 s before the bound is withdrawn: its connection is closed, upon which engines drop what has not begun, and it goes on elsewhere if its route allows.

That the users' case was this one is likely, not shown: the record has neither the time of the send nor that of the naming.

Not covered: engines that run on when a connection closes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,10 +69,14 @@
 	run     *selector.Run
 	conn    *hop.Conn
 	cancel  context.CancelFunc
-	silence *time.Timer
-	conduct selector.Conduct
+	// silence ends the wait for the server, bound that for the run's begin.
+	silence, bound *time.Timer
+	conduct        selector.Conduct
 	// read is set once the first event has come.
 	read atomic.Bool
+	// withdrawn is set if the attempt was given up because its run would begin on
+	// weights that are too old by then.
+	withdrawn atomic.Bool
 	// silent is set if the attempt was given up because the server sent nothing.
 	silent atomic.Bool
 	// saveAddress is the store in which the engine keeps a copy of the shared
@@ -116,8 +120,10 @@
 	if f == nil {
 		f = a.answer(caller, resp)
 	}
-	if a.silence != nil {
-		a.silence.Stop()
+	for _, timer := range []*time.Timer{a.silence, a.bound} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 	if cut := !stop(); f != nil || cut {
 		t.g.opts.Pool.Discard(conn)
@@ -198,6 +204,7 @@
 		out.FetchFrom, out.SaveTo = a.c.Fetch.Address, a.saveTo()
 	}
 	a.watchSilence()
+	a.watchBound()
 	a.noteEvidence()
 	resp, err := a.conn.Send(ctx, &hop.Request{
 		Method: t.call.Method,
@@ -256,6 +263,25 @@
 	a.silence = time.AfterFunc(maxPause, a.checkSilence)
 }
 
+// watchBound withdraws a request that has no first token when no run may begin on the
+// engine's weights any more. Engines drop what has not begun when its connection
+// closes.
+func (a *attempt) watchBound() {
+	t := a.t
+	if t.prompt == nil || t.route.Kind != catalog.Stream {
+		return
+	}
+	c := selector.Candidate{Behind: t.behind(a.c.Entry, t.g.opts.Now())}
+	if in, ok := t.g.model().MustBeginIn(&c); ok {
+		a.bound = time.AfterFunc(in, func() {
+			if !a.read.Load() {
+				a.withdrawn.Store(true)
+				a.cancel()
+			}
+		})
+	}
+}
+
 // checkSilence leaves an engine that has sent nothing to any request for too
 // long. One that sends to others is busy, and another one would have to read the
 // prompt anew.
@@ -283,6 +309,10 @@
 	if a.silent.Load() {
 		f.code = "server_silent"
 	}
+	if a.withdrawn.Load() {
+		f.code = "weights_too_old"
+		return f
+	}
 	if caller.Err() != nil {
 		f.code = "caller_gone"
 		f.callerGone = a.t.left() > 0
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -164,6 +164,7 @@
 	now := g.opts.Now()
 	t.chosenAt = now
 	reserved := *g.reserved.Load()
+	q := t.query(g)
 	var candidates, held []selector.Candidate
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
 		if t.hasTried(e) {
@@ -172,7 +173,7 @@
 		c := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
 		g.opts.Servers.Fill(&c, t.prompt)
 		c.Behind = t.behind(e, now)
-		if model.TooOld(&c) {
+		if model.TooOld(&c) || !model.BeginsInTime(q, &c) {
 			continue
 		}
 		if reserved[string(e.ID)] {
@@ -189,17 +190,6 @@
 			t.findSource(service, &candidates[i], candidates, held)
 		}
 	}
-	q := selector.Query{
-		Objective:    t.route.Objective,
-		Waited:       t.waited(),
-		PromptTokens: t.call.PromptTokens,
-		SharedTokens: t.sharedTokens(),
-		BodyBytes:    len(t.call.Body),
-		Senders:      int(g.senders.Load()),
-	}
-	if t.prompt != nil {
-		q.EngineTokens = t.prompt.EngineTokens
-	}
 	i, loss := model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
 		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait)
@@ -216,6 +206,22 @@
 	return candidates[j], nil
 }
 
+// query describes the call to the choice of a server.
+func (t *task) query(g *Gateway) selector.Query {
+	q := selector.Query{
+		Objective:    t.route.Objective,
+		Waited:       t.waited(),
+		PromptTokens: t.call.PromptTokens,
+		SharedTokens: t.sharedTokens(),
+		BodyBytes:    len(t.call.Body),
+		Senders:      int(g.senders.Load()),
+	}
+	if t.prompt != nil {
+		q.EngineTokens = t.prompt.EngineTokens
+	}
+	return q
+}
+
 // overloaded refuses a request whose prompt no engine can read in time. Callers
 // come back when the shortest queue has drained, spread over as much time again.
 func (t *task) overloaded(c *selector.Candidate) *verdict.Error {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -132,6 +132,13 @@
 	memoryFull = 1.6
 	// boundMargin is how long before the version bound a server is avoided.
 	boundMargin = 2 * time.Second
+	// beginMargin is how long before the version bound a request is withdrawn that has
+	// not begun: the way to the engine, on a busy VM, and the error of the time of
+	// naming, which is read over a network.
+	beginMargin = 300 * time.Millisecond
+	// expectedError is by what factor the expected time to the first byte may be
+	// exceeded: the estimate errs by about a half.
+	expectedError = 2
 	// prefillLoss is what reading a prompt costs the requests after it, as a
 	// share of the request's credit for a read that takes the whole objective.
 	prefillLoss = 0.35
@@ -241,6 +248,25 @@
 	return m.VersionBound > 0 && c.Behind > m.VersionBound-boundMargin
 }
 
+// BeginsInTime reports whether a request will most likely begin on a candidate's
+// weights while that is allowed. It begins with its first token, after the queue and
+// the reading of its prompt.
+func (m Model) BeginsInTime(q Query, c *Candidate) bool {
+	if m.VersionBound <= 0 || c.Behind <= 0 {
+		return true
+	}
+	return c.Behind+time.Duration(expectedError*float64(m.Expected(q, c))) < m.VersionBound-beginMargin
+}
+
+// MustBeginIn returns the time in which a request that is sent now must have begun on
+// the candidate's weights; ok is false if there is no bound.
+func (m Model) MustBeginIn(c *Candidate) (in time.Duration, ok bool) {
+	if m.VersionBound <= 0 || c.Behind <= 0 {
+		return 0, false
+	}
+	return max(0, m.VersionBound-c.Behind-beginMargin), true
+}
+
 func (c *Candidate) crowding() float64 {
 	if c.Entry.Slots <= 0 {
 		return 0
