Believe an announcement of older weights after some seconds

What would be seen: an engine that went back to older weights, as when an order is carried out late after a restart, counts as up to date for as long as it lives, so that requests begin on old weights and no order corrects it.

Cause: weights of a run were only ever taken to grow, because an announcement may be older than what an answer or a report said. Class: soft state that outlives what it was to bridge.

Fix: what was seen ahead outweighs an announcement for 6 s.

Evidence: TestAnnouncedWeightsReplaceThoseSeenLongBefore failed before (version 3, announced was 1) and passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -116,8 +116,15 @@
 	holdUntil time.Time
 	// goneAt is when the end became known.
 	goneAt time.Time
+	// seenAt is when weights were last seen ahead of their announcement.
+	seenAt time.Time
 }
 
+// seenAge is for how long weights that were seen at a server outweigh an announcement
+// of older ones, which may have been on its way. Servers announce themselves within
+// their heartbeat interval of a second or so, and late writes take a few seconds.
+const seenAge = 6 * time.Second
+
 // Directory collects entries and publishes views. It is safe for concurrent
 // use.
 type Directory struct {
@@ -204,7 +211,7 @@
 	if e.Gone {
 		return d.end(r, e.Revision, e.Hold, now)
 	}
-	next := r.merge(e)
+	next := r.merge(e, now)
 	r.Entry = &next
 	if next.Gone {
 		return nil
@@ -219,7 +226,7 @@
 // merge returns what is known of a server after a newer row than the last. The store
 // orders the rows, and clocks of servers don't: a row counts as that of an older run
 // only if it would bring the server back.
-func (r *record) merge(e *Entry) Entry {
+func (r *record) merge(e *Entry, now time.Time) Entry {
 	next := *e
 	older := e.Started < r.Started
 	switch {
@@ -235,7 +242,7 @@
 		next.State = Draining
 	}
 	next.Revision, next.Hold = e.Revision, 0
-	if r.Same(&next) {
+	if r.Same(&next) && now.Sub(r.seenAt) < seenAge {
 		next.Weights = mergeWeights(r.Weights, next.Weights)
 	}
 	return next
@@ -277,7 +284,7 @@
 	return ended
 }
 
-// mergeWeights merges two states of the weights of one run; versions only grow.
+// mergeWeights merges what was seen of one run's weights with what it announces.
 func mergeWeights(a, b map[string]uint64) map[string]uint64 {
 	out := maps.Clone(b)
 	for model, version := range a {
@@ -324,7 +331,7 @@
 
 // SetWeights notes the version of a model that a server answered with, ahead of
 // its announcement.
-func (d *Directory) SetWeights(id backend.ID, started int64, model string, version uint64) bool {
+func (d *Directory) SetWeights(id backend.ID, started int64, model string, version uint64, now time.Time) bool {
 	if e := d.View().Server(id); e == nil || e.Started != started || e.Weights[model] >= version {
 		return false
 	}
@@ -340,7 +347,7 @@
 		next.Weights = map[string]uint64{}
 	}
 	next.Weights[model] = version
-	r.Entry = &next
+	r.Entry, r.seenAt = &next, now
 	d.publish()
 	return true
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -74,7 +74,7 @@
 	now := time.Unix(1000, 0)
 	d := NewDirectory()
 	apply(d, now, ready("x", 1, 1))
-	if !d.SetWeights("x", 1, "m", 3) || d.SetWeights("x", 1, "m", 2) || d.SetWeights("x", 2, "m", 9) {
+	if !d.SetWeights("x", 1, "m", 3, now) || d.SetWeights("x", 1, "m", 2, now) || d.SetWeights("x", 2, "m", 9, now) {
 		t.Error("weights of another run or older ones were taken")
 	}
 	apply(d, now, ready("x", 1, 2)) // Announced before the load.
@@ -87,6 +87,18 @@
 	}
 }
 
+// An order that is carried out late can bring older weights back.
+func TestAnnouncedWeightsReplaceThoseSeenLongBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory()
+	apply(d, now, ready("x", 1, 1))
+	d.SetWeights("x", 1, "m", 3, now)
+	apply(d, now.Add(10*time.Second), ready("x", 1, 2))
+	if got := d.View().Server("x").Weights["m"]; got != 1 {
+		t.Errorf("version %d, announced was 1", got)
+	}
+}
+
 // Versions may be named faster than engines load.
 func TestManyNamingsDoNotMakeOldWeightsYounger(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -236,7 +236,7 @@
 // seeWeights notes what an engine holds ahead of its announcement, and tells the
 // peers.
 func (n *Node) seeWeights(e *fleet.Entry, model string, version uint64) {
-	if !n.directory.SetWeights(e.ID, e.Started, model, version) {
+	if !n.directory.SetWeights(e.ID, e.Started, model, version, n.now()) {
 		return
 	}
 	n.tell(e.ID, heldWeights{started: e.Started, model: model, version: version, at: n.now()})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -305,7 +305,7 @@
 		n.setGoal(g.Model, fleet.Goal{Version: g.Version, Since: n.now().Add(-g.Age)}, from)
 	}
 	for _, h := range held {
-		if n.directory.SetWeights(h.ID, h.Started, h.Model, h.Version) {
+		if n.directory.SetWeights(h.ID, h.Started, h.Model, h.Version, n.now()) {
 			n.tell(h.ID, heldWeights{started: h.Started, model: h.Model, version: h.Version, at: n.now()})
 		}
 	}
