Refuse streams that come late in a stop

What callers saw: a stream that was sent 4.9 s after its VM was asked to stop was cut 2.9 s later, when the process ended.

Cause: until 2.5 s before the end all requests were taken, but a stream may last longer than that. Callers keep an address for 3 s at most; who comes later has found no other answer.

Fix: streams are refused, as not run, from 3 s after the request to stop, so that they go to another VM at once. Short requests are taken as before.

TestStreamTakenLateInAStopIsNotCut failed before and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,9 @@
 	// members is the number of VMs, senders that of those which take calls.
 	members, senders atomic.Int64
 	reserved         atomic.Pointer[map[string]bool]
-	closed           atomic.Bool
-	budgets          sync.Map // of *dispatch.RetryBudget by service
+	// closed is set once all calls are refused, noStreams once streams are.
+	closed, noStreams atomic.Bool
+	budgets           sync.Map // of *dispatch.RetryBudget by service
 	// probes holds the key (selector.ServerKey) of each server that watchDown
 	// watches, crashChecks the *crashCheck that runs for a key.
 	probes, crashChecks sync.Map
@@ -119,6 +120,10 @@
 // load weights.
 func (g *Gateway) Reserve(ids map[string]bool) { g.reserved.Store(&ids) }
 
+// CloseStreams refuses further calls for streams, which may last for long; those that
+// run go on.
+func (g *Gateway) CloseStreams() { g.noStreams.Store(true) }
+
 // Close refuses all further calls; those that run go on.
 func (g *Gateway) Close() { g.closed.Store(true) }
 
@@ -182,6 +187,9 @@
 	if t.route == nil {
 		return verdict.Refuse(http.StatusNotFound, "route_unknown", "no route leads to this host and path")
 	}
+	if t.route.Kind == catalog.Stream && g.noStreams.Load() {
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, "stopping", "this VM is about to stop", minRetryAfter)
+	}
 	if t.catalog.HasAccounts() && !t.route.Open {
 		t.account = t.catalog.Account(c.Key)
 		if t.account == nil {
