--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -163,7 +163,7 @@
 		if err == nil {
 			continue
 		}
-		if !clock.Sleep(ctx, n.failed(f, err)) {
+		if ctx.Err() != nil || !clock.Sleep(ctx, n.failed(f, err)) {
 			return
 		}
 	}
