Make the operator's call anew when the store answers again

Cause: after a silent outage of the store a call that began shortly before its return is never answered. The call for the operator's objects was made anew when one for servers failed, so it often began just then, and hung for 3.7 s, although the next call for servers was answered.

Fix: the operator's call is made anew also when one for servers succeeds again, and waits for 2 s instead of 3.

Evidence: TestConfigurationAfterSilentOutageIsInForceInTime failed before (in force after 3.7 s, three of three) and passes.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -26,8 +26,10 @@
 	// must be known, drain_ms on the deployments' sheets, 2 s.
 	serverWait = 700 * time.Millisecond
 	// operatorWait is the same for the operator's objects. When a call for servers
-	// fails, the call for these is made anew.
-	operatorWait = 3 * time.Second
+	// fails, or succeeds again, the call for these is made anew;
+	// a silence of this call alone is noticed before a VM counts as in touch again, after
+	// stable_window_ms, 3 s.
+	operatorWait = 2 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. The upper
 	// one is short against the time within which changes must be in force.
 	minBackoff = 100 * time.Millisecond
@@ -60,8 +62,9 @@
 	interrupt atomic.Pointer[context.CancelFunc]
 	// pause is how long changes are left to collect after some came.
 	pause time.Duration
-	// lost, if set, is called when a call has failed.
-	lost func()
+	// turned, if set, is called when a call has failed, and when one succeeds after
+	// that: calls that are under way may never be answered.
+	turned func()
 	// answered, if set, is called when all changes that the store told are applied.
 	answered func()
 	after    platform.Version
@@ -93,8 +96,8 @@
 func (n *Node) failed(f *feedState, err error) time.Duration {
 	f.healthy.Store(nil)
 	f.broken = true
-	if f.lost != nil {
-		f.lost()
+	if f.turned != nil {
+		f.turned()
 	}
 	if f.failures == 0 {
 		f.lostAt = n.now()
@@ -126,6 +129,9 @@
 	}
 	f.failures = 0
 	f.returned = now
+	if f.turned != nil {
+		f.turned()
+	}
 	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Duration("outage", f.returned.Sub(f.lostAt)))
 }
 
@@ -277,7 +283,7 @@
 func (n *Node) followServers(ctx context.Context) {
 	n.serverFeed.pause = serverPause
 	n.serverFeed.wait = serverWait
-	n.serverFeed.lost = func() {
+	n.serverFeed.turned = func() {
 		if interrupt := n.operatorFeed.interrupt.Load(); interrupt != nil {
 			(*interrupt)()
 		}
