Hold no server without an outage

TestLeavingServerGetsNoRequests failed in each of 60 runs: a server whose row was removed 0.2 s after the router's start got requests. Only a whole listing of a process that has just started counts from its start now: the servers it doesn't name are known from other VMs.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -295,7 +295,12 @@
 // listServers takes a whole listing. What it doesn't name may have lapsed in an
 // outage.
 func (n *Node) listServers(rows []platform.Row, version platform.Version) {
-	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: n.lapseLeft()}
+	// A process that has just started doesn't know of outages before.
+	returned := n.started
+	if n.serverFeed.returned.After(returned) {
+		returned = n.serverFeed.returned
+	}
+	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: n.lapseLeft(returned)}
 	for _, r := range rows {
 		u.Entries = append(u.Entries, n.decodeServer(platform.Change{Row: r}))
 	}
@@ -304,7 +309,7 @@
 
 func (n *Node) changeServers(changes []platform.Change, after, upTo platform.Version) {
 	u := fleet.Update{After: after, UpTo: upTo, Entries: make([]fleet.Entry, 0, len(changes))}
-	hold := n.lapseLeft()
+	hold := n.lapseLeft(n.serverFeed.returned)
 	for _, c := range changes {
 		e := n.decodeServer(c)
 		if c.Deleted {
@@ -319,16 +324,11 @@
 }
 
 // lapseLeft returns for how long a server whose row is gone may still announce
-// itself again after an outage. A process that has just started doesn't know of
-// outages before.
-func (n *Node) lapseLeft() time.Duration {
-	if n.storeWasUp() {
+// itself again after an outage that ended at a time; zero if there was none.
+func (n *Node) lapseLeft(returned time.Time) time.Duration {
+	if returned.IsZero() || n.storeWasUp() {
 		return 0
 	}
-	returned := n.started
-	if n.serverFeed.returned.After(returned) {
-		returned = n.serverFeed.returned
-	}
 	return max(0, lapseHold-n.now().Sub(returned))
 }
 
