Tell no news of a first listing

Only changes and ends that a listing brought are news now.

TestFirstListingIsNoNews failed before (newest change 50) and passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -184,8 +184,10 @@
 		}
 	}
 	if u.Whole {
-		changed = append(changed, d.endUnnamed(named, u, now)...)
-		latest = max(latest, u.UpTo)
+		if ended := d.endUnnamed(named, u, now); len(ended) > 0 {
+			changed = append(changed, ended...)
+			latest = max(latest, u.UpTo)
+		}
 		d.forgotten = max(d.forgotten, u.UpTo)
 	}
 	if u.Whole || u.After <= d.known {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// A VM that has started knows nothing that others need to fetch.
+func TestFirstListingIsNoNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory()
+	d.Apply(Update{UpTo: 50, Whole: true, Entries: []Entry{ready("x", 1, 7), ready("y", 1, 9)}}, now)
+	if d.Known() != 50 || d.Newest() != 9 {
+		t.Errorf("known up to %d, newest change %d, want 50 and 9", d.Known(), d.Newest())
+	}
+	d.Apply(Update{UpTo: 60, Whole: true, Entries: []Entry{ready("x", 1, 7)}}, now)
+	if d.Newest() != 60 {
+		t.Errorf("newest change %d after an end that was found by listing", d.Newest())
+	}
+}
+
 func TestWeightsOnlyGrow(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := NewDirectory()
