--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -26,9 +26,9 @@
 	// must be known, drain_ms on the deployments' sheets, 2 s.
 	serverWait = 700 * time.Millisecond
 	// operatorWait is the same for the operator's objects. When a call for servers
-	// fails, or succeeds again, the call for these is made anew;
-	// a silence of this call alone is noticed before a VM counts as in touch again, after
-	// stable_window_ms, 3 s.
+	// fails, or succeeds again, the call for these is made anew. A silence of this call
+	// alone is noticed within stable_window_ms, 3 s, after which the rules count a VM
+	// as calm again.
 	operatorWait = 2 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. The upper
 	// one is short against the time within which changes must be in force.
