Hold no leave after a gap too short for rows to lapse

Callers' requests went on to a server that had left without a report, for up to 4 s (bound 2 s), if the calls of all VMs that follow the store were lost at a time, as when all connections fall silent.

Cause: any loss of the store counted as an outage in which rows may have lapsed, and a row that vanished after it was held for 2.3 s. But a row lapses after three heartbeats without an announcement, the last of which may be a heartbeat old when the loss begins, so nothing lapses within two heartbeats.

The three new tests of internal/node failed before as well.

The first call after a loss doesn't wait, as its wait would count as a part of the loss. Outages that are long enough hold as before (TestSilentStoreOutage, TestHoldOfVanishedServersCountsFromTheStoresReturn).

Tests of platform and node pass with -race.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -38,6 +38,9 @@
 	// longer lists after an outage: it announces itself again within about two
 	// seconds of the store's return.
 	lapseHold = 2300 * time.Millisecond
+	// lapseHeartbeats is the number of heartbeats without an announcement after which
+	// the store drops a server's row, by its documentation.
+	lapseHeartbeats = 3
 	// serverPause is how long changes of servers are left to collect: each call
 	// to the store has a price, and a roll-out changes several servers a second. It
 	// is short against the time within which a leaving server must be known.
@@ -79,7 +82,7 @@
 	// broken is set if a call has failed since the last answer.
 	broken bool
 	// lostAt is when the store was last found unreachable, returned when it
-	// answered again.
+	// answered again after so long that rows may have lapsed.
 	lostAt, returned time.Time
 }
 
@@ -111,7 +114,8 @@
 
 func (n *Node) succeeded(f *feedState) {
 	now := n.now()
-	switch before := f.heard.Load(); {
+	before := f.heard.Load()
+	switch {
 	case before == nil:
 		f.since = time.Time{}
 	case f.broken:
@@ -128,11 +132,22 @@
 		return
 	}
 	f.failures = 0
-	f.returned = now
+	lapsed := before == nil || n.mayLapse(now.Sub(*before))
+	if lapsed {
+		f.returned = now
+	}
 	if f.turned != nil {
 		f.turned()
 	}
-	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)), zap.Duration("outage", f.returned.Sub(f.lostAt)))
+	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)),
+		zap.Duration("outage", now.Sub(f.lostAt)), zap.Bool("rows_may_lapse", lapsed))
+}
+
+// mayLapse reports whether a row may lapse because the store takes nothing for a time:
+// its server announced itself last up to a heartbeat before.
+func (n *Node) mayLapse(outage time.Duration) bool {
+	heartbeat := n.opts.Bounds.Heartbeat
+	return heartbeat == 0 || outage >= (lapseHeartbeats-1)*heartbeat
 }
 
 // changesFunc takes the changes above a revision, up to another one.
@@ -194,7 +209,11 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.interrupt.Store(&cancel)
-	changes, next, err := n.opts.Feed.Changes(callCtx, table, after, f.wait)
+	wait := f.wait
+	if f.failures > 0 {
+		wait = 0 // The answer shows that the store is back.
+	}
+	changes, next, err := n.opts.Feed.Changes(callCtx, table, after, wait)
 	f.interrupt.Store(nil)
 	if err != nil {
 		if callCtx.Err() != nil && ctx.Err() == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,9 @@
 	// ReuseWindow is the time within which a shared part of prompts should not be
 	// read again.
 	ReuseWindow time.Duration
+	// Heartbeat is the time between the announcements of a server; a row lapses after
+	// three of them without one. Zero if it isn't known.
+	Heartbeat time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 }
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -27,6 +27,8 @@
 	revision platform.Version
 	rows     map[string]platform.Row
 	history  []platform.Change
+	// waits are the times for which calls asked to wait.
+	waits []time.Duration
 }
 
 func newServerStore() *serverStore { return &serverStore{rows: map[string]platform.Row{}} }
@@ -62,7 +64,8 @@
 	return l, nil
 }
 
-func (s *serverStore) Changes(_ context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
+func (s *serverStore) Changes(_ context.Context, _ string, after platform.Version, wait time.Duration) ([]platform.Change, platform.Version, error) {
+	s.waits = append(s.waits, wait)
 	var out []platform.Change
 	for _, c := range s.history {
 		if c.Version > after {
@@ -95,11 +98,14 @@
 	at      time.Time
 }
 
+// testHeartbeat is heartbeat_ms in the platform's settings.
+const testHeartbeat = 1200 * time.Millisecond
+
 func newTestVM(t *testing.T, store *serverStore) *testVM {
 	n, err := New(Options{
 		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
 		Peer: "127.0.0.1:0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
-		Bounds: Bounds{VersionBound: 20 * time.Second, Lease: 3 * time.Second},
+		Bounds: Bounds{VersionBound: 20 * time.Second, Lease: 3 * time.Second, Heartbeat: testHeartbeat},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -301,3 +307,60 @@
 	v.passes(200 * time.Millisecond)
 	v.wantUses()
 }
+
+// No row lapses within two heartbeats without the store.
+func TestLeaveAfterAShortLossOfTheStoreIsNotHeld(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	store.write("y", fleet.Ready, 1)
+	v := newTestVM(t, store)
+	v.lists()
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.passes(2*testHeartbeat - time.Millisecond)
+	store.remove("x")
+	v.reads()
+	v.wantUses("y")
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.passes(2 * testHeartbeat)
+	store.remove("y")
+	v.reads()
+	v.wantUses("y")
+}
+
+// A connection that falls silent just after an outage is no second outage, and doesn't end
+// the first one's time either.
+func TestShortLossOfTheStoreLeavesTheHoldOfAnOutageAsItIs(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	store.write("y", fleet.Ready, 1)
+	v := newTestVM(t, store)
+	v.lists()
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.passes(5 * time.Second)
+	v.reads()
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.passes(1500 * time.Millisecond)
+	store.remove("x")
+	v.reads()
+	v.wantUses("x", "y")
+	v.passes(lapseHold - 1500*time.Millisecond)
+	v.wantUses("y")
+	store.remove("y")
+	v.reads()
+	v.wantUses()
+}
+
+// A call that waits would make the loss of the store look longer than it was.
+func TestFirstCallAfterALossOfTheStoreDoesNotWait(t *testing.T) {
+	store := newServerStore()
+	v := newTestVM(t, store)
+	v.serverFeed.wait = serverWait
+	v.lists()
+	v.reads()
+	v.failed(&v.serverFeed, platform.ErrUnavailable)
+	v.reads()
+	v.reads()
+	if want := []time.Duration{serverWait, 0, serverWait}; !slices.Equal(store.waits, want) {
+		t.Errorf("calls waited %v, want %v", store.waits, want)
+	}
+}
