Write nothing to the store after a node has stopped

The clean-up of a test stops the node, and the process that it belongs to stops it again about 2.4 s later, at the end of its grace. Each time the VM's row was removed from the store, the second time at an address that may belong to somebody else by then.

Evidence: a program took each loopback port that a listener gave up while all tests ran: 20 of the requests that came were POST /rows-tx, 2.4 s after the port was free. In the field Stop runs once.

Fix: Stop acts once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,6 +209,7 @@
 	operatorFeed, serverFeed feedState
 	loops                    sync.WaitGroup
 	cancel                   context.CancelFunc
+	stop                     sync.Once
 }
 
 // nominalPrefillRate is the speed of an engine's prompt reading, in tokens a
@@ -352,15 +353,17 @@
 	return n.Gateway.Catalog() != nil && n.serversKnown.Load() && !n.Leaving()
 }
 
-// Stop ends the loops.
+// Stop takes the VM out of the store and ends the loops. Later calls do nothing.
 func (n *Node) Stop() {
-	n.deregister()
-	if n.cancel != nil {
-		n.cancel()
-	}
-	_ = n.peerHTTP.Close()
-	n.loops.Wait()
-	n.log.Info("node_stopped", zap.String("vm", string(n.opts.VM.ID)))
+	n.stop.Do(func() {
+		n.deregister()
+		if n.cancel != nil {
+			n.cancel()
+		}
+		_ = n.peerHTTP.Close()
+		n.loops.Wait()
+		n.log.Info("node_stopped", zap.String("vm", string(n.opts.VM.ID)))
+	})
 }
 
 // wake sends a digest to all VMs of the domain at once.
