Tell VMs that start after a server's late write of its leave

A server's write from before its leave may be carried out late and say ready again. VMs that saw the leave know better, but one that starts after the late write lists the row as it is and sends requests there until the row is gone, many seconds after the bound of 2 s.

Cause: the leave is in no place that such a VM reads: the row is newer, and states of other VMs carry the entry under the revision that it knows already.

Evidence: TestVMsThatStartAfterALateAnnouncementHearOfTheLeave failed before at each of three VMs.

Fix: digests and summaries name the runs that leave although their rows say ready; there are none as a rule, so they cost nothing. A VM that hears of one passes it on, also if it hears before it has listed the servers. Another run of the server is used as usual.

Result: the test passes; all internal packages and platform pass with -race.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -111,6 +111,9 @@
 	// left is the run that announced its leave, by its start; 0 for none. A run that
 	// leaves never comes back, but a write of its own may be carried out late.
 	left int64
+	// undone is set if that run's row says Ready again: the store doesn't tell of the
+	// leave any more.
+	undone bool
 	// holdUntil is until when a server without a row counts as present; zero with a
 	// row.
 	holdUntil time.Time
@@ -233,7 +236,7 @@
 	older := e.Started < r.Started
 	switch {
 	case e.State == Draining:
-		r.left = e.Started
+		r.left, r.undone = e.Started, false
 		if older && !r.Gone {
 			next = *r.Entry
 			next.State = Draining
@@ -241,7 +244,7 @@
 	case older:
 		next = *r.Entry
 	case r.left != 0 && e.Started == r.left:
-		next.State = Draining
+		next.State, r.undone = Draining, true
 	}
 	next.Revision, next.Hold = e.Revision, 0
 	if r.Same(&next) && now.Sub(r.seenAt) < seenAge {
@@ -354,6 +357,44 @@
 	return true
 }
 
+// Undone returns the servers that leave although their rows say that they are ready.
+// VMs that have read the row since can't know.
+func (d *Directory) Undone() []*Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*Entry
+	for _, r := range d.records {
+		if r.undone && !r.Gone && r.Started == r.left {
+			list = append(list, r.Entry)
+		}
+	}
+	return list
+}
+
+// MarkLeft notes that a run of a server leaves although its row says that it is ready,
+// and returns the entry if that changes what is known.
+func (d *Directory) MarkLeft(id backend.ID, started int64, now time.Time) *Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.records[id]
+	if r == nil {
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now}
+		d.records[id] = r
+	}
+	if r.Started > started || r.left >= started {
+		return nil
+	}
+	r.left, r.undone = started, true
+	if r.Gone || r.Started != started || r.State == Draining {
+		return nil
+	}
+	next := *r.Entry
+	next.State = Draining
+	r.Entry = &next
+	d.publish()
+	return &next
+}
+
 func (d *Directory) forget(now time.Time) {
 	for id, r := range d.records {
 		if r.Gone && now.Sub(r.goneAt) > tombstoneAge {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -90,6 +90,9 @@
 	NewsAge time.Duration `json:"na,omitempty"`
 	Goals   []WeightsGoal `json:"goals,omitempty"`
 	Held    []WeightsHeld `json:"held,omitempty"`
+	// Left are the runs of servers that leave although their rows say that they are
+	// ready.
+	Left []selector.ServerKey `json:"left,omitempty"`
 	// Following is set if the sender reads the store's feeds and hears from them.
 	Following bool `json:"fol,omitempty"`
 	// FollowingFor is for how long without a failure.
@@ -135,6 +138,7 @@
 	NewsAge    time.Duration              `json:"na,omitempty"`
 	Goals      []WeightsGoal              `json:"goals,omitempty"`
 	Held       []WeightsHeld              `json:"held,omitempty"`
+	Left       []selector.ServerKey       `json:"left,omitempty"`
 	Reserved   []backend.ID               `json:"rsv,omitempty"`
 	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads      []ServerLoad               `json:"load,omitempty"`
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -156,6 +156,9 @@
 	if c := n.Gateway.Catalog(); c != nil {
 		d.Catalog = c.Version
 	}
+	for _, e := range n.directory.Undone() {
+		d.Left = append(d.Left, selector.KeyOf(e))
+	}
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -262,6 +265,7 @@
 	n.suspects.Heard(p.ID, p.Crashes)
 	n.heardClaim(p.Claim)
 	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
+	n.hearOfLeaves(string(p.ID), p.Left)
 	n.confirm(p.Servers, p.NewsAge)
 	n.keepForRelay(p.Placements, p.Kept)
 	n.applyPeers()
@@ -317,6 +321,15 @@
 	}
 }
 
+// hearOfLeaves takes over what another VM tells of leaves that the store doesn't show.
+func (n *Node) hearOfLeaves(from string, left []selector.ServerKey) {
+	for _, run := range left {
+		if e := n.directory.MarkLeft(run.ID, run.Started, n.now()); e != nil {
+			n.logServer(e, from)
+		}
+	}
+}
+
 // tell notes a version that a server holds for the next digests.
 func (n *Node) tell(id backend.ID, h heldWeights) {
 	n.mu.Lock()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -54,6 +54,7 @@
 		NewsAge:      d.NewsAge,
 		Goals:        d.Goals,
 		Held:         d.Held,
+		Left:         d.Left,
 		Reserved:     slices.Clone(d.Reserved),
 		Usage:        n.quota.DomainUsages(),
 		Crashes:      maps.Clone(d.Crashes),
@@ -94,6 +95,7 @@
 	n.suspects.Heard(name, s.Crashes)
 	n.heardClaim(s.Claim)
 	n.learn(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
+	n.hearOfLeaves(string(s.From.ID), s.Left)
 	n.confirm(s.Servers, s.NewsAge)
 	n.applyPeers()
 	if n.ahead(s.From, s.Catalog, s.Servers) {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -19,6 +19,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -105,7 +106,9 @@
 	n, err := New(Options{
 		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
 		Peer: "127.0.0.1:0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
-		Bounds: Bounds{VersionBound: 20 * time.Second, Lease: 3 * time.Second, Heartbeat: testHeartbeat},
+		Bounds: Bounds{
+			Quota: quota.Settings{Window: 8 * time.Second}, VersionBound: 20 * time.Second, Lease: 3 * time.Second, Heartbeat: testHeartbeat,
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -145,6 +148,9 @@
 // fetches takes over the state of another VM.
 func (v *testVM) fetches(address string) { v.fetch(gossip.Member{ID: "other", Peer: address}) }
 
+// hears takes the digest of another VM.
+func (v *testVM) hears(other *testVM) { v.received(&gossip.Peer{Digest: other.digest()}) }
+
 // delayed returns the address of an answer that a VM gave earlier to whoever knows
 // nothing.
 func (v *testVM) delayed() string {
@@ -290,6 +296,34 @@
 	v.wantUses("x")
 }
 
+// The row alone doesn't tell of the leave.
+func TestVMsThatStartAfterALateAnnouncementHearOfTheLeave(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 5)
+	v := newTestVM(t, store)
+	v.lists()
+	store.write("x", fleet.Draining, 5)
+	v.reads()
+	store.write("x", fleet.Ready, 5)
+	v.reads()
+	listed, next, early := newTestVM(t, store), newTestVM(t, store), newTestVM(t, store)
+	listed.lists()
+	listed.hears(v)
+	listed.wantUses()
+	next.lists()
+	next.hears(listed)
+	next.wantUses()
+	early.hears(next)
+	early.lists()
+	early.wantUses()
+	store.write("x", fleet.Ready, 8) // Another run.
+	for _, vm := range []*testVM{v, listed, next, early} {
+		vm.reads()
+		vm.hears(v)
+		vm.wantUses("x")
+	}
+}
+
 // Rows that lapsed in an outage are back within lapseHold of the store's return.
 func TestHoldOfVanishedServersCountsFromTheStoresReturn(t *testing.T) {
 	store := newServerStore()
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -23,8 +23,8 @@
 
 // ServerKey names one run of a server.
 type ServerKey struct {
-	ID      backend.ID
-	Started int64
+	ID      backend.ID `json:"i"`
+	Started int64      `json:"s"`
 }
 
 // KeyOf returns the key of an entry.
