Read the store while states of other VMs can't be fetched

Only two VMs of a failure domain read the store's feeds; the others hear in digests that there is news and fetch it. If the fetches fail, such a VM knew of no change any more, and sent callers' requests to servers that had left.

Fix: after a fetch that failed a VM reads the feeds itself for 30 s or until a fetch succeeds. A change is then delayed once by the failed fetch, 0.7 s at most.

The store's load grows by a call in 0.7 s for each VM concerned, for 30 s.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -158,7 +158,7 @@
 	f.name = table
 	loaded := false
 	for ctx.Err() == nil {
-		if loaded && !n.following() {
+		if loaded && !n.Following() {
 			// Others read it for this VM.
 			if !clock.Sleep(ctx, digestInterval) {
 				return
@@ -411,7 +411,7 @@
 		}
 		err := n.readMembers(ctx)
 		interval := standbyInterval
-		if n.following() {
+		if n.Following() {
 			interval = memberInterval
 		}
 		pause := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
--- a/internal/node/goals.go
+++ b/internal/node/goals.go
@@ -78,7 +78,7 @@
 		case <-n.named:
 		}
 		stagger := time.Duration((float64(n.gossip.Rank()) + rand.Float64()/2) * float64(keepStagger))
-		for n.following() && clock.Sleep(ctx, stagger) && !n.keepGoals(ctx) {
+		for n.Following() && clock.Sleep(ctx, stagger) && !n.keepGoals(ctx) {
 			stagger = keepRetry
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,6 +191,8 @@
 	// news is when the servers known here were last known to be all there were, nil
 	// before that.
 	news atomic.Pointer[time.Time]
+	// fetchFailed is when the last fetch of a state failed, nil if it succeeded.
+	fetchFailed atomic.Pointer[time.Time]
 	// calls is the rate of calls; it is used by the digest loop only.
 	calls steer.Meter
 	// claim is the newest that is known of a holder's term.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -62,7 +62,7 @@
 		n.resign("leaving")
 		return n.opts.Bounds.Lease
 	}
-	if held == 0 && (n.Leaving() || !n.following() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
+	if held == 0 && (n.Leaving() || !n.Following() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
 		return n.opts.Bounds.Lease / 6
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -44,7 +44,11 @@
 	fetchFarAfter = 800 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's state.
 	fetchTimeout = 700 * time.Millisecond
-	peerIdle     = 30 * time.Second
+	// fetchDistrust is for how long a VM reads the store itself after a fetch that
+	// failed. A failure delays a change by up to fetchTimeout, a third of what a leave
+	// may take, so they must not come one after the other.
+	fetchDistrust = 30 * time.Second
+	peerIdle      = 30 * time.Second
 	// heldAge is for how long a version that a server was seen to hold is told;
 	// the server announces it itself within its heartbeat interval.
 	heldAge = 4 * time.Second
@@ -368,7 +372,7 @@
 	switch {
 	case p.FailureDomain != n.opts.VM.FailureDomain:
 		return fetchFarAfter
-	case n.following():
+	case n.Following():
 		return fetchAfter
 	default:
 		return 0
@@ -386,9 +390,12 @@
 	began, known := n.now(), n.directory.Known()
 	s, err := n.fetchState(p)
 	if err != nil {
-		n.log.Info("state_fetch_failed", zap.String("peer", string(p.ID)), logging.Error(err))
+		at := n.now()
+		n.fetchFailed.Store(&at)
+		n.log.Info("state_fetch_failed", zap.String("peer", string(p.ID)), zap.Duration("took", at.Sub(began)), logging.Error(err))
 		return
 	}
+	n.fetchFailed.Store(nil)
 	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Uint64("after", uint64(known)),
 		zap.Uint64("up_to", uint64(s.Servers.UpTo)), zap.Bool("whole", s.Servers.Whole), zap.Int("servers", len(s.Servers.Entries)),
 		zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -103,13 +103,17 @@
 	}
 }
 
-// following reports whether this VM reads the store's feeds: two VMs of each
-// domain do, and others while none of those hears from the store.
-func (n *Node) following() bool {
+// Following reports whether this VM reads the store's feeds: two VMs of each
+// domain do, and others while none of those hears from the store or while their
+// states can't be fetched.
+func (n *Node) Following() bool {
 	if n.gossip.Rank() < followers {
 		return true
 	}
 	now := n.now()
+	if failed := n.fetchFailed.Load(); failed != nil && now.Sub(*failed) < fetchDistrust {
+		return true
+	}
 	for _, p := range n.gossip.Peers() {
 		if p.FailureDomain == n.opts.VM.FailureDomain && p.Alive(now) && p.Following && !p.Leaving {
 			return false
@@ -122,7 +126,7 @@
 // failure; 0 if it doesn't.
 func (n *Node) followingFor(now time.Time) time.Duration {
 	operator, servers := n.operatorFeed.healthy.Load(), n.serverFeed.healthy.Load()
-	if operator == nil || servers == nil || !n.following() {
+	if operator == nil || servers == nil || !n.Following() {
 		return 0
 	}
 	return max(1, min(now.Sub(*operator), now.Sub(*servers)))
