--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -59,8 +60,7 @@
 func (r *recorder) Abort() { r.aborted = true }
 
 func newTestGateway(t *testing.T, engine http.HandlerFunc) (*Gateway, *selector.Table) {
-	server := httptest.NewServer(engine)
-	t.Cleanup(server.Close)
+	server := loopback.Serve(t, engine)
 	directory := fleet.NewDirectory()
 	directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 		ID: "e", Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
@@ -157,10 +157,7 @@
 		}
 	}
 	g, _ := newTestGateway(t, answer(&good))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := loopback.Listen(t)
 	address := l.Addr().String()
 	l.Close()
 	down := fleet.Entry{ID: "down", Service: "llm", Address: address, Slots: 8, State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 2}
@@ -185,7 +182,7 @@
 	if failed() != 1 || good.Load() != 40 {
 		t.Errorf("%d attempts failed and %d requests were answered, want 1 and 40", failed(), good.Load())
 	}
-	l, err = net.Listen("tcp", address)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +221,7 @@
 		time.Sleep(crashDelay + 20*time.Millisecond)
 	}
 	for i := range maxCrashes {
-		crashing := httptest.NewUnstartedServer(nil)
+		crashing := loopback.Unstarted(t, nil)
 		crashing.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			crashing.Listener.Close()
 			reset(w, r)
@@ -256,10 +253,7 @@
 		servers.Begin(&selector.Candidate{Entry: good}, nil, 50_000)
 	}
 	for i := range 9 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := loopback.Listen(t)
 		l.Close()
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 			ID: backend.ID(fmt.Sprint("down-", i)), Service: "llm", Address: l.Addr().String(), Slots: 8, State: fleet.Ready,
--- a/internal/gateway/recheck_test.go
+++ b/internal/gateway/recheck_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +13,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 )
 
 // testEngine counts the requests that reach it.
@@ -24,12 +24,11 @@
 
 func newTestEngine(t *testing.T, id backend.ID, revision platform.Version, weights uint64) *testEngine {
 	e := &testEngine{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := loopback.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		e.got.Add(1)
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 	}))
-	t.Cleanup(server.Close)
 	e.entry = fleet.Entry{
 		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
 		State: fleet.Ready, Weights: map[string]uint64{"m": weights}, Revision: revision,
--- a/internal/node/goals_restart_test.go
+++ b/internal/node/goals_restart_test.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -86,7 +87,7 @@
 func newOperatorVM(t *testing.T, store *goalStore, table platform.Table) (*Node, context.Context) {
 	n, err := New(Options{
 		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
-		Peer: "127.0.0.1:0", Table: table, Feed: store, Decoder: goalDecoder{}, OperatorTable: "op", MemberTable: "vms",
+		Peer: loopback.Host() + ":0", Table: table, Feed: store, Decoder: goalDecoder{}, OperatorTable: "op", MemberTable: "vms",
 		Bounds: Bounds{VersionBound: 20 * time.Second, Lease: 3 * time.Second},
 	})
 	if err != nil {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -105,7 +105,7 @@
 func newTestVM(t *testing.T, store *serverStore) *testVM {
 	n, err := New(Options{
 		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
-		Peer: "127.0.0.1:0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
+		Peer: loopback.Host() + ":0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
 		Bounds: Bounds{
 			Quota: quota.Settings{Window: 8 * time.Second}, VersionBound: 20 * time.Second, Lease: 3 * time.Second, Heartbeat: testHeartbeat,
 		},
@@ -127,9 +127,7 @@
 }
 
 func serve(t *testing.T, h http.Handler) string {
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return strings.TrimPrefix(s.URL, "http://")
+	return strings.TrimPrefix(loopback.Serve(t, h).URL, "http://")
 }
 
 // lists reads all servers from the store, reads the changes since.
@@ -220,7 +218,7 @@
 	store := newServerStore()
 	v, other := newTestVM(t, store), newTestVM(t, store)
 	var opened atomic.Int32
-	server := httptest.NewUnstartedServer(other.peerHandler())
+	server := loopback.Unstarted(t, other.peerHandler())
 	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		if s == http.StateNew {
 			opened.Add(1)
