Date weights that were named during a cut by the last digest of a VM that reads the store

A VM that lets others read the store for it (the third and further ones of a failure domain) is cut off, and reads the store itself when it is back. Weights that were named meanwhile counted as named when that VM had last read the store itself, which may be minutes before. The earliest known time of naming holds, so all VMs took it over, and kept it: engines with the weights before would get no requests anywhere until they have the new ones.

Cause: after a failure, changes count as written since the store last answered this VM; the time in which others read for it wasn't counted as an answer.

Fix: while others read a feed for a VM, the last digest of one of them, less the wait of a call, counts as the store's last answer, and the feed as one that missed answers when the VM takes over. It no longer counts as followed without a failure from before then either.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -74,12 +74,14 @@
 	failures int
 	// healthy is since when the store answers, nil while it doesn't.
 	healthy atomic.Pointer[time.Time]
-	// heard is when the store last answered, nil before it has.
+	// heard is when the store last answered, here or at the VMs that read the feed for
+	// this one; nil before it has answered here.
 	heard atomic.Pointer[time.Time]
 	// since is from when the last answer's changes may be: now, or when the store
 	// answered last before a failure. It is zero in a process's first answer.
 	since time.Time
-	// broken is set if a call has failed since the last answer.
+	// broken is set if a call has failed since the last answer, or if others read the
+	// feed.
 	broken bool
 	// lostAt is when the store was last found unreachable, returned when it
 	// answered again after so long that rows may have lapsed.
@@ -159,7 +161,7 @@
 	loaded := false
 	for ctx.Err() == nil {
 		if loaded && !n.Following() {
-			// Others read it for this VM.
+			n.rely(f)
 			if !clock.Sleep(ctx, digestInterval) {
 				return
 			}
@@ -190,6 +192,17 @@
 	}
 }
 
+// rely notes that others read a feed for this VM. What they did not tell in their last
+// digest may be as old as the read before it.
+func (n *Node) rely(f *feedState) {
+	f.healthy.Store(nil)
+	f.broken = true
+	at, ok := n.followerHeard(n.now())
+	if at = at.Add(-f.wait); ok && at.After(*f.heard.Load()) {
+		f.heard.Store(&at)
+	}
+}
+
 func (n *Node) load(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version)) error {
 	list, err := n.opts.Feed.Rows(ctx, table)
 	if err != nil {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -114,12 +114,20 @@
 	if failed := n.fetchFailed.Load(); failed != nil && now.Sub(*failed) < fetchDistrust {
 		return true
 	}
+	_, followed := n.followerHeard(now)
+	return !followed
+}
+
+// followerHeard returns when a VM of the domain that reads the store for this one was
+// last heard of, and false if there is none.
+func (n *Node) followerHeard(now time.Time) (time.Time, bool) {
+	var last time.Time
 	for _, p := range n.gossip.Peers() {
-		if p.FailureDomain == n.opts.VM.FailureDomain && p.Alive(now) && p.Following && !p.Leaving {
-			return false
+		if p.FailureDomain == n.opts.VM.FailureDomain && p.Alive(now) && p.Following && !p.Leaving && p.At.After(last) {
+			last = p.At
 		}
 	}
-	return true
+	return last, !last.IsZero()
 }
 
 // followingFor returns for how long this VM has read both feeds without a
