Trust VMs that heard of new weights in time before a late read of one's own

A VM that was cut off from the store, but not from the others, hears from them when weights are named. When the store answers again, the VM dated the naming to before its cut and told all others: old weights count as too old earlier than they are, by the length of the cut, and engines lose their requests before they can have the new ones.

Cause: of two times of naming the earlier one holds, also if it is only a bound of a VM that could not know better.

Evidence: TestVMThatWasCutOffDoesNotDateBackWeightsThatItHeardOf failed before: named 1 s ago, counted as 6 s.

Fix: an answer that comes after a failure doesn't date versions that are dated already. Those that nobody has told of are dated by the last answer, as before. A digest that was held up in a frozen VM's socket is corrected by the next ones, as the earlier time still holds between VMs.

--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -93,6 +93,11 @@
 	return false
 }
 
+// Dated reports whether a version is known with the time at which it was named.
+func (g *Goals) Dated(model string, version uint64) bool {
+	return slices.ContainsFunc(g.All()[model], func(goal Goal) bool { return goal.Version == version && !goal.Since.IsZero() })
+}
+
 // Add notes a named version. Of two times for one version the earlier one holds, and
 // any known one before an unknown one.
 func (g *Goals) Add(model string, goal Goal) Learnt {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -80,6 +80,8 @@
 	// since is from when the last answer's changes may be: now, or when the store
 	// answered last before a failure. It is zero in a process's first answer.
 	since time.Time
+	// late is set if that is the time of an earlier answer.
+	late bool
 	// broken is set if a call has failed since the last answer, or if others read the
 	// feed.
 	broken bool
@@ -125,7 +127,7 @@
 	default:
 		f.since = now
 	}
-	f.broken = false
+	f.late, f.broken = f.broken, false
 	f.heard.Store(&now)
 	if f.healthy.Load() == nil {
 		f.healthy.Store(&now)
@@ -248,21 +250,23 @@
 
 func (n *Node) followOperator(ctx context.Context) {
 	n.operatorFeed.wait = operatorWait
-	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable,
-		func(rows []platform.Row, _ platform.Version) { n.applyOperator(rows, n.operatorFeed.since) },
-		func(changes []platform.Change, _, _ platform.Version) {
-			rows := make([]platform.Row, 0, len(changes))
-			for _, c := range changes {
-				if !c.Deleted {
-					rows = append(rows, c.Row)
-				}
-			}
-			n.applyOperator(rows, n.operatorFeed.since)
-		})
+	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable, n.listOperator, n.changeOperator)
+}
+
+func (n *Node) listOperator(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) }
+
+func (n *Node) changeOperator(changes []platform.Change, _, _ platform.Version) {
+	rows := make([]platform.Row, 0, len(changes))
+	for _, c := range changes {
+		if !c.Deleted {
+			rows = append(rows, c.Row)
+		}
+	}
+	n.applyOperator(rows)
 }
 
-// applyOperator takes rows that were written since a time; zero if that isn't known.
-func (n *Node) applyOperator(rows []platform.Row, since time.Time) {
+// applyOperator takes rows of the feed's last answer.
+func (n *Node) applyOperator(rows []platform.Row) {
 	o := n.opts.Decoder.Operator(rows)
 	for _, err := range o.Malformed {
 		n.log.Warn("operator_row_malformed", logging.Error(err))
@@ -271,7 +275,10 @@
 		n.publish(*o.Catalog, "store")
 	}
 	for model, version := range o.Goals {
-		n.setGoal(model, fleet.Goal{Version: version, Since: since}, "store")
+		if n.operatorFeed.late && n.goals.Dated(model, version) {
+			continue // By others that have heard of it in time.
+		}
+		n.setGoal(model, fleet.Goal{Version: version, Since: n.operatorFeed.since}, "store")
 	}
 	if n.goals.Unknown() {
 		select {
--- a/internal/node/goals_restart_test.go
+++ b/internal/node/goals_restart_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/vm"
@@ -170,3 +171,37 @@
 	defer t.mu.Unlock()
 	return t.rows[key] != nil
 }
+
+// A VM that is cut off from the store knows by others when weights were named.
+func TestVMThatWasCutOffDoesNotDateBackWeightsThatItHeardOf(t *testing.T) {
+	store := newServerStore()
+	name := func(version string) {
+		store.change(platform.Change{Row: platform.Row{Key: "op/weights", Value: []byte(version)}})
+	}
+	name("1")
+	v := newTestVM(t, store)
+	if err := v.load(context.Background(), &v.operatorFeed, "op", v.listOperator); err != nil {
+		t.Fatal(err)
+	}
+	v.failed(&v.operatorFeed, platform.ErrUnavailable)
+	v.passes(5 * time.Second)
+	name("2")
+	v.learn("other", []gossip.WeightsGoal{{Model: "m", Version: 2}}, nil, nil, nil)
+	v.passes(time.Second)
+	reads := func() {
+		if err := v.watch(context.Background(), &v.operatorFeed, "op", v.changeOperator); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reads()
+	if got := v.goals.Behind("m", 1, v.at); got != time.Second {
+		t.Errorf("version 2 counts as named %v ago, want 1 s", got)
+	}
+	v.failed(&v.operatorFeed, platform.ErrUnavailable)
+	v.passes(2 * time.Second)
+	name("3") // Nobody has told of it.
+	reads()
+	if got := v.goals.Behind("m", 2, v.at); got != 2*time.Second {
+		t.Errorf("version 3 counts as named %v ago, want 2 s, when the store was last heard", got)
+	}
+}
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -105,7 +105,7 @@
 func newTestVM(t *testing.T, store *serverStore) *testVM {
 	n, err := New(Options{
 		Log: zap.NewNop(), LogDropped: func() uint64 { return 0 }, VM: vm.VM{ID: "vm", FailureDomain: "a"},
-		Peer: loopback.Host() + ":0", Table: rowTable{}, Feed: store, Decoder: entryDecoder{}, MemberTable: "vms",
+		Peer: loopback.Host() + ":0", Table: rowTable{}, Feed: store, Decoder: goalDecoder{}, MemberTable: "vms",
 		Bounds: Bounds{
 			Quota: quota.Settings{Window: 8 * time.Second}, VersionBound: 20 * time.Second, Lease: 3 * time.Second, Heartbeat: testHeartbeat,
 		},
