Let the model's VMs hear of undone leaves, and judge late writes by run

The property that VMs use the servers of the revision that they know passed over any server that ever had a late write; now only that run of it is excepted, so that another run must be used. VMs also hear of leaves in digests. With MarkLeft without its look at newer runs the property fails; as it is, it passes.

--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -17,6 +17,7 @@
 const (
 	modelServers = 3
 	modelVMs     = 3
+	modelSteps   = 11
 )
 
 // modelVM is a VM with its place in the store's feed, and the answers of other VMs
@@ -35,12 +36,12 @@
 	vms  []*modelVM
 	now  time.Time
 	run  int64
-	// late are the servers of which a write was carried out late.
-	late map[backend.ID]bool
+	// late are the runs of which a write was carried out late.
+	late map[string]bool
 }
 
 func newFleetModel() *fleetModel {
-	m := &fleetModel{now: time.Unix(1000, 0), late: map[backend.ID]bool{}}
+	m := &fleetModel{now: time.Unix(1000, 0), late: map[string]bool{}}
 	for range modelVMs {
 		m.vms = append(m.vms, &modelVM{Directory: NewDirectory(), told: map[string]bool{}})
 	}
@@ -74,13 +75,16 @@
 	return u
 }
 
+// runOf names a run of a server.
+func runOf(id backend.ID, started int64) string { return fmt.Sprint(id, "/", started) }
+
 func modelID(n int) backend.ID { return backend.ID(fmt.Sprint("x", n)) }
 
 // step does one thing that a number stands for.
 func (m *fleetModel) step(n int) {
 	id, v, other := modelID(n%modelServers), m.vms[n/3%modelVMs], m.vms[n/9%modelVMs]
 	row, present := m.last(id, m.revision())
-	switch n / 27 % 10 {
+	switch n / 27 % modelSteps {
 	case 0:
 		m.run++
 		m.write(Entry{ID: id, State: Ready, Started: m.run})
@@ -95,7 +99,7 @@
 		}
 	case 3:
 		if present && row.State == Draining {
-			m.late[id] = true
+			m.late[runOf(id, row.Started)] = true
 			row.State = Ready
 			m.write(row)
 		}
@@ -119,6 +123,11 @@
 		if n%4 == 0 {
 			*v = modelVM{Directory: NewDirectory(), told: map[string]bool{}}
 		}
+	case 10:
+		for _, e := range other.Undone() {
+			v.MarkLeft(e.ID, e.Started, m.now)
+			v.told[runOf(e.ID, e.Started)] = true
+		}
 	}
 }
 
@@ -130,17 +139,17 @@
 			row, present := m.last(id, v.Known())
 			ready := present && row.State == Ready
 			used := slices.ContainsFunc(v.View().Service("s"), func(e *Entry) bool { return e.ID == id })
-			run := fmt.Sprint(id, row.Started)
+			run := runOf(id, row.Started)
 			switch {
 			case used && !ready:
 				return fmt.Sprintf("VM %d uses %s, which had left at revision %d of %d", n, id, row.Revision, v.Known())
 			case used && v.told[run]:
 				return fmt.Sprintf("VM %d uses %s again, which had told it of its leave", n, id)
-			case ready && !used && !m.late[id]:
+			case ready && !used && !m.late[run]:
 				return fmt.Sprintf("VM %d, which knows revision %d, doesn't use %s of revision %d", n, v.Known(), id, row.Revision)
 			}
 			if e := v.View().Server(id); e != nil && e.State == Draining {
-				v.told[fmt.Sprint(id, e.Started)] = true
+				v.told[runOf(id, e.Started)] = true
 			}
 		}
 	}
@@ -164,7 +173,7 @@
 			}
 			return ""
 		},
-		gen.SliceOfN(80, gen.IntRange(0, 27*10*4-1)),
+		gen.SliceOfN(80, gen.IntRange(0, 27*modelSteps*4-1)),
 	))
 	properties.TestingRun(t)
 }
