--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -45,12 +43,6 @@
 	// to the store has a price, and a roll-out changes several servers a second. It
 	// is short against the time within which a leaving server must be known.
 	serverPause = 250 * time.Millisecond
-	// memberInterval is the time between two reads of the members by a VM that
-	// follows the store, standbyInterval by others: a VM that starts reads the
-	// members and makes itself known to them, so the rest of the reads are for the
-	// case that its digests are lost.
-	memberInterval  = 15 * time.Second
-	standbyInterval = 60 * time.Second
 )
 
 // errInterrupted means that a call was ended to be made anew.
@@ -420,96 +412,3 @@
 		zap.Int64("server_started", e.Started), zap.String("weights", e.WeightsText()),
 		zap.Uint64("revision", uint64(e.Revision)), zap.String("source", source))
 }
-
-// keepMembership announces this VM and reads the other members.
-func (n *Node) keepMembership(ctx context.Context) {
-	announced := false
-	failures := 0
-	for ctx.Err() == nil {
-		if !announced {
-			announced = n.announce(ctx) == nil
-		}
-		err := n.readMembers(ctx)
-		interval := standbyInterval
-		if n.Following() {
-			interval = memberInterval
-		}
-		pause := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
-		if err != nil || !announced {
-			failures++
-			pause = min(maxBackoff, minBackoff<<min(failures, 8))
-		} else {
-			failures = 0
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-n.undated:
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		}
-		timer.Stop()
-	}
-}
-
-func (n *Node) memberKey() string { return n.opts.MemberTable + "/" + string(n.opts.VM.ID) }
-
-func (n *Node) announce(ctx context.Context) error {
-	value, err := json.Marshal(n.member())
-	if err != nil {
-		return errors.Wrap(err, "encode member")
-	}
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-	defer cancel()
-	return n.opts.Table.Commit(ctx, nil, []platform.Write{{Key: n.memberKey(), Value: value}})
-}
-
-// deregister removes the announcement of a VM that leaves. A row that stays is
-// harmless: nobody hears of the VM.
-func (n *Node) deregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	if err := n.opts.Table.Commit(ctx, nil, []platform.Write{{Key: n.memberKey(), Delete: true}}); err != nil {
-		n.log.Info("deregister_failed", logging.Error(err))
-	}
-}
-
-// deregisterTimeout bounds the last call of a process that must end in time.
-const deregisterTimeout = 200 * time.Millisecond
-
-func (n *Node) readMembers(ctx context.Context) error {
-	unknown := n.goals.Unknown()
-	list, err := n.opts.Feed.Rows(ctx, n.opts.MemberTable)
-	if err != nil {
-		return err
-	}
-	n.storeClock.set(list.Now, n.now())
-	members := make([]gossip.Member, 0, len(list.Rows))
-	for _, r := range list.Rows {
-		if strings.HasPrefix(r.Key, n.goalKey("")) {
-			n.readGoals(r)
-			continue
-		}
-		var m gossip.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
-			n.log.Warn("member_row_malformed", zap.String("key", r.Key), logging.Error(err))
-			continue
-		}
-		members = append(members, m)
-	}
-	if unknown {
-		n.dateGoals()
-	}
-	n.gossip.Listed(members)
-	return nil
-}
-
-// heldWeights is a version that a server was seen to hold, ahead of its
-// announcement.
-type heldWeights struct {
-	started int64
-	model   string
-	version uint64
-	at      time.Time
-}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -334,6 +334,15 @@
 	}
 }
 
+// heldWeights is a version that a server was seen to hold, ahead of its
+// announcement.
+type heldWeights struct {
+	started int64
+	model   string
+	version uint64
+	at      time.Time
+}
+
 // tell notes a version that a server holds for the next digests.
 func (n *Node) tell(id backend.ID, h heldWeights) {
 	n.mu.Lock()
