--- /dev/null
+++ b/internal/selector/table_test.go
@@ -0,0 +1,330 @@
+package selector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/fleet"
+)
+
+func TestTableKnowsWhatEnginesHold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(15*time.Second, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	const memory = 160_000
+	first := NewPrompt(model, "s", 12_500, []Part{{"doc", 12_000}, {"own-1", 500}})
+	second := NewPrompt(model, "s", 12_700, []Part{{"doc", 12_000}, {"own-2", 700}})
+	other := NewPrompt(model, "wall", 12_700, []Part{{"doc", 12_000}, {"own-2", 700}})
+	for _, p := range []*Prompt{first, second, other} {
+		p.EngineTokens = memory
+	}
+	cached := func(e *fleet.Entry, p *Prompt) float64 {
+		c := Candidate{Entry: e}
+		table.Fill(&c, p)
+		return c.CachedTokens
+	}
+	run := table.Begin(&Candidate{Entry: x}, first, 60_000)
+	if got := cached(x, second); got != 12_000 {
+		t.Errorf("expects %v cached tokens, want 12000", got)
+	}
+	if got := cached(x, other); got != 0 {
+		t.Errorf("expects %v tokens of another scope", got)
+	}
+	if got := cached(engine("x", "a", 2), second); got != 0 {
+		t.Errorf("expects %v tokens after new weights", got)
+	}
+	placed := table.TakePlacements()
+	if len(placed) != 1 || placed[0].ID != "x" || len(table.TakePlacements()) != 0 {
+		t.Fatalf("placements %v", placed)
+	}
+	run.Answered(60_000)
+	run.End(Good)
+
+	// Another VM hears of it.
+	peer := NewTable(15*time.Second, func() time.Time { return now })
+	peer.Placed(placed[0])
+	c := Candidate{Entry: x}
+	peer.Fill(&c, second)
+	if c.CachedTokens != 12_000 {
+		t.Errorf("peer expects %v cached tokens", c.CachedTokens)
+	}
+	from, tokens := Source(&Candidate{Entry: engine("y", "b", 1)}, second, []Candidate{c})
+	if from == nil || from.Entry.ID != "x" || tokens != 12_000 {
+		t.Errorf("source %v with %d tokens", from, tokens)
+	}
+	if from, _ := Source(&Candidate{Entry: engine("y", "b", 2)}, second, []Candidate{c}); from != nil {
+		t.Error("a source with other weights")
+	}
+	// What is used after it drives it out.
+	filler := NewPrompt(model, "s", 150_000, []Part{{"filler", 140_000}, {"own-3", 10_000}})
+	filler.EngineTokens = memory
+	now = now.Add(time.Second)
+	table.Begin(&Candidate{Entry: x}, filler, 60_000)
+	if got := cached(x, second); got != 0 {
+		t.Errorf("expects %v tokens that were driven out", got)
+	}
+}
+
+func TestTableCountsLoadAndFailures(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	p := NewPrompt(model, "s", 1000, []Part{{"own", 1000}})
+	state := func() Candidate {
+		c := Candidate{Entry: x}
+		table.Fill(&c, p)
+		return c
+	}
+	run := table.Begin(&Candidate{Entry: x}, p, 60_000)
+	table.SetPeers(map[ServerKey]Report{KeyOf(x): {Running: 2, Backlog: 500}})
+	if c := state(); c.Running != 3 || c.Backlog != 1500 {
+		t.Errorf("running %d, backlog %v", c.Running, c.Backlog)
+	}
+	run.End(Failed)
+	if c := state(); c.Running != 2 || c.Backlog != 500 || c.FailureRate < 0.3 {
+		t.Errorf("after a failure: %+v", c)
+	}
+	now = now.Add(20 * time.Second)
+	if c := state(); c.FailureRate > 0.01 {
+		t.Errorf("failure rate %v after 20 s", c.FailureRate)
+	}
+	table.SetPeers(nil)
+	v := fleet.NewDirectory().View()
+	table.Keep(v)
+	if len(table.servers) != 0 {
+		t.Error("a server that ended is kept")
+	}
+}
+
+// Until a VM has told of its load, it expects the other VMs to do alike: without
+// that all of them rush to the same engine.
+func TestUntoldLoadCountsForAllVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	table.SetSenders(8)
+	x := engine("x", "a", 1)
+	p := NewPrompt(model, "s", 1000, []Part{{"own", 1000}})
+	table.Begin(&Candidate{Entry: x}, p, 60_000)
+	c := Candidate{Entry: x}
+	table.Fill(&c, p)
+	if c.Running != 8 || c.Backlog != 8000 {
+		t.Errorf("running %d, backlog %v before the load was told", c.Running, c.Backlog)
+	}
+	table.Loads()
+	table.Fill(&c, p)
+	if c.Running != 1 || c.Backlog != 1000 {
+		t.Errorf("running %d, backlog %v after it was told", c.Running, c.Backlog)
+	}
+}
+
+// A part that is still being read is counted on, with the time that it takes;
+// one whose request ended before it was read isn't.
+func TestPartsThatAreBeingRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	first := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own-1", 1000}})
+	second := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own-2", 1000}})
+	first.EngineTokens, second.EngineTokens = 160_000, 160_000
+	state := func() Candidate {
+		c := Candidate{Entry: x}
+		table.Fill(&c, second)
+		return c
+	}
+	run := table.Begin(&Candidate{Entry: x}, first, 60_000)
+	now = now.Add(100 * time.Millisecond)
+	if c := state(); c.CachedTokens != 29_000 || c.Wait() != margin(500*time.Millisecond)-100*time.Millisecond {
+		t.Errorf("cached %v, wait %v", c.CachedTokens, c.Wait())
+	}
+	run.End(Neutral)
+	if c := state(); c.CachedTokens != 0 {
+		t.Errorf("counts on %v tokens that were not read", c.CachedTokens)
+	}
+	run = table.Begin(&Candidate{Entry: x}, first, 60_000)
+	now = now.Add(200 * time.Millisecond)
+	run.Answered(60_000)
+	if c := state(); c.CachedTokens != 29_000 || c.Wait() != 0 {
+		t.Errorf("after the first event: cached %v, wait %v", c.CachedTokens, c.Wait())
+	}
+	now = now.Add(3 * time.Second)
+	if got := run.SilentFor(); got != 3*time.Second {
+		t.Errorf("silent for %v", got)
+	}
+	run.Heard()
+	if got := run.SilentFor(); got != 0 {
+		t.Errorf("silent for %v after an event", got)
+	}
+}
+
+// A server that owes an answer and stays silent is left, one that takes no
+// connection until it does again.
+func TestSilentServersAreLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x, y := engine("x", "a", 1), engine("y", "a", 1)
+	picks := func() string {
+		candidates := []Candidate{{Entry: x, SameDomain: true}, {Entry: y, SameDomain: true, Running: 3}}
+		table.Fill(&candidates[0], nil)
+		i, _ := deployment.Pick(Query{Objective: time.Second}, candidates, 0)
+		return string(candidates[i].Entry.ID)
+	}
+	run := table.Begin(&Candidate{Entry: x}, nil, 60_000)
+	now = now.Add(200 * time.Millisecond)
+	if picks() != "x" {
+		t.Error("left after 200 ms, which an answer may take")
+	}
+	now = now.Add(700 * time.Millisecond)
+	if picks() != "y" {
+		t.Error("not left after 0.9 s of silence")
+	}
+	run.Heard()
+	if picks() != "x" {
+		t.Error("not used again once heard")
+	}
+	run.End(Good)
+	now = now.Add(time.Minute)
+	if picks() != "x" {
+		t.Error("a server that owes nothing counts as silent")
+	}
+	table.Begin(&Candidate{Entry: x}, nil, 60_000).End(Unreachable)
+	now = now.Add(time.Minute)
+	if picks() != "y" || !table.Down(KeyOf(x)) {
+		t.Error("a server that takes no connection is used")
+	}
+	table.Reachable(KeyOf(x))
+	if picks() != "x" {
+		t.Error("not used again once reachable")
+	}
+	table.Begin(&Candidate{Entry: x}, nil, 60_000).End(Misdirected)
+	now = now.Add(10 * time.Second)
+	if picks() != "y" {
+		t.Error("a server is used whose address another one has")
+	}
+}
+
+// VMs tell each other of silent servers; an own answer counts for more, and a VM
+// that hears of hardly any server doesn't blame them.
+func TestSilenceIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	a, b := NewTable(time.Minute, clock), NewTable(time.Minute, clock)
+	x := engine("x", "a", 1)
+	silence := func(table *Table) time.Duration {
+		c := Candidate{Entry: x}
+		table.Fill(&c, nil)
+		return c.Silent
+	}
+	silence(b) // b has to know the server.
+	a.Begin(&Candidate{Entry: x}, nil, 60_000)
+	for i := range 4 {
+		a.Begin(&Candidate{Entry: engine(fmt.Sprint("good-", i), "a", 1)}, nil, 60_000).Heard()
+	}
+	now = now.Add(290 * time.Millisecond)
+	for i := range 4 {
+		a.Begin(&Candidate{Entry: engine(fmt.Sprint("good-", i), "a", 1)}, nil, 60_000).Heard()
+	}
+	now = now.Add(200 * time.Millisecond)
+	b.SetPeers(a.Loads())
+	if got := silence(b); got != 490*time.Millisecond {
+		t.Errorf("told of %v of silence", got)
+	}
+	b.Begin(&Candidate{Entry: x}, nil, 60_000).Heard()
+	if got := silence(b); got != 0 {
+		t.Errorf("%v of silence in spite of an own answer", got)
+	}
+	now = now.Add(time.Second)
+	for key, r := range a.Loads() {
+		if r.Silent > 0 {
+			t.Errorf("a VM that hears from none blames %v", key)
+		}
+	}
+}
+
+// A part that was driven out and is read again counts as held only once it was
+// read, and other VMs are told of the new reading.
+func TestPartThatIsReadAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	p := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own", 1000}})
+	p.EngineTokens = 160_000
+	read := func(prompt *Prompt) {
+		c := Candidate{Entry: x}
+		table.Fill(&c, prompt)
+		run := table.Begin(&c, prompt, 60_000)
+		now = now.Add(600 * time.Millisecond)
+		run.Answered(60_000)
+		run.End(Good)
+	}
+	read(p)
+	for i := range 5 {
+		filler := NewPrompt(model, "s", 31_000, []Part{{fmt.Sprint("other-", i), 30_000}, {"own", 1000}})
+		filler.EngineTokens = p.EngineTokens
+		read(filler)
+	}
+	c := Candidate{Entry: x}
+	table.Fill(&c, p)
+	if c.CachedTokens != 0 {
+		t.Fatalf("%v tokens are still held", c.CachedTokens)
+	}
+	table.TakePlacements()
+	table.Begin(&c, p, 60_000)
+	table.Fill(&c, p)
+	if c.CachedTokens < 29_000 || c.Wait() < margin(500*time.Millisecond) {
+		t.Errorf("%v tokens held, to wait for %v", c.CachedTokens, c.Wait())
+	}
+	if placed := table.TakePlacements(); len(placed) != 1 || placed[0].ReadIn != c.Wait() {
+		t.Errorf("told %+v", placed)
+	}
+}
+
+// Other VMs hear when a part was read, and wait no longer.
+func TestReadingIsToldWhenOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	a, b := NewTable(time.Minute, clock), NewTable(time.Minute, clock)
+	x := engine("x", "a", 1)
+	p := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own", 1000}})
+	p.EngineTokens = 160_000
+	exchange := func() {
+		for _, placed := range a.TakePlacements() {
+			b.Placed(placed)
+		}
+	}
+	wait := func() time.Duration {
+		c := Candidate{Entry: x}
+		b.Fill(&c, p)
+		if c.CachedTokens != 29_000 {
+			t.Errorf("%v tokens expected", c.CachedTokens)
+		}
+		return c.Wait()
+	}
+	run := a.Begin(&Candidate{Entry: x}, p, 60_000)
+	exchange()
+	if got := wait(); got != margin(500*time.Millisecond) {
+		t.Errorf("waits for %v", got)
+	}
+	now = now.Add(300 * time.Millisecond)
+	run.Answered(60_000)
+	exchange()
+	if got := wait(); got != 0 {
+		t.Errorf("waits for %v more although the part was read", got)
+	}
+}
+
+// An engine that is silent is no source of cached parts.
+func TestSilentEnginesAreNoSources(t *testing.T) {
+	p := NewPrompt(model, "s", 30_000, []Part{{"doc", 29_000}, {"own", 1000}})
+	to := &Candidate{Entry: engine("to", "a", 1)}
+	sources := []Candidate{
+		{Entry: engine("dark", "a", 1), CachedTokens: 29_000, Silent: 2 * time.Second},
+		{Entry: engine("far", "b", 1), CachedTokens: 29_000},
+	}
+	if s, tokens := Source(to, p, sources); s == nil || s.Entry.ID != "far" || tokens != 29_000 {
+		t.Errorf("fetches %d tokens from %+v", tokens, s)
+	}
+	if s, _ := Source(to, p, sources[:1]); s != nil {
+		t.Errorf("fetches from %s", s.Entry.ID)
+	}
+}
