--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -2,7 +2,8 @@
 // announce themselves in the platform's store, and the weights that they are to
 // run. What is known comes from the store or from other VMs; revisions decide what is
 // newer. Each VM knows up to which revision it has missed nothing, and tells others
-// so with all that it passes on.
+// so with all that it passes on. A store that comes back from an older copy begins a new
+// era: its rows replace what is known, but for the ends of runs, which hold for good.
 package fleet
 
 import (
@@ -49,21 +50,25 @@
 	Warmup time.Duration `json:"warmup,omitempty"`
 	// Weights are the versions of the models that an engine holds.
 	Weights map[string]uint64 `json:"weights,omitempty"`
-	// Revision is the version of the store's row.
-	Revision platform.Version `json:"revision"`
+	// Revision is that of the store's row.
+	Revision platform.Revision `json:"revision"`
 	// Gone marks the end of the server.
 	Gone bool `json:"gone,omitempty"`
 	// Hold is set if the row is gone and an outage may be the reason: a server that
 	// was known counts as present for so long, unless it announces itself again.
 	Hold time.Duration `json:"hold,omitempty"`
+	// Wait is set if the run is known to have ended and has a row again since the store
+	// came back from an older copy: it is not used for so long, within which its row
+	// lapses unless it lives.
+	Wait time.Duration `json:"wait,omitempty"`
 }
 
 // Update is what a source knows of the servers.
 type Update struct {
 	// After and UpTo bound the revisions of which nothing is missing: above the
 	// first, up to the second.
-	After platform.Version `json:"after"`
-	UpTo  platform.Version `json:"up_to"`
+	After platform.Revision `json:"after"`
+	UpTo  platform.Revision `json:"up_to"`
 	// Whole is set if Entries name all servers that there were at UpTo.
 	Whole   bool    `json:"whole,omitempty"`
 	Entries []Entry `json:"entries"`
@@ -121,6 +126,12 @@
 	goneAt time.Time
 	// seenAt is when weights were last seen ahead of their announcement.
 	seenAt time.Time
+	// again is the row of an ended run that came back with an older copy of the store, nil
+	// without one. It counts from againAt on.
+	again   *Entry
+	againAt time.Time
+	// alive is a run whose row has outlived that time.
+	alive int64
 }
 
 // seenAge is for how long weights that were seen at a server outweigh an announcement
@@ -135,15 +146,21 @@
 	records map[backend.ID]*record
 	// known is the revision up to which nothing was missed, newest that of the newest
 	// change up to there.
-	known, newest platform.Version
+	known, newest platform.Revision
+	// before is what known was in earlier eras, eraSince when the present one was first
+	// heard of.
+	before   platform.Revision
+	eraSince time.Time
 	// forgotten is the revision up to which ends may not be remembered.
-	forgotten platform.Version
+	forgotten platform.Revision
+	lapse     time.Duration
 	view      atomic.Pointer[View]
 }
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	d := &Directory{records: map[backend.ID]*record{}}
+// NewDirectory returns an empty directory. Lapse is the time within which the row of a
+// server that announces itself no more is gone.
+func NewDirectory(lapse time.Duration) *Directory {
+	d := &Directory{records: map[backend.ID]*record{}, lapse: lapse}
 	d.publish()
 	return d
 }
@@ -152,7 +169,7 @@
 func (d *Directory) View() *View { return d.view.Load() }
 
 // Known returns the revision up to which nothing was missed.
-func (d *Directory) Known() platform.Version {
+func (d *Directory) Known() platform.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.known
@@ -160,7 +177,7 @@
 
 // Newest returns the revision of the newest change up to Known. Whoever knows up to
 // there can learn nothing here.
-func (d *Directory) Newest() platform.Version {
+func (d *Directory) Newest() platform.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.newest
@@ -168,20 +185,38 @@
 
 // Apply merges an update and returns the entries that changed what is known. An
 // update that ends before what is known is ignored: it may name servers that have
-// left since.
+// left since. Of one of an earlier era the leaves are taken.
 func (d *Directory) Apply(u Update, now time.Time) []*Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if u.UpTo < d.known {
-		return nil
+	var changed []*Entry
+	switch {
+	case u.UpTo.Era < d.known.Era:
+		changed = d.takeLeaves(u, now)
+	case u.UpTo.Before(d.known) || u.UpTo.Era > d.known.Era && !u.Whole:
+		return nil // Changes since a copy tell nothing of what the copy holds.
+	default:
+		changed = d.take(u, now)
+	}
+	d.forget(now)
+	if len(changed) > 0 {
+		d.publish()
+	}
+	return changed
+}
+
+// take merges an update of the present era, or of a later one.
+func (d *Directory) take(u Update, now time.Time) []*Entry {
+	if u.UpTo.Era > d.known.Era {
+		d.before, d.eraSince = d.known, now
 	}
 	var changed []*Entry
 	named := map[backend.ID]bool{}
-	latest := platform.Version(0)
+	latest := platform.Revision{Era: u.UpTo.Era}
 	for i := range u.Entries {
 		e := &u.Entries[i]
 		named[e.ID] = true
-		latest = max(latest, e.Revision)
+		latest = platform.Later(latest, e.Revision)
 		if kept := d.apply(e, now); kept != nil {
 			changed = append(changed, kept)
 		}
@@ -189,33 +224,79 @@
 	if u.Whole {
 		if ended := d.endUnnamed(named, u, now); len(ended) > 0 {
 			changed = append(changed, ended...)
-			latest = max(latest, u.UpTo)
+			latest = platform.Later(latest, u.UpTo)
 		}
-		d.forgotten = max(d.forgotten, u.UpTo)
+		d.forgotten = platform.Later(d.forgotten, u.UpTo)
 	}
-	if u.Whole || u.After <= d.known {
-		d.known = max(d.known, u.UpTo)
-		d.newest = max(d.newest, min(latest, d.known))
+	if u.Whole || !u.After.After(d.known) {
+		d.known = platform.Later(d.known, u.UpTo)
+		d.newest = platform.Later(d.newest, platform.Earlier(latest, d.known))
 	}
-	d.forget(now)
-	if len(changed) > 0 {
-		d.publish()
+	return changed
+}
+
+// takeLeaves takes the leaves that an update of an earlier era tells of and that weren't
+// known before the present one.
+func (d *Directory) takeLeaves(u Update, now time.Time) []*Entry {
+	if !u.UpTo.After(d.before) {
+		return nil
+	}
+	var changed []*Entry
+	for i := range u.Entries {
+		e := &u.Entries[i]
+		r := d.records[e.ID]
+		if r == nil || !e.Revision.After(d.before) {
+			continue
+		}
+		run := e.Started
+		if run == 0 {
+			run = r.Started // A row that was removed doesn't tell.
+		}
+		var kept *Entry
+		switch {
+		case !e.Gone && e.State == Draining:
+			kept = d.markLeft(r, run)
+		case e.Gone && e.Hold == 0:
+			kept = d.doubt(r, run, d.lapseLeft(now), now)
+		}
+		if kept != nil {
+			changed = append(changed, kept)
+		}
+	}
+	if !u.After.After(d.before) {
+		d.before = u.UpTo
 	}
 	return changed
 }
 
-func (d *Directory) apply(e *Entry, now time.Time) *Entry {
-	r := d.records[e.ID]
+// lapseLeft returns for how long a row may be one of the copy with which the present era
+// began, although its server announces itself no more.
+func (d *Directory) lapseLeft(now time.Time) time.Duration {
+	return max(0, d.lapse-now.Sub(d.eraSince))
+}
+
+func (d *Directory) record(id backend.ID, now time.Time) *record {
+	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: e.ID, Gone: true}, goneAt: now}
-		d.records[e.ID] = r
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now}
+		d.records[id] = r
 	}
-	if e.Revision <= r.Revision {
+	return r
+}
+
+func (d *Directory) apply(e *Entry, now time.Time) *Entry {
+	r := d.record(e.ID, now)
+	if !e.Revision.After(r.Revision) {
 		return nil
 	}
 	if e.Gone {
+		r.again = nil
 		return d.end(r, e.Revision, e.Hold, now)
 	}
+	if wait := d.waits(r, e, now); wait > 0 {
+		return r.withhold(e, wait, now)
+	}
+	r.again = nil
 	next := r.merge(e, now)
 	r.Entry = &next
 	if next.Gone {
@@ -228,13 +309,72 @@
 	return &next
 }
 
+// waits returns for how long a row must not be used, because its run is known to have
+// ended and the row may be one of an older copy of the store.
+func (d *Directory) waits(r *record, e *Entry, now time.Time) time.Duration {
+	if !r.Gone || e.State != Ready || r.Started != e.Started || r.left == e.Started || r.alive == e.Started {
+		return 0
+	}
+	switch {
+	case r.again != nil || r.againAt.After(now):
+		return r.againAt.Sub(now)
+	case e.Wait > 0:
+		return e.Wait
+	case r.Revision.Era < e.Revision.Era && r.Started != 0:
+		return d.lapseLeft(now)
+	}
+	return 0
+}
+
+// withhold keeps a row for the time from which it counts, and returns an entry that says so
+// unless it was withheld before.
+func (r *record) withhold(e *Entry, wait time.Duration, now time.Time) *Entry {
+	first := r.again == nil
+	again, next := *e, *r.Entry
+	again.Wait = 0
+	next.Revision, next.Gone = e.Revision, true
+	r.Entry, r.again, r.againAt = &next, &again, now.Add(wait)
+	if !first {
+		return nil
+	}
+	told := next
+	told.Wait = wait
+	return &told
+}
+
+// doubt takes a run out of use for a time, in which its row lapses unless it lives, and
+// returns the entry if that changes what is known.
+func (d *Directory) doubt(r *record, run int64, wait time.Duration, now time.Time) *Entry {
+	if wait <= 0 || r.alive == run || r.left == run || r.again != nil {
+		return nil
+	}
+	if r.Gone {
+		if r.Started == 0 {
+			next := *r.Entry
+			next.Started = run
+			r.Entry, r.againAt = &next, now.Add(wait)
+		}
+		return nil
+	}
+	if r.Started != run || r.State != Ready {
+		return nil
+	}
+	row := *r.Entry
+	r.goneAt, r.holdUntil = now, time.Time{}
+	return r.withhold(&row, wait, now)
+}
+
 // merge returns what is known of a server after a newer row than the last. The store
 // orders the rows, and clocks of servers don't: a row counts as that of an older run
-// only if it would bring the server back.
+// only if it would bring the server back, or if it may be one of an older copy of the
+// store.
 func (r *record) merge(e *Entry, now time.Time) Entry {
 	next := *e
 	older := e.Started < r.Started
+	laterEra := r.Revision.Era < e.Revision.Era
 	switch {
+	case older && laterEra:
+		next = *r.Entry
 	case e.State == Draining:
 		r.left, r.undone = e.Started, false
 		if older && !r.Gone {
@@ -247,7 +387,7 @@
 		next.State, r.undone = Draining, true
 	}
 	next.Revision, next.Hold = e.Revision, 0
-	if r.Same(&next) && now.Sub(r.seenAt) < seenAge {
+	if r.Same(&next) && (laterEra || now.Sub(r.seenAt) < seenAge) {
 		next.Weights = mergeWeights(r.Weights, next.Weights)
 	}
 	return next
@@ -255,9 +395,9 @@
 
 // end notes that a server's row is gone, and returns the entry if that changes what
 // is known.
-func (d *Directory) end(r *record, revision platform.Version, hold time.Duration, now time.Time) *Entry {
+func (d *Directory) end(r *record, revision platform.Revision, hold time.Duration, now time.Time) *Entry {
 	next := *r.Entry
-	next.Revision = max(r.Revision, revision)
+	next.Revision = platform.Later(r.Revision, revision)
 	changed := !r.Gone
 	if hold > 0 && !r.Gone {
 		if until := now.Add(hold); r.holdUntil.IsZero() || until.Before(r.holdUntil) {
@@ -281,7 +421,11 @@
 func (d *Directory) endUnnamed(named map[backend.ID]bool, u Update, now time.Time) []*Entry {
 	var ended []*Entry
 	for id, r := range d.records {
-		if named[id] || r.Gone || r.Revision > u.UpTo || !r.holdUntil.IsZero() {
+		if named[id] || r.Revision.After(u.UpTo) || !r.holdUntil.IsZero() {
+			continue
+		}
+		if r.Gone {
+			r.again = nil
 			continue
 		}
 		ended = append(ended, d.end(r, u.UpTo, u.Hold, now))
@@ -300,32 +444,44 @@
 	return out
 }
 
-// Expire ends the servers without a row whose time is over and returns them.
+// Expire ends the servers without a row whose time is over, takes up those whose row has
+// outlived its doubt, and returns both.
 func (d *Directory) Expire(now time.Time) []*Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var ended []*Entry
+	var changed []*Entry
 	for _, r := range d.records {
 		if !r.holdUntil.IsZero() && !now.Before(r.holdUntil) {
-			ended = append(ended, d.end(r, r.Revision, 0, now))
+			changed = append(changed, d.end(r, r.Revision, 0, now))
+		}
+		if r.again != nil && !now.Before(r.againAt) {
+			if r.left == r.again.Started {
+				r.again.State = Draining
+			}
+			r.Entry, r.again, r.alive, r.goneAt = r.again, nil, r.again.Started, time.Time{}
+			changed = append(changed, r.Entry)
 		}
 	}
-	if len(ended) > 0 {
+	if len(changed) > 0 {
 		d.publish()
 	}
-	return ended
+	return changed
 }
 
 // Export returns what another VM lacks that has missed nothing up to a revision.
-func (d *Directory) Export(after platform.Version, now time.Time) Update {
+func (d *Directory) Export(after platform.Revision, now time.Time) Update {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	u := Update{After: after, UpTo: d.known, Whole: after < d.forgotten, Entries: []Entry{}}
+	u := Update{After: after, UpTo: d.known, Whole: after.Before(d.forgotten), Entries: []Entry{}}
 	for _, r := range d.records {
-		if u.Whole && r.Gone || !u.Whole && r.Revision <= after {
+		e := *r.Entry
+		if r.again != nil {
+			e = *r.again
+			e.Wait = max(1, r.againAt.Sub(now))
+		}
+		if u.Whole && e.Gone || !u.Whole && !r.Revision.After(after) {
 			continue
 		}
-		e := *r.Entry
 		if !r.holdUntil.IsZero() {
 			e.Hold = max(1, r.holdUntil.Sub(now))
 		}
@@ -357,30 +513,50 @@
 	return true
 }
 
-// Undone returns the servers that leave although their rows say that they are ready.
+// Leave is a run of a server that is not to be used although its row says that it is ready.
+type Leave struct {
+	ID      backend.ID `json:"i"`
+	Started int64      `json:"s"`
+	// Wait is for how long; 0 for good.
+	Wait time.Duration `json:"w,omitempty"`
+}
+
+// Leaves returns the runs that are not used although their rows say that they are ready.
 // VMs that have read the row since can't know.
-func (d *Directory) Undone() []*Entry {
+func (d *Directory) Leaves(now time.Time) []Leave {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []*Entry
+	var list []Leave
 	for _, r := range d.records {
-		if r.undone && !r.Gone && r.Started == r.left {
-			list = append(list, r.Entry)
+		switch {
+		case r.undone && !r.Gone && r.Started == r.left:
+			list = append(list, Leave{ID: r.ID, Started: r.Started})
+		case r.again != nil && r.againAt.After(now):
+			list = append(list, Leave{ID: r.ID, Started: r.again.Started, Wait: r.againAt.Sub(now)})
 		}
 	}
 	return list
 }
 
-// MarkLeft notes that a run of a server leaves although its row says that it is ready,
-// and returns the entry if that changes what is known.
-func (d *Directory) MarkLeft(id backend.ID, started int64, now time.Time) *Entry {
+// HearLeave notes what another VM says of a run, and returns the entry if that changes what
+// is known.
+func (d *Directory) HearLeave(l Leave, now time.Time) *Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.records[id]
-	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now}
-		d.records[id] = r
+	r := d.record(l.ID, now)
+	var changed *Entry
+	if l.Wait > 0 {
+		changed = d.doubt(r, l.Started, l.Wait, now)
+	} else {
+		changed = d.markLeft(r, l.Started)
+	}
+	if changed != nil {
+		d.publish()
 	}
+	return changed
+}
+
+func (d *Directory) markLeft(r *record, started int64) *Entry {
 	if r.Started > started || r.left >= started {
 		return nil
 	}
@@ -391,14 +567,13 @@
 	next := *r.Entry
 	next.State = Draining
 	r.Entry = &next
-	d.publish()
 	return &next
 }
 
 func (d *Directory) forget(now time.Time) {
 	for id, r := range d.records {
-		if r.Gone && now.Sub(r.goneAt) > tombstoneAge {
-			d.forgotten = max(d.forgotten, r.Revision)
+		if r.Gone && r.again == nil && now.Sub(r.goneAt) > tombstoneAge {
+			d.forgotten = platform.Later(d.forgotten, r.Revision)
 			delete(d.records, id)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,22 +8,27 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 )
 
+// at is a revision of the first era.
+func at(version int) platform.Revision { return platform.Revision{Version: platform.Version(version)} }
+
 func ready(id backend.ID, started int64, revision int) Entry {
-	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", State: Ready, Started: started, Weights: map[string]uint64{"m": 1}, Revision: platform.Version(revision)}
+	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", State: Ready, Started: started, Weights: map[string]uint64{"m": 1}, Revision: at(revision)}
 }
 
+const testLapse = 6 * time.Second
+
 // apply merges entries of the store's feed, up to the newest of them.
 func apply(d *Directory, now time.Time, entries ...Entry) {
 	u := Update{After: d.Known(), UpTo: d.Known(), Entries: entries}
 	for _, e := range entries {
-		u.UpTo = max(u.UpTo, e.Revision)
+		u.UpTo = platform.Later(u.UpTo, e.Revision)
 	}
 	d.Apply(u, now)
 }
 
 func TestNewerRevisionWins(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := NewDirectory()
+	d := NewDirectory(testLapse)
 	apply(d, now, ready("x", 5, 10))
 	draining := ready("x", 5, 12)
 	draining.State = Draining
@@ -32,7 +37,7 @@
 	if len(d.View().Service("s")) != 0 || d.View().Server("x") == nil {
 		t.Error("a draining server is used, or forgotten")
 	}
-	apply(d, now, Entry{ID: "x", Revision: 14, Gone: true})
+	apply(d, now, Entry{ID: "x", Revision: at(14), Gone: true})
 	apply(d, now, ready("x", 5, 13))
 	if d.View().Server("x") != nil {
 		t.Error("a server that ended came back with an older state")
@@ -42,17 +47,17 @@
 	if e := d.View().Server("x"); e == nil || e.Started != 9 {
 		t.Errorf("entry %+v, want the run that started at 9", e)
 	}
-	if d.Known() != 21 || d.Newest() != 21 {
-		t.Errorf("known up to %d, newest change %d", d.Known(), d.Newest())
+	if d.Known() != at(21) || d.Newest() != at(21) {
+		t.Errorf("known up to %v, newest change %v", d.Known(), d.Newest())
 	}
 }
 
 // What is missing after an outage is gone only once it had time to come back.
 func TestMissingServersGetTime(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := NewDirectory()
+	d := NewDirectory(testLapse)
 	apply(d, now, ready("x", 1, 1), ready("y", 1, 2), ready("z", 1, 3))
-	d.Apply(Update{UpTo: 3, Whole: true, Entries: []Entry{ready("x", 1, 1)}, Hold: 2 * time.Second}, now)
+	d.Apply(Update{UpTo: at(3), Whole: true, Entries: []Entry{ready("x", 1, 1)}, Hold: 2 * time.Second}, now)
 	if n := len(d.View().Service("s")); n != 3 {
 		t.Fatalf("%d servers right after the listing", n)
 	}
@@ -63,7 +68,7 @@
 	if ended := d.Expire(now.Add(2 * time.Second)); len(ended) != 1 || ended[0].ID != "z" {
 		t.Errorf("ended: %v", ended)
 	}
-	apply(d, now, Entry{ID: "x", Revision: 9, Gone: true, Hold: 5 * time.Second})
+	apply(d, now, Entry{ID: "x", Revision: at(9), Gone: true, Hold: 5 * time.Second})
 	d.Expire(now.Add(6 * time.Second))
 	if d.View().Server("x") != nil {
 		t.Error("a server whose row lapsed is still there")
@@ -73,20 +78,20 @@
 // A VM that has started knows nothing that others need to fetch.
 func TestFirstListingIsNoNews(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := NewDirectory()
-	d.Apply(Update{UpTo: 50, Whole: true, Entries: []Entry{ready("x", 1, 7), ready("y", 1, 9)}}, now)
-	if d.Known() != 50 || d.Newest() != 9 {
-		t.Errorf("known up to %d, newest change %d, want 50 and 9", d.Known(), d.Newest())
+	d := NewDirectory(testLapse)
+	d.Apply(Update{UpTo: at(50), Whole: true, Entries: []Entry{ready("x", 1, 7), ready("y", 1, 9)}}, now)
+	if d.Known() != at(50) || d.Newest() != at(9) {
+		t.Errorf("known up to %v, newest change %v, want 50 and 9", d.Known(), d.Newest())
 	}
-	d.Apply(Update{UpTo: 60, Whole: true, Entries: []Entry{ready("x", 1, 7)}}, now)
-	if d.Newest() != 60 {
-		t.Errorf("newest change %d after an end that was found by listing", d.Newest())
+	d.Apply(Update{UpTo: at(60), Whole: true, Entries: []Entry{ready("x", 1, 7)}}, now)
+	if d.Newest() != at(60) {
+		t.Errorf("newest change %v after an end that was found by listing", d.Newest())
 	}
 }
 
 func TestWeightsOnlyGrow(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := NewDirectory()
+	d := NewDirectory(testLapse)
 	apply(d, now, ready("x", 1, 1))
 	if !d.SetWeights("x", 1, "m", 3, now) || d.SetWeights("x", 1, "m", 2, now) || d.SetWeights("x", 2, "m", 9, now) {
 		t.Error("weights of another run or older ones were taken")
@@ -104,7 +109,7 @@
 // An order that is carried out late can bring older weights back.
 func TestAnnouncedWeightsReplaceThoseSeenLongBefore(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := NewDirectory()
+	d := NewDirectory(testLapse)
 	apply(d, now, ready("x", 1, 1))
 	d.SetWeights("x", 1, "m", 3, now)
 	apply(d, now.Add(10*time.Second), ready("x", 1, 2))
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -22,7 +22,7 @@
 type evidence struct {
 	// revision is that of the server's entry, known that up to which nothing of any
 	// server was missed.
-	revision, known platform.Version
+	revision, known platform.Revision
 	// newsAge is the age of the news of servers, delay the time since the server was
 	// chosen.
 	newsAge, delay time.Duration
@@ -33,8 +33,8 @@
 
 func (e *evidence) fields() []zap.Field {
 	return []zap.Field{
-		zap.Uint64("server_revision", uint64(e.revision)),
-		zap.Uint64("known_revision", uint64(e.known)),
+		zap.Stringer("server_revision", e.revision),
+		zap.Stringer("known_revision", e.known),
 		zap.Duration("news_age", e.newsAge),
 		zap.Duration("write_delay", e.delay),
 		zap.Uint64("weights", e.weights),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,10 +61,10 @@
 
 func newTestGateway(t *testing.T, engine http.HandlerFunc) (*Gateway, *selector.Table) {
 	server := loopback.Serve(t, engine)
-	directory := fleet.NewDirectory()
+	directory := fleet.NewDirectory(time.Second)
 	directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 		ID: "e", Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
-		State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 1,
+		State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: platform.Revision{Version: 1},
 	}}}, time.Now())
 	servers := selector.NewTable(10*time.Second, time.Now)
 	g := New(Options{
@@ -132,7 +132,7 @@
 // that the caller would wait for.
 func TestRefusalIsImmediate(t *testing.T) {
 	g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
-	g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{ID: "e", Revision: 2, Gone: true}}}, time.Now())
+	g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{ID: "e", Revision: platform.Revision{Version: 2}, Gone: true}}}, time.Now())
 	c, sink := modelCall(), &recorder{}
 	c.Patience = 900 * time.Millisecond
 	began := time.Now()
@@ -160,7 +160,7 @@
 	l := loopback.Listen(t)
 	address := l.Addr().String()
 	l.Close()
-	down := fleet.Entry{ID: "down", Service: "llm", Address: address, Slots: 8, State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: 2}
+	down := fleet.Entry{ID: "down", Service: "llm", Address: address, Slots: 8, State: fleet.Ready, Weights: map[string]uint64{"m": 1}, Revision: platform.Revision{Version: 2}}
 	g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{down}}, time.Now())
 	calls := 0
 	serve := func(n int) {
@@ -229,7 +229,7 @@
 		crashing.Start()
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 			ID: "e", Service: "llm", Address: strings.TrimPrefix(crashing.URL, "http://"), Slots: 8, State: fleet.Ready,
-			Weights: map[string]uint64{"m": 1}, Started: int64(i + 1), Revision: platform.Version(i + 2),
+			Weights: map[string]uint64{"m": 1}, Started: int64(i + 1), Revision: platform.Revision{Version: platform.Version(i + 2)},
 		}}}, time.Now())
 		if sink := send(); sink.refusal == nil || sink.refusal.Verdict != verdict.MayHaveRun {
 			t.Fatalf("crash %d: %+v", i, sink.refusal)
@@ -257,7 +257,7 @@
 		l.Close()
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{{
 			ID: backend.ID(fmt.Sprint("down-", i)), Service: "llm", Address: l.Addr().String(), Slots: 8, State: fleet.Ready,
-			Weights: map[string]uint64{"m": 1}, Revision: platform.Version(i + 2),
+			Weights: map[string]uint64{"m": 1}, Revision: platform.Revision{Version: platform.Version(i + 2)},
 		}}}, time.Now())
 	}
 	sink := &recorder{}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -31,7 +31,7 @@
 		return
 	}
 	g.opts.Log.Warn("server_unreachable", zap.String("server", string(e.ID)), zap.Int64("server_started", e.Started),
-		zap.String("address", e.Address), zap.Uint64("server_revision", uint64(e.Revision)))
+		zap.String("address", e.Address), zap.Stringer("server_revision", e.Revision))
 	go func() {
 		defer g.probes.Delete(key)
 		since := g.opts.Now()
--- a/internal/gateway/recheck_test.go
+++ b/internal/gateway/recheck_test.go
@@ -31,7 +31,7 @@
 	}))
 	e.entry = fleet.Entry{
 		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8,
-		State: fleet.Ready, Weights: map[string]uint64{"m": weights}, Revision: revision,
+		State: fleet.Ready, Weights: map[string]uint64{"m": weights}, Revision: platform.Revision{Version: revision},
 	}
 	return e
 }
@@ -43,7 +43,7 @@
 	other := newTestEngine(t, "other", 3, 1)
 	g.opts.Placed = func() {
 		leaving := *g.opts.Directory.View().All()[0]
-		leaving.State, leaving.Revision = fleet.Draining, 2
+		leaving.State, leaving.Revision = fleet.Draining, platform.Revision{Version: 2}
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{leaving, other.entry}}, time.Now())
 		g.opts.Placed = func() {}
 	}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -415,7 +415,7 @@
 		zap.String("request_id", t.call.ID),
 		zap.String("server", string(c.Entry.ID)),
 		zap.Int64("server_started", c.Entry.Started),
-		zap.Uint64("server_revision", uint64(c.Entry.Revision)),
+		zap.Stringer("server_revision", c.Entry.Revision),
 		zap.Int("attempt", len(t.tried)),
 		zap.String("failure", f.code),
 		zap.Bool("sent", f.sent),
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -6,6 +6,7 @@
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -84,15 +85,15 @@
 	Catalog catalog.Version `json:"cat"`
 	// Servers is the revision of the newest change of servers known, none before it
 	// being missing.
-	Servers platform.Version `json:"srv"`
+	Servers platform.Revision `json:"srv"`
 	// NewsAge is the age of the evidence that no newer entry exists; 0 if there is
 	// none.
 	NewsAge time.Duration `json:"na,omitempty"`
 	Goals   []WeightsGoal `json:"goals,omitempty"`
 	Held    []WeightsHeld `json:"held,omitempty"`
-	// Left are the runs of servers that leave although their rows say that they are
-	// ready.
-	Left []selector.ServerKey `json:"left,omitempty"`
+	// Left are the runs of servers that are not to be used although their rows say that
+	// they are ready.
+	Left []fleet.Leave `json:"left,omitempty"`
 	// Following is set if the sender reads the store's feeds and hears from them.
 	Following bool `json:"fol,omitempty"`
 	// FollowingFor is for how long without a failure.
@@ -133,12 +134,12 @@
 	Giver        bool             `json:"giver,omitempty"`
 	Claim        *LeaseClaim      `json:"claim,omitempty"`
 	Catalog      catalog.Version  `json:"cat"`
-	Servers      platform.Version `json:"srv"`
+	Servers      platform.Revision `json:"srv"`
 	// NewsAge is as in a Digest.
 	NewsAge    time.Duration              `json:"na,omitempty"`
 	Goals      []WeightsGoal              `json:"goals,omitempty"`
 	Held       []WeightsHeld              `json:"held,omitempty"`
-	Left       []selector.ServerKey       `json:"left,omitempty"`
+	Left       []fleet.Leave              `json:"left,omitempty"`
 	Reserved   []backend.ID               `json:"rsv,omitempty"`
 	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads      []ServerLoad               `json:"load,omitempty"`
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -74,6 +74,9 @@
 	return time.Duration((0.75 + rand.Float64()/2) * float64(k.ttl))
 }
 
+// Era returns the era of the store as the last step saw it. It must not run beside Step.
+func (k *Keeper) Era() platform.Era { return k.watcher.Era() }
+
 // Heard notes what another holder says of its term. It must not run beside Step.
 func (k *Keeper) Heard(c Claim) { k.watcher.Heard(c) }
 
@@ -102,7 +105,7 @@
 	}
 	sent := k.now()
 	k.watcher.Sent(a)
-	err = k.commit(ctx, a.Next, a.Version)
+	err = k.commit(ctx, a)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		err = k.readBack(ctx, a)
 	}
@@ -122,15 +125,15 @@
 	return decode(rows[0])
 }
 
-func (k *Keeper) commit(ctx context.Context, r Record, version platform.Version) error {
-	value, err := encode(r)
+func (k *Keeper) commit(ctx context.Context, a Attempt) error {
+	value, err := encode(a.Next)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	return k.table.Commit(ctx,
-		[]platform.Check{{Key: k.row, Version: version}},
+		[]platform.Check{a.check(k.row)},
 		[]platform.Write{{Key: k.row, Value: value}})
 }
 
@@ -150,16 +153,16 @@
 func (k *Keeper) release() {
 	term := k.Term()
 	k.term.Store(&Term{})
-	if term.Fencing == 0 {
+	if term.Fencing == 0 || k.now().Before(term.From) {
 		return
 	}
 	row, err := k.read(context.Background())
-	if err != nil || row.Record.Holder != k.watcher.Holder() {
+	if err != nil || row.Record.Holder != k.watcher.Holder() || !row.current() {
 		return // The lease lapses by itself.
 	}
-	r := row.Record
-	r.Holder = ""
-	_ = k.commit(context.Background(), r, row.Version)
+	a := Attempt{Next: row.Record, Version: row.Version}
+	a.Next.Holder = ""
+	_ = k.commit(context.Background(), a)
 }
 
 func (k *Keeper) publish() {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,6 +6,11 @@
 // before the send of the last renewal that is known to have been applied, and a
 // taker waits until it has seen the row unchanged for a whole lease. Both use
 // their own monotonic clocks.
+//
+// A row that a store brings back from an older copy of itself gives nobody a right, and
+// says nothing of who held the lease last. The holder, whose term goes on by its clock,
+// writes the row anew; others take the lease, and act a whole lease later. Fencing
+// numbers of a later era are greater than all of the eras before.
 package lease
 
 import (
@@ -35,19 +40,34 @@
 	Renewals uint64 `json:"renewals"`
 	// TTL is how long the holder may act after a renewal.
 	TTL time.Duration `json:"ttl"`
+	// Era is that of the store when the row was written.
+	Era platform.Era `json:"era,omitempty"`
 }
 
 // Row is a lease row as it was read.
 type Row struct {
 	Record  Record
 	Version platform.Version
+	// Era is that of the answer.
+	Era platform.Era
 }
 
+// current reports whether the row was written in the era in which it was read.
+func (r Row) current() bool { return r.Record.Era == r.Era }
+
+// eraShift makes room for the changes of holder within an era.
+const eraShift = 32
+
+// next returns the fencing number of a new term.
+func (r Row) next() Fencing { return max(r.Record.Fencing, Fencing(r.Era)<<eraShift) + 1 }
+
 // Term is the right to act, as the holder knows it.
 type Term struct {
 	Fencing Fencing
 	// Since is when the term was known to have begun.
 	Since time.Time
+	// From is when the right begins, if a holder of an earlier era may act until then.
+	From time.Time
 	// Until is when the right ends unless it is renewed.
 	Until time.Time
 }
@@ -55,7 +75,7 @@
 // Valid reports whether the holder may start an action that takes up to
 // margin. The holder asks right before each action.
 func (t Term) Valid(now time.Time, margin time.Duration) bool {
-	return t.Fencing != 0 && now.Add(margin).Before(t.Until)
+	return t.Fencing != 0 && !now.Before(t.From) && now.Add(margin).Before(t.Until)
 }
 
 // clockDrift is how much faster, in parts of the lease, the clock of a taker
@@ -108,6 +128,9 @@
 func (w *Watcher) Resign(now time.Time) Claim {
 	c := w.Claim()
 	c.Until = now
+	if w.term.From.After(now) {
+		c.Until = w.term.From // Until then a holder of an earlier era may act.
+	}
 	w.resigned = w.term.Fencing
 	w.term = Term{}
 	return c
@@ -124,13 +147,20 @@
 // Term returns the current term; its zero value is valid never.
 func (w *Watcher) Term() Term { return w.term }
 
-// Observe notes a row that was read. returned is when the read had returned.
+// Era returns the era of the store as seen last.
+func (w *Watcher) Era() platform.Era { return w.seen.Era }
+
+// Observe notes a row that was read. returned is when the read had returned. An answer
+// of an earlier era than the last is ignored.
 func (w *Watcher) Observe(row Row, returned time.Time) {
-	if w.seenAt.IsZero() || row.Version != w.seen.Version {
+	if row.Era < w.seen.Era {
+		return
+	}
+	if w.seenAt.IsZero() || row.Version != w.seen.Version || row.Era != w.seen.Era {
 		w.seen, w.seenAt = row, returned
 	}
 	mine := row.Record.Holder == w.holder && row.Record.Fencing == w.term.Fencing
-	if w.term.Fencing != 0 && !mine {
+	if w.term.Fencing != 0 && !mine && row.current() {
 		w.term = Term{}
 	}
 }
@@ -139,23 +169,36 @@
 type Attempt struct {
 	Next    Record
 	Version platform.Version
+	// Wait is the time between the commit and the first action.
+	Wait time.Duration
+}
+
+// check is the condition of the attempt's transaction.
+func (a Attempt) check(key string) platform.Check {
+	return platform.Check{Key: key, Version: a.Version, Era: a.Next.Era}
 }
 
 // Next returns the change to commit now: a renewal or a take-over. It returns
 // false while another holder's lease may be in force.
 func (w *Watcher) Next(now time.Time) (Attempt, bool) {
 	r := w.seen.Record
-	a := Attempt{Version: w.seen.Version, Next: Record{Holder: w.holder, TTL: w.ttl}}
-	if r.Holder == w.holder && r.Fencing != w.resigned {
+	a := Attempt{Version: w.seen.Version, Next: Record{Holder: w.holder, TTL: w.ttl, Era: w.seen.Era}}
+	if w.seen.current() && r.Holder == w.holder && r.Fencing != w.resigned {
 		a.Next.Fencing = r.Fencing
 		a.Next.Renewals = r.Renewals + 1
+		if r.Fencing != w.term.Fencing {
+			a.Wait = Wait(w.ttl) // It took the lease without knowing, perhaps from a copy.
+		}
 		return a, true
 	}
-	free := r.Holder == "" || w.claim.covers(r) && !now.Before(w.claim.Until)
+	free := r.Holder == "" || w.claim.covers(r) && !now.Before(w.claim.Until) || !w.seen.current()
 	if !free && now.Sub(w.seenAt) < Wait(r.TTL) {
 		return Attempt{}, false
 	}
-	a.Next.Fencing = r.Fencing + 1
+	a.Next.Fencing = w.seen.next()
+	if !w.seen.current() && !w.term.Valid(now, 0) {
+		a.Wait = Wait(max(r.TTL, w.ttl))
+	}
 	return a, true
 }
 
@@ -175,19 +218,22 @@
 // its commit was sent, known is when that became known.
 func (w *Watcher) Committed(a Attempt, sent, known time.Time) {
 	if w.term.Fencing != a.Next.Fencing {
-		w.term = Term{Fencing: a.Next.Fencing, Since: known}
-		w.pending = a.Next.Renewals
+		next := Term{Fencing: a.Next.Fencing, Since: known, From: known.Add(a.Wait)}
+		if w.term.Valid(sent, 0) {
+			next.Since = w.term.Since // It goes on in a later era.
+		}
+		w.term, w.pending = next, a.Next.Renewals
 	}
 	if until := sent.Add(w.ttl); until.After(w.term.Until) {
 		w.term.Until = until
 	}
-	w.seen = Row{Record: a.Next, Version: a.Version + 1}
+	w.seen = Row{Record: a.Next, Version: a.Version + 1, Era: a.Next.Era}
 	w.seenAt = known
 }
 
 // Applied reports whether a row that was read shows that an attempt with a
 // lost answer was applied.
-func (a Attempt) Applied(row Row) bool { return row.Record == a.Next }
+func (a Attempt) Applied(row Row) bool { return row.current() && row.Record == a.Next }
 
 func encode(r Record) ([]byte, error) {
 	data, err := json.Marshal(r)
@@ -195,7 +241,7 @@
 }
 
 func decode(row platform.Row) (Row, error) {
-	r := Row{Version: row.Version}
+	r := Row{Version: row.Version, Era: row.Era}
 	if row.Value == nil {
 		return r, nil
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -62,8 +62,10 @@
 	turned func()
 	// answered, if set, is called when all changes that the store told are applied.
 	answered func()
-	after    platform.Version
+	after    platform.Revision
 	failures int
+	// resume, if set, returns up to where other VMs have told all that the feed would.
+	resume func() platform.Revision
 	// healthy is since when the store answers, nil while it doesn't.
 	healthy atomic.Pointer[time.Time]
 	// heard is when the store last answered, here or at the VMs that read the feed for
@@ -100,7 +102,7 @@
 	}
 	if f.failures == 0 {
 		f.lostAt = n.now()
-		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)),
+		n.log.Warn("store_lost", zap.String("feed", f.name), zap.Stringer("revision", f.after),
 			zap.Duration("store_age", f.age(f.lostAt)), logging.Error(err))
 	}
 	f.failures++
@@ -135,10 +137,23 @@
 	if f.turned != nil {
 		f.turned()
 	}
-	n.log.Info("store_regained", zap.String("feed", f.name), zap.Uint64("revision", uint64(f.after)),
+	n.log.Info("store_regained", zap.String("feed", f.name), zap.Stringer("revision", f.after),
 		zap.Duration("outage", now.Sub(f.lostAt)), zap.Bool("rows_may_lapse", lapsed))
 }
 
+// defaultHeartbeat is assumed where the settings don't tell the time between a server's
+// announcements. It is that of the example in the platform's documentation.
+const defaultHeartbeat = 1200 * time.Millisecond
+
+// lapseTime returns the time within which the row of a server that announces itself no
+// more is gone: it lapses, and the store may have been away just before.
+func lapseTime(heartbeat time.Duration) time.Duration {
+	if heartbeat == 0 {
+		heartbeat = defaultHeartbeat
+	}
+	return lapseHeartbeats*heartbeat + lapseHold
+}
+
 // mayLapse reports whether a row may lapse because the store takes nothing for a time:
 // its server announced itself last up to a heartbeat before.
 func (n *Node) mayLapse(outage time.Duration) bool {
@@ -147,14 +162,14 @@
 }
 
 // changesFunc takes the changes above a revision, up to another one.
-type changesFunc func(changes []platform.Change, after, upTo platform.Version)
+type changesFunc func(changes []platform.Change, after, upTo platform.Revision)
 
 // follow reads a table whole, then its changes, until ctx ends.
-func (n *Node) follow(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version), some changesFunc) {
+func (n *Node) follow(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Revision), some changesFunc) {
 	f.name = table
 	loaded := false
 	for ctx.Err() == nil {
-		if loaded && !n.Following() {
+		if f.heard.Load() != nil && !n.Following() {
 			n.rely(f)
 			if !clock.Sleep(ctx, digestInterval) {
 				return
@@ -167,17 +182,17 @@
 			loaded = err == nil
 		} else {
 			err = n.watch(ctx, f, table, some)
-			if errors.Is(err, platform.ErrHistoryGone) {
-				n.log.Info("feed_history_gone", zap.String("feed", table), zap.Uint64("revision", uint64(f.after)))
-				loaded, f.broken = false, true
-				continue
-			}
-			if errors.Is(err, errInterrupted) {
-				f.broken = true
-				continue
-			}
 		}
-		if err == nil {
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, errInterrupted):
+			f.broken = true
+			continue
+		case errors.Is(err, platform.ErrHistoryGone):
+			n.log.Info("feed_history_gone", zap.String("feed", table), zap.Stringer("revision", f.after), logging.Error(err))
+			f.broken = true
+			loaded = n.awaitTurn(ctx, f)
 			continue
 		}
 		if ctx.Err() != nil || !clock.Sleep(ctx, n.failed(f, err)) {
@@ -186,6 +201,36 @@
 	}
 }
 
+const (
+	// turn is the time between the VMs of a failure domain in which they read a table whole
+	// whose changes the store no longer has. What the first one has read the others fetch
+	// within a few round trips.
+	turn = 250 * time.Millisecond
+	// maxTurns bounds the turns that a VM waits, as all may follow the store after an outage.
+	maxTurns = 4
+	// turnPoll is the time between two looks at what other VMs have told.
+	turnPoll = 20 * time.Millisecond
+)
+
+// awaitTurn waits until it is this VM's turn to read a table whole. It returns true if
+// other VMs have told meanwhile what the table says: then the feed goes on from there.
+func (n *Node) awaitTurn(ctx context.Context, f *feedState) bool {
+	left := time.Duration((float64(min(n.gossip.Rank(), maxTurns)) + rand.Float64()/4) * float64(turn))
+	for ; left > 0 && n.Following(); left -= turnPoll {
+		if !clock.Sleep(ctx, min(left, turnPoll)) {
+			return false
+		}
+		if f.resume == nil {
+			continue
+		}
+		if known := f.resume(); known.After(f.after) {
+			f.after = known
+			return true
+		}
+	}
+	return false
+}
+
 // rely notes that others read a feed for this VM. What they did not tell in their last
 // digest may be as old as the read before it.
 func (n *Node) rely(f *feedState) {
@@ -197,14 +242,21 @@
 	}
 }
 
-func (n *Node) load(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Version)) error {
+func (n *Node) load(ctx context.Context, f *feedState, table string, all func([]platform.Row, platform.Revision)) error {
 	list, err := n.opts.Feed.Rows(ctx, table)
 	if err != nil {
 		return err
 	}
+	if !n.sawEra(list.Revision.Era, "store") {
+		return errors.Wrapf(platform.ErrUnavailable, "the answer is of the earlier era %d", list.Revision.Era)
+	}
 	n.succeeded(f)
-	f.after = list.Version
-	all(list.Rows, list.Version)
+	if list.Revision.Era != f.after.Era {
+		now := n.now()
+		f.healthy.Store(&now)
+	}
+	f.after = list.Revision
+	all(list.Rows, list.Revision)
 	if f.answered != nil {
 		f.answered()
 	}
@@ -245,9 +297,64 @@
 	n.follow(ctx, &n.operatorFeed, n.opts.OperatorTable, n.listOperator, n.changeOperator)
 }
 
-func (n *Node) listOperator(rows []platform.Row, _ platform.Version) { n.applyOperator(rows) }
+func (n *Node) listOperator(rows []platform.Row, upTo platform.Revision) {
+	n.awaitPeers(n.opts.Decoder.Operator(rows).Catalog)
+	o := n.applyOperator(rows)
+	n.recovered(upTo.Era, func(r *recovery) {
+		r.operator = true
+		if o.Catalog != nil {
+			r.shown = o.Catalog.Version
+		}
+		for model, version := range o.Goals {
+			if version < n.goals.Wanted(model) {
+				r.olderWeights++
+			}
+		}
+	})
+}
 
-func (n *Node) changeOperator(changes []platform.Change, _, _ platform.Version) {
+// peerWait is for how long a VM that starts waits for another VM, which may know of newer
+// keys than a store that has just come back from an older copy. Digests come more often.
+const peerWait = 400 * time.Millisecond
+
+// awaitPeers waits, before the first configuration is in force, until another VM was heard
+// of, and takes over a newer configuration than the store's from it.
+func (n *Node) awaitPeers(shown *catalog.Snapshot) {
+	if shown == nil || n.Gateway.Catalog() != nil {
+		return
+	}
+	select {
+	case <-n.heardPeer:
+	case <-time.After(peerWait):
+		return
+	}
+	if from, ok := n.newerCatalog(shown.Version); ok {
+		n.fetch(from)
+	}
+}
+
+// newerCatalog returns a VM that has a newer configuration in force.
+func (n *Node) newerCatalog(than catalog.Version) (gossip.Member, bool) {
+	now := n.now()
+	for _, p := range n.gossip.Peers() {
+		if p.Alive(now) && p.Catalog > than {
+			return p.Member, true
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.domains {
+		if now.Sub(d.at) < gossip.SilenceLimit && d.summary.Catalog > than {
+			return d.summary.From, true
+		}
+	}
+	return gossip.Member{}, false
+}
+
+// peerHeard ends the wait for other VMs.
+func (n *Node) peerHeard() { n.heardPeerOnce.Do(func() { close(n.heardPeer) }) }
+
+func (n *Node) changeOperator(changes []platform.Change, _, _ platform.Revision) {
 	rows := make([]platform.Row, 0, len(changes))
 	for _, c := range changes {
 		if !c.Deleted {
@@ -257,8 +364,8 @@
 	n.applyOperator(rows)
 }
 
-// applyOperator takes rows of the feed's last answer.
-func (n *Node) applyOperator(rows []platform.Row) {
+// applyOperator takes rows of the feed's last answer, and returns what they say.
+func (n *Node) applyOperator(rows []platform.Row) Operator {
 	o := n.opts.Decoder.Operator(rows)
 	for _, err := range o.Malformed {
 		n.log.Warn("operator_row_malformed", logging.Error(err))
@@ -273,11 +380,9 @@
 		n.setGoal(model, fleet.Goal{Version: version, Since: n.operatorFeed.since}, "store")
 	}
 	if n.goals.Unknown() {
-		select {
-		case n.undated <- struct{}{}:
-		default:
-		}
+		n.signal(n.reread)
 	}
+	return o
 }
 
 // publish puts a configuration in force.
@@ -305,15 +410,13 @@
 	if learnt == fleet.Newest {
 		n.wake()
 	}
-	select {
-	case n.named <- struct{}{}:
-	default:
-	}
+	n.signal(n.named)
 }
 
 func (n *Node) followServers(ctx context.Context) {
 	n.serverFeed.pause = serverPause
 	n.serverFeed.wait = serverWait
+	n.serverFeed.resume = n.directory.Known
 	n.serverFeed.turned = func() {
 		if interrupt := n.operatorFeed.interrupt.Load(); interrupt != nil {
 			(*interrupt)()
@@ -325,22 +428,36 @@
 
 // listServers takes a whole listing. What it doesn't name may have lapsed in an
 // outage.
-func (n *Node) listServers(rows []platform.Row, version platform.Version) {
+func (n *Node) listServers(rows []platform.Row, upTo platform.Revision) {
 	// A process that has just started doesn't know of outages before.
-	returned := n.started
-	if n.serverFeed.returned.After(returned) {
-		returned = n.serverFeed.returned
+	returned := n.storeReturned()
+	if n.started.After(returned) {
+		returned = n.started
 	}
-	u := fleet.Update{UpTo: version, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: n.lapseLeft(returned)}
+	u := fleet.Update{UpTo: upTo, Whole: true, Entries: make([]fleet.Entry, 0, len(rows)), Hold: n.lapseLeft(returned)}
 	for _, r := range rows {
 		u.Entries = append(u.Entries, n.decodeServer(platform.Change{Row: r}))
 	}
+	before := n.directory.Known().Era
 	n.applyServers(u, "store")
+	if before < upTo.Era {
+		n.wake()
+	}
+}
+
+// storeReturned returns when the store last came back after rows may have lapsed, or from
+// an older copy; zero if it hasn't.
+func (n *Node) storeReturned() time.Time {
+	returned := n.serverFeed.returned
+	if _, since := n.era(); since.After(returned) {
+		return since
+	}
+	return returned
 }
 
-func (n *Node) changeServers(changes []platform.Change, after, upTo platform.Version) {
+func (n *Node) changeServers(changes []platform.Change, after, upTo platform.Revision) {
 	u := fleet.Update{After: after, UpTo: upTo, Entries: make([]fleet.Entry, 0, len(changes))}
-	hold := n.lapseLeft(n.serverFeed.returned)
+	hold := n.lapseLeft(n.storeReturned())
 	for _, c := range changes {
 		e := n.decodeServer(c)
 		if c.Deleted {
@@ -363,19 +480,20 @@
 	return max(0, lapseHold-n.now().Sub(returned))
 }
 
-// storeWasUp reports whether another VM has heard from the store for so long that
-// no row can have lapsed in an outage.
+// storeWasUp reports whether another VM has heard from the store for so long, in its
+// present era, that no row can be missing because of an outage.
 func (n *Node) storeWasUp() bool {
 	now := n.now()
+	era, _ := n.era()
 	for _, p := range n.gossip.Peers() {
-		if p.Alive(now) && p.FollowingFor >= lapseHold {
+		if p.Alive(now) && p.Servers.Era >= era && p.FollowingFor >= lapseHold {
 			return true
 		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, d := range n.domains {
-		if now.Sub(d.at) < gossip.SilenceLimit && d.summary.FollowingFor >= lapseHold {
+		if now.Sub(d.at) < gossip.SilenceLimit && d.summary.Servers.Era >= era && d.summary.FollowingFor >= lapseHold {
 			return true
 		}
 	}
@@ -385,30 +503,46 @@
 func (n *Node) decodeServer(c platform.Change) fleet.Entry {
 	e, err := n.opts.Decoder.Server(c)
 	if err != nil {
-		n.log.Warn("server_entry_malformed", zap.String("server", string(e.ID)), zap.Uint64("revision", uint64(c.Version)), logging.Error(err))
+		n.log.Warn("server_entry_malformed", zap.String("server", string(e.ID)), zap.Stringer("revision", c.Revision()), logging.Error(err))
 	}
 	return e
 }
 
 func (n *Node) applyServers(u fleet.Update, source string) {
+	missing, withheld := 0, 0
 	for _, e := range n.directory.Apply(u, n.now()) {
 		n.logServer(e, source)
+		switch {
+		case e.Hold > 0:
+			missing++
+		case e.Wait > 0:
+			withheld++
+		}
 	}
+	n.recovered(u.UpTo.Era, func(r *recovery) {
+		r.servers = r.servers || u.Whole
+		r.missing, r.withheld = r.missing+missing, r.withheld+withheld
+	})
 	n.servers.Keep(n.directory.View())
-	if n.directory.Known() > 0 {
+	if !n.directory.Known().IsZero() {
 		n.serversKnown.Store(true)
 	}
 }
 
 func (n *Node) logServer(e *fleet.Entry, source string) {
-	if e.Hold > 0 {
-		n.log.Info("server_vanished", zap.String("server", string(e.ID)), zap.Uint64("revision", uint64(e.Revision)),
+	switch {
+	case e.Hold > 0:
+		n.log.Info("server_vanished", zap.String("server", string(e.ID)), zap.Stringer("revision", e.Revision),
 			zap.Duration("hold", e.Hold), zap.String("source", source))
 		return
+	case e.Wait > 0:
+		n.log.Info("server_withheld", zap.String("server", string(e.ID)), zap.Int64("server_started", e.Started),
+			zap.Stringer("revision", e.Revision), zap.Duration("wait", e.Wait), zap.String("source", source))
+		return
 	}
 	n.log.Info("server_known",
 		zap.String("server", string(e.ID)), zap.String("service", e.Service), zap.String("address", e.Address),
 		zap.String("failure_domain", e.FailureDomain), zap.String("state", string(e.State)), zap.Bool("gone", e.Gone),
 		zap.Int64("server_started", e.Started), zap.String("weights", e.WeightsText()),
-		zap.Uint64("revision", uint64(e.Revision)), zap.String("source", source))
+		zap.Stringer("revision", e.Revision), zap.String("source", source))
 }
--- a/internal/node/goals.go
+++ b/internal/node/goals.go
@@ -29,6 +29,13 @@
 	c.offset = now.Add(-store)
 }
 
+// forget drops the relation: another copy of the store may have another clock.
+func (c *storeClock) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offset = time.Time{}
+}
+
 // at returns this VM's time for a time of the store; ok is false before the
 // store's clock is known.
 func (c *storeClock) at(store time.Duration) (time.Time, bool) {
@@ -87,6 +94,11 @@
 // keepGoals writes when weights were named, if that isn't kept yet. It returns false
 // if it must be tried again.
 func (n *Node) keepGoals(ctx context.Context) bool {
+	era, _ := n.era()
+	if n.keptEra != era {
+		n.keptEra = era
+		clear(n.keptGoals)
+	}
 	for model, list := range n.goals.All() {
 		newest := list[len(list)-1].Version
 		if n.keptGoals[model] >= newest {
@@ -112,12 +124,18 @@
 		return err
 	}
 	check := platform.Check{Key: key}
+	if len(rows) == 1 {
+		if !n.sawEra(rows[0].Era, "store") {
+			return errors.Errorf("the answer is of the earlier era %d", rows[0].Era)
+		}
+		check.Version, check.Era = rows[0].Version, rows[0].Era
+	}
 	if len(rows) == 1 && rows[0].Value != nil {
-		check.Version = rows[0].Version
-		if kept := n.readGoals(rows[0]); kept >= list[len(list)-1].Version {
+		kept := n.readGoals(rows[0])
+		list = n.goals.All()[model]
+		if n.keeps(kept, list) {
 			return nil
 		}
-		list = n.goals.All()[model]
 	}
 	row := namedGoal{Model: model}
 	for _, goal := range list {
@@ -135,9 +153,37 @@
 	if err != nil {
 		return errors.Wrap(err, "encode namings")
 	}
-	return n.opts.Table.Commit(ctx, []platform.Check{check}, []platform.Write{{Key: key, Value: value}})
+	if err := n.opts.Table.Commit(ctx, []platform.Check{check}, []platform.Write{{Key: key, Value: value}}); err != nil {
+		return err
+	}
+	n.recovered(n.keptEra, func(r *recovery) { r.namings++ })
+	return nil
 }
 
+// keeps reports whether a row tells all that is known of a model's newest version, and no
+// later time for one that it names.
+func (n *Node) keeps(row namedGoal, list []fleet.Goal) bool {
+	kept := map[uint64]time.Duration{}
+	for _, g := range row.Namings {
+		kept[g.Version] = g.Named
+	}
+	for i, goal := range list {
+		at, found := kept[goal.Version]
+		named, ok := n.storeClock.from(goal.Since)
+		switch {
+		case !found && i == len(list)-1:
+			return false
+		case found && ok && !goal.Since.IsZero() && at-named >= namingError:
+			return false
+		}
+	}
+	return true
+}
+
+// namingError is the least difference of two times of naming that counts: they are read
+// over a network.
+const namingError = 100 * time.Millisecond
+
 // dateGoals dates the versions that were named at an unknown time, once the rows
 // that keep such times were read after the operator's. What they lack was named when
 // no VM was there to keep it, or right before.
@@ -155,19 +201,17 @@
 // within a second, and the platform starts processes again after a short delay.
 const unkeptAge = 5 * time.Second
 
-// readGoals takes over when weights were named, and returns the newest version kept.
-func (n *Node) readGoals(r platform.Row) uint64 {
+// readGoals takes over when weights were named, and returns the row.
+func (n *Node) readGoals(r platform.Row) namedGoal {
 	var row namedGoal
 	if err := json.Unmarshal(r.Value, &row); err != nil || row.Model == "" {
 		n.log.Warn("goal_row_malformed", zap.String("key", r.Key), logging.Error(err))
-		return 0
+		return namedGoal{}
 	}
-	newest := uint64(0)
 	for _, g := range row.Namings {
-		newest = max(newest, g.Version)
 		if since, ok := n.storeClock.at(g.Named); ok && !since.After(n.now()) {
 			n.setGoal(row.Model, fleet.Goal{Version: g.Version, Since: since}, "store, as kept")
 		}
 	}
-	return newest
+	return row
 }
--- a/internal/node/goals_restart_test.go
+++ b/internal/node/goals_restart_test.go
@@ -52,7 +52,7 @@
 func (s *goalStore) Rows(_ context.Context, table string) (platform.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Version: 1, Now: 512 * time.Second}
+	l := platform.Listing{Revision: platform.Revision{Version: 1}, Now: 512 * time.Second}
 	if table == "op" {
 		l.Rows = []platform.Row{{Key: "op/weights", Version: 1, Value: []byte("2")}}
 	} else {
@@ -61,10 +61,10 @@
 	return l, nil
 }
 
-func (s *goalStore) Changes(ctx context.Context, _ string, after platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
+func (s *goalStore) Changes(ctx context.Context, _ string, after platform.Revision, _ time.Duration) ([]platform.Change, platform.Revision, error) {
 	select {
 	case c := <-s.named:
-		return []platform.Change{c}, c.Version, nil
+		return []platform.Change{c}, c.Revision(), nil
 	case <-ctx.Done():
 		return nil, after, ctx.Err()
 	}
--- a/internal/node/goals_test.go
+++ b/internal/node/goals_test.go
@@ -33,6 +33,8 @@
 		goals:     fleet.NewGoals(),
 		kick:      make(chan struct{}, 1),
 		keptGoals: map[string]uint64{},
+		named:     make(chan struct{}, 1),
+		reread:    make(chan struct{}, 1),
 	}
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
@@ -28,9 +30,12 @@
 func (n *Node) keepMembership(ctx context.Context) {
 	announced := false
 	failures := 0
+	var told platform.Era
 	for ctx.Err() == nil {
-		if !announced {
-			announced = n.announce(ctx) == nil
+		if era, _ := n.era(); !announced || told != era {
+			// A row of an earlier era may be lost, also one that is acknowledged late.
+			announced, told = n.announce(ctx) == nil, era
+			n.recovered(era, func(r *recovery) { r.announced = announced })
 		}
 		err := n.readMembers(ctx)
 		interval := standbyInterval
@@ -47,7 +52,10 @@
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
-		case <-n.undated:
+		case <-n.reread:
+			if era, _ := n.era(); told != era && !clock.Sleep(ctx, time.Duration(rand.Float64()*float64(announceSpread))) {
+				return
+			}
 		case <-ctx.Done():
 			timer.Stop()
 			return
@@ -56,6 +64,10 @@
 	}
 }
 
+// announceSpread is the time within which all VMs write their rows again after the store
+// has come back from an older copy.
+const announceSpread = 500 * time.Millisecond
+
 func (n *Node) memberKey() string { return n.opts.MemberTable + "/" + string(n.opts.VM.ID) }
 
 func (n *Node) announce(ctx context.Context) error {
@@ -87,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if !n.sawEra(list.Revision.Era, "store") {
+		return errors.Wrapf(platform.ErrUnavailable, "the answer is of the earlier era %d", list.Revision.Era)
+	}
 	n.storeClock.set(list.Now, n.now())
 	members := make([]gossip.Member, 0, len(list.Rows))
 	for _, r := range list.Rows {
@@ -105,5 +120,9 @@
 		n.dateGoals()
 	}
 	n.gossip.Listed(members)
+	if !slices.ContainsFunc(members, func(m gossip.Member) bool { return m.ID != n.opts.VM.ID }) {
+		n.peerHeard()
+	}
+	n.wake()
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,8 +173,13 @@
 	kick     chan struct{}
 	// named tells of versions whose time of naming is to be kept.
 	named chan struct{}
-	// undated asks for a read of the rows that keep when weights were named.
-	undated chan struct{}
+	// reread asks for another look at the members' table: for the rows that keep when
+	// weights were named, or as the store has come back from an older copy.
+	reread chan struct{}
+	eras   eras
+	// heardPeer is closed once another VM was heard of, or once there is none.
+	heardPeer     chan struct{}
+	heardPeerOnce sync.Once
 	// tellAll is set if the next digest is for all VMs of the domain.
 	tellAll atomic.Bool
 	// untold are the placements that only the VMs that take calls were told of; it
@@ -185,6 +190,7 @@
 	// keptGoals are the versions whose naming is kept in the store; it is used by
 	// keepNamings only.
 	keptGoals  map[string]uint64
+	keptEra    platform.Era
 	storeClock storeClock
 	// serversKnown is set once the servers were listed.
 	serversKnown atomic.Bool
@@ -227,12 +233,13 @@
 		now:       clock.BootTime,
 		started:   clock.BootTime(),
 		metrics:   metrics.NewRegistry(),
-		directory: fleet.NewDirectory(),
+		directory: fleet.NewDirectory(lapseTime(opts.Bounds.Heartbeat)),
 		goals:     fleet.NewGoals(),
 		pool:      hop.NewPool(),
 		kick:      make(chan struct{}, 1),
 		named:     make(chan struct{}, 1),
-		undated:   make(chan struct{}, 1),
+		reread:    make(chan struct{}, 1),
+		heardPeer: make(chan struct{}),
 		held:      map[backend.ID]heldWeights{},
 		behind:    map[vm.ID]time.Time{},
 		keptGoals: map[string]uint64{},
@@ -375,12 +382,7 @@
 }
 
 // tellBusy sends a digest at once to the VMs that take calls.
-func (n *Node) tellBusy() {
-	select {
-	case n.kick <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) tellBusy() { n.signal(n.kick) }
 
 // Addresses returns where callers of a failure domain should connect: VMs of
 // that domain, and of others if it has too few.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -75,6 +75,7 @@
 		}
 		return n.opts.Bounds.Lease / 6
 	}
+	n.sawEra(n.keeper.Era(), "store")
 	term := n.keeper.Term()
 	if term.Fencing != 0 {
 		n.ownClaim(n.keeper.Claim())
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -52,6 +52,8 @@
 	// heldAge is for how long a version that a server was seen to hold is told;
 	// the server announces it itself within its heartbeat interval.
 	heldAge = 4 * time.Second
+	// startUptime is up to when a VM counts as just started: it sends its first digests.
+	startUptime = 300 * time.Millisecond
 	// maxStateBytes bounds a peer's state.
 	maxStateBytes = 8 << 20
 	pathState     = "/state"
@@ -72,12 +74,13 @@
 
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
 	known, err1 := strconv.ParseUint(r.URL.Query().Get("catalog"), 10, 64)
-	revision, err2 := strconv.ParseUint(r.URL.Query().Get("servers"), 10, 64)
+	var revision platform.Revision
+	err2 := revision.UnmarshalText([]byte(r.URL.Query().Get("servers")))
 	if err1 != nil || err2 != nil {
-		http.Error(w, "the parameters catalog and servers must be numbers", http.StatusBadRequest)
+		http.Error(w, "the parameter catalog must be a number, and servers a revision", http.StatusBadRequest)
 		return
 	}
-	s := state{Servers: n.directory.Export(platform.Version(revision), n.now())}
+	s := state{Servers: n.directory.Export(revision, n.now())}
 	if c := n.Gateway.Catalog(); c != nil && uint64(c.Version) > known {
 		s.Catalog = &c.Snapshot
 	}
@@ -160,9 +163,7 @@
 	if c := n.Gateway.Catalog(); c != nil {
 		d.Catalog = c.Version
 	}
-	for _, e := range n.directory.Undone() {
-		d.Left = append(d.Left, selector.KeyOf(e))
-	}
+	d.Left = n.directory.Leaves(now)
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -192,6 +193,7 @@
 		n.logServer(e, "lapsed")
 	}
 	view := n.directory.View()
+	n.logRecovery()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
 	n.applyPeers()
 }
@@ -270,6 +272,11 @@
 	n.heardClaim(p.Claim)
 	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
 	n.hearOfLeaves(string(p.ID), p.Left)
+	n.peerHeard()
+	n.hearEra(p.Servers, string(p.ID))
+	if p.Uptime < startUptime && n.gossip.IsRelay() {
+		n.wake() // It waits for a word on what the store may have lost.
+	}
 	n.confirm(p.Servers, p.NewsAge)
 	n.keepForRelay(p.Placements, p.Kept)
 	n.applyPeers()
@@ -280,8 +287,8 @@
 
 // confirm notes that another VM had evidence of some age that no entry newer than a
 // revision exists.
-func (n *Node) confirm(revision platform.Version, age time.Duration) {
-	if age <= 0 || revision > n.directory.Known() {
+func (n *Node) confirm(revision platform.Revision, age time.Duration) {
+	if age <= 0 || revision.After(n.directory.Known()) {
 		return
 	}
 	n.noteNews(n.now().Add(-age))
@@ -326,9 +333,9 @@
 }
 
 // hearOfLeaves takes over what another VM tells of leaves that the store doesn't show.
-func (n *Node) hearOfLeaves(from string, left []selector.ServerKey) {
+func (n *Node) hearOfLeaves(from string, left []fleet.Leave) {
 	for _, run := range left {
-		if e := n.directory.MarkLeft(run.ID, run.Started, n.now()); e != nil {
+		if e := n.directory.HearLeave(run, n.now()); e != nil {
 			n.logServer(e, from)
 		}
 	}
@@ -352,14 +359,14 @@
 
 // ahead reports whether a peer has known more for some time, so that its state
 // should be fetched now.
-func (n *Node) ahead(p gossip.Member, catalogKnown catalog.Version, serversKnown platform.Version) bool {
+func (n *Node) ahead(p gossip.Member, catalogKnown catalog.Version, serversKnown platform.Revision) bool {
 	var version catalog.Version
 	if c := n.Gateway.Catalog(); c != nil {
 		version = c.Version
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if catalogKnown <= version && serversKnown <= n.directory.Known() {
+	if catalogKnown <= version && !serversKnown.After(n.directory.Known()) {
 		delete(n.behind, p.ID)
 		return false
 	}
@@ -368,7 +375,8 @@
 		since = n.now()
 		n.behind[p.ID] = since
 	}
-	if n.now().Sub(since) < n.fetchAfter(p) || n.fetching {
+	newEra := serversKnown.Era > n.directory.Known().Era && p.FailureDomain == n.opts.VM.FailureDomain
+	if n.now().Sub(since) < n.fetchAfter(p) && !newEra || n.fetching {
 		return false
 	}
 	n.fetching = true
@@ -405,8 +413,8 @@
 		return
 	}
 	n.fetchFailed.Store(nil)
-	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Uint64("after", uint64(known)),
-		zap.Uint64("up_to", uint64(s.Servers.UpTo)), zap.Bool("whole", s.Servers.Whole), zap.Int("servers", len(s.Servers.Entries)),
+	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Stringer("after", known),
+		zap.Stringer("up_to", s.Servers.UpTo), zap.Bool("whole", s.Servers.Whole), zap.Int("servers", len(s.Servers.Entries)),
 		zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
 	if s.Catalog != nil {
 		n.publish(*s.Catalog, string(p.ID))
@@ -425,7 +433,7 @@
 	}
 	q := url.Values{
 		"catalog": {strconv.FormatUint(uint64(version), 10)},
-		"servers": {strconv.FormatUint(uint64(n.directory.Known()), 10)},
+		"servers": {n.directory.Known().String()},
 	}
 	var s state
 	resp, err := peerClient.Get("http://" + p.Peer + pathState + "?" + q.Encode())
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -96,6 +96,8 @@
 	n.heardClaim(s.Claim)
 	n.learn(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
 	n.hearOfLeaves(string(s.From.ID), s.Left)
+	n.peerHeard()
+	n.hearEra(s.Servers, string(s.From.ID))
 	n.confirm(s.Servers, s.NewsAge)
 	n.applyPeers()
 	if n.ahead(s.From, s.Catalog, s.Servers) {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -25,7 +25,7 @@
 
 // serverStore is a table of servers with its history.
 type serverStore struct {
-	revision platform.Version
+	revision platform.Revision
 	rows     map[string]platform.Row
 	history  []platform.Change
 	// waits are the times for which calls asked to wait.
@@ -47,8 +47,8 @@
 }
 
 func (s *serverStore) change(c platform.Change) {
-	s.revision++
-	c.Version = s.revision
+	s.revision.Version++
+	c.Version, c.Era = s.revision.Version, s.revision.Era
 	s.history = append(s.history, c)
 	if c.Deleted {
 		delete(s.rows, c.Key)
@@ -57,19 +57,32 @@
 	}
 }
 
+// comeBack lets the store come back from a copy that lacks the last changes.
+func (s *serverStore) comeBack(lacks int) {
+	copied := s.history[:len(s.history)-lacks]
+	s.revision = platform.Revision{Era: s.revision.Era + 1}
+	s.rows, s.history = map[string]platform.Row{}, nil
+	for _, c := range copied {
+		s.change(c)
+	}
+}
+
 func (s *serverStore) Rows(context.Context, string) (platform.Listing, error) {
-	l := platform.Listing{Version: s.revision}
+	l := platform.Listing{Revision: s.revision}
 	for _, r := range s.rows {
 		l.Rows = append(l.Rows, r)
 	}
 	return l, nil
 }
 
-func (s *serverStore) Changes(_ context.Context, _ string, after platform.Version, wait time.Duration) ([]platform.Change, platform.Version, error) {
+func (s *serverStore) Changes(_ context.Context, _ string, after platform.Revision, wait time.Duration) ([]platform.Change, platform.Revision, error) {
 	s.waits = append(s.waits, wait)
+	if after.Era != s.revision.Era {
+		return nil, platform.Revision{}, platform.ErrHistoryGone
+	}
 	var out []platform.Change
 	for _, c := range s.history {
-		if c.Version > after {
+		if c.Revision().After(after) {
 			out = append(out, c)
 		}
 	}
@@ -82,12 +95,12 @@
 func (entryDecoder) Operator([]platform.Row) Operator { return Operator{} }
 
 func (entryDecoder) Server(c platform.Change) (fleet.Entry, error) {
-	e := fleet.Entry{ID: backend.ID(c.Key), Revision: c.Version, Gone: true}
+	e := fleet.Entry{ID: backend.ID(c.Key), Revision: c.Revision(), Gone: true}
 	if c.Deleted {
 		return e, nil
 	}
 	err := json.Unmarshal(c.Value, &e)
-	e.Revision, e.Gone = c.Version, err != nil
+	e.Revision, e.Gone = c.Revision(), err != nil
 	return e, err
 }
 
@@ -152,7 +165,7 @@
 // delayed returns the address of an answer that a VM gave earlier to whoever knows
 // nothing.
 func (v *testVM) delayed() string {
-	resp, err := http.Get("http://" + v.address + pathState + "?catalog=0&servers=0")
+	resp, err := http.Get("http://" + v.address + pathState + "?catalog=0&servers=0.0")
 	if err != nil {
 		v.t.Fatal(err)
 	}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -8,7 +8,8 @@
 )
 
 // ErrHistoryGone means that the feed no longer has the changes after the
-// version asked for. The caller must read the rows anew.
+// revision asked for, or never had them: the store has come back from an older copy of
+// itself. The caller must read the rows anew.
 var ErrHistoryGone = errors.New("history is no longer available")
 
 // ErrThrottled means that the service refused a call because of its rate. It
@@ -24,8 +25,8 @@
 // Listing is a whole table.
 type Listing struct {
 	Rows []Row
-	// Version is that up to which the rows are complete.
-	Version Version
+	// Revision is that up to which the rows are complete.
+	Revision Revision
 	// Now is the store's steady clock.
 	Now time.Duration
 }
@@ -34,8 +35,8 @@
 type Feed interface {
 	// Rows returns all rows of a table.
 	Rows(ctx context.Context, table string) (Listing, error)
-	// Changes returns the changes after a version, in order, and the version to
+	// Changes returns the changes after a revision, in order, and the revision to
 	// go on from. It returns as soon as there is one, and without any after
 	// wait. Its errors include ErrHistoryGone.
-	Changes(ctx context.Context, table string, after Version, wait time.Duration) ([]Change, Version, error)
+	Changes(ctx context.Context, table string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -32,12 +32,20 @@
 	Key     string
 	Version Version
 	Value   []byte
+	// Era is that of the answer which brought the row.
+	Era Era
 }
 
+// Revision returns the row's place among all changes.
+func (r Row) Revision() Revision { return Revision{Era: r.Era, Version: r.Version} }
+
 // Check is a condition of a transaction: the row must have this version.
 type Check struct {
 	Key     string
 	Version Version
+	// Era is that in which the version was read. A transaction that is carried out in
+	// another one has an unknown outcome.
+	Era Era
 }
 
 // Write sets a row, or deletes it if Delete is set.
--- /dev/null
+++ b/internal/platform/revision.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Era counts how often a store has come back from an older copy of itself. What it
+// acknowledged after the copy was made is lost then, and versions are given out again.
+// It is 0 where a store doesn't tell.
+type Era uint64
+
+// Revision orders the changes of a store whose versions come from one counter: by era,
+// then by version. Its zero value is before all changes.
+type Revision struct {
+	Era     Era
+	Version Version
+}
+
+// Compare returns -1, 0 or 1 if r is before, equal to or after o.
+func (r Revision) Compare(o Revision) int {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Version, o.Version))
+}
+
+// Before reports whether r is before o.
+func (r Revision) Before(o Revision) bool { return r.Compare(o) < 0 }
+
+// After reports whether r is after o.
+func (r Revision) After(o Revision) bool { return r.Compare(o) > 0 }
+
+// IsZero reports whether r is before all changes.
+func (r Revision) IsZero() bool { return r == Revision{} }
+
+// Later returns the later one of two revisions.
+func Later(a, b Revision) Revision {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// Earlier returns the earlier one of two revisions.
+func Earlier(a, b Revision) Revision {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// String returns ERA.VERSION, in decimal.
+func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Era, r.Version) }
+
+// MarshalText implements encoding.TextMarshaler, in the form of String.
+func (r Revision) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Revision) UnmarshalText(text []byte) error {
+	era, version, ok := strings.Cut(string(text), ".")
+	e, err1 := strconv.ParseUint(era, 10, 64)
+	v, err2 := strconv.ParseUint(version, 10, 64)
+	if !ok || err1 != nil || err2 != nil {
+		return errors.Errorf("revision %q is not of the form ERA.VERSION", text)
+	}
+	*r = Revision{Era: Era(e), Version: Version(v)}
+	return nil
+}
--- a/internal/selector/table_test.go
+++ b/internal/selector/table_test.go
@@ -90,7 +90,7 @@
 		t.Errorf("failure rate %v after 20 s", c.FailureRate)
 	}
 	table.SetPeers(nil)
-	v := fleet.NewDirectory().View()
+	v := fleet.NewDirectory(time.Second).View()
 	table.Keep(v)
 	if len(table.servers) != 0 {
 		t.Error("a server that ended is kept")
