Tell other VMs where short shared parts are

Their reading takes an engine longer than a fetch. Hypothesis: told from 256 tokens on, with the next digest, they are found. Change: tellFrom 256; a place in the store, a message at once and the wait for another's reading stay at 1,024 (keepFrom).

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -130,10 +130,10 @@
 	// Uptime is that of the domain's oldest process.
 	Uptime time.Duration `json:"up"`
 	// FollowingFor is for how long some VM of the domain has followed the store.
-	FollowingFor time.Duration    `json:"ff,omitempty"`
-	Giver        bool             `json:"giver,omitempty"`
-	Claim        *LeaseClaim      `json:"claim,omitempty"`
-	Catalog      catalog.Version  `json:"cat"`
+	FollowingFor time.Duration     `json:"ff,omitempty"`
+	Giver        bool              `json:"giver,omitempty"`
+	Claim        *LeaseClaim       `json:"claim,omitempty"`
+	Catalog      catalog.Version   `json:"cat"`
 	Servers      platform.Revision `json:"srv"`
 	// NewsAge is as in a Digest.
 	NewsAge    time.Duration              `json:"na,omitempty"`
--- a/internal/selector/holdings.go
+++ b/internal/selector/holdings.go
@@ -57,7 +57,7 @@
 func (h *holdings) usedSince(t, now time.Time) float64 {
 	sum := (h.churnRate(now) + h.peers) * now.Sub(t).Seconds()
 	for _, x := range h.parts {
-		if x.used.After(t) && x.tokens >= tellFrom {
+		if x.used.After(t) && x.tokens >= keepFrom {
 			sum += float64(x.tokens)
 		}
 	}
--- a/internal/selector/prompt.go
+++ b/internal/selector/prompt.go
@@ -22,9 +22,13 @@
 	// fetchFrom is the length of shared parts, in tokens, from which engines are
 	// asked to fetch them from one another: two blocks of an engine's memory.
 	fetchFrom = 32
-	// tellFrom is the length from which VMs tell each other where parts are.
-	// Below it the messages cost more than the reading.
-	tellFrom = 1024
+	// tellFrom is the length from which VMs tell each other where parts are. Below it an
+	// engine reads the parts about as fast as it looks for them elsewhere, which takes it a
+	// millisecond or more by the platform's documentation.
+	tellFrom = 256
+	// keepFrom is the length from which parts are worth a place in the store of kept cache,
+	// a message of their own, and the wait for another request's reading.
+	keepFrom = 1024
 )
 
 // Prompt is the prompt of a model request as a chain of parts.
@@ -98,8 +102,12 @@
 func (p *Prompt) Fetchable() bool { return p.SharedTokens() >= fetchFrom }
 
 // Keepable reports whether the shared parts are worth a place in the store and a
-// message to other VMs.
-func (p *Prompt) Keepable() bool { return p.SharedTokens() >= tellFrom }
+// message to other VMs at once.
+func (p *Prompt) Keepable() bool { return p.SharedTokens() >= keepFrom }
+
+// Tellable reports whether other VMs are told where the shared parts are, with the next
+// digest at the latest.
+func (p *Prompt) Tellable() bool { return p.SharedTokens() >= tellFrom }
 
 // Placement tells other VMs that an engine has got the shared parts of a prompt.
 type Placement struct {
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -259,8 +259,8 @@
 		takes := c.Latency + seconds((c.Backlog+r.prefill)/rate) + c.Fetch.time(c.Entry.FailureDomain)
 		owes = r.sent.Add(takes)
 		told := s.parts.add(prompt, c.CachedTokens, weights, r.sent, r.sent.Add(margin(takes)), t.reuse/tellShare)
-		if !told && prompt.Keepable() {
-			r.told = true
+		if !told && prompt.Tellable() {
+			r.told = prompt.Keepable()
 			t.placed = append(t.placed, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: prompt.Model, Weights: weights,
 				Prefix: prompt.sharedHash(), Tokens: prompt.SharedTokens(), ReadIn: margin(takes),
