Plan roll-outs by the bound, past engines that don't answer

The first order went out 5.4 s after the naming, and streams were refused as no engine had weights that were allowed (595 lines with reason no_server). Hypothesis: the roll-out reaches the bound of any settings if engines that don't answer lose their place, the time of a load is learnt, and the bound decides how many load at once. Change: Planner.Unanswered; questions from 0.9 of the load time learnt on, 0.2 s before one was seen; orders without an answer are sent again after 0.4 s; engines are emptied for no longer than a load takes; as many load at once as the bound asks for, unless loads are seen to slow each other; the lease is held from the start; a line event=rollout a second says what it waits for. TestCrashedEnginesDoNotHoldARollOut, TestRollOutMeetsTheBound and TestLoadsThatSlowEachOtherAreNotMultiplied fail without the three parts.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 		behind:    map[vm.ID]time.Time{},
 		keptGoals: map[string]uint64{},
 		domains:   map[string]domainState{},
-		planner:   rollout.NewPlanner(rollout.DefaultSettings()),
+		planner:   rollout.NewPlanner(rolloutSettings(opts.Bounds)),
 	}
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
@@ -274,6 +274,12 @@
 	return n, n.listen()
 }
 
+func rolloutSettings(b Bounds) rollout.Settings {
+	s := rollout.DefaultSettings()
+	s.VersionBound = b.VersionBound
+	return s
+}
+
 // holder names this process as the holder of the lease.
 func (n *Node) holder() lease.Holder {
 	return lease.Holder(fmt.Sprintf("%s-%x", n.opts.VM.ID, uint64(n.opts.VM.Incarnation)))
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,10 +21,16 @@
 	// planInterval is the time between two plans of the order giver.
 	planInterval = 100 * time.Millisecond
 	// reportFrom is how long after an accepted order the engine is first asked
-	// whether it has loaded, and reportInterval the time between such questions.
-	// Loads take two seconds and more.
-	reportFrom     = 1800 * time.Millisecond
-	reportInterval = 250 * time.Millisecond
+	// whether it has loaded, as a share of what loads take; firstReport is the same before
+	// one was seen.
+	reportFrom  = 0.9
+	firstReport = 200 * time.Millisecond
+	// reportInterval is the time between such questions, at least; reportShare is the same
+	// as a share of the time since the order.
+	reportInterval = 150 * time.Millisecond
+	reportShare    = 0.25
+	// planLogInterval is the least time between two lines on a roll-out.
+	planLogInterval = 1 * time.Second
 	// reportTimeout bounds one question.
 	reportTimeout = 400 * time.Millisecond
 )
@@ -32,7 +40,7 @@
 func (n *Node) giveOrders(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	g := &giver{n: n, watched: map[backend.ID]time.Time{}}
+	g := &giver{n: n, watched: map[backend.ID]watch{}}
 	var nextStep time.Time
 	for {
 		select {
@@ -62,7 +70,7 @@
 		n.resign("leaving")
 		return n.opts.Bounds.Lease
 	}
-	if held == 0 && (n.Leaving() || !n.Following() || n.peerGivesOrders() || len(n.goals.All()) == 0) {
+	if held == 0 && (n.Leaving() || !n.Following() || n.peerGivesOrders() || !n.hasEngines()) {
 		return n.opts.Bounds.Lease / 6
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
@@ -88,6 +96,12 @@
 	return n.opts.Bounds.Lease / 3
 }
 
+// hasEngines reports whether any server loads weights. The lease is taken before any are
+// named, as the first orders of a term may have to wait.
+func (n *Node) hasEngines() bool {
+	return slices.ContainsFunc(n.directory.View().All(), func(e *fleet.Entry) bool { return len(e.Weights) > 0 })
+}
+
 // releaseLease gives the lease up, unless an order was sent so lately that the
 // next holder must wait anyway.
 func (n *Node) releaseLease() {
@@ -99,11 +113,16 @@
 // giver is the state of the order giver.
 type giver struct {
 	n *Node
-	// watched is when an engine that loads is asked next.
-	watched map[backend.ID]time.Time
+	// watched are the engines that load.
+	watched map[backend.ID]watch
 	active  bool
+	// logged is when a line on the roll-out was last written.
+	logged time.Time
 }
 
+// watch is since when an engine loads, and when it is asked next.
+type watch struct{ since, due time.Time }
+
 func (g *giver) stop() {
 	if !g.active {
 		return
@@ -123,17 +142,31 @@
 	view := n.directory.View()
 	plan := n.planner.Plan(n.rolloutEngines(view), n.now())
 	n.setReserved(plan.Reserved)
+	g.logPlan(&plan)
 	for _, o := range plan.Orders {
 		if e := view.Server(o.Engine); e != nil && e.Started == o.Started {
 			n.planner.Sent(o, n.now())
 			g.send(ctx, e, o, term)
 		}
 	}
+	maps.DeleteFunc(g.watched, func(id backend.ID, _ watch) bool { return !slices.Contains(plan.Watch, id) })
 	for _, id := range plan.Watch {
 		g.ask(ctx, view.Server(id))
 	}
 }
 
+// logPlan says how a roll-out goes, while one does.
+func (g *giver) logPlan(plan *rollout.Plan) {
+	now := g.n.now()
+	if plan.Lacking == 0 || now.Sub(g.logged) < planLogInterval {
+		return
+	}
+	g.logged = now
+	g.n.log.Info("rollout", zap.Int("lacking", plan.Lacking), zap.Int("unanswered", plan.Unanswered), zap.Int("most", plan.Most),
+		zap.Int("reserved", len(plan.Reserved)), zap.Int("loading", len(plan.Watch)),
+		zap.Duration("left", plan.Left), zap.Duration("load_time", plan.LoadTime))
+}
+
 // rolloutEngines lists the engines for the planner.
 func (n *Node) rolloutEngines(view *fleet.View) []rollout.Engine {
 	var out []rollout.Engine
@@ -144,7 +177,7 @@
 		for model, held := range e.Weights {
 			out = append(out, rollout.Engine{
 				ID: e.ID, Started: e.Started, FailureDomain: e.FailureDomain,
-				Model: model, Held: held, Wanted: max(held, n.goals.Wanted(model)),
+				Model: model, Held: held, Wanted: max(held, n.goals.Wanted(model)), Behind: n.goals.Behind(model, held, n.now()),
 				Running: n.servers.Busy(selector.KeyOf(e)),
 			})
 		}
@@ -173,7 +206,11 @@
 	n.lastOrder = n.now()
 	go func() {
 		report, ok := n.readEngine(ctx, e)
-		if !ok || report.Weights[o.Model] >= o.Version {
+		if !ok {
+			n.planner.Unanswered(o, n.now())
+			return
+		}
+		if report.Weights[o.Model] >= o.Version {
 			return
 		}
 		if report.Busy {
@@ -205,16 +242,18 @@
 		return
 	}
 	now := g.n.now()
-	due, known := g.watched[e.ID]
-	if !known {
-		g.watched[e.ID] = now.Add(reportFrom)
-		return
+	w, known := g.watched[e.ID]
+	if takes, learnt := g.n.planner.LoadTime(); !known {
+		w = watch{since: now, due: now.Add(firstReport)}
+		if learnt {
+			w.due = now.Add(time.Duration(reportFrom * float64(takes)))
+		}
 	}
-	if now.Before(due) {
-		return
+	if !now.Before(w.due) {
+		w.due = now.Add(max(reportInterval, time.Duration(reportShare*float64(now.Sub(w.since)))))
+		go g.n.readEngine(ctx, e)
 	}
-	g.watched[e.ID] = now.Add(reportInterval)
-	go g.n.readEngine(ctx, e)
+	g.watched[e.ID] = w
 }
 
 // readEngine asks an engine for its state and takes note of its weights. It
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -171,3 +171,117 @@
 		t.Errorf("reserved after a reset: %v", plan.Reserved)
 	}
 }
+
+// quickPlant plays engines that load in a third of a second, of which some have crashed and
+// are still listed, before a bound of six seconds.
+func quickPlant(n, crashed int) (p *plant, dead map[backend.ID]bool) {
+	p, dead = newPlant(n), map[backend.ID]bool{}
+	for i := range crashed {
+		dead[p.engines[i].ID] = true
+	}
+	return p, dead
+}
+
+// serve plays a roll-out and returns when all engines that live held the named version, and
+// for how long no engine could serve: those on old weights may not after the bound.
+func (p *plant) serve(planner *Planner, dead map[backend.ID]bool, takes func(loading int) time.Duration, bound time.Duration) (took, unserved time.Duration) {
+	const step = 100 * time.Millisecond
+	began := p.now
+	for p.now.Sub(began) < time.Minute {
+		p.now = p.now.Add(step)
+		behind, serving := 0, 0
+		for i := range p.engines {
+			e := &p.engines[i]
+			if at, ok := p.done[e.ID]; ok && !p.now.Before(at) {
+				e.Held = p.version[e.ID]
+				delete(p.done, e.ID)
+			}
+			e.Behind = 0
+			if e.Held < e.Wanted {
+				e.Behind = p.now.Sub(began)
+				if !dead[e.ID] {
+					behind++
+				}
+			}
+			if !dead[e.ID] && p.done[e.ID].IsZero() && e.Behind < bound {
+				serving++
+			}
+		}
+		if behind == 0 {
+			return p.now.Sub(began), unserved
+		}
+		if serving == 0 {
+			unserved += step
+		}
+		for _, o := range planner.Plan(p.engines, p.now).Orders {
+			planner.Sent(o, p.now)
+			p.sends[o.Engine]++
+			if dead[o.Engine] {
+				planner.Unanswered(o, p.now)
+				continue
+			}
+			if _, busy := p.done[o.Engine]; !busy {
+				p.done[o.Engine], p.version[o.Engine] = p.now.Add(takes(len(p.done)+1)), o.Version
+				planner.Accepted(o)
+				p.most = max(p.most, len(p.done))
+			}
+		}
+	}
+	return time.Minute, unserved
+}
+
+// Crashed engines are listed until their rows lapse. When they kept the places of those that
+// load, no engine had new weights as the bound of the old ones passed, and every request was
+// refused.
+func TestCrashedEnginesDoNotHoldARollOut(t *testing.T) {
+	const bound = 6 * time.Second
+	p, dead := quickPlant(12, 4)
+	s := DefaultSettings()
+	s.VersionBound = bound
+	p.name(2)
+	took, unserved := p.serve(NewPlanner(s), dead, func(int) time.Duration { return 300 * time.Millisecond }, bound)
+	if took > bound || unserved > 0 {
+		t.Errorf("the roll-out took %v, no engine could serve for %v", took, unserved)
+	}
+	for id := range dead {
+		if n := p.sends[id]; n > int(took/s.RetryAfter)+1 {
+			t.Errorf("%s was tried %d times in %v", id, n, took)
+		}
+	}
+}
+
+// Slow loads before a short bound ask for more engines at a time.
+func TestRollOutMeetsTheBound(t *testing.T) {
+	const bound = 9 * time.Second
+	p, _ := quickPlant(24, 0)
+	s := DefaultSettings()
+	s.VersionBound = bound
+	p.name(2)
+	took, _ := p.serve(NewPlanner(s), nil, func(int) time.Duration { return 1500 * time.Millisecond }, bound)
+	if took > bound {
+		t.Errorf("the roll-out took %v", took)
+	}
+	if p.most > 12 {
+		t.Errorf("%d of 24 engines loaded at once", p.most)
+	}
+}
+
+// Where loads slow one another, more at a time take engines out of service and end no sooner.
+func TestLoadsThatSlowEachOtherAreNotMultiplied(t *testing.T) {
+	const bound = 12 * time.Second
+	play := func(bound time.Duration) (away time.Duration) {
+		p, _ := quickPlant(18, 0)
+		s := DefaultSettings()
+		s.VersionBound = bound
+		p.name(2)
+		p.serve(NewPlanner(s), nil, func(loading int) time.Duration {
+			takes := time.Duration(max(1, float64(loading)/3) * float64(2500*time.Millisecond))
+			away += takes
+			return takes
+		}, bound)
+		return away
+	}
+	if hurried, calm := play(bound), play(0); hurried > calm*3/2 {
+		t.Errorf("engines were out of service for %v in all, %v without a bound", hurried, calm)
+	}
+}
