Avoid old weights from a share of the version bound on

Cause: engines were avoided from 2 s before the version bound on, a constant that suits bounds of 15 s and 20 s. Change: the margin is a tenth of the bound. TestMarginBeforeTheVersionBoundIsAShareOfIt fails with 2 s.

--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -130,8 +130,8 @@
 	// parts that its requests share, between which it runs out.
 	memoryFrom = 0.9
 	memoryFull = 1.6
-	// boundMargin is how long before the version bound a server is avoided.
-	boundMargin = 2 * time.Second
+	// boundMargin is how long before the version bound a server is avoided, as a share of it.
+	boundMargin = 0.1
 	// beginMargin is how long before the version bound a request is withdrawn that has
 	// not begun: the way to the engine, on a busy VM, and the error of the time of
 	// naming, which is read over a network.
@@ -245,7 +245,7 @@
 // TooOld reports whether a candidate's weights are so old that no request may
 // begin there any more.
 func (m Model) TooOld(c *Candidate) bool {
-	return m.VersionBound > 0 && c.Behind > m.VersionBound-boundMargin
+	return m.VersionBound > 0 && float64(c.Behind) > (1-boundMargin)*float64(m.VersionBound)
 }
 
 // BeginsInTime reports whether a request will most likely begin on a candidate's
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -239,3 +239,15 @@
 		t.Errorf("learnt %v tokens a second, want 40,000", got)
 	}
 }
+
+// Bounds of versions differ by deployment: near a short one engines on older weights still
+// serve, or none would between two namings in quick succession.
+func TestMarginBeforeTheVersionBoundIsAShareOfIt(t *testing.T) {
+	for _, bound := range []time.Duration{6 * time.Second, 20 * time.Second} {
+		m := Model{PrefillRate: 60_000, VersionBound: bound}
+		early, late := Candidate{Behind: bound * 8 / 10}, Candidate{Behind: bound * 19 / 20}
+		if m.TooOld(&early) || !m.TooOld(&late) {
+			t.Errorf("bound %v: too old after %v: %v, after %v: %v", bound, early.Behind, m.TooOld(&early), late.Behind, m.TooOld(&late))
+		}
+	}
+}
