Sum up lost requests and parts read again from the logs

Change: papayaspan losses groups ended requests by outcome, reason, route, account, server, VM or second, with the means of what their choice was based on, and tells first readings of shared parts from those within the reuse time.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,7 +64,7 @@
 		},
 		"state": showCommands(e),
 		"vms":   {&addresses{env: e}, &drain{env: e}},
-		"logs":  {&decisions{env: e}, &explain{env: e}},
+		"logs":  {&decisions{env: e}, &explain{env: e}, &losses{env: e}},
 	}
 }
 
