Let refused callers come back after a second at the earliest

Change: comeBackAfter, from 1 s on, spread over as much again, bounded as before by a third of the caller's time left; also where no server was found.

--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -145,8 +145,9 @@
 	// maxOffers bounds the servers that one call is offered to, those included
 	// which could not be reached: a third of a large deployment's may crash at once.
 	maxOffers = 20
-	// serverWait is when a caller should come back that found no server.
-	serverWait = 300 * time.Millisecond
+	// serverWait is when a caller should come back, at the earliest, that found no server:
+	// crashed servers are back, and others have new weights, after a second or more.
+	serverWait = 1 * time.Second
 )
 
 // scope separates the caches of isolated accounts from all others.
@@ -192,7 +193,7 @@
 	}
 	i, loss := model.Pick(q, candidates, rand.Float64())
 	if i < 0 {
-		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", serverWait)
+		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", comeBackAfter(0, rand.Float64()))
 	}
 	t.outcome.loss, t.outcome.chosen = loss, candidates[i]
 	if t.prompt == nil || t.begun {
@@ -225,10 +226,18 @@
 // overloaded refuses a request whose prompt no engine can read in time. Callers
 // come back when the shortest queue has drained, spread over as much time again.
 func (t *task) overloaded(c *selector.Candidate) *verdict.Error {
-	after := time.Duration((1 + rand.Float64()) * float64(max(serverWait, t.g.model().QueueTime(c))))
+	after := comeBackAfter(t.g.model().QueueTime(c), rand.Float64())
 	return verdict.RefuseUntil(http.StatusServiceUnavailable, "engines_full", "the engines have more prompts to read than they can in time", after)
 }
 
+// comeBackAfter returns when a caller should come back whose request no engine takes, by the
+// time in which the shortest queue drains and a number in [0, 1) that spreads callers. It
+// answers engines that crash or load: a caller comes back once, and a request that was
+// refused is late in any case, so that it matters more that it is served.
+func comeBackAfter(queue time.Duration, draw float64) time.Duration {
+	return time.Duration((1 + draw) * float64(max(serverWait, queue)))
+}
+
 // readPoll is the time after which a request that waits for the reading of a
 // shared part looks for an engine again.
 const readPoll = 50 * time.Millisecond
