Follow a holder of the order lease at once that gave no order

Change: a holder tells the time of its last order or, if it gave none, when its term began: nobody else has given orders since. The time is noted again right before an order is sent, after the engine's report.

--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -15,7 +15,8 @@
 	lease lease.Claim
 	// said is when the holder said so.
 	said time.Time
-	// lastOrder is when it gave its last order; zero if it gave none.
+	// lastOrder is when it gave its last order or, if it gave none, when the last order of
+	// a holder before may have been given; zero if it doesn't say.
 	lastOrder time.Time
 	// own is set if this VM said so.
 	own bool
@@ -24,9 +25,31 @@
 // claimAge is for how long a claim is passed on.
 const claimAge = 10 * time.Second
 
-// ownClaim publishes what this VM says of its term.
-func (n *Node) ownClaim(c lease.Claim) {
-	n.claim.Store(&claim{lease: c, said: n.now(), lastOrder: n.lastOrder, own: true})
+// ownClaim publishes what this VM says of its term. Nobody else has given orders since the
+// term began.
+func (n *Node) ownClaim(c lease.Claim, term lease.Term) {
+	last := latest(n.lastOrderGiven(), latest(term.Since, term.From))
+	n.claim.Store(&claim{lease: c, said: n.now(), lastOrder: last, own: true})
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// lastOrderGiven returns when this VM gave its last order, zero if it gave none.
+func (n *Node) lastOrderGiven() time.Time {
+	if at := n.lastOrder.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (n *Node) gaveOrder() {
+	now := n.now()
+	n.lastOrder.Store(&now)
 }
 
 // lastClaim returns the newest claim for a digest, or nil.
@@ -88,11 +111,12 @@
 
 // resign gives the lease up, so that another VM can take it at once.
 func (n *Node) resign(reason string) {
-	if n.keeper.Term().Fencing == 0 {
+	term := n.keeper.Term()
+	if term.Fencing == 0 {
 		return
 	}
 	c := n.keeper.Resign()
-	n.ownClaim(c)
+	n.ownClaim(c, term)
 	n.log.Info("order_lease_resigned", zap.String("reason", reason), zap.Uint64("fencing", uint64(c.Fencing)), zap.Uint64("renewals", c.Renewals))
 	n.wake()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,8 +185,8 @@
 	// untold are the placements that only the VMs that take calls were told of; it
 	// is used by the digest loop only.
 	untold relayed
-	// lastOrder is used by the order loop only.
-	lastOrder time.Time
+	// lastOrder is when this VM gave its last order, nil if it gave none.
+	lastOrder atomic.Pointer[time.Time]
 	// keptGoals are the versions whose naming is kept in the store; it is used by
 	// keepNamings only.
 	keptGoals  map[string]uint64
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -86,7 +86,7 @@
 	n.sawEra(n.keeper.Era(), "store")
 	term := n.keeper.Term()
 	if term.Fencing != 0 {
-		n.ownClaim(n.keeper.Claim())
+		n.ownClaim(n.keeper.Claim(), term)
 	}
 	if term.Fencing != held {
 		n.log.Info("order_lease", zap.Uint64("fencing", uint64(term.Fencing)), zap.Uint64("before", uint64(held)),
@@ -105,7 +105,7 @@
 // releaseLease gives the lease up, unless an order was sent so lately that the
 // next holder must wait anyway.
 func (n *Node) releaseLease() {
-	if n.now().Sub(n.lastOrder) > n.opts.Bounds.Lease {
+	if n.now().Sub(n.lastOrderGiven()) > n.opts.Bounds.Lease {
 		n.keeper.Release()
 	}
 }
@@ -203,7 +203,7 @@
 // time of a send when the caller looked; it is checked again right before.
 func (g *giver) send(ctx context.Context, e *fleet.Entry, o rollout.Order, term lease.Term) {
 	n := g.n
-	n.lastOrder = n.now()
+	n.gaveOrder()
 	go func() {
 		report, ok := n.readEngine(ctx, e)
 		if !ok {
@@ -221,6 +221,7 @@
 		if !n.keeper.Term().Valid(now, order.MaxSend) {
 			return
 		}
+		n.gaveOrder()
 		// The deadline is of the monotonic clock, which a socket needs.
 		result, err := n.opts.Engines.Load(ctx, e, o, report.Orders, n.holder(), term.Fencing, time.Now().Add(order.MaxSend/2))
 		n.log.Info("order_sent",
