Pass on that a row is ready again although its run leaves

Cause: a VM that had a server's leave from another VM took the row itself for draining, and didn't tell VMs that start, which read the row as ready: after a return of the store, or a server's late write, only VMs that read the store told. Change: states say so of an entry. Measured: TestLeaveHoldsAcrossTheStoresReturn, which plays a leave that the copy lacks through a reader, a VM that hears only others and one that starts, failed before ([x y] in use instead of [y]).

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -61,6 +61,8 @@
 	// came back from an older copy: it is not used for so long, within which its row
 	// lapses unless it lives.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Undone is set if the run leaves although its row says Ready again.
+	Undone bool `json:"undone,omitempty"`
 }
 
 // Update is what a source knows of the servers.
@@ -376,7 +378,7 @@
 	case older && laterEra:
 		next = *r.Entry
 	case e.State == Draining:
-		r.left, r.undone = e.Started, false
+		r.left, r.undone = e.Started, e.Undone
 		if older && !r.Gone {
 			next = *r.Entry
 			next.State = Draining
@@ -386,7 +388,7 @@
 	case r.left != 0 && e.Started == r.left:
 		next.State, r.undone = Draining, true
 	}
-	next.Revision, next.Hold = e.Revision, 0
+	next.Revision, next.Hold, next.Undone = e.Revision, 0, false
 	if r.Same(&next) && (laterEra || now.Sub(r.seenAt) < seenAge) {
 		next.Weights = mergeWeights(r.Weights, next.Weights)
 	}
@@ -475,6 +477,7 @@
 	u := Update{After: after, UpTo: d.known, Whole: after.Before(d.forgotten), Entries: []Entry{}}
 	for _, r := range d.records {
 		e := *r.Entry
+		e.Undone = r.undone
 		if r.again != nil {
 			e = *r.again
 			e.Wait = max(1, r.againAt.Sub(now))
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -409,3 +410,56 @@
 		t.Errorf("calls waited %v, want %v", store.waits, want)
 	}
 }
+
+// The store comes back from a copy that lacks a leave, and its versions are given out again.
+func TestLeaveHoldsAcrossTheStoresReturn(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	store.write("y", fleet.Ready, 1)
+	store.write("z", fleet.Ready, 1)
+	reader, other := newTestVM(t, store), newTestVM(t, store)
+	reader.lists()
+	other.lists()
+	store.write("x", fleet.Draining, 1)
+	store.remove("z")
+	reader.reads()
+	store.comeBack(2)
+	if err := reader.watch(context.Background(), &reader.serverFeed, "servers", reader.changeServers); !errors.Is(err, platform.ErrHistoryGone) {
+		t.Fatalf("the feed went on in another era: %v", err)
+	}
+	reader.lists()
+	reader.wantUses("y")
+	other.hears(reader)
+	other.fetches(reader.address)
+	other.wantUses("y")
+	if era, since := other.era(); era != store.revision.Era || since.IsZero() {
+		t.Errorf("a VM that hears only others takes the era for %d, since %v", era, since)
+	}
+	started := newTestVM(t, store)
+	started.lists()
+	started.hears(other)
+	started.wantUses("y")
+	store.write("y", fleet.Draining, 1)
+	reader.reads()
+	reader.wantUses()
+	other.fetches(reader.address)
+	other.wantUses()
+	// The row of z has outlived the time in which it would have lapsed.
+	reader.passes(lapseTime(testHeartbeat))
+	reader.wantUses("z")
+}
+
+// An answer of the era before, which was long on its way.
+func TestListingOfAnEarlierEraIsIgnored(t *testing.T) {
+	store, old := newServerStore(), newServerStore()
+	for _, s := range []*serverStore{store, old} {
+		s.write("x", fleet.Ready, 1)
+	}
+	store.comeBack(0)
+	v := newTestVM(t, store)
+	v.lists()
+	v.opts.Feed = old
+	if err := v.load(context.Background(), &v.serverFeed, "servers", v.listServers); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("an answer of the era before was taken: %v", err)
+	}
+}
