Log the rate of requests that servers name

Change: the adapter decodes the header, each VM keeps the newest statement of a server's run and logs its changes, and a request's line has the limit known at the send. Nothing is decided by it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,7 +68,9 @@
 	c       selector.Candidate
 	run     *selector.Run
 	conn    *hop.Conn
-	cancel  context.CancelFunc
+	// sentAt is when the request was written.
+	sentAt time.Time
+	cancel context.CancelFunc
 	// silence ends the wait for the server, bound that for the run's begin.
 	silence, bound *time.Timer
 	conduct        selector.Conduct
@@ -206,6 +208,7 @@
 	a.watchSilence()
 	a.watchBound()
 	a.noteEvidence()
+	a.sentAt = t.g.opts.Now()
 	resp, err := a.conn.Send(ctx, &hop.Request{
 		Method: t.call.Method,
 		Target: t.call.Target,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -75,6 +76,10 @@
 	Sealed bool
 	// WeightsVersion is the version of the weights that answer; 0 if unknown.
 	WeightsVersion uint64
+	// RateLimit is the rate of requests that the server takes from all VMs together.
+	RateLimit ratelimit.Statement
+	// RateLimitErr is set if the server states a rate that can't be read.
+	RateLimitErr error
 }
 
 // Dialect is how backend servers are spoken to.
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -6,6 +6,8 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
+	"papayaspan.dev/papayaspan/internal/selector"
 )
 
 const (
@@ -29,10 +31,13 @@
 	weights        uint64
 	// behind is for how long newer weights had been named.
 	behind time.Duration
+	// limit is the server's rate limit, and limitAge the age of the answer that stated it.
+	limit    ratelimit.Statement
+	limitAge time.Duration
 }
 
 func (e *evidence) fields() []zap.Field {
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.Stringer("server_revision", e.revision),
 		zap.Stringer("known_revision", e.known),
 		zap.Duration("news_age", e.newsAge),
@@ -40,6 +45,10 @@
 		zap.Uint64("weights", e.weights),
 		zap.Duration("weights_behind", e.behind),
 	}
+	if e.limit.Limited {
+		fields = append(fields, zap.Float64("rate_limit", e.limit.Rate), zap.Duration("rate_limit_age", e.limitAge))
+	}
+	return fields
 }
 
 // noteEvidence keeps on what the send is based. A send that the rules may not allow
@@ -54,6 +63,7 @@
 		weights:  a.c.Weights(t.call.Model),
 		behind:   t.behind(a.c.Entry, now),
 	}
+	e.limit, e.limitAge = t.g.opts.RateLimits.Known(selector.KeyOf(a.c.Entry))
 	t.outcome.evidence = e
 	late := time.Duration(doubtfulShare * float64(t.g.opts.Model.VersionBound))
 	if e.behind > max(0, late) || e.newsAge > doubtfulAge {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -30,6 +31,7 @@
 	Servers       *selector.Table
 	Pool          *hop.Pool
 	Quota         *quota.Ledger
+	RateLimits    *ratelimit.Table
 	Suspects      *Suspects
 	Shelf         *selector.Shelf
 	FailureDomain string
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -70,8 +71,8 @@
 	g := New(Options{
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Dialect: plainDialect{}, Directory: directory,
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
-		Quota:    quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
-		Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
+		Quota:      quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
+		RateLimits: ratelimit.NewTable(time.Now), Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
 		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Placed: func() {}, NewsAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,7 @@
 	t := a.t
 	head := t.g.opts.Dialect.Head(a.c.Entry.ID, resp)
 	a.run.Heard()
+	a.noteRateLimit(head)
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.c.Entry.ID, a.c.Entry.Started, t.call.Model, head.WeightsVersion, t.g.opts.Now())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/rollout"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/steer"
@@ -161,6 +162,7 @@
 	quota     *quota.Ledger
 	suspects  *gateway.Suspects
 	shelf     *selector.Shelf
+	limits    *ratelimit.Table
 	gossip    *gossip.Node
 	peerHTTP  *http.Server
 	listener  net.Listener
@@ -250,6 +252,7 @@
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
 	n.shelf = selector.NewShelf(n.now)
+	n.limits = ratelimit.NewTable(n.now)
 	n.suspects = gateway.NewSuspects(n.now)
 	n.Gateway = gateway.New(gateway.Options{
 		Log:           opts.Log,
@@ -260,6 +263,7 @@
 		Servers:       n.servers,
 		Pool:          n.pool,
 		Quota:         n.quota,
+		RateLimits:    n.limits,
 		Suspects:      n.suspects,
 		Shelf:         n.shelf,
 		Placed:        n.tellBusy,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -136,6 +136,7 @@
 		r.missing, r.withheld = r.missing+missing, r.withheld+withheld
 	})
 	n.servers.Keep(n.directory.View())
+	n.limits.Keep(n.directory.View())
 	if !n.directory.Known().IsZero() {
 		n.serversKnown.Store(true)
 	}
