Keep all VMs together within the rate that a server names

Callers saw nothing; servers in need did: two engines that named 2.3 and 3.3 requests a second got 38 and 45 in 4 s (19 and 25 allowed) from VMs that their answers had told. Cause: what a server says of its own rate was read by nobody. It came with each answer, and the choice of a server knew load, silence and failures only. Change: internal/ratelimit keeps the newest statement of each server's run; an answer without a rate withdraws one only if its request was sent after the naming. VMs tell one another in digests, changes at once, the rest every 5 s. A rate is shared by few of the VMs that take calls, by rendezvous, each with a token bucket that starts empty. The choice counts the wait for a place as expected time, takes the place, and looks again before the write; if no server has a place within half of the objective, the caller is refused at once as not run. Why it works: the shares sum to the rate without any message. Ruled out: counts in digests as for accounts (internal/quota); they lag by 250 ms and more, in which eight VMs send more than such a rate has to spare.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,13 +92,13 @@
 	t.outcome.server = string(c.Entry.ID)
 	a.run = t.g.opts.Servers.Begin(&c, t.prompt, t.g.model().PrefillRate)
 	if t.prompt != nil && t.prompt.Keepable() {
-		t.g.opts.Placed()
+		t.g.opts.Tell()
 	}
 	f := a.exchange(ctx)
 	a.run.End(a.conduct)
 	if a.conduct == selector.Unreachable {
 		t.g.watchDown(c.Entry, a.connections())
-		t.g.opts.Placed()
+		t.g.opts.Tell()
 	}
 	return f
 }
@@ -147,6 +147,9 @@
 		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s are too old by now", a.c.Entry.ID)}
 	}
 	a.c.Entry = now
+	if !t.place.Counted && !t.takePlace(&a.c, 0) {
+		return &failure{code: "rate_limited", err: errors.Errorf("server %s has named a rate since it was chosen", now.ID)}
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,9 +36,10 @@
 	Shelf         *selector.Shelf
 	FailureDomain string
 	Model         selector.Model
-	// Placed is called when a long prompt is sent to an engine, so that other VMs
-	// hear of it soon. It must not block.
-	Placed func()
+	// Tell is called when other VMs should hear soon of something: that a long prompt is
+	// sent to an engine, or that a server takes no connections or names a rate. It must not
+	// block.
+	Tell func()
 	// NewsAge returns the age of the evidence that the servers known here are all
 	// there are; negative if there is none. Only logs use it.
 	NewsAge func() time.Duration
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,8 +72,8 @@
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Dialect: plainDialect{}, Directory: directory,
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:      quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
-		RateLimits: ratelimit.NewTable(time.Now), Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
-		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Placed: func() {}, NewsAge: func() time.Duration { return 0 }, Now: time.Now,
+		RateLimits: ratelimit.NewTable("vm", time.Now), Suspects: NewSuspects(time.Now), Shelf: selector.NewShelf(time.Now),
+		Model: selector.Model{PrefillRate: 50_000}, RetrySlack: 180, Tell: func() {}, NewsAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
 		Version:  1,
--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+var testEngineKey = selector.ServerKey{ID: "e"}
+
+func limitTo(g *Gateway, rate float64) {
+	g.opts.RateLimits.Stated(testEngineKey, ratelimit.Statement{Limited: true, Rate: rate}, time.Now())
+}
+
+func answerEvent(reached *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	}
+}
+
+func TestRequestIsRefusedAtOnceIfAllServersHaveUsedTheirRates(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, answerEvent(&reached))
+	limitTo(g, 0.5)
+	c, sink := modelCall(), &recorder{}
+	c.Patience = 2 * time.Second
+	began := time.Now()
+	g.Serve(context.Background(), c, sink)
+	if took := time.Since(began); took > 100*time.Millisecond || sink.refusal == nil || sink.refusal.Verdict != verdict.NotRun || sink.refusal.Code != "servers_limited" {
+		t.Fatalf("refusal %+v after %v", sink.refusal, took)
+	}
+	if after := sink.refusal.RetryAfter; after <= minRetryAfter || after > c.Patience/3 || reached.Load() != 0 {
+		t.Errorf("come back in %v, %d requests reached the server", after, reached.Load())
+	}
+}
+
+func TestRequestWaitsForAPlaceThatComesInTime(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, answerEvent(&reached))
+	limitTo(g, 5)
+	c, sink := modelCall(), &recorder{}
+	g.Serve(context.Background(), c, sink)
+	if took := time.Since(c.Arrived); sink.refusal != nil || reached.Load() != 1 || took < 100*time.Millisecond || took > time.Second {
+		t.Errorf("refusal %+v after %v, %d requests reached the server; want an answer after about 200 ms", sink.refusal, took, reached.Load())
+	}
+}
+
+// Between the choice and the write a connection is opened, and the VM may be busy.
+func TestRateThatIsNamedBeforeTheWriteIsKept(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, answerEvent(&reached))
+	other := newTestEngine(t, "other", 3, 1)
+	g.opts.Tell = func() {
+		g.opts.Tell = func() {}
+		limitTo(g, 0.1)
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{other.entry}}, time.Now())
+	}
+	sink := &recorder{}
+	g.Serve(context.Background(), modelCall(), sink)
+	if reached.Load() != 0 || other.got.Load() != 1 || sink.body.Len() == 0 {
+		t.Errorf("%d requests at the server that had named a rate, %d at the other one; the caller got %q", reached.Load(), other.got.Load(), sink.body.String())
+	}
+}
+
+// A server that is about to load weights and has no place is not offered to either.
+func TestServerWithoutAPlaceIsNoLastResort(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, answerEvent(&reached))
+	limitTo(g, 0.1)
+	g.Reserve(map[string]bool{"e": true})
+	sink := &recorder{}
+	g.Serve(context.Background(), modelCall(), sink)
+	if sink.refusal == nil || sink.refusal.Code != "servers_limited" || reached.Load() != 0 {
+		t.Errorf("refusal %+v, %d requests reached the server", sink.refusal, reached.Load())
+	}
+}
--- a/internal/gateway/recheck_test.go
+++ b/internal/gateway/recheck_test.go
@@ -41,11 +41,11 @@
 	reached := atomic.Int32{}
 	g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) { reached.Add(1) })
 	other := newTestEngine(t, "other", 3, 1)
-	g.opts.Placed = func() {
+	g.opts.Tell = func() {
 		leaving := *g.opts.Directory.View().All()[0]
 		leaving.State, leaving.Revision = fleet.Draining, platform.Revision{Version: 2}
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{leaving, other.entry}}, time.Now())
-		g.opts.Placed = func() {}
+		g.opts.Tell = func() {}
 	}
 	sink := &recorder{}
 	g.Serve(context.Background(), modelCall(), sink)
@@ -62,8 +62,8 @@
 	g.opts.Model.VersionBound = 6 * time.Second
 	g.opts.Goals.Add("m", fleet.Goal{Version: 2, Since: time.Now()})
 	other := newTestEngine(t, "other", 3, 2)
-	g.opts.Placed = func() {
-		g.opts.Placed = func() {}
+	g.opts.Tell = func() {
+		g.opts.Tell = func() {}
 		ahead.Store(int64(7 * time.Second))
 		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{other.entry}}, time.Now())
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -156,7 +156,7 @@
 			a.run.Answered(t.g.model().PrefillRate)
 			a.noteStore()
 			if t.prompt != nil && t.prompt.Keepable() {
-				t.g.opts.Placed()
+				t.g.opts.Tell()
 			}
 		}
 		a.run.Heard()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -9,6 +9,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -94,6 +95,8 @@
 	// Left are the runs of servers that are not to be used although their rows say that
 	// they are ready.
 	Left []fleet.Leave `json:"left,omitempty"`
+	// Limits are the rates that servers say they take.
+	Limits []ratelimit.Notice `json:"lim,omitempty"`
 	// Following is set if the sender reads the store's feeds and hears from them.
 	Following bool `json:"fol,omitempty"`
 	// FollowingFor is for how long without a failure.
@@ -140,6 +143,7 @@
 	Goals      []WeightsGoal              `json:"goals,omitempty"`
 	Held       []WeightsHeld              `json:"held,omitempty"`
 	Left       []fleet.Leave              `json:"left,omitempty"`
+	Limits     []ratelimit.Notice         `json:"lim,omitempty"`
 	Reserved   []backend.ID               `json:"rsv,omitempty"`
 	Usage      map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads      []ServerLoad               `json:"load,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,10 +249,11 @@
 		planner:   rollout.NewPlanner(rolloutSettings(opts.Bounds)),
 	}
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
+	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.Limited()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.First, n.now)
 	n.shelf = selector.NewShelf(n.now)
-	n.limits = ratelimit.NewTable(n.now)
+	n.limits = ratelimit.NewTable(opts.VM.ID, n.now)
 	n.suspects = gateway.NewSuspects(n.now)
 	n.Gateway = gateway.New(gateway.Options{
 		Log:           opts.Log,
@@ -266,7 +267,7 @@
 		RateLimits:    n.limits,
 		Suspects:      n.suspects,
 		Shelf:         n.shelf,
-		Placed:        n.tellBusy,
+		Tell:          n.tellBusy,
 		NewsAge:       func() time.Duration { return n.newsAge() },
 		FailureDomain: opts.VM.FailureDomain,
 		Model:         selector.Model{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -164,6 +164,7 @@
 		d.Catalog = c.Version
 	}
 	d.Left = n.directory.Leaves(now)
+	d.Limits = n.limits.Notices()
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -234,6 +235,7 @@
 	n.members.Store(int64(members))
 	n.Gateway.SetMembers(members, senders)
 	n.quota.SetMembers(senders)
+	n.limits.SetSenders(n.callTakers(peers, now))
 	n.servers.SetSenders(senders)
 }
 
@@ -272,6 +274,7 @@
 	n.heardClaim(p.Claim)
 	n.learn(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
 	n.hearOfLeaves(string(p.ID), p.Left)
+	n.hearOfLimits(string(p.ID), p.Limits, p.Uptime)
 	n.peerHeard()
 	n.hearEra(p.Servers, string(p.ID))
 	if p.Uptime < startUptime && n.gossip.IsRelay() {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -55,6 +55,7 @@
 		Goals:        d.Goals,
 		Held:         d.Held,
 		Left:         d.Left,
+		Limits:       d.Limits,
 		Reserved:     slices.Clone(d.Reserved),
 		Usage:        n.quota.DomainUsages(),
 		Crashes:      maps.Clone(d.Crashes),
@@ -96,6 +97,7 @@
 	n.heardClaim(s.Claim)
 	n.learn(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
 	n.hearOfLeaves(string(s.From.ID), s.Left)
+	n.hearOfLimits(string(s.From.ID), s.Limits, s.Uptime)
 	n.peerHeard()
 	n.hearEra(s.Servers, string(s.From.ID))
 	n.confirm(s.Servers, s.NewsAge)
--- /dev/null
+++ b/internal/ratelimit/ratelimit_test.go
@@ -0,0 +1,288 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/vm"
+)
+
+// The platform's rule on a server that names a rate.
+const (
+	ruleWindow = 4 * time.Second
+	ruleFactor = 1.5
+	ruleExtra  = 5
+)
+
+var testKey = selector.ServerKey{ID: "s", Started: 7}
+
+// testFleet is a number of VMs on one clock.
+type testFleet struct {
+	now time.Time
+	vms []*Table
+}
+
+func newFleet(n int) *testFleet {
+	f := &testFleet{now: time.Unix(1000, 0)}
+	var ids []vm.ID
+	for i := range n {
+		ids = append(ids, vm.ID(fmt.Sprintf("vm-%03d", i)))
+		f.vms = append(f.vms, NewTable(ids[i], func() time.Time { return f.now }))
+	}
+	for _, t := range f.vms {
+		t.SetSenders(ids)
+	}
+	return f
+}
+
+// name lets every VM get an answer that names a rate.
+func (f *testFleet) name(rate float64) {
+	for _, t := range f.vms {
+		t.Stated(testKey, Statement{Limited: true, Rate: rate}, f.now)
+	}
+}
+
+// most returns the largest number of times within one window.
+func most(sent []time.Time, window time.Duration) int {
+	best, from := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[from]) > window {
+			from++
+		}
+		best = max(best, i+1-from)
+	}
+	return best
+}
+
+// However many VMs there are and however their requests come, all of them together keep the
+// rule, from the first request on; and what the server takes is used where all have requests.
+func TestSharesOfAllVMsKeepTheRule(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("sum of the shares", prop.ForAll(func(rate float64, vms int, seed int64) string {
+		rng := rand.New(rand.NewSource(seed))
+		f := newFleet(vms)
+		f.name(rate)
+		var sent []time.Time
+		end := f.now.Add(30 * time.Second)
+		for f.now.Before(end) {
+			f.now = f.now.Add(20 * time.Millisecond)
+			quiet := f.now.Second()%10 < 5 && seed%2 == 0 // All shares are saved up, then used at once.
+			for _, i := range rng.Perm(vms) {
+				if quiet {
+					break
+				}
+				if _, ok := f.vms[i].Reserve(testKey, 0); ok {
+					sent = append(sent, f.now)
+				}
+			}
+		}
+		allowed := ruleFactor*rate*ruleWindow.Seconds() + ruleExtra
+		if n := most(sent, ruleWindow); float64(n) > allowed {
+			return fmt.Sprintf("%d requests in %v, %v are allowed", n, ruleWindow, allowed)
+		}
+		if used := float64(len(sent)); seed%2 != 0 && rate >= 1 && used < 0.85*rate*28 {
+			return fmt.Sprintf("%v requests in 30 s at a rate of %v", used, rate)
+		}
+		return ""
+	}, gen.Float64Range(0.2, 40), gen.IntRange(1, 60), gen.Int64()))
+	properties.TestingRun(t)
+}
+
+func TestVMsThatShareARateChange(t *testing.T) {
+	f := newFleet(8)
+	f.name(2)
+	share := func() (sum float64, n int) {
+		for _, x := range f.vms {
+			if s := x.Share(testKey); s > 0 {
+				sum, n = sum+s, n+1
+			}
+		}
+		return sum, n
+	}
+	if sum, n := share(); sum != 2 || n != 4 {
+		t.Errorf("%d VMs share %v of 2 requests a second, want 4", n, sum)
+	}
+	for _, x := range f.vms {
+		x.SetSenders([]vm.ID{"vm-000", "vm-001"})
+	}
+	if sum, n := share(); sum != 2 || n != 2 || f.vms[5].Share(testKey) != 0 {
+		t.Errorf("%d of two VMs that take calls share %v", n, sum)
+	}
+	// A VM that gets a share has saved up nothing.
+	for _, x := range f.vms {
+		x.SetSenders([]vm.ID{"vm-007"})
+	}
+	if wait, ok := f.vms[7].Wait(testKey); !ok || wait != 500*time.Millisecond {
+		t.Errorf("a VM that has just got the rate waits %v, %v", wait, ok)
+	}
+	if wait, ok := f.vms[0].Wait(testKey); ok || wait != 500*time.Millisecond {
+		t.Errorf("a VM without a share: %v, %v", wait, ok)
+	}
+	if _, ok := f.vms[0].Reserve(testKey, time.Hour); ok {
+		t.Error("a VM without a share got a place")
+	}
+}
+
+func TestPlaceIsReservedWithinATime(t *testing.T) {
+	f := newFleet(1)
+	f.name(2)
+	x := f.vms[0]
+	if _, ok := x.Reserve(testKey, 100*time.Millisecond); ok {
+		t.Error("got a place that comes after half a second")
+	}
+	for i, want := range []time.Duration{500 * time.Millisecond, time.Second} {
+		if p, ok := x.Reserve(testKey, time.Second); !ok || !p.Counted || p.In != want {
+			t.Errorf("place %d: %+v, %v; want it in %v", i, p, ok, want)
+		}
+	}
+	if p, ok := x.Reserve(selector.ServerKey{ID: "other"}, 0); !ok || p.Counted {
+		t.Errorf("a server without a rate: %+v, %v", p, ok)
+	}
+}
+
+func TestLateAnswerWithdrawsNoRate(t *testing.T) {
+	f := newFleet(1)
+	x, before := f.vms[0], f.now
+	f.now = f.now.Add(time.Second)
+	f.name(2)
+	f.now = f.now.Add(time.Second)
+	if _, changed := x.Stated(testKey, Statement{}, before); changed {
+		t.Error("the answer to a request from before the naming withdrew the rate")
+	}
+	if _, changed := x.Stated(selector.ServerKey{ID: "s", Started: 6}, Statement{}, f.now); changed {
+		t.Error("an answer of the server's run before withdrew the rate")
+	}
+	c, changed := x.Stated(testKey, Statement{}, f.now)
+	if !changed || !c.Before.Limited || c.Now.Limited || x.Limited() != 0 {
+		t.Errorf("change %+v, %v; %d servers with a rate", c, changed, x.Limited())
+	}
+}
+
+func TestRateOfZeroIsAskedAgain(t *testing.T) {
+	f := newFleet(8)
+	f.name(0)
+	sent := 0
+	for end := f.now.Add(60 * time.Second); f.now.Before(end); f.now = f.now.Add(50 * time.Millisecond) {
+		for _, x := range f.vms {
+			if _, ok := x.Reserve(testKey, 0); ok {
+				sent++
+			}
+		}
+	}
+	if sent < 5 || sent > 6 {
+		t.Errorf("%d requests in a minute, want one in ten seconds", sent)
+	}
+}
+
+func TestEndOfARunEndsItsRate(t *testing.T) {
+	f := newFleet(1)
+	f.name(2)
+	d := fleet.NewDirectory(time.Second)
+	d.Apply(fleet.Update{Entries: []fleet.Entry{{ID: "s", Started: 8, Service: "a", State: fleet.Ready}}}, f.now)
+	f.vms[0].Keep(d.View())
+	if _, ok := f.vms[0].Reserve(testKey, 0); !ok || f.vms[0].Limited() != 0 {
+		t.Error("the rate of a run that has ended holds on")
+	}
+}
+
+// VMs that tell one another with delays, losses and repetitions agree in the end with what
+// the server says, also those that were cut off as it changed and get none of its answers.
+func TestVMsAgreeWithTheServer(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("agreement", prop.ForAll(func(vms int, seed int64) string {
+		rng := rand.New(rand.NewSource(seed))
+		f := newFleet(vms)
+		type message struct {
+			at      time.Time
+			to      int
+			notices []Notice
+		}
+		var wire []message
+		says := Statement{}
+		const step = 50 * time.Millisecond
+		changes := f.now.Add(20 * time.Second)
+		healed := changes.Add(3 * time.Second)
+		cutOff := func(i int) bool { return i == 1 && f.now.After(changes.Add(-4*time.Second)) && f.now.Before(healed) }
+		for end := healed.Add(9 * time.Second); f.now.Before(end); f.now = f.now.Add(step) {
+			if f.now.Before(changes) && rng.Intn(30) == 0 {
+				says = []Statement{{}, {Limited: true, Rate: 2}, {Limited: true, Rate: float64(rng.Intn(5))}}[rng.Intn(3)]
+			}
+			// An answer to a request that was sent up to 300 ms ago.
+			if asks := rng.Intn(vms); f.now.Before(changes) && !cutOff(asks) || asks == 0 {
+				f.vms[asks].Stated(testKey, says, f.now.Add(-time.Duration(rng.Intn(300))*time.Millisecond))
+			}
+			for i, x := range f.vms {
+				if rng.Intn(5) > 0 || cutOff(i) {
+					continue // A digest each 250 ms.
+				}
+				notices := x.Notices()
+				for to := range f.vms {
+					for to != i && rng.Intn(4) > 0 { // A quarter is lost, some come several times.
+						delay := time.Duration(rng.Intn(100)) * time.Millisecond
+						if f.now.Before(changes) && rng.Intn(50) == 0 {
+							delay = 5 * time.Second // From a VM that was frozen.
+						}
+						wire = append(wire, message{at: f.now.Add(delay), to: to, notices: notices})
+						if rng.Intn(3) > 0 {
+							break
+						}
+					}
+				}
+			}
+			wire = slices.DeleteFunc(wire, func(m message) bool {
+				if m.at.After(f.now) {
+					return false
+				}
+				for _, n := range m.notices {
+					if cutOff(m.to) {
+						break
+					}
+					f.vms[m.to].Heard(n)
+				}
+				return true
+			})
+		}
+		for i, x := range f.vms {
+			got := Statement{}
+			if k := x.servers[testKey]; k != nil {
+				got = k.Statement
+			}
+			if got.Limited != says.Limited || says.Limited && got.Rate != says.Rate {
+				return fmt.Sprintf("VM %d believes %+v, the server says %+v", i, got, says)
+			}
+		}
+		return ""
+	}, gen.IntRange(2, 8), gen.Int64()))
+	properties.TestingRun(t)
+}
+
+func TestNoticesOfADigestAreBounded(t *testing.T) {
+	f := newFleet(1)
+	const servers = 100
+	for i := range servers {
+		f.vms[0].Stated(selector.ServerKey{ID: "s", Started: int64(i)}, Statement{Limited: true, Rate: 1}, f.now)
+	}
+	told := map[int64]bool{}
+	for range servers/maxNotices + 1 {
+		notices := f.vms[0].Notices()
+		if len(notices) > maxNotices {
+			t.Fatalf("%d notices in a digest", len(notices))
+		}
+		for _, n := range notices {
+			told[n.Started] = true
+		}
+		f.now = f.now.Add(time.Millisecond)
+	}
+	if len(told) != servers {
+		t.Errorf("%d of %d servers were told in turn", len(told), servers)
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -58,6 +58,9 @@
 	FailureRate float64
 	// Silent is for how long the server owes an answer and has sent nothing.
 	Silent time.Duration
+	// PlaceIn is the time until the server takes a request of this VM within the rate that
+	// it names; 0 if it names none.
+	PlaceIn time.Duration
 	// Latency is the recent time to the first byte on top of the reading of
 	// prompts.
 	Latency time.Duration
@@ -159,6 +162,10 @@
 	// answer in less; callers leave after two seconds.
 	silentFrom = 300 * time.Millisecond
 	silentFull = 1 * time.Second
+	// placeLoss is what waiting for a place at a server that names a rate costs, as a share
+	// of the request's credit for a wait of the whole objective. As much as being late: it
+	// is worth while only if all other servers are likely to fail.
+	placeLoss = lateLoss
 	// crowdLoss spreads load between servers that are equal otherwise, for each
 	// share of its slots that a server has in use.
 	crowdLoss = 0.1
@@ -174,6 +181,7 @@
 	expected := q.Waited + m.Expected(q, c)
 	loss := lateLoss * ramp(share(expected, q.Objective), lateFrom, lateFull)
 	loss += prefillLoss * min(1, share(read, q.Objective))
+	loss += placeLoss * min(1, share(c.PlaceIn, q.Objective))
 	loss += m.weightsLoss(c)
 	if c.Fetch.Tokens > 0 {
 		loss += fetchLoss
@@ -236,7 +244,7 @@
 // Expected returns the expected time from now to the first byte.
 func (m Model) Expected(q Query, c *Candidate) time.Duration {
 	missing := max(0, float64(q.PromptTokens)-c.CachedTokens-c.Fetch.Tokens)
-	return c.Wait() + c.Latency + seconds((c.Backlog+missing)/m.PrefillRate) + c.Fetch.time(c.Entry.FailureDomain)
+	return max(c.Wait(), c.PlaceIn) + c.Latency + seconds((c.Backlog+missing)/m.PrefillRate) + c.Fetch.time(c.Entry.FailureDomain)
 }
 
 // ReadTime is the time that an engine takes to read so many tokens.
