Pass no part of a server's long failure on as its whole answer

Callers saw, for a call that may be repeated, a server's failure of over 256 KiB cut to 256 KiB, with the server's signature and a length that made it look complete, if the second server then broke off. Cause: the failure that is kept while another server is tried was read through a limit that doesn't tell a cut from an end. Evidence: TestLongFailureIsNotPassedOnInPart got 262144 of 307200 bytes with the signature before, and gets a failure of the VM's own now. Why it works: only a failure that was read to its end is kept; a longer one ends the attempt without one. Class: a limit on what is read that looks like an end. The other limits lead to decoders that fail on a cut (store, reports, states of VMs) or count one byte more.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -66,13 +66,16 @@
 }
 
 // serverError returns the failure of a request that the server ran without
-// success; its answer is kept for the case that no better one comes.
+// success; its answer is kept for the case that no better one comes, if it is short.
 func (a *attempt) serverError(caller context.Context, resp *http.Response) *failure {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, holdBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, holdBytes+1))
 	if err != nil {
 		return a.lost(caller, "answer_cut", err)
 	}
 	f := &failure{code: "server_error", err: errors.Errorf("status %d", resp.StatusCode), sent: true, mayHaveRun: true}
+	if len(body) > holdBytes {
+		return f // A part of it must not be passed on as the answer.
+	}
 	a.t.spare = &spareAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	return f
 }
