Give up connections on which bytes come without end

Callers would have lost a VM: a server in trouble that sends a head without end was read until the deadline, up to hundreds of megabytes of heap, which is more than a small VM has; a repeatable call waited for three objectives. Cause: http.ReadResponse has no bound on a head, and internal/hop had set none; the body of an answer to another request was read to its end, however far that was; other clients had the default of net/http, 10 MiB a head. Change: 64 KiB for all heads of an exchange, interim ones included, in hop and in every client that talks to servers, the store or other VMs (internal/httpbounds); 1 MiB of another request's answer. Ruled out: chunk extensions, trailers and answers without a length; net/http bounds the first two, and the third ends the connection's use already.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 )
 
 const (
@@ -19,7 +21,6 @@
 	tlsHandshakeTimeout = 2 * time.Second
 	idleConnTimeout     = 15 * time.Second
 	maxIdleConnsPerHost = 64
-	maxHeaderBytes      = 64 << 10
 )
 
 var errSealed = errors.New("connection sealed before the request was written")
@@ -126,7 +127,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: httpbounds.MaxHeadBytes,
 	}
 }
 
--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -16,6 +16,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/sse"
 )
@@ -77,7 +78,7 @@
 
 // New returns a Watcher that follows no engine yet.
 func New(sink Sink, log *zap.Logger) *Watcher {
-	return &Watcher{client: &http.Client{}, sink: sink, log: log, engines: map[backend.ID]watched{}}
+	return &Watcher{client: &http.Client{Transport: httpbounds.Transport()}, sink: sink, log: log, engines: map[backend.ID]watched{}}
 }
 
 // Run follows the engines that servers lists until ctx ends.
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/openai"
 )
 
@@ -30,7 +31,7 @@
 
 // NewProber returns a Prober.
 func NewProber() *Prober {
-	return &Prober{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Prober{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}}
 }
 
 // Crashed reports whether the server may have crashed since it had the known
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -19,6 +19,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 )
 
 const (
@@ -34,8 +36,10 @@
 	// connection that it had given up: a round trip between failure domains, with
 	// room for a busy VM.
 	dropNotice = 30 * time.Millisecond
-	// maxCrossed is how many answers to other requests may come first.
-	maxCrossed = 4
+	// maxCrossed is how many answers to other requests may come first, and maxCrossedBytes
+	// the longest body, in bytes, that is read past to keep the connection.
+	maxCrossed      = 4
+	maxCrossedBytes = 1 << 20
 	// concurrentBody is the body size, in bytes, from which the body is written
 	// while the answer is awaited: a server may answer before it has read it.
 	concurrentBody = 16 << 10
@@ -44,6 +48,8 @@
 var (
 	// ErrCrossed means that only answers to other requests came.
 	ErrCrossed = errors.New("the answer belongs to another request")
+	// ErrHeadTooLong means that the head of the answer didn't end.
+	ErrHeadTooLong = errors.New("the head of the answer is too long")
 	// ErrNotWritten means that no byte of the request was written.
 	ErrNotWritten = errors.New("no byte of the request was written")
 )
@@ -62,6 +68,8 @@
 type Conn struct {
 	net.Conn
 	hostKey
+	// in is what br reads from.
+	in *headReader
 	br *bufio.Reader
 	// Reused is set if the connection carried a request before.
 	Reused bool
@@ -78,6 +86,32 @@
 	broken   bool
 }
 
+// headReader reads from a connection, up to a bound while it reads a head.
+type headReader struct {
+	r io.Reader
+	// left is in bytes; negative for no bound.
+	left int
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.left < 0 {
+		return h.r.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errors.WithStack(ErrHeadTooLong)
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// newConn returns a Conn for an open connection.
+func newConn(conn net.Conn, key hostKey) *Conn {
+	in := &headReader{r: conn, left: -1}
+	return &Conn{Conn: conn, hostKey: key, in: in, br: bufio.NewReaderSize(in, readBuffer)}
+}
+
 func dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         connectTimeout,
@@ -145,14 +179,21 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break // Its end is that of the connection.
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxCrossedBytes+1))
+		if err != nil {
 			return nil, errors.Wrap(err, "read answer to another request")
 		}
+		if n > maxCrossedBytes {
+			break
+		}
 	}
 	return nil, errors.WithStack(ErrCrossed)
 }
 
+// readHead returns the next head that is not an interim one.
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	c.in.left = httpbounds.MaxHeadBytes // Interim ones included.
+	defer func() { c.in.left = -1 }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
--- /dev/null
+++ b/internal/hop/endless_test.go
@@ -0,0 +1,89 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/httpbounds"
+)
+
+// endless sends a start and then the same bytes until the other side closes.
+func endless(start, again string) func(int, net.Conn) {
+	return func(_ int, c net.Conn) {
+		defer c.Close()
+		if _, err := readRequest(c); err != nil {
+			return
+		}
+		block := bytes.Repeat([]byte(again), 1+4096/len(again))
+		if _, err := io.WriteString(c, start); err != nil {
+			return
+		}
+		for {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func TestBytesWithoutEndAreNotRead(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	for name, send := range map[string]func(int, net.Conn){
+		"no answer":                     endless("", "x"),
+		"status line":                   endless("HTTP/1.1 200 ", "x"),
+		"one header line":               endless("HTTP/1.1 200 OK\r\nX: ", "x"),
+		"header lines":                  endless("HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+		"interim answers":               endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
+		"chunks of another's answer":    endless(other+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+		"chunk extension":               endless(other+"Transfer-Encoding: chunked\r\n\r\n1;", "x"),
+		"trailer":                       endless(other+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
+		"another's answer, long":        endless(other+"Content-Length: 999999999999\r\n\r\n", "x"),
+		"another's answer, no length":   endless(other+"\r\n", "x"),
+		"another's answer, then a head": endless(other+"Content-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nX: ", "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPool()
+			c, err := p.Get(context.Background(), "o", serve(t, send), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Discard(c)
+			const deadline = 2 * time.Second
+			_ = c.SetDeadline(time.Now().Add(deadline))
+			began := time.Now()
+			_, err = c.Send(context.Background(), request("a"), matches("a"))
+			var timeout net.Error
+			if err == nil || errors.As(err, &timeout) && timeout.Timeout() {
+				t.Errorf("read for %v, error %v", time.Since(began), err)
+			}
+		})
+	}
+}
+
+// The bound is on the head, not on what follows.
+func TestLongBodyAfterAHeadIsRead(t *testing.T) {
+	const size = 4 * httpbounds.MaxHeadBytes
+	addr := serve(t, func(_ int, c net.Conn) {
+		for {
+			r, err := readRequest(c)
+			if err != nil {
+				return
+			}
+			reply(c, r.Header.Get("Id"), string(bytes.Repeat([]byte("x"), size)))
+		}
+	})
+	p := NewPool()
+	for range 3 {
+		body, _, err := exchange(t, p, addr, "a")
+		if err != nil || len(body) != size {
+			t.Fatalf("read %d bytes of %d, error %v", len(body), size, err)
+		}
+	}
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"sync"
@@ -79,7 +78,7 @@
 		p.unreserve(key)
 		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", key.addr, err)
 	}
-	return &Conn{Conn: conn, hostKey: key, br: bufio.NewReaderSize(conn, readBuffer)}, nil
+	return newConn(conn, key), nil
 }
 
 func (p *Pool) takeIdle(key hostKey) *Conn {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,7 @@
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
@@ -427,7 +428,7 @@
 
 // peerClient opens a connection for each fetch: one that is kept may have fallen
 // silent, and the time-out that shows it is a third of what a leave may take.
-var peerClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+var peerClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}
 
 func (n *Node) fetchState(p gossip.Member) (state, error) {
 	var version catalog.Version
--- a/internal/order/client.go
+++ b/internal/order/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/openai"
 )
@@ -36,7 +37,7 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
-	return &Client{reads: &http.Client{Timeout: readTimeout, CheckRedirect: noRedirect}}
+	return &Client{reads: &http.Client{Timeout: readTimeout, CheckRedirect: noRedirect, Transport: httpbounds.Transport()}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -55,7 +56,7 @@
 		return errors.Wrap(err, "order")
 	}
 	req.GetBody = nil // the transport must not send an order again by itself
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: BoundedDial(deadline)}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes, DialContext: BoundedDial(deadline)}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrap(err, "send order")
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/platform"
 )
 
@@ -30,7 +31,7 @@
 		base: base,
 		http: &http.Client{
 			Timeout:   platform.CallTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 16},
+			Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes},
 		},
 	}
 }
