Settle who shares a server's rate once a digest

Cause: each digest that came sorted the VMs anew, some hundred times a second in a large deployment, and a VM counted itself in whatever its calls were. Change: the set is computed with the VM's own digests, by the calls that all are told of; a VM whose calls are below a tenth of the busiest one's takes no share.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/gossip"
@@ -13,22 +15,20 @@
 // own checks, about one a second.
 const callTakerShare = 0.1
 
-// callTakers returns the VMs that share the rates of servers, by what all VMs are told: those
-// that were heard of within the window of quotas. While no calls come, all are.
-func (n *Node) callTakers(peers []gossip.Peer, now time.Time) []vm.ID {
-	calls := map[vm.ID]float64{n.opts.VM.ID: n.calls.Last()}
+// callTakers returns the VMs that share the rates of servers, by what all VMs are told of the
+// calls that each gets: those heard of within a time, and this one. While no calls come, all
+// are.
+func callTakers(self vm.ID, calls float64, peers []gossip.Peer, now time.Time, within time.Duration) []vm.ID {
+	rates := map[vm.ID]float64{self: calls}
 	for _, p := range peers {
-		if !p.At.IsZero() && now.Sub(p.At) <= n.opts.Bounds.Quota.Window {
-			calls[p.ID] = p.Calls
+		if !p.At.IsZero() && now.Sub(p.At) <= within {
+			rates[p.ID] = p.Calls
 		}
 	}
-	least := 0.0
-	for _, c := range calls {
-		least = max(least, callTakerShare*c)
-	}
+	least := callTakerShare * slices.Max(slices.Collect(maps.Values(rates)))
 	var out []vm.ID
-	for id, c := range calls {
-		if c >= least {
+	for id, rate := range rates {
+		if rate >= least {
 			out = append(out, id)
 		}
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -197,6 +197,7 @@
 	view := n.directory.View()
 	n.logRecovery()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
+	n.limits.SetSenders(callTakers(n.opts.VM.ID, n.calls.Last(), n.gossip.Peers(), now, n.opts.Bounds.Quota.Window))
 	n.applyPeers()
 }
 
@@ -236,7 +237,6 @@
 	n.members.Store(int64(members))
 	n.Gateway.SetMembers(members, senders)
 	n.quota.SetMembers(senders)
-	n.limits.SetSenders(n.callTakers(peers, now))
 	n.servers.SetSenders(senders)
 }
 
