Send no request of a caller that left while it waited

Callers saw nothing; servers ran requests whose callers had left while the VM waited for a place, if an idle connection was at hand. Cause: only opening a connection looked at the caller; an idle one was written to, and closed by the end of the caller's context a moment later. Evidence: TestRequestOfACallerThatLeavesWhileItWaitsForAPlaceIsNotSent saw the request at the server before, and doesn't now. Change: the last look before the write looks at the caller too. The sorted servers of a choice have a name of their own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,7 +113,7 @@
 		return a.unsent(caller, err)
 	}
 	a.conn = conn
-	if f := a.recheck(); f != nil {
+	if f := a.recheck(caller); f != nil {
 		t.g.opts.Pool.Discard(conn)
 		return f
 	}
@@ -135,10 +135,13 @@
 	return f
 }
 
-// recheck looks at the server again before the request is written. A connection was
-// opened since it was chosen, and the VM may have been busy.
-func (a *attempt) recheck() *failure {
+// recheck looks at the caller and the server again before the request is written. A
+// connection was opened since the server was chosen, and the VM may have been busy.
+func (a *attempt) recheck(caller context.Context) *failure {
 	t := a.t
+	if err := caller.Err(); err != nil {
+		return a.unsent(caller, err)
+	}
 	now := t.g.opts.Directory.View().Server(a.c.Entry.ID)
 	switch {
 	case now == nil || !now.Usable() || !now.Same(a.c.Entry):
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,8 +11,8 @@
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
-// options are the servers that the call could go to.
-type options struct {
+// choices are the servers that the call could go to.
+type choices struct {
 	// open take it, perhaps after a wait for a place.
 	open []selector.Candidate
 	// held are about to load weights.
@@ -21,34 +21,34 @@
 	limited []selector.Candidate
 }
 
-// options sorts the servers of a service that the call was not offered to.
-func (t *task) options(service *catalog.Service, model selector.Model, q selector.Query) options {
+// choices sorts the servers of a service that the call was not offered to.
+func (t *task) choices(service *catalog.Service, model selector.Model, q selector.Query) choices {
 	g := t.g
 	reserved := *g.reserved.Load()
 	patience := t.limitPatience()
-	var o options
+	var c choices
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
 		if t.hasTried(e) {
 			continue
 		}
-		c := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
-		g.opts.Servers.Fill(&c, t.prompt)
-		c.Behind = t.behind(e, t.chosenAt)
-		if model.TooOld(&c) || !model.BeginsInTime(q, &c) {
+		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
+		g.opts.Servers.Fill(&candidate, t.prompt)
+		candidate.Behind = t.behind(e, t.chosenAt)
+		if model.TooOld(&candidate) || !model.BeginsInTime(q, &candidate) {
 			continue
 		}
 		var shared bool
-		c.PlaceIn, shared = g.opts.RateLimits.Wait(selector.KeyOf(e))
+		candidate.PlaceIn, shared = g.opts.RateLimits.Wait(selector.KeyOf(e))
 		switch {
-		case !shared || c.PlaceIn > patience:
-			o.limited = append(o.limited, c)
+		case !shared || candidate.PlaceIn > patience:
+			c.limited = append(c.limited, candidate)
 		case reserved[string(e.ID)]:
-			o.held = append(o.held, c)
+			c.held = append(c.held, candidate)
 		default:
-			o.open = append(o.open, c)
+			c.open = append(c.open, candidate)
 		}
 	}
-	return o
+	return c
 }
 
 // choose returns the server for the next attempt, or why there is none.
@@ -56,16 +56,16 @@
 	model := t.g.model()
 	t.chosenAt = t.g.opts.Now()
 	q := t.query(t.g)
-	o := t.options(service, model, q)
-	candidates := o.open
+	all := t.choices(service, model, q)
+	candidates := all.open
 	if len(candidates) == 0 {
-		candidates = o.held
+		candidates = all.held
 	}
-	if len(candidates) == 0 && len(o.limited) > 0 {
-		return selector.Candidate{}, t.allLimited(o.limited)
+	if len(candidates) == 0 && len(all.limited) > 0 {
+		return selector.Candidate{}, t.allLimited(all.limited)
 	}
 	if t.prompt != nil && t.prompt.Fetchable() {
-		sources := slices.Concat(o.held, o.limited)
+		sources := slices.Concat(all.held, all.limited)
 		for i := range candidates {
 			t.findSource(service, &candidates[i], candidates, sources)
 		}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -85,3 +85,21 @@
 		t.Errorf("refusal %+v, %d requests reached the server", sink.refusal, reached.Load())
 	}
 }
+
+func TestRequestOfACallerThatLeavesWhileItWaitsForAPlaceIsNotSent(t *testing.T) {
+	reached := atomic.Int32{}
+	g, _ := newTestGateway(t, answerEvent(&reached))
+	g.Serve(context.Background(), modelCall(), &recorder{}) // Leaves an idle connection.
+	limitTo(g, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	began := time.Now()
+	g.Serve(ctx, modelCall(), &recorder{})
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("went on for %v after the caller had left", took)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if reached.Load() != 1 {
+		t.Errorf("%d requests reached the server, want that of the caller who stayed", reached.Load())
+	}
+}
