Lift no limit by a refusal that doesn't name it

Servers in need would have got a burst after each refusal of theirs. Cause: an answer without a rate withdrew it also if the server had refused the request; only answers of runs name rates for certain. Evidence: TestRefusalThatNamesNoLimitLiftsNone found no server with a limit before, and both now. Change: only a signed answer to a request that ran withdraws a rate. Result: the tests of limits pass.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -66,8 +66,8 @@
 		t.g.opts.Log.Warn("rate_limit_malformed", zap.String("request_id", t.call.ID),
 			zap.String("server", string(a.c.Entry.ID)), logging.Error(head.RateLimitErr))
 		return
-	case !head.RateLimit.Limited && !head.Sealed && !head.NotRun:
-		return // It may not be the server's answer.
+	case !head.RateLimit.Limited && (!head.Sealed || head.NotRun):
+		return // A refusal need not name the rate, and without a signature it may be no answer.
 	}
 	if c, changed := t.g.opts.RateLimits.Stated(selector.KeyOf(a.c.Entry), head.RateLimit, a.sentAt); changed {
 		t.g.LogRateLimit(c, "answer")
