--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -88,7 +88,7 @@
 	return t
 }
 
-// Stated takes what the answer to a request says that was sent at a time. An answer without
+// Stated takes what the answer to a request that was sent at a time says. An answer without
 // a rate withdraws one only if its request was sent after the rate was named: answers on
 // several connections may overtake one another. It reports whether anything changed.
 func (t *Table) Stated(key selector.ServerKey, s Statement, sent time.Time) (Change, bool) {
