--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -333,6 +333,17 @@
 	properties.TestingRun(t)
 }
 
+// A history that the property found once.
+func TestServerOfTheKnownRevisionIsUsed(t *testing.T) {
+	if fault := play(newFleetModel(), []int{
+		0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 870, 1, 1, 308, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1,
+		1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 54, 1, 114, 300, 1, 1, 1, 1, 1, 1, 1, 1, 324, 1,
+		108, 216, 324, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 108, 114, 1422, 0, 0, 0,
+	}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // play returns the first fault after some steps, or nothing.
 func play(m *fleetModel, steps []int) string {
 	for i, n := range steps {
