Log which requests were on a crashed server

The lines of a crash couldn't tell whether crashes are counted under the wrong identity (hypothesis 1) or their evidence is diluted by innocent requests (2): they gave a number of contents only. event=server_crashed now names the parts of the prompts of those requests whose response had not begun, and their number.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -340,11 +340,20 @@
 	}
 	a.result = selector.Failed
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnectionReset(err) {
-		a.t.g.checkForCrash(a.candidate.Entry, a.t.content(), a.connectionLimit())
+		a.t.g.checkForCrash(a.candidate.Entry, a.lostRun(), a.connectionLimit())
 	}
 	return f
 }
 
+// lostRun returns the run of the call on the server whose connection was lost.
+func (a *attempt) lostRun() lostRun {
+	run := lostRun{content: a.t.content(), begun: a.firstEventSeen.Load()}
+	for _, part := range a.t.call.Parts[:max(0, len(a.t.call.Parts)-1)] {
+		run.parts = append(run.parts, part.ID)
+	}
+	return run
+}
+
 func isConnectionReset(err error) bool { return strings.Contains(err.Error(), "reset by peer") }
 
 // priority returns the priority sent to the server, from 0 (the most urgent) to 9. The
