Find the prompt part that crashes servers, and refuse it

What callers saw: requests with one part in their prompts crashed one engine after the other, 38 to 114 of them in half a minute, each with the 6 to 30 other requests that it ran.

Cause: a crash was counted against the whole content of each request that the server ran. No two of these requests are alike, so no content had more crashes than its own attempts. Counts also had no identity of the crash: a VM added those of the others without knowing which were of the same one, and all counts were cleared at once when there were too many, or 30 s after the last crash.

The fix: internal/crashcause takes the place of the counts, for contents and parts alike. VMs tell one another which requests a crashed server run had that had not begun a response. A trait is convicted after three crashes in a row without a success of its own since; crashes that a conviction explains don't count against others. It works because a sound part succeeds elsewhere, and the first parts that all requests share do so all the time, while the deadly one never does; servers that crash at once count as one in a row. Convictions are gossiped, repeated by relays, and stored with the members, as all VMs may restart. Requests are refused before they cost quota, and again before each attempt and each write; those that wait at an engine are canceled.

The gateway's test waits for the evidence to settle; its bound of three crashes stays.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -74,8 +75,12 @@
 	// run that has not begun when its weights become too old.
 	silenceTimer, weightsTimer *time.Timer
 	result                     selector.Outcome
-	// firstEventSeen is set when the first event of the stream has arrived.
-	firstEventSeen atomic.Bool
+	// firstEventAt is when the first event of the stream arrived, nil before that.
+	firstEventAt atomic.Pointer[time.Time]
+	// sent is set just before the request is written, after sentAt.
+	sent atomic.Bool
+	// refused is set if the attempt was canceled because the request crashes servers.
+	refused atomic.Bool
 	// weightsExpired is set if the attempt was canceled because the run had not begun
 	// when its weights became too old.
 	weightsExpired atomic.Bool
@@ -109,6 +114,8 @@
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel()
 	a.cancel = cancel
+	t.g.attempts.Store(a, true)
+	defer t.g.attempts.Delete(a)
 	conn, err := t.g.opts.Pool.Get(ctx, a.poolKey(), a.candidate.Entry.Address, a.connectionLimit())
 	if err != nil {
 		return a.unsentFailure(caller, err)
@@ -144,6 +151,9 @@
 	if err := caller.Err(); err != nil {
 		return a.unsentFailure(caller, err)
 	}
+	if t.refuseCrashing() != nil {
+		return &failure{code: codeCrashesServers, err: errors.Errorf("requests with the trait %v crash servers", t.outcome.crashCause)}
+	}
 	current := t.g.opts.Directory.View().Server(a.candidate.Entry.ID)
 	switch {
 	case current == nil || !current.Usable() || !current.Same(a.candidate.Entry):
@@ -219,6 +229,7 @@
 	a.startWeightsTimer()
 	a.recordEvidence()
 	a.sentAt = t.g.opts.Now()
+	a.sent.Store(true)
 	resp, err := a.conn.Send(ctx, &hop.Request{
 		Method: t.call.Method,
 		Target: t.call.Target,
@@ -289,7 +300,7 @@
 	c := selector.Candidate{Staleness: t.weightsStaleness(a.candidate.Entry, t.g.opts.Now())}
 	if in, ok := t.g.model().MustStartIn(&c); ok {
 		a.weightsTimer = time.AfterFunc(in, func() {
-			if !a.firstEventSeen.Load() {
+			if a.firstEventAt.Load() == nil {
 				a.weightsExpired.Store(true)
 				a.cancel()
 			}
@@ -302,7 +313,7 @@
 // another engine would have to read the prompt again.
 func (a *attempt) checkSilence() {
 	pause := maxStreamPause
-	if !a.firstEventSeen.Load() {
+	if a.firstEventAt.Load() == nil {
 		pause = max(maxStreamPause, silenceObjectives*a.t.route.Objective)
 	}
 	if left := pause - a.inFlight.SilentFor(); left > 0 {
@@ -329,6 +340,10 @@
 		f.code = "weights_too_old"
 		return f
 	}
+	if a.refused.Load() {
+		f.code = codeCrashesServers
+		return f
+	}
 	if caller.Err() != nil {
 		f.code = "caller_gone"
 		f.callerGone = a.t.timeLeft() > 0
@@ -340,18 +355,20 @@
 	}
 	a.result = selector.Failed
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnectionReset(err) {
-		a.t.g.checkForCrash(a.candidate.Entry, a.lostRun(), a.connectionLimit())
+		a.t.g.checkForCrash(a.candidate.Entry, a.run(), a.connectionLimit())
 	}
 	return f
 }
 
-// lostRun returns the run of the call on the server whose connection was lost.
-func (a *attempt) lostRun() lostRun {
-	run := lostRun{content: a.t.content(), begun: a.firstEventSeen.Load()}
-	for _, part := range a.t.call.Parts[:max(0, len(a.t.call.Parts)-1)] {
-		run.parts = append(run.parts, part.ID)
+// run returns the attempt as a request that was on a server when the server crashed.
+func (a *attempt) run() crashcause.Run {
+	first := a.firstEventAt.Load()
+	return crashcause.Run{
+		Traits:  a.t.traits(),
+		Sent:    a.sentAt,
+		Weights: a.candidate.Weights(a.t.call.Model),
+		Begun:   first != nil && a.t.g.opts.Now().Sub(*first) >= beginTime,
 	}
-	return run
 }
 
 func isConnectionReset(err error) bool { return strings.Contains(err.Error(), "reset by peer") }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
@@ -32,7 +33,7 @@
 	Pool          *hop.Pool
 	Quota         *quota.Ledger
 	RateLimits    *ratelimit.Table
-	Crashes       *CrashCounts
+	CrashCauses   *crashcause.Table
 	StoreContents *selector.StoreIndex
 	FailureDomain string
 	Model         selector.CostModel
@@ -64,7 +65,9 @@
 	// probeUntilReachable probes; crashChecks holds the pending *crashCheck of each
 	// such key.
 	probedServers, crashChecks sync.Map
-	meters                     meters
+	// attempts holds each *attempt in progress.
+	attempts sync.Map
+	meters   meters
 }
 
 // New returns a gateway without a configuration.
@@ -210,8 +213,8 @@
 	if t.timeLeft() <= 0 {
 		return verdict.Refuse(http.StatusServiceUnavailable, "deadline_passed", "the deadline had passed when the request had arrived")
 	}
-	if n := g.opts.Crashes.Count(t.content()); n >= maxCrashes {
-		return verdict.Refuse(http.StatusServiceUnavailable, "crashes_servers", "backend servers crashed while they ran this request")
+	if refusal := t.refuseCrashing(); refusal != nil {
+		return refusal
 	}
 	return t.chargeQuota()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/platform"
@@ -72,7 +73,7 @@
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Dialect: signedDialect{}, Directory: directory,
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:      quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
-		RateLimits: ratelimit.NewTable("vm", time.Now), Crashes: NewCrashCounts(time.Now), StoreContents: selector.NewStoreIndex(time.Now),
+		RateLimits: ratelimit.NewTable("vm", time.Now), CrashCauses: crashcause.NewTable(time.Now, func(crashcause.Change) {}), StoreContents: selector.NewStoreIndex(time.Now),
 		Model: selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
@@ -216,13 +217,14 @@
 		g.Serve(context.Background(), modelCall(), sink)
 		return sink
 	}
-	for range 2 * maxCrashes {
+	const crashes = 3 // The rules allow three.
+	for range 2 * crashes {
 		if sink := send(); sink.refusal == nil || sink.refusal.Code != "answer_lost" {
 			t.Fatalf("got %+v, want a lost answer", sink.refusal)
 		}
 		time.Sleep(crashCheckDelay + 20*time.Millisecond)
 	}
-	for i := range maxCrashes {
+	for i := range crashes {
 		crashing := loopback.Unstarted(t, nil)
 		crashing.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			crashing.Listener.Close()
@@ -238,8 +240,10 @@
 		}
 		time.Sleep(crashCheckDelay + 50*time.Millisecond)
 	}
-	if sink := send(); sink.refusal == nil || sink.refusal.Code != "crashes_servers" {
-		t.Errorf("after %d crashes: %+v", maxCrashes, sink.refusal)
+	time.Sleep(500 * time.Millisecond) // The time that other VMs have to report successes.
+	g.opts.CrashCauses.Settle()
+	if sink := send(); sink.refusal == nil || sink.refusal.Code != "crashes_servers" || sink.refusal.Verdict != verdict.NotRun {
+		t.Errorf("after %d crashes: %+v", crashes, sink.refusal)
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -128,7 +128,7 @@
 		a.result = selector.Succeeded
 	}
 	a.t.ran = verdict.Ran
-	a.t.g.opts.Crashes.RecordSuccess(a.t.content())
+	a.t.g.opts.CrashCauses.RecordSuccess(a.t.traits(), a.candidate.Weights(a.t.call.Model))
 }
 
 // recordFirstByte records the status and the time to the first byte of the response.
@@ -157,7 +157,8 @@
 		if first {
 			// Engines send the head before they have read the prompt.
 			first = false
-			a.firstEventSeen.Store(true)
+			now := t.g.opts.Now()
+			a.firstEventAt.Store(&now)
 			a.inFlight.FirstByte(t.g.model().PrefillRate)
 			a.recordStoreUse()
 			if t.prompt != nil && t.prompt.Storable() {
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -41,11 +41,12 @@
 	// ran is NotRun until a server may have run the call.
 	ran verdict.Verdict
 	// begun is set once the response to the caller has begun.
-	begun     bool
-	lastEvent int64
-	firstByte time.Duration
-	outcome   outcome
-	contentID string
+	begun      bool
+	lastEvent  int64
+	firstByte  time.Duration
+	outcome    outcome
+	traitsOnce sync.Once
+	callTraits crashcause.Traits
 	// fallback is a server's own error response, which is passed on if no attempt
 	// brings a better one.
 	fallback *fallbackResponse
@@ -66,6 +67,8 @@
 	expectedLoss float64
 	chosen       selector.Candidate
 	refusal      *verdict.Error
+	// crashCause is the trait because of which the call was refused; 0 if it wasn't.
+	crashCause crashcause.Trait
 	// evidence is what was known of the server when the request was written.
 	evidence evidence
 }
@@ -74,19 +77,17 @@
 
 func (t *task) waited() time.Duration { return t.g.opts.Now().Sub(t.call.Arrived) }
 
-// content returns an identifier of what the caller sent that is the same for all its
-// attempts.
-func (t *task) content() string {
-	if t.contentID == "" {
-		h := xxhash.New()
-		for _, s := range []string{string(t.account.ID), t.call.Method, t.call.Target} {
-			_, _ = h.WriteString(s)
-			_, _ = h.Write([]byte{0})
+// traits returns what the call may have in common with others that crash servers. They are
+// the same for all attempts of a caller.
+func (t *task) traits() crashcause.Traits {
+	t.traitsOnce.Do(func() {
+		c := t.call
+		t.callTraits.Content = crashcause.NewTrait(c.Body, "content", string(t.account.ID), c.Method, c.Target)
+		for _, part := range c.Parts[:max(0, len(c.Parts)-1)] { // The last part is the request's own.
+			t.callTraits.Parts = append(t.callTraits.Parts, crashcause.NewTrait(nil, "part", c.Model, part.ID))
 		}
-		_, _ = h.Write(t.call.Body)
-		t.contentID = hex.EncodeToString(h.Sum(nil))
-	}
-	return t.contentID
+	})
+	return t.callTraits
 }
 
 // run tries servers until one responds or no further attempt is allowed.
@@ -103,6 +104,10 @@
 		t.prompt.EngineTokens = service.Engine.CacheTokens
 	}
 	for {
+		if refusal := t.refuseCrashing(); refusal != nil {
+			t.fail(refusal)
+			return
+		}
 		candidate, refusal := t.choose(service)
 		if refusal != nil {
 			t.fail(refusal)
@@ -218,7 +223,7 @@
 	} else {
 		t.g.meters.failed.Mark(1)
 	}
-	if e.RetryAfter > 0 {
+	if e.RetryAfter > 0 && !e.NoRetry {
 		bound := time.Duration(float64(t.timeLeft()) / retryAfterDivisor)
 		e.RetryAfter = max(minRetryAfter, min(e.RetryAfter, bound))
 	}
@@ -252,6 +257,9 @@
 	if t.outcome.reason != "" {
 		fields = append(fields, zap.String("reason", t.outcome.reason))
 	}
+	if t.outcome.crashCause != 0 {
+		fields = append(fields, zap.Stringer("crash_cause", t.outcome.crashCause))
+	}
 	if e := t.outcome.refusal; e != nil {
 		fields = append(fields, zap.Duration("retry_after", e.RetryAfter), logging.NamedError("cause", e.Cause))
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -6,6 +6,7 @@
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
@@ -112,7 +113,8 @@
 	Reserved []backend.ID               `json:"rsv,omitempty"`
 	Usage    map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads    []ServerLoad               `json:"load,omitempty"`
-	Crashes  map[string]int             `json:"crash,omitempty"`
+	// Crashes is evidence on what crashes servers.
+	Crashes *crashcause.Notices `json:"cause,omitempty"`
 	// Placements are the prompts that the sender has recently placed on engines.
 	Placements []selector.Placement `json:"place,omitempty"`
 	// Kept are the prompts whose shared parts were recently saved to a store.
@@ -155,7 +157,7 @@
 	Reserved    []backend.ID               `json:"rsv,omitempty"`
 	Usage       map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads       []ServerLoad               `json:"load,omitempty"`
-	Crashes     map[string]int             `json:"crash,omitempty"`
+	Crashes     *crashcause.Notices        `json:"cause,omitempty"`
 	Placements  []selector.Placement       `json:"place,omitempty"`
 	Kept        []selector.StoredParts     `json:"kept,omitempty"`
 }
--- a/internal/node/era.go
+++ b/internal/node/era.go
@@ -79,6 +79,7 @@
 	n.storeClock.reset()
 	n.signal(n.rereadMembers)
 	n.signal(n.goalsChanged)
+	n.signal(n.convictionsChanged)
 	return true
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -108,6 +108,10 @@
 			n.applyNamingRow(r)
 			continue
 		}
+		if r.Key == n.convictionsRowKey() {
+			n.applyConvictionsRow(r)
+			continue
+		}
 		var m gossip.Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			n.log.Warn("member_row_malformed", zap.String("key", r.Key), logging.Error(err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gateway"
 	"papayaspan.dev/papayaspan/internal/gossip"
@@ -157,7 +158,7 @@
 	servers       *selector.Table
 	pool          *hop.Pool
 	quota         *quota.Ledger
-	crashes       *gateway.CrashCounts
+	crashCauses   *crashcause.Table
 	storeContents *selector.StoreIndex
 	limits        *ratelimit.Table
 	gossip        *gossip.Node
@@ -172,6 +173,8 @@
 	digestDue chan struct{}
 	// goalsChanged signals that naming times may have to be stored.
 	goalsChanged chan struct{}
+	// convictionsChanged signals that convictions may have to be stored.
+	convictionsChanged chan struct{}
 	// rereadMembers requests another read of the members' table: to obtain stored naming times,
 	// or because the store was restored from an older copy.
 	rereadMembers chan struct{}
@@ -227,31 +230,33 @@
 // New returns a node that listens for its peers and doesn't serve anything yet.
 func New(opts Options) (*Node, error) {
 	n := &Node{
-		opts:           opts,
-		log:            opts.Log,
-		now:            clock.BootTime,
-		started:        clock.BootTime(),
-		metrics:        metrics.NewRegistry(),
-		directory:      fleet.NewDirectory(rowTTL(opts.Bounds.Heartbeat)),
-		goals:          fleet.NewGoals(),
-		pool:           hop.NewPool(),
-		digestDue:      make(chan struct{}, 1),
-		goalsChanged:   make(chan struct{}, 1),
-		rereadMembers:  make(chan struct{}, 1),
-		firstPeerSeen:  make(chan struct{}),
-		observed:       map[backend.ID]observedWeights{},
-		peerAheadSince: map[vm.ID]time.Time{},
-		persistedGoals: map[string]uint64{},
-		domains:        map[string]domainState{},
-		planner:        rollout.NewPlanner(rolloutSettings(opts.Bounds)),
+		opts:               opts,
+		log:                opts.Log,
+		now:                clock.BootTime,
+		started:            clock.BootTime(),
+		metrics:            metrics.NewRegistry(),
+		directory:          fleet.NewDirectory(rowTTL(opts.Bounds.Heartbeat)),
+		goals:              fleet.NewGoals(),
+		pool:               hop.NewPool(),
+		digestDue:          make(chan struct{}, 1),
+		goalsChanged:       make(chan struct{}, 1),
+		rereadMembers:      make(chan struct{}, 1),
+		convictionsChanged: make(chan struct{}, 1),
+		firstPeerSeen:      make(chan struct{}),
+		observed:           map[backend.ID]observedWeights{},
+		peerAheadSince:     map[vm.ID]time.Time{},
+		persistedGoals:     map[string]uint64{},
+		domains:            map[string]domainState{},
+		planner:            rollout.NewPlanner(rolloutSettings(opts.Bounds)),
 	}
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
+	n.metrics.GetOrRegister("crash_causes", metrics.NewFunctionalGauge(func() int64 { return int64(len(n.crashCauses.Convictions())) }))
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.FirstStart, n.now)
 	n.storeContents = selector.NewStoreIndex(n.now)
 	n.limits = ratelimit.NewTable(opts.VM.ID, n.now)
-	n.crashes = gateway.NewCrashCounts(n.now)
+	n.crashCauses = crashcause.NewTable(n.now, n.convictionChanged)
 	n.Gateway = gateway.New(gateway.Options{
 		Log:           opts.Log,
 		Metrics:       n.metrics,
@@ -262,7 +267,7 @@
 		Pool:          n.pool,
 		Quota:         n.quota,
 		RateLimits:    n.limits,
-		Crashes:       n.crashes,
+		CrashCauses:   n.crashCauses,
 		StoreContents: n.storeContents,
 		NotifyPeers:   n.notifyBusy,
 		DirectoryAge:  func() time.Duration { return n.serverStaleness() },
@@ -337,6 +342,7 @@
 	n.goLoop(func() { n.maintainMembership(ctx) })
 	n.goLoop(func() { n.sendDigests(ctx) })
 	n.goLoop(func() { n.persistNamings(ctx) })
+	n.goLoop(func() { n.persistConvictions(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/httpbounds"
@@ -159,7 +160,6 @@
 		EvidenceAge:     max(0, n.serverStaleness()),
 		Usage:           n.quota.Usages(),
 		Loads:           sortedLoads(n.servers.Loads()),
-		Crashes:         n.crashes.LocalCounts(),
 		Placements:      n.servers.TakePlacements(),
 		Kept:            n.storeContents.TakeUnsent(),
 	}
@@ -168,6 +168,7 @@
 	}
 	d.Withheld = n.directory.UnusableRuns(now)
 	d.Limits = n.limits.Notices()
+	d.Crashes = n.crashCauses.Notices(crashcause.OwnDomain, n.gossip.IsRelay())
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -200,6 +201,7 @@
 	n.logRecovery()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
 	n.limits.SetSenders(activeVMs(n.opts.VM.ID, n.calls.Last(), n.gossip.Peers(), now, n.opts.Bounds.Quota.Window))
+	n.crashCauses.Settle()
 	n.applyPeers()
 }
 
@@ -274,7 +276,7 @@
 // receiveDigest applies a newer digest of a peer.
 func (n *Node) receiveDigest(p *gossip.Peer) {
 	n.quota.Record(quota.Report{From: quota.Process{VM: p.ID, Incarnation: p.Incarnation}, Uptime: p.Uptime, Usages: p.Usage})
-	n.crashes.SetPeerCounts(p.ID, p.Crashes)
+	n.applyCrashes(p.Crashes, string(p.ID), true)
 	n.receiveClaim(p.Claim)
 	n.applyPeerKnowledge(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
 	n.applyUnusableRuns(string(p.ID), p.Withheld)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -1,11 +1,11 @@
 package node
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -58,7 +58,7 @@
 		Limits:          d.Limits,
 		Reserved:        slices.Clone(d.Reserved),
 		Usage:           n.quota.DomainUsages(),
-		Crashes:         maps.Clone(d.Crashes),
+		Crashes:         n.crashCauses.Notices(crashcause.OtherDomains, true),
 	}
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
@@ -73,9 +73,6 @@
 		s.HoldsOrderLease = s.HoldsOrderLease || p.HoldsOrderLease
 		s.Reserved = append(s.Reserved, p.Reserved...)
 		addLoads(loads, p.Loads)
-		for content, count := range p.Crashes {
-			s.Crashes[content] += count
-		}
 	}
 	s.Loads = sortedLoads(loads)
 	n.mu.Lock()
@@ -93,7 +90,7 @@
 	n.mu.Unlock()
 	name := vm.ID("domain/" + domain)
 	n.quota.Record(quota.Report{From: quota.Process{VM: name}, Members: len(s.Members), Domain: true, Uptime: s.Uptime, Usages: s.Usage})
-	n.crashes.SetPeerCounts(name, s.Crashes)
+	n.applyCrashes(s.Crashes, string(s.From.ID), false)
 	n.receiveClaim(s.Claim)
 	n.applyPeerKnowledge(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
 	n.applyUnusableRuns(string(s.From.ID), s.Withheld)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -52,6 +52,9 @@
 	Message string
 	// RetryAfter is the time after which the caller may retry; 0 if unknown.
 	RetryAfter time.Duration
+	// NoRetry is set if another attempt before RetryAfter has passed is refused too, however
+	// long that is.
+	NoRetry bool
 	// Cause is the underlying error, for logs only. It may be nil.
 	Cause error
 }
