--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -34,7 +34,8 @@
 	return `papayaspan explain -id ID [-window 3s] [-skew 1s] LOG...
   Reads one log file for each VM and prints, in the order of time, the decisions on
   the request, what its VM learnt meanwhile, and what all VMs learnt of the servers
-  that it was sent to.
+  that it was sent to. For a request that was refused because others like it crash
+  servers, it prints the crashes and the convictions too, however old they are.
 `
 }
 func (c *explain) SetFlags(f *flag.FlagSet) {
@@ -127,8 +128,11 @@
 		return nil
 	}
 	from, to := requestStart(requestLines, id).Add(-window), requestLines[0].at
-	vms, servers := map[string]bool{}, map[string]bool{}
+	vms, servers, causes := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range requestLines {
+		if cause := l.fields["crash_cause"]; cause != "" {
+			causes[cause] = true
+		}
 		if l.at.After(to) {
 			to = l.at
 		}
@@ -143,6 +147,9 @@
 		if l.fields["request_id"] == id {
 			return false
 		}
+		if concernsCrashCause(l, causes) {
+			return false
+		}
 		margin := skew
 		if vms[l.vm] {
 			margin = 0
@@ -154,6 +161,19 @@
 	return out
 }
 
+// concernsCrashCause reports whether a line belongs to the evidence because of which a request
+// was refused: a crash of a server that ran requests with one of the traits, or a conviction.
+// Such evidence may be hours old.
+func concernsCrashCause(l logLine, causes map[string]bool) bool {
+	switch l.fields["event"] {
+	case "crash_cause_found", "crash_cause_cleared":
+		return causes[l.fields["crash_cause"]]
+	case "server_crashed":
+		return slices.ContainsFunc(strings.Split(l.fields["parts"]+","+l.fields["contents"], ","), func(trait string) bool { return causes[trait] })
+	}
+	return false
+}
+
 // explainsOutcome reports whether a line that belongs to no request may explain the
 // outcome of the request: an event of one of its servers or, on its own VM, an
 // event of the store, the configuration or the VM.
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -58,3 +58,27 @@
 		t.Errorf("exit code %d for an unknown request", code)
 	}
 }
+
+func TestExplainShowsTheCrashesBehindARefusal(t *testing.T) {
+	const log = `time=2026-01-01T00:00:01.000000000Z level=warn event=server_crashed server=i-1 contents=c1 parts=aa,bb
+time=2026-01-01T00:00:01.000000000Z level=warn event=server_crashed server=i-2 contents=c2 parts=cc
+time=2026-01-01T00:00:02.000000000Z level=warn event=crash_cause_found crash_cause=bb kind=part crashed=i-1
+time=2026-01-01T00:00:02.000000000Z level=warn event=crash_cause_found crash_cause=dd kind=part crashed=i-1
+time=2026-01-01T01:00:00.000000000Z level=info event=request_done request_id=r1 status=503 total=0.0 reason=crashes_servers crash_cause=bb
+`
+	path := filepath.Join(t.TempDir(), "vm-a.log")
+	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if code := Run(context.Background(), []string{"explain", "-id", "r1", path}, &out, &errs); code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	want := `-3599.000s vm-a event=server_crashed server=i-1 contents=c1 parts=aa,bb
+-3598.000s vm-a event=crash_cause_found crash_cause=bb kind=part crashed=i-1
+  +0.000s vm-a event=request_done request_id=r1 status=503 total=0.0 reason=crashes_servers crash_cause=bb
+`
+	if out.String() != want {
+		t.Errorf("printed\n%s\nwant\n%s", out.String(), want)
+	}
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -115,8 +115,9 @@
 
 func (g *Gateway) logCrash(server selector.ServerKey, runs []crashcause.Run) {
 	unbegun := 0
-	var parts []string
+	var contents, parts []string
 	for _, run := range runs {
+		contents = append(contents, run.Content.String())
 		if run.Begun {
 			continue
 		}
@@ -128,7 +129,7 @@
 		}
 	}
 	g.opts.Log.Warn("server_crashed", zap.String("server", string(server.ID)), zap.Int64("server_started", server.Started),
-		zap.Int("requests", len(runs)), zap.Int("unbegun", unbegun), zap.Strings("parts", parts))
+		zap.Strings("contents", contents), zap.Int("unbegun", unbegun), zap.Strings("parts", parts))
 }
 
 // LogConviction logs a change of the traits whose requests are refused, and cancels the
