--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -275,6 +275,26 @@
 	}
 }
 
+// Requests that share a long beginning of their prompts, and differ after it, crash engines
+// because of what they share.
+func TestSharedPromptPrefixThatCrashesEnginesIsRefused(t *testing.T) {
+	f := startCluster(t, 2, 4)
+	text := "burnt"
+	for _, e := range f.engines {
+		e.SetControl(engine.Control{CrashText: &text})
+	}
+	const allowed = 5 + 3 // Of the platform's rule: five crashes, and three requests after them.
+	shared := strings.Repeat("a burnt stator with a long description ", 100)
+	for i := range 2 * allowed {
+		if _, err := requestStream(f.urls[i%2], shared+fmt.Sprint("case ", i), 20); err != nil {
+			t.Logf("request %d: %v", i, err)
+		}
+	}
+	if n := f.crashes(); n > allowed {
+		t.Errorf("%d crashes by requests with one prompt prefix, want at most %d", n, allowed)
+	}
+}
+
 // TestUnreachableEngineIsAvoidedUntilItReturns checks that an engine that refuses
 // connections is not tried for each request, and that it receives requests again
 // after it has restarted.
