--- a/internal/crashcause/crashcause_test.go
+++ b/internal/crashcause/crashcause_test.go
@@ -304,6 +304,22 @@
 	wantConvicted(t, a)
 }
 
+// A VM that had a success before it learns of the crashes tells the others of it.
+func TestVMReportsEarlierSuccessOfReportedParts(t *testing.T) {
+	c := newFakeClock()
+	a, b := newTestVM(c), newTestVM(c)
+	a.RecordCrash(server(1), c.now, []Run{c.run(traits(1, "rare"), 100*time.Millisecond)})
+	b.RecordSuccess(traits(100, "rare"), 1)
+	c.advance(50 * time.Millisecond)
+	if !b.Apply(a.Notices(OwnDomain, false), "a", true) {
+		t.Error("the success isn't to be reported soon")
+	}
+	a.Apply(b.Notices(OwnDomain, false), "b", true)
+	if a.suspected[part("rare")] {
+		t.Error("the part is still suspected")
+	}
+}
+
 // A request that was sent again and again and a sound one with the same part were on the
 // servers that crashed: only the content is convicted.
 func TestPartOfOneRepeatedContentIsNotConvicted(t *testing.T) {
