--- a/internal/crashcause/notices.go
+++ b/internal/crashcause/notices.go
@@ -38,13 +38,14 @@
 	scopes
 )
 
-// origin is where a piece of evidence comes from.
+// origin is where a piece of evidence comes from: this VM, another one of its failure domain,
+// or another domain.
 type origin uint8
 
 const (
 	own origin = iota
 	domainPeer
-	elsewhere
+	otherDomain
 )
 
 // announcement is when a piece of evidence was and is to be announced in each scope.
@@ -64,7 +65,7 @@
 }
 
 // due reports whether the evidence belongs into the next message of a scope: at first if the
-// scope can't have it from elsewhere, and later if this VM is to repeat evidence.
+// scope can't have it from another VM, and later if this VM is to repeat evidence.
 func (a *announcement) due(now time.Time, scope Scope, repeat bool) bool {
 	if a.since.IsZero() {
 		return false
@@ -225,7 +226,7 @@
 	if n == nil {
 		return false
 	}
-	origin := elsewhere
+	origin := otherDomain
 	if sameDomain {
 		origin = domainPeer
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -355,13 +355,13 @@
 	}
 	a.result = selector.Failed
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnectionReset(err) {
-		a.t.g.checkForCrash(a.candidate.Entry, a.run(), a.connectionLimit())
+		a.t.g.checkForCrash(a.candidate.Entry, a.crashRun(), a.connectionLimit())
 	}
 	return f
 }
 
-// run returns the attempt as a request that was on a server when the server crashed.
-func (a *attempt) run() crashcause.Run {
+// crashRun returns the attempt as a request that was on a server when the server crashed.
+func (a *attempt) crashRun() crashcause.Run {
 	first := a.firstEventAt.Load()
 	return crashcause.Run{
 		Traits:  a.t.traits(),
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -132,10 +132,10 @@
 		zap.Strings("contents", contents), zap.Int("unbegun", unbegun), zap.Strings("parts", parts))
 }
 
-// LogConviction logs a change of the traits whose requests are refused, and cancels the
+// ApplyConviction logs a change of the traits whose requests are refused, and cancels the
 // requests with a newly convicted trait that have not begun a response: engines drop them,
 // instead of being crashed by them later.
-func (g *Gateway) LogConviction(c crashcause.Change) {
+func (g *Gateway) ApplyConviction(c crashcause.Change) {
 	event := "crash_cause_found"
 	if c.Lifted {
 		event = "crash_cause_cleared"
@@ -181,7 +181,7 @@
 	if !a.sent.Load() {
 		return
 	}
-	g, e, run, limit := a.t.g, a.candidate.Entry, a.run(), a.connectionLimit()
+	g, e, run, limit := a.t.g, a.candidate.Entry, a.crashRun(), a.connectionLimit()
 	time.AfterFunc(canceledCheckDelay, func() {
 		if g.hasCrashed(e, limit) {
 			g.recordCrash(selector.KeyOf(e), g.opts.Now(), []crashcause.Run{run})
--- a/internal/node/convictions.go
+++ b/internal/node/convictions.go
@@ -40,7 +40,7 @@
 
 // convictionChanged is called when the traits whose requests are refused have changed.
 func (n *Node) convictionChanged(c crashcause.Change) {
-	n.Gateway.LogConviction(c)
+	n.Gateway.ApplyConviction(c)
 	n.notifyAll()
 	n.signal(n.convictionsChanged)
 }
