Log software versions of servers and what a take-up resumes

The logs couldn't tell a stream that went on at another version within one answer from one that a caller took up. Servers' entries now hold the version of their software, lines of servers and attempts name it, and the line of a take-up names the last event and the attempt that brought the first one. No choice depends on them yet.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -44,6 +44,8 @@
 	FailureDomain string `json:"failure_domain"`
 	Slots         int    `json:"slots"`
 	State         State  `json:"state"`
+	// Software is the version of the server's software; empty if it isn't known.
+	Software string `json:"software,omitempty"`
 	// Started is when the server's process started, in Unix milliseconds by its
 	// own clock. It distinguishes the runs of one ID.
 	Started int64 `json:"started"`
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,6 +38,9 @@
 	// LastEvent is the number of the last event that the caller has received of the
 	// stream that it resumes, or -1.
 	LastEvent int64
+	// Resumes is the ID of the attempt that brought the caller the first event of the
+	// stream that it resumes; empty if the caller doesn't name one.
+	Resumes string
 }
 
 // Outgoing holds what the dialect adds to a call for a server.
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -29,6 +29,7 @@
 	// directoryAge is the age of the server directory; writeDelay is the time since the
 	// server was chosen.
 	directoryAge, writeDelay time.Duration
+	software                 string
 	weights                  uint64
 	// weightsStaleness is the time since newer weights became the required ones.
 	weightsStaleness time.Duration
@@ -44,6 +45,7 @@
 		zap.Stringer("known_revision", e.completeRevision),
 		zap.Duration("news_age", e.directoryAge),
 		zap.Duration("write_delay", e.writeDelay),
+		zap.String("software", e.software),
 		zap.Uint64("weights", e.weights),
 		zap.Duration("weights_behind", e.weightsStaleness),
 	}
@@ -63,6 +65,7 @@
 		completeRevision: t.g.opts.Directory.Known(),
 		directoryAge:     t.g.opts.DirectoryAge(),
 		writeDelay:       now.Sub(t.chosenAt),
+		software:         a.candidate.Entry.Software,
 		weights:          a.candidate.Weights(t.call.Model),
 		weightsStaleness: t.weightsStaleness(a.candidate.Entry, now),
 	}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -250,6 +250,9 @@
 	if t.place.Counted {
 		fields = append(fields, zap.Duration("place_wait", t.place.In))
 	}
+	if t.call.LastEvent >= 0 {
+		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", t.call.Resumes))
+	}
 	fields = append(fields, t.outcome.evidence.fields()...)
 	if t.prompt != nil {
 		fields = append(fields, t.placementFields()...)
@@ -308,6 +311,8 @@
 		zap.String("request_id", t.call.ID),
 		zap.String("server", string(c.Entry.ID)),
 		zap.Int64("server_started", c.Entry.Started),
+		zap.String("software", c.Entry.Software),
+		zap.Bool("begun", t.begun),
 		zap.Stringer("server_revision", c.Entry.Revision),
 		zap.Int("attempt", len(t.tried)),
 		zap.String("failure", f.code),
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -156,6 +156,6 @@
 	n.log.Info("server_known",
 		zap.String("server", string(e.ID)), zap.String("service", e.Service), zap.String("address", e.Address),
 		zap.String("failure_domain", e.FailureDomain), zap.String("state", string(e.State)), zap.Bool("gone", e.Gone),
-		zap.Int64("server_started", e.Started), zap.String("weights", e.WeightsText()),
+		zap.Int64("server_started", e.Started), zap.String("software", e.Software), zap.String("weights", e.WeightsText()),
 		zap.Stringer("revision", e.Revision), zap.String("source", source))
 }
