Resume streams only at the software version that began them

Callers saw streams whose first part was written by one software version and the rest by another, answered 200 and complete.

Cause: nothing read the software version. The choice of the next server within a response went by load and cache; a caller's resumption was a new request to whatever server was best, as the VM that got it knew nothing of where the stream began.

A stream is now pinned to the version of its first event (gateway/resume.go). What a resumption needs to know lies in internal/origin: records of streams, announced at their first event while versions are mixed and stored in slots, and the versions of the last minute, stored whenever they change, so that a VM that starts can't take the only version left for the one that began a stream. Unknown origins are refused. A run that may have ended behind its entry (lost connection, or a directory older than the connection) is asked for its start time first.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -69,6 +69,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Leads reports whether the route leads to a service.
+func (r *Route) Leads(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // Service is a group of interchangeable backend servers.
 type Service struct {
 	Name       string `json:"name"`
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,6 +87,9 @@
 	// silent is set if the attempt was canceled because the server sent nothing for too
 	// long.
 	silent atomic.Bool
+	// runProved is set if the connection leads to the run of the server that the candidate's
+	// entry describes.
+	runProved bool
 	// saveAddress is the store to which the engine saves the shared prompt parts; empty
 	// if it saves none.
 	saveAddress string
@@ -121,7 +124,11 @@
 		return a.unsentFailure(caller, err)
 	}
 	a.conn = conn
-	if f := a.recheck(caller); f != nil {
+	f := a.proveRun(ctx)
+	if f == nil {
+		f = a.recheck(caller)
+	}
+	if f != nil {
 		t.g.opts.Pool.Discard(conn)
 		return f
 	}
@@ -201,6 +208,7 @@
 		f.code = "connections_used_up"
 	default:
 		a.result = selector.Unreachable
+		a.t.g.opts.Servers.DoubtRun(selector.KeyOf(a.candidate.Entry))
 	}
 	return f
 }
@@ -354,6 +362,7 @@
 		return f
 	}
 	a.result = selector.Failed
+	a.t.g.opts.Servers.DoubtRun(selector.KeyOf(a.candidate.Entry))
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnectionReset(err) {
 		a.t.g.checkForCrash(a.candidate.Entry, a.crashRun(), a.connectionLimit())
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -16,6 +17,9 @@
 	// available servers accept the call, possibly after a wait for a place within their
 	// rate limit.
 	available []selector.Candidate
+	// unsettled servers have a software version that other VMs may not know yet. They get
+	// resumable streams only if no other server is available.
+	unsettled []selector.Candidate
 	// withheld servers are about to load weights and get the call only if none is
 	// available.
 	withheld []selector.Candidate
@@ -30,7 +34,7 @@
 	maxWait := t.maxPlaceWait()
 	var c choices
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
-		if t.hasTried(e) {
+		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) {
 			continue
 		}
 		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
@@ -46,6 +50,8 @@
 			c.limited = append(c.limited, candidate)
 		case withheld[string(e.ID)]:
 			c.withheld = append(c.withheld, candidate)
+		case t.pinned == nil && t.resumable() && !g.opts.Origins.Settled(origin.Origin{Service: service.Name, Version: e.Software}):
+			c.unsettled = append(c.unsettled, candidate)
 		default:
 			c.available = append(c.available, candidate)
 		}
@@ -60,6 +66,9 @@
 	q := t.query(t.g)
 	all := t.choices(service, model, q)
 	candidates := all.available
+	if len(candidates) == 0 {
+		candidates = all.unsettled
+	}
 	if len(candidates) == 0 {
 		candidates = all.withheld
 	}
@@ -67,7 +76,7 @@
 		return selector.Candidate{}, t.rateLimitedError(all.limited)
 	}
 	if t.prompt != nil && t.prompt.Fetchable() {
-		sources := slices.Concat(all.withheld, all.limited)
+		sources := slices.Concat(all.withheld, all.limited, all.unsettled)
 		for i := range candidates {
 			t.setFetchSource(service, &candidates[i], candidates, sources)
 		}
@@ -77,8 +86,8 @@
 		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", retryDelay(0, rand.Float64()))
 	}
 	t.outcome.expectedLoss, t.outcome.chosen = loss, candidates[i]
-	if t.prompt == nil || t.begun {
-		return candidates[i], nil
+	if t.prompt == nil || t.begun || t.resumes() {
+		return candidates[i], nil // A caller that has a part of the response goes first.
 	}
 	j, ok := model.Admit(q, candidates, i)
 	if !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -34,6 +35,7 @@
 	Quota         *quota.Ledger
 	RateLimits    *ratelimit.Table
 	CrashCauses   *crashcause.Table
+	Origins       *origin.Table
 	StoreContents *selector.StoreIndex
 	FailureDomain string
 	Model         selector.CostModel
@@ -44,6 +46,12 @@
 	// DirectoryAge returns the age of the evidence that no server is missing from the
 	// directory; negative if there is none. Only logs use it.
 	DirectoryAge func() time.Duration
+	// ServersCurrent reports whether the directory has all servers that other VMs may use.
+	ServersCurrent func() bool
+	// OriginMissed is called when a stream can't be resumed because its origin isn't known.
+	OriginMissed func()
+	// RunningSince asks a server for the start time of its run, in Unix milliseconds.
+	RunningSince func(ctx context.Context, e *fleet.Entry) (int64, error)
 	// RetryRatio and RetrySlack bound the repeated sends to a service by all VMs
 	// together: a share of the requests for it, and a number beyond that.
 	RetryRatio, RetrySlack float64
@@ -231,7 +239,11 @@
 	if t.account.ID == "" {
 		return nil
 	}
-	v := t.g.opts.Quota.Admit(t.account.ID, quota.Bound{Rate: t.account.Rate, Burst: t.account.Burst}, t.units)
+	admit := t.g.opts.Quota.Admit
+	if t.resumes() {
+		admit = t.g.opts.Quota.AdmitResumed
+	}
+	v := admit(t.account.ID, quota.Bound{Rate: t.account.Rate, Burst: t.account.Burst}, t.units)
 	if v.Admitted {
 		return nil
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -74,6 +75,7 @@
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:      quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
 		RateLimits: ratelimit.NewTable("vm", time.Now), CrashCauses: crashcause.NewTable(time.Now, func(crashcause.Change) {}), StoreContents: selector.NewStoreIndex(time.Now),
+		Origins: origin.NewTable(time.Now), ServersCurrent: func() bool { return true }, OriginMissed: func() {},
 		Model: selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -188,6 +188,7 @@
 		return nil
 	}
 	t.recordFirstByte(resp.StatusCode)
+	a.pinStream()
 	if err := t.sink.Begin(resp.StatusCode, resp.Header); err != nil {
 		return a.sentFailure(caller, "caller_gone", err)
 	}
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/origin"
+	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/verdict"
+)
+
+const (
+	// originRetryAfter is the delay after which the caller of a stream without a known origin
+	// should retry while the origin may still become known here.
+	originRetryAfter = 300 * time.Millisecond
+	// runProofTime is how long a proof of a server's run holds for connections that were opened
+	// after it, unless one was lost meanwhile.
+	runProofTime = 2 * time.Second
+	// verifyTimeout bounds the wait for a server's report of its run.
+	verifyTimeout = 300 * time.Millisecond
+)
+
+// pin restricts a stream that has begun to the software version that began it.
+type pin struct {
+	origin.Origin
+	// run is the server run that began the stream; a stream of an unknown version goes on only
+	// there.
+	run selector.ServerKey
+}
+
+// allows reports whether the stream may go on at a server.
+func (p *pin) allows(e *fleet.Entry) bool {
+	if p.Version == "" {
+		return selector.KeyOf(e) == p.run
+	}
+	return e.Software == p.Version
+}
+
+// resumes reports whether the caller already has events of the stream.
+func (t *task) resumes() bool {
+	return t.route.Kind == catalog.Stream && (t.call.LastEvent >= 0 || t.call.Resumes != "")
+}
+
+// resumable reports whether the call is a stream that callers may resume.
+func (t *task) resumable() bool { return t.route.Kind == catalog.Stream && t.route.Resumable }
+
+// streamID identifies the stream of the call.
+func (t *task) streamID() origin.StreamID {
+	if t.call.Resumes != "" {
+		return origin.NewStreamID(t.call.Resumes)
+	}
+	return origin.NewStreamID(t.call.ID)
+}
+
+// pinResumed pins a resumed stream to the service and the software version that began it, and
+// returns the service. It refuses the call if they aren't known, or have no servers.
+func (t *task) pinResumed() (*catalog.Service, *verdict.Error) {
+	origins := t.g.opts.Origins
+	if o, ok := origins.Lookup(t.streamID()); ok {
+		t.pinned, t.outcome.originSource = &pin{Origin: o}, "record"
+	} else {
+		service := t.pickService()
+		if service == nil {
+			return nil, noServiceError()
+		}
+		sole, ok := origins.Sole(service.Name)
+		if !ok || !t.g.opts.ServersCurrent() {
+			t.outcome.originSource = "unknown"
+			return nil, t.unknownOriginError()
+		}
+		t.pinned, t.outcome.originSource = &pin{Origin: origin.Origin{Service: service.Name, Version: sole}}, "sole_version"
+		if sole == "" {
+			t.pinned = nil // Servers that state no version count as one version.
+		}
+		return service, nil
+	}
+	service := t.catalog.Service(t.pinned.Service)
+	if service == nil || !t.route.Leads(t.pinned.Service) || !origins.Present(t.pinned.Origin) {
+		e := verdict.RefuseUntil(http.StatusServiceUnavailable, "software_version_gone", "the software version that began the stream has no server any more", origin.Horizon)
+		e.NoRetry = true
+		return nil, e
+	}
+	return service, nil
+}
+
+// unknownOriginError refuses to resume a stream that several software versions may have begun.
+func (t *task) unknownOriginError() *verdict.Error {
+	t.g.opts.OriginMissed()
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, "stream_origin_unknown", "it is not known which software version began the stream", originRetryAfter)
+}
+
+// pinStream pins the stream to the version of the server whose first event is about to be sent
+// to the caller, and records it for resumptions.
+func (a *attempt) pinStream() {
+	t := a.t
+	if t.pinned == nil {
+		e := a.candidate.Entry
+		t.pinned = &pin{Origin: origin.Origin{Service: e.Service, Version: e.Software}, run: selector.KeyOf(e)}
+	}
+	if t.resumable() && t.pinned.Version != "" && a.runProved {
+		t.g.opts.Origins.Record(t.streamID(), t.pinned.Origin)
+		t.g.opts.NotifyPeers()
+	}
+}
+
+// proveRun checks that the connection leads to the run of the server that the directory shows,
+// whose software version is known. The run may have ended if a connection to it was lost, or if
+// the directory is old. A stream that has begun isn't sent without that proof.
+func (a *attempt) proveRun(ctx context.Context) *failure {
+	t := a.t
+	if !t.resumable() && !t.resumes() {
+		return nil
+	}
+	e, servers, now := a.candidate.Entry, t.g.opts.Servers, t.g.opts.Now()
+	key := selector.KeyOf(e)
+	provedAt, doubted := servers.RunProof(key)
+	if age := t.g.opts.DirectoryAge(); age >= 0 && now.Add(-age).After(provedAt) {
+		provedAt = now.Add(-age)
+	}
+	opened := now.Add(-a.conn.Age())
+	if doubted || t.g.opts.Pool.Lost(a.poolKey(), e.Address) {
+		provedAt = time.Time{}
+	}
+	if opened.Before(provedAt.Add(runProofTime)) {
+		a.runProved = true
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	started, err := t.g.opts.RunningSince(ctx, e)
+	switch {
+	case err == nil && started == e.Started:
+		servers.ProveRun(key)
+		t.g.opts.Pool.Found(a.poolKey(), e.Address)
+		a.runProved = true
+		return nil
+	case err == nil:
+		a.result = selector.Misdirected
+		return &failure{code: "server_restarted", err: errors.Errorf("server %s has started again since its announcement", e.ID)}
+	case t.pinned != nil:
+		return &failure{code: "server_unproved", err: errors.Wrapf(err, "server %s may have started again", e.ID)}
+	}
+	return nil // A new stream without a record can't be resumed, which is better than none.
+}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -41,8 +41,10 @@
 	// ran is NotRun until a server may have run the call.
 	ran verdict.Verdict
 	// begun is set once the response to the caller has begun.
-	begun      bool
-	lastEvent  int64
+	begun     bool
+	lastEvent int64
+	// pinned is the software version to which the stream is bound; nil before its first event.
+	pinned     *pin
 	firstByte  time.Duration
 	outcome    outcome
 	traitsOnce sync.Once
@@ -69,6 +71,8 @@
 	refusal      *verdict.Error
 	// crashCause is the trait because of which the call was refused; 0 if it wasn't.
 	crashCause crashcause.Trait
+	// originSource tells from what the origin of a resumed stream is known.
+	originSource string
 	// evidence is what was known of the server when the request was written.
 	evidence evidence
 }
@@ -92,9 +96,9 @@
 
 // run tries servers until one responds or no further attempt is allowed.
 func (t *task) run(ctx context.Context) {
-	service := t.pickService()
-	if service == nil {
-		t.refuse(verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", minServerRetryAfter))
+	service, refusal := t.chooseService()
+	if refusal != nil {
+		t.refuse(refusal)
 		return
 	}
 	budget := t.g.retryBudget(service.Name)
@@ -136,6 +140,22 @@
 	}
 }
 
+// chooseService returns the service for the call.
+func (t *task) chooseService() (*catalog.Service, *verdict.Error) {
+	if t.resumes() {
+		return t.pinResumed()
+	}
+	service := t.pickService()
+	if service == nil {
+		return nil, noServiceError()
+	}
+	return service, nil
+}
+
+func noServiceError() *verdict.Error {
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", minServerRetryAfter)
+}
+
 // mayRetry reports whether another attempt is allowed after a failure.
 func (t *task) mayRetry(f *failure) bool {
 	if f.callerGone || t.timeLeft() < minAttemptTime || len(t.tried) >= maxTriedServers {
@@ -251,7 +271,11 @@
 		fields = append(fields, zap.Duration("place_wait", t.place.In))
 	}
 	if t.call.LastEvent >= 0 {
-		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", t.call.Resumes))
+		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", t.call.Resumes),
+			zap.String("origin_source", t.outcome.originSource))
+		if t.pinned != nil {
+			fields = append(fields, zap.String("origin", t.pinned.Version))
+		}
 	}
 	fields = append(fields, t.outcome.evidence.fields()...)
 	if t.prompt != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -322,6 +322,16 @@
 	return rank
 }
 
+// AnyFitter reports whether a live VM of the own domain that is fitter than this one has a
+// property.
+func (n *Node) AnyFitter(has func(*Peer) bool) bool {
+	now := n.opts.Now()
+	self := Peer{Digest: Digest{Member: n.opts.Self}, At: now}
+	return slices.ContainsFunc(n.domainPeers(), func(p Peer) bool {
+		return p.Alive(now) && compareFitness(&p, &self, now) < 0 && has(&p)
+	})
+}
+
 // IsRelay reports whether this VM is a relay of its domain.
 func (n *Node) IsRelay() bool { return n.Rank() < relayCount }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -8,6 +8,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -115,6 +116,8 @@
 	Loads    []ServerLoad               `json:"load,omitempty"`
 	// Crashes is evidence on what crashes servers.
 	Crashes *crashcause.Notices `json:"cause,omitempty"`
+	// Origins are the software versions that began streams.
+	Origins *origin.Notices `json:"org,omitempty"`
 	// Placements are the prompts that the sender has recently placed on engines.
 	Placements []selector.Placement `json:"place,omitempty"`
 	// Kept are the prompts whose shared parts were recently saved to a store.
@@ -158,6 +161,7 @@
 	Usage       map[account.ID]quota.Usage `json:"use,omitempty"`
 	Loads       []ServerLoad               `json:"load,omitempty"`
 	Crashes     *crashcause.Notices        `json:"cause,omitempty"`
+	Origins     *origin.Notices            `json:"org,omitempty"`
 	Placements  []selector.Placement       `json:"place,omitempty"`
 	Kept        []selector.StoredParts     `json:"kept,omitempty"`
 }
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -75,6 +75,8 @@
 	// in is the source of br.
 	in *headReader
 	br *bufio.Reader
+	// opened is when the connection was opened.
+	opened time.Time
 	// Reused is set if the connection was idle in the pool before it was last used.
 	Reused bool
 	// idleUntil is the time after which the idle connection must not be reused.
@@ -118,9 +120,12 @@
 // newConn returns a Conn for an open connection.
 func newConn(conn net.Conn, key hostKey) *Conn {
 	in := &headReader{r: conn, remaining: -1}
-	return &Conn{Conn: conn, hostKey: key, in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
+	return &Conn{Conn: conn, hostKey: key, opened: time.Now(), in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
 }
 
+// Age returns the time since the connection was opened.
+func (c *Conn) Age() time.Duration { return time.Since(c.opened) }
+
 func dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         connectTimeout,
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -35,6 +36,8 @@
 	// idleLimit bounds the idle time of a reused connection until idleLimitUntil.
 	idleLimit      time.Duration
 	idleLimitUntil time.Time
+	// lost holds the servers that closed an idle connection before its idle timeout.
+	lost map[hostKey]bool
 }
 
 // hostKey identifies a server run and its address.
@@ -47,7 +50,9 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{hosts: map[hostKey]*host{}, now: time.Now} }
+func NewPool() *Pool {
+	return &Pool{hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, now: time.Now}
+}
 
 // Get returns an idle or a new connection to the server at addr. owner identifies the
 // run of the server, so that a connection isn't reused for another run at the same
@@ -94,10 +99,34 @@
 			c.Reused = true
 			return c
 		}
+		if now.Before(c.idleUntil) {
+			p.setLost(key, true)
+		}
 		p.Discard(c)
 	}
 }
 
+// Lost reports whether a server has closed an idle connection before its idle timeout since the
+// last call of Found: its process may have ended.
+func (p *Pool) Lost(owner, addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost[hostKey{owner: owner, addr: addr}]
+}
+
+// Found records that a server's process goes on.
+func (p *Pool) Found(owner, addr string) { p.setLost(hostKey{owner: owner, addr: addr}, false) }
+
+func (p *Pool) setLost(key hostKey, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lost {
+		p.lost[key] = true
+	} else {
+		delete(p.lost, key)
+	}
+}
+
 // mayReuse reports whether a connection that has been idle for d may be reused.
 func (p *Pool) mayReuse(d time.Duration, now time.Time) bool {
 	p.mu.Lock()
@@ -195,6 +224,7 @@
 	now := p.now()
 	var expired []*Conn
 	p.mu.Lock()
+	maps.DeleteFunc(p.lost, func(key hostKey, _ bool) bool { return !keep(key.owner) })
 	for _, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -118,9 +119,10 @@
 	Decoder Decoder
 	Engines Engines
 	Dialect gateway.Dialect
-	// OperatorTable, ServerTable and MemberTable are the names of tables in the store.
-	OperatorTable, ServerTable, MemberTable string
-	Bounds                                  Bounds
+	// OperatorTable, ServerTable, MemberTable and StreamTable are the names of tables in the
+	// store.
+	OperatorTable, ServerTable, MemberTable, StreamTable string
+	Bounds                                               Bounds
 }
 
 // Bounds are the requirements of the deployment.
@@ -159,6 +161,7 @@
 	pool          *hop.Pool
 	quota         *quota.Ledger
 	crashCauses   *crashcause.Table
+	origins       *origin.Table
 	storeContents *selector.StoreIndex
 	limits        *ratelimit.Table
 	gossip        *gossip.Node
@@ -175,6 +178,9 @@
 	goalsChanged chan struct{}
 	// convictionsChanged signals that convictions may have to be stored.
 	convictionsChanged chan struct{}
+	// versionsChanged signals that software versions may have to be stored, originMissed that the
+	// origin of a stream may have been stored by another VM.
+	versionsChanged, originMissed chan struct{}
 	// rereadMembers requests another read of the members' table: to obtain stored naming times,
 	// or because the store was restored from an older copy.
 	rereadMembers chan struct{}
@@ -242,6 +248,8 @@
 		goalsChanged:       make(chan struct{}, 1),
 		rereadMembers:      make(chan struct{}, 1),
 		convictionsChanged: make(chan struct{}, 1),
+		versionsChanged:    make(chan struct{}, 1),
+		originMissed:       make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		peerAheadSince:     map[vm.ID]time.Time{},
@@ -257,25 +265,30 @@
 	n.storeContents = selector.NewStoreIndex(n.now)
 	n.limits = ratelimit.NewTable(opts.VM.ID, n.now)
 	n.crashCauses = crashcause.NewTable(n.now, n.convictionChanged)
+	n.origins = origin.NewTable(n.now)
 	n.Gateway = gateway.New(gateway.Options{
-		Log:           opts.Log,
-		Metrics:       n.metrics,
-		Dialect:       opts.Dialect,
-		Directory:     n.directory,
-		Goals:         n.goals,
-		Servers:       n.servers,
-		Pool:          n.pool,
-		Quota:         n.quota,
-		RateLimits:    n.limits,
-		CrashCauses:   n.crashCauses,
-		StoreContents: n.storeContents,
-		NotifyPeers:   n.notifyBusy,
-		DirectoryAge:  func() time.Duration { return n.serverStaleness() },
-		FailureDomain: opts.VM.FailureDomain,
-		Model:         selector.CostModel{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
-		RetryRatio:    opts.Bounds.RetryRatio,
-		RetrySlack:    opts.Bounds.RetrySlack,
-		Now:           n.now,
+		Log:            opts.Log,
+		Metrics:        n.metrics,
+		Dialect:        opts.Dialect,
+		Directory:      n.directory,
+		Goals:          n.goals,
+		Servers:        n.servers,
+		Pool:           n.pool,
+		Quota:          n.quota,
+		RateLimits:     n.limits,
+		CrashCauses:    n.crashCauses,
+		Origins:        n.origins,
+		StoreContents:  n.storeContents,
+		NotifyPeers:    n.notifyBusy,
+		DirectoryAge:   func() time.Duration { return n.serverStaleness() },
+		FailureDomain:  opts.VM.FailureDomain,
+		Model:          selector.CostModel{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
+		ServersCurrent: n.serversCurrent,
+		OriginMissed:   func() { n.signal(n.originMissed) },
+		RunningSince:   n.runningSince,
+		RetryRatio:     opts.Bounds.RetryRatio,
+		RetrySlack:     opts.Bounds.RetrySlack,
+		Now:            n.now,
 	})
 	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
 	return n, n.listen()
@@ -343,6 +356,9 @@
 	n.goLoop(func() { n.sendDigests(ctx) })
 	n.goLoop(func() { n.persistNamings(ctx) })
 	n.goLoop(func() { n.persistConvictions(ctx) })
+	n.goLoop(func() { n.loadOrigins(ctx) })
+	n.goLoop(func() { n.persistVersions(ctx) })
+	n.goLoop(func() { n.storeOrigins(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -169,6 +169,7 @@
 	d.Withheld = n.directory.UnusableRuns(now)
 	d.Limits = n.limits.Notices()
 	d.Crashes = n.crashCauses.Notices(crashcause.OwnDomain, n.gossip.IsRelay())
+	d.Origins = n.origins.Notices(false)
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -194,8 +195,11 @@
 // housekeep applies the effects of elapsed time and of the peers' digests.
 func (n *Node) housekeep() {
 	now := n.now()
-	for _, e := range n.directory.Expire(now) {
-		n.logServer(e, "lapsed")
+	if expired := n.directory.Expire(now); len(expired) > 0 {
+		for _, e := range expired {
+			n.logServer(e, "lapsed")
+		}
+		n.observeVersions()
 	}
 	view := n.directory.View()
 	n.logRecovery()
@@ -277,6 +281,7 @@
 func (n *Node) receiveDigest(p *gossip.Peer) {
 	n.quota.Record(quota.Report{From: quota.Process{VM: p.ID, Incarnation: p.Incarnation}, Uptime: p.Uptime, Usages: p.Usage})
 	n.applyCrashes(p.Crashes, string(p.ID), true)
+	n.applyOrigins(p.Origins, true)
 	n.receiveClaim(p.Claim)
 	n.applyPeerKnowledge(string(p.ID), p.Goals, p.Held, p.Placements, p.Kept)
 	n.applyUnusableRuns(string(p.ID), p.Withheld)
@@ -284,6 +289,7 @@
 	n.endFirstPeerWait()
 	n.observePeerEra(p.Servers, string(p.ID))
 	if p.Uptime < startUptime && n.gossip.IsRelay() {
+		n.origins.Repeat()
 		n.notifyAll() // It waits to learn what the store may have lost.
 	}
 	n.confirmServers(p.Servers, p.EvidenceAge)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -59,6 +59,7 @@
 		Reserved:        slices.Clone(d.Reserved),
 		Usage:           n.quota.DomainUsages(),
 		Crashes:         n.crashCauses.Notices(crashcause.OtherDomains, true),
+		Origins:         n.origins.Notices(true),
 	}
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
@@ -91,6 +92,7 @@
 	name := vm.ID("domain/" + domain)
 	n.quota.Record(quota.Report{From: quota.Process{VM: name}, Members: len(s.Members), Domain: true, Uptime: s.Uptime, Usages: s.Usage})
 	n.applyCrashes(s.Crashes, string(s.From.ID), false)
+	n.applyOrigins(s.Origins, false)
 	n.receiveClaim(s.Claim)
 	n.applyPeerKnowledge(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
 	n.applyUnusableRuns(string(s.From.ID), s.Withheld)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -135,6 +135,7 @@
 		r.serversRead = r.serversRead || u.Whole
 		r.serversMissing, r.serversWithheld = r.serversMissing+missing, r.serversWithheld+withheld
 	})
+	n.observeVersions()
 	n.servers.RemoveAbsent(n.directory.View())
 	n.limits.Prune(n.directory.View())
 	if !n.directory.Known().IsZero() {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -174,6 +174,16 @@
 // Admit decides whether to admit a request of the given units, and counts it if
 // admitted.
 func (l *Ledger) Admit(id account.ID, b Bound, units float64) Verdict {
+	return l.admit(id, b, units, units <= smallRequestShare*b.allowance(l.settings))
+}
+
+// AdmitResumed is like Admit for a request that resumes a response. It may use what is
+// reserved for small requests: its caller already has a part of the response.
+func (l *Ledger) AdmitResumed(id account.ID, b Bound, units float64) Verdict {
+	return l.admit(id, b, units, true)
+}
+
+func (l *Ledger) admit(id account.ID, b Bound, units float64, mayUseReserve bool) Verdict {
 	if b.Rate <= 0 {
 		return Verdict{Admitted: true}
 	}
@@ -189,7 +199,7 @@
 	limit := l.limit(b, now)
 	reported, unreported := l.peerUsage(id, limit, now)
 	used := w.sum() + reported + max(unreported, l.predecessorUsage(b.allowance(l.settings), now))
-	if units > smallRequestShare*b.allowance(l.settings) {
+	if !mayUseReserve {
 		limit -= smallReserve * b.allowance(l.settings)
 	}
 	v := Verdict{Used: used, Limit: limit, Admitted: used+units <= limit}
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -66,8 +66,12 @@
 	responseDueFrom time.Time
 	// downSince is when the server stopped accepting connections; zero if it accepts them.
 	downSince time.Time
-	successes float64
-	failures  float64
+	// runProvedAt is when the run last proved that it goes on; runDoubted is set if a
+	// connection to it was lost since.
+	runProvedAt time.Time
+	runDoubted  bool
+	successes   float64
+	failures    float64
 	// decayedAt is when successes and failures were last decayed.
 	decayedAt time.Time
 	latency   time.Duration
@@ -365,6 +369,30 @@
 	}
 }
 
+// DoubtRun records that a connection to a server run was lost: the run may have ended.
+func (t *Table) DoubtRun(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.server(key).runDoubted = true
+}
+
+// ProveRun records that a server run has proved that it goes on.
+func (t *Table) ProveRun(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(key)
+	s.runProvedAt, s.runDoubted = t.now(), false
+}
+
+// RunProof returns when a server run last proved that it goes on, zero if it never has, and
+// whether a connection to it was lost since.
+func (t *Table) RunProof(key ServerKey) (at time.Time, doubted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(key)
+	return s.runProvedAt, s.runDoubted
+}
+
 // MarkReachable records that a server accepts connections.
 func (t *Table) MarkReachable(key ServerKey) {
 	t.mu.Lock()
