Don't join a stream from two software versions on the own path

The pin of the platform's path needs the version in the server's entry, which the own path's roster doesn't have; what an engine states of itself there is the system fingerprint of its chunks.

A chunk with another fingerprint than that of the delivered tokens now fails the attempt, as another weights version does: a further engine is tried, and a stream that can't go on ends without looking complete. The new case of TestDo failed before ("attempts 2, verdict ran, error <nil>") and passes; the property of TestResume plays the fault too. Engines that state no fingerprint, or state it for a part of their chunks, are treated as before and as a change.

--- a/internal/dispatch/cursor.go
+++ b/internal/dispatch/cursor.go
@@ -12,6 +12,9 @@
 // chunk holds the fields of an engine's stream event that the cursor needs.
 type chunk struct {
 	ID string `json:"id"`
+	// SystemFingerprint identifies the engine's software and its configuration; empty if
+	// the engine doesn't state it.
+	SystemFingerprint string `json:"system_fingerprint"`
 	// TokenIndex is the index of the chunk's first output token; it is absent
 	// in chunks without tokens.
 	TokenIndex *int `json:"token_index"`
@@ -65,6 +68,9 @@
 	// stream repeats them.
 	sentPreamble, sentFinish, sentUsage bool
 	usage                               Usage
+	// fingerprint is the system fingerprint of the engine that produced the delivered
+	// tokens.
+	fingerprint string
 	// resumed is set if the caller already has part of the stream from an
 	// earlier attempt.
 	resumed bool
@@ -121,6 +127,12 @@
 	if *ch.TokenIndex != c.delivered || n < 0 {
 		return actionDrop, failedMayHaveRun(InvalidResponse, errors.Errorf("token index %d with %d tokens, want index %d", *ch.TokenIndex, n, c.delivered))
 	}
+	if c.delivered == 0 {
+		c.fingerprint = ch.SystemFingerprint
+	}
+	if ch.SystemFingerprint != c.fingerprint {
+		return actionDrop, failedMayHaveRun(InvalidResponse, errors.Errorf("stream of system fingerprint %q goes on with %q", c.fingerprint, ch.SystemFingerprint))
+	}
 	c.delivered += n
 	c.sentFinish = c.sentFinish || ch.hasFinishReason()
 	c.sentUsage = c.sentUsage || ch.Usage != nil
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -85,6 +85,7 @@
 		{"three attempts interrupted, fourth complete", []plan{{faultCleanCut, 1}, {faultStall, 2}, {faultWrongIDChunk, 0}, {}}, 4, 0, verdict.Ran},
 		{"at most four attempts", []plan{{faultReset, 1}, {faultReset, 1}, {faultReset, 1}, {faultReset, 1}, {}}, 4, 502, verdict.MayHaveRun},
 		{"resume never changes weights", []plan{{faultReset, 3}, {faultOtherWeights, 99}}, 2, 503, verdict.MayHaveRun},
+		{"resume never changes the software version", []plan{{faultReset, 3}, {faultOtherSoftware, 99}}, 2, 503, verdict.MayHaveRun},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -38,6 +38,7 @@
 	faultExtra
 	faultErrorEvent
 	faultOtherWeights
+	faultOtherSoftware
 	faultCount
 )
 
@@ -91,6 +92,14 @@
 	e.stream(w, r, body.ResumeFrom)
 }
 
+// software returns the version of the engine's software.
+func (e *fakeEngine) software() string {
+	if e.plan.fault == faultOtherSoftware {
+		return "fp_2"
+	}
+	return "fp_1"
+}
+
 func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from int) {
 	id := r.Header.Get(openai.HeaderRequestID)
 	send := func(format string, args ...any) {
@@ -102,7 +111,7 @@
 		if i-from == e.plan.after && e.fail(w, r, send, id, i) {
 			return
 		}
-		send(`{"id":%q,"token_index":%d,"choices":[{"delta":{"content":"t%d "}}]}`, id, i, i)
+		send(`{"id":%q,"system_fingerprint":%q,"token_index":%d,"choices":[{"delta":{"content":"t%d "}}]}`, id, e.software(), i, i)
 	}
 	send(`{"id":%q,"choices":[{"delta":{},"finish_reason":"stop"}]}`, id)
 	if testTokens-from == e.plan.after && e.fail(w, r, send, id, testTokens) {
