Accept engines that state their fingerprint in the first chunk only

By reading: some engines state the system fingerprint in the first chunk of a stream and leave it out of the others, and their streams would have been taken for joined ones. Only the first token of an attempt is compared whether or not it states one; later ones are compared if they do.

--- a/internal/dispatch/cursor.go
+++ b/internal/dispatch/cursor.go
@@ -71,6 +71,8 @@
 	// fingerprint is the system fingerprint of the engine that produced the delivered
 	// tokens.
 	fingerprint string
+	// firstToken is set until the current attempt has delivered a token.
+	firstToken bool
 	// resumed is set if the caller already has part of the stream from an
 	// earlier attempt.
 	resumed bool
@@ -81,6 +83,7 @@
 
 // beginAttempt prepares the cursor for the stream of the next attempt.
 func (c *cursor) beginAttempt() {
+	c.firstToken = true
 	c.resumed = c.sentPreamble || c.delivered > 0 || c.sentFinish
 }
 
@@ -130,10 +133,12 @@
 	if c.delivered == 0 {
 		c.fingerprint = ch.SystemFingerprint
 	}
-	if ch.SystemFingerprint != c.fingerprint {
+	// Some engines state the fingerprint in the first chunk only.
+	if ch.SystemFingerprint != c.fingerprint && (c.firstToken || ch.SystemFingerprint != "") {
 		return actionDrop, failedMayHaveRun(InvalidResponse, errors.Errorf("stream of system fingerprint %q goes on with %q", c.fingerprint, ch.SystemFingerprint))
 	}
 	c.delivered += n
+	c.firstToken = false
 	c.sentFinish = c.sentFinish || ch.hasFinishReason()
 	c.sentUsage = c.sentUsage || ch.Usage != nil
 	return actionDeliver, nil
