Log when a VM takes itself to be cut off from all servers

The conclusion existed, for reports to other VMs only, and no line showed it, nor who is offered to callers meanwhile. One line when it begins and one when it ends. No choice depends on the lines.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,6 +208,9 @@
 	serversCurrentAt atomic.Pointer[time.Time]
 	// fetchFailedAt is when the last fetch of a peer's state failed, nil if it succeeded.
 	fetchFailedAt atomic.Pointer[time.Time]
+	// isolated is set while this VM seems to be partitioned from the servers; used by the digest
+	// loop only.
+	isolated bool
 	// calls measures the rate of calls; used by the digest loop only.
 	calls steer.Meter
 	// claim is the newest known report about the order lease's term.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -203,12 +203,29 @@
 	}
 	view := n.directory.View()
 	n.logRecovery()
+	n.logIsolation()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
 	n.limits.SetSenders(activeVMs(n.opts.VM.ID, n.calls.Last(), n.gossip.Peers(), now, n.opts.Bounds.Quota.Window))
 	n.crashCauses.Settle()
 	n.applyPeers()
 }
 
+// logIsolation logs when this VM seems to be partitioned from the servers, and when it no longer
+// does.
+func (n *Node) logIsolation() {
+	isolated, pending, silent := n.servers.Isolated()
+	if isolated == n.isolated {
+		return
+	}
+	n.isolated = isolated
+	event := "servers_isolated"
+	if !isolated {
+		event = "servers_isolation_ended"
+	}
+	n.log.Warn(event, zap.Int("pending", pending), zap.Int("silent", silent), zap.Float64("calls", n.calls.Last()),
+		zap.Strings("offered", n.Addresses(n.opts.VM.FailureDomain)))
+}
+
 // applyPeers applies the latest state of the other VMs: their loads, their reserved engines and
 // their number.
 func (n *Node) applyPeers() {
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -409,7 +409,8 @@
 	defer t.mu.Unlock()
 	out := map[ServerKey]Report{}
 	now := t.now()
-	isolated := t.likelyIsolated(now)
+	pending, silentCount := t.countSilent(now)
+	isolated := likelyIsolated(pending, silentCount)
 	for key, s := range t.servers {
 		s.unreported = Report{}
 		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.cache.churnRate(now), Memory: s.cache.runningTokens}
@@ -423,10 +424,17 @@
 	return out
 }
 
-// likelyIsolated reports whether most servers that have requests of this VM in flight, or
-// accept no connections, are silent. Then a partition of this VM is the more likely cause.
-func (t *Table) likelyIsolated(now time.Time) bool {
-	pending, silent := 0, 0
+// Isolated reports whether this VM is likely partitioned from the servers. pending is the number
+// of servers that have requests of this VM in flight or accept no connections from it, and silent
+// the number of those that are silent.
+func (t *Table) Isolated() (isolated bool, pending, silent int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pending, silent = t.countSilent(t.now())
+	return likelyIsolated(pending, silent), pending, silent
+}
+
+func (t *Table) countSilent(now time.Time) (pending, silent int) {
 	for _, s := range t.servers {
 		if s.running == 0 && s.downSince.IsZero() {
 			continue
@@ -436,9 +444,13 @@
 			silent++
 		}
 	}
-	return silent > 1 && 2*silent > pending
+	return pending, silent
 }
 
+// likelyIsolated reports whether so many servers are silent that a partition of this VM is the
+// more likely cause.
+func likelyIsolated(pending, silent int) bool { return silent > 1 && 2*silent > pending }
+
 // SetSenders sets the number of VMs that send to the servers, this one included.
 func (t *Table) SetSenders(n int) {
 	t.mu.Lock()
