Reach servers through other VMs while the own path is cut

Cause: a VM's own connections were its only way to a server, and its conclusion that it is cut off, drawn within 0.5 s, reached nobody: it offered itself to callers all the while. Each request then tried up to ten servers for 250 ms.

A VM that seems cut off now asks two engines for a report, directly and through VMs of different failure domains. If they respond through others only, it opens its connections through other VMs (internal/tunnel) and tells its peers, so that callers are sent elsewhere. Choice, quota, retries and responses stay its own, and every at-most-once call is still sent once. It gives the order lease up, as orders through others would come from two VMs. A VM that can't tell a crash from its cut asks whether others reach the server; not counting crashes at all while cut off broke TestCrashingPromptPartIsRefused's neighbours (24 engines crashed).

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -100,10 +100,18 @@
 	})
 }
 
-// hasCrashed reports whether a server run has ended or accepts no connections.
+// hasCrashed reports whether a server run has ended or accepts no connections. A VM that seems to
+// be partitioned from the servers asks others.
 func (g *Gateway) hasCrashed(e *fleet.Entry, connectionLimit int) bool {
 	known := g.opts.Directory.View().Server(e.ID)
-	return known == nil || known.Started != e.Started || !g.probe(known, connectionLimit)
+	if known == nil || known.Started != e.Started {
+		return true
+	}
+	if g.probe(known, connectionLimit) {
+		return false
+	}
+	isolated, _, _ := g.opts.Servers.Isolated()
+	return !isolated || !g.opts.ReachableByPeers(known)
 }
 
 // recordCrash records a crash as evidence and reports it to the other VMs.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	OriginMissed func()
 	// RunningSince asks a server for the start time of its run, in Unix milliseconds.
 	RunningSince func(ctx context.Context, e *fleet.Entry) (int64, error)
+	// ReachableByPeers reports whether a server accepts connections from other VMs.
+	ReachableByPeers func(e *fleet.Entry) bool
 	// RetryRatio and RetrySlack bound the repeated sends to a service by all VMs
 	// together: a share of the requests for it, and a number beyond that.
 	RetryRatio, RetrySlack float64
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -180,7 +180,7 @@
 			p = &Peer{}
 			n.peers[m.ID] = p
 		}
-		p.Member, p.Ready, p.Leaving, p.Calls, p.At = m.Member, m.Ready, m.Leaving, m.Calls, now
+		p.Member, p.Ready, p.Leaving, p.Calls, p.Stranded, p.At = m.Member, m.Ready, m.Leaving, m.Calls, m.Stranded, now
 	}
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -104,6 +104,8 @@
 	Withheld []fleet.UnusableRun `json:"left,omitempty"`
 	// Limits are the rate limits that servers have stated.
 	Limits []ratelimit.Notice `json:"lim,omitempty"`
+	// Stranded is set if the sender reaches the servers only through other VMs.
+	Stranded bool `json:"str,omitempty"`
 	// Following is set if the sender reads the store's feeds and receives data from
 	// them.
 	Following bool `json:"fol,omitempty"`
@@ -130,6 +132,8 @@
 	Ready   bool    `json:"ready,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
 	Calls   float64 `json:"calls,omitempty"`
+	// Stranded has the same meaning as in a Digest.
+	Stranded bool `json:"str,omitempty"`
 }
 
 // Summary is the state of a failure domain, sent by one of its relays to the other
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -126,21 +126,42 @@
 // Age returns the time since the connection was opened.
 func (c *Conn) Age() time.Duration { return time.Since(c.opened) }
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive, Interval: idleKeepAlive, Count: 2}
+
+// Dial opens a TCP connection to host:port that ends if the other side falls silent for good.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive, Interval: idleKeepAlive, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				// An error is ignored: the kernel's default applies then, and the
-				// deadlines of the request still hold.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-		},
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
 	}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// LimitSilence makes an accepted connection end if the other side falls silent for good.
+func LimitSilence(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "socket")
+	}
+	if err := setUserTimeout(raw); err != nil {
+		return err
+	}
+	return errors.Wrap(tcp.SetKeepAliveConfig(keepAlive), "set keep-alive")
+}
+
+func setUserTimeout(c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// An error is ignored: the kernel's default applies then, and the
+		// deadlines of the request still hold.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
+
 // usable reports whether an idle connection is open, has not expired and has received
 // no bytes.
 func (c *Conn) usable(now time.Time) bool {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +34,8 @@
 	mu    sync.Mutex
 	hosts map[hostKey]*host
 	now   func() time.Time
+	// dial opens a connection to the server owner at addr.
+	dial func(ctx context.Context, owner, addr string) (net.Conn, error)
 	// idleLimit bounds the idle time of a reused connection until idleLimitUntil.
 	idleLimit      time.Duration
 	idleLimitUntil time.Time
@@ -51,7 +54,13 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, now: time.Now}
+	return NewPoolWithDial(func(ctx context.Context, _, addr string) (net.Conn, error) { return Dial(ctx, addr) })
+}
+
+// NewPoolWithDial returns an empty pool whose connections to the server owner at addr are opened
+// by dial.
+func NewPoolWithDial(dial func(ctx context.Context, owner, addr string) (net.Conn, error)) *Pool {
+	return &Pool{dial: dial, hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, now: time.Now}
 }
 
 // Get returns an idle or a new connection to the server at addr. owner identifies the
@@ -79,7 +88,7 @@
 	if !p.reserve(key, limit) {
 		return nil, errors.WithStack(ErrConnectionLimit)
 	}
-	conn, err := dial(ctx, key.addr)
+	conn, err := p.dial(ctx, key.owner, key.addr)
 	if err != nil {
 		p.unreserve(key)
 		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", key.addr, err)
@@ -218,20 +227,29 @@
 	p.mu.Unlock()
 }
 
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() { p.closeIdle(func(*Conn) bool { return false }) }
+
 // CloseIdle closes the idle connections that have expired, and those for whose owner
 // keep returns false.
 func (p *Pool) CloseIdle(keep func(owner string) bool) {
+	p.mu.Lock()
+	maps.DeleteFunc(p.lost, func(key hostKey, _ bool) bool { return !keep(key.owner) })
+	p.mu.Unlock()
 	now := p.now()
+	p.closeIdle(func(c *Conn) bool { return !now.After(c.idleUntil) && keep(c.owner) })
+}
+
+func (p *Pool) closeIdle(keep func(*Conn) bool) {
 	var expired []*Conn
 	p.mu.Lock()
-	maps.DeleteFunc(p.lost, func(key hostKey, _ bool) bool { return !keep(key.owner) })
 	for _, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.After(c.idleUntil) || !keep(c.owner) {
-				expired = append(expired, c)
-			} else {
+			if keep(c) {
 				kept = append(kept, c)
+			} else {
+				expired = append(expired, c)
 			}
 		}
 		h.idle = kept
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,7 @@
 	"papayaspan.dev/papayaspan/internal/rollout"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/steer"
+	"papayaspan.dev/papayaspan/internal/tunnel"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -96,8 +98,8 @@
 	// Load orders an engine that has accepted the given number of orders so far to load new
 	// weights. No byte is written after the deadline.
 	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, orders uint64, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
-	// Report requests an engine's state.
-	Report(ctx context.Context, e *fleet.Entry) (EngineReport, error)
+	// Report requests an engine's state on a connection that is opened by dial.
+	Report(ctx context.Context, e *fleet.Entry, dial tunnel.DialFunc) (EngineReport, error)
 }
 
 // Options configure a Node.
@@ -159,6 +161,8 @@
 	goals         *fleet.Goals
 	servers       *selector.Table
 	pool          *hop.Pool
+	path          *tunnel.Path
+	tunnels       *tunnel.Handler
 	quota         *quota.Ledger
 	crashCauses   *crashcause.Table
 	origins       *origin.Table
@@ -246,7 +250,6 @@
 		metrics:            metrics.NewRegistry(),
 		directory:          fleet.NewDirectory(rowTTL(opts.Bounds.Heartbeat)),
 		goals:              fleet.NewGoals(),
-		pool:               hop.NewPool(),
 		digestDue:          make(chan struct{}, 1),
 		goalsChanged:       make(chan struct{}, 1),
 		rereadMembers:      make(chan struct{}, 1),
@@ -263,6 +266,9 @@
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
 	n.metrics.GetOrRegister("crash_causes", metrics.NewFunctionalGauge(func() int64 { return int64(len(n.crashCauses.Convictions())) }))
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
+	n.path = n.newServerPath()
+	n.pool = hop.NewPoolWithDial(n.dialServer)
+	n.tunnels = tunnel.NewHandler(opts.Log, n.connectForPeer)
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.FirstStart, n.now)
 	n.storeContents = selector.NewStoreIndex(n.now)
@@ -270,28 +276,29 @@
 	n.crashCauses = crashcause.NewTable(n.now, n.convictionChanged)
 	n.origins = origin.NewTable(n.now)
 	n.Gateway = gateway.New(gateway.Options{
-		Log:            opts.Log,
-		Metrics:        n.metrics,
-		Dialect:        opts.Dialect,
-		Directory:      n.directory,
-		Goals:          n.goals,
-		Servers:        n.servers,
-		Pool:           n.pool,
-		Quota:          n.quota,
-		RateLimits:     n.limits,
-		CrashCauses:    n.crashCauses,
-		Origins:        n.origins,
-		StoreContents:  n.storeContents,
-		NotifyPeers:    n.notifyBusy,
-		DirectoryAge:   func() time.Duration { return n.serverStaleness() },
-		FailureDomain:  opts.VM.FailureDomain,
-		Model:          selector.CostModel{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
-		ServersCurrent: n.serversCurrent,
-		OriginMissed:   func() { n.signal(n.originMissed) },
-		RunningSince:   n.runningSince,
-		RetryRatio:     opts.Bounds.RetryRatio,
-		RetrySlack:     opts.Bounds.RetrySlack,
-		Now:            n.now,
+		Log:              opts.Log,
+		Metrics:          n.metrics,
+		Dialect:          opts.Dialect,
+		Directory:        n.directory,
+		Goals:            n.goals,
+		Servers:          n.servers,
+		Pool:             n.pool,
+		Quota:            n.quota,
+		RateLimits:       n.limits,
+		CrashCauses:      n.crashCauses,
+		Origins:          n.origins,
+		StoreContents:    n.storeContents,
+		NotifyPeers:      n.notifyBusy,
+		DirectoryAge:     func() time.Duration { return n.serverStaleness() },
+		FailureDomain:    opts.VM.FailureDomain,
+		Model:            selector.CostModel{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
+		ServersCurrent:   n.serversCurrent,
+		OriginMissed:     func() { n.signal(n.originMissed) },
+		RunningSince:     n.runningSince,
+		ReachableByPeers: n.reachableByPeers,
+		RetryRatio:       opts.Bounds.RetryRatio,
+		RetrySlack:       opts.Bounds.RetrySlack,
+		Now:              n.now,
 	})
 	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
 	return n, n.listen()
@@ -362,6 +369,7 @@
 	n.goLoop(func() { n.loadOrigins(ctx) })
 	n.goLoop(func() { n.persistVersions(ctx) })
 	n.goLoop(func() { n.storeOrigins(ctx) })
+	n.goLoop(func() { n.path.Run(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
@@ -403,6 +411,7 @@
 			n.cancel()
 		}
 		_ = n.peerHTTP.Close()
+		n.tunnels.Close()
 		n.loops.Wait()
 		n.log.Info("node_stopped", zap.String("vm", string(n.opts.VM.ID)))
 	})
@@ -418,24 +427,20 @@
 func (n *Node) notifyBusy() { n.signal(n.digestDue) }
 
 // Addresses returns the addresses to which callers of a failure domain should connect: VMs of
-// that domain, and of other domains if it has too few.
+// that domain, and of other domains if it has too few. VMs without a path of their own to the
+// servers are offered only if there are no others.
 func (n *Node) Addresses(domain string) []string {
+	vms := n.readyVMs()
+	withPath := slices.DeleteFunc(slices.Clone(vms), func(v readyVM) bool { return v.stranded })
+	if len(withPath) > 0 {
+		vms = withPath
+	}
 	var near, far []steer.VM
-	add := func(domainOf string, v steer.VM) {
-		if domainOf == domain {
-			near = append(near, v)
+	for _, v := range vms {
+		if v.domain == domain {
+			near = append(near, v.VM)
 		} else {
-			far = append(far, v)
-		}
-	}
-	if n.Ready() {
-		self := n.opts.VM
-		add(self.FailureDomain, steer.VM{ID: self.ID, Cores: self.Cores, Calls: n.calls.Last(), Address: self.CallerAddress})
-	}
-	now := n.now()
-	for _, p := range n.gossip.Peers() {
-		if p.Alive(now) && p.Ready && !p.Leaving {
-			add(p.FailureDomain, steer.VM{ID: p.ID, Cores: p.Cores, Calls: p.Calls, Address: p.Caller})
+			far = append(far, v.VM)
 		}
 	}
 	picked := steer.Pick(near)
@@ -450,6 +455,36 @@
 	return addresses
 }
 
+// readyVM is a VM that serves callers.
+type readyVM struct {
+	steer.VM
+	domain string
+	// stranded is set if the VM reaches the servers only through other VMs.
+	stranded bool
+}
+
+// readyVMs returns the VMs that serve callers.
+func (n *Node) readyVMs() []readyVM {
+	var out []readyVM
+	if n.Ready() {
+		self := n.opts.VM
+		out = append(out, readyVM{
+			VM:     steer.VM{ID: self.ID, Cores: self.Cores, Calls: n.calls.Last(), Address: self.CallerAddress},
+			domain: self.FailureDomain, stranded: n.path.Cut(),
+		})
+	}
+	now := n.now()
+	for _, p := range n.gossip.Peers() {
+		if p.Alive(now) && p.Ready && !p.Leaving {
+			out = append(out, readyVM{
+				VM:     steer.VM{ID: p.ID, Cores: p.Cores, Calls: p.Calls, Address: p.Caller},
+				domain: p.FailureDomain, stranded: p.Stranded,
+			})
+		}
+	}
+	return out
+}
+
 // minAddresses is the least number of VMs offered to callers, so that one remains if another is
 // lost.
 const minAddresses = 2
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -10,6 +10,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/order"
@@ -65,11 +66,12 @@
 // step.
 func (n *Node) leaseStep(ctx context.Context) time.Duration {
 	held := n.keeper.Term().Fencing
-	if held != 0 && n.Leaving() {
-		n.resign("leaving")
+	stranded := n.path.Cut() && n.peerFollows()
+	if held != 0 && (n.Leaving() || stranded) {
+		n.resign(map[bool]string{true: "leaving", false: "no path to the servers"}[n.Leaving()])
 		return n.opts.Bounds.Lease
 	}
-	if held == 0 && (n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
+	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
 		return n.opts.Bounds.Lease / 6
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
@@ -261,7 +263,7 @@
 func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) (EngineReport, bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := n.opts.Engines.Report(ctx, e)
+	report, err := n.opts.Engines.Report(ctx, e, hop.Dial)
 	if err != nil || report.Started != e.Started {
 		n.log.Info("engine_report_failed", zap.String("server", string(e.ID)),
 			zap.Int64("server_started", e.Started), zap.Int64("reported_start", report.Started), logging.Error(err))
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -91,7 +91,7 @@
 
 // runningSince returns the start time of the run that a server reports.
 func (n *Node) runningSince(ctx context.Context, e *fleet.Entry) (int64, error) {
-	report, err := n.opts.Engines.Report(ctx, e)
+	report, err := n.opts.Engines.Report(ctx, e, n.dialVia(e))
 	return report.Started, err
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -24,6 +24,7 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
+	"papayaspan.dev/papayaspan/internal/tunnel"
 )
 
 const (
@@ -72,6 +73,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, n.serveState)
 	mux.HandleFunc("GET /metrics", n.ServeMetrics)
+	mux.Handle("GET "+tunnel.Endpoint, n.tunnels)
 	return mux
 }
 
@@ -154,6 +156,7 @@
 		Ready:           n.Ready(),
 		Calls:           n.calls.Rate(n.Gateway.Calls(), now),
 		HoldsOrderLease: n.keeper.Term().Valid(now, 0),
+		Stranded:        n.path.Cut(),
 		Following:       following > 0,
 		FollowingFor:    following,
 		Servers:         n.directory.Newest(),
@@ -203,17 +206,20 @@
 	}
 	view := n.directory.View()
 	n.logRecovery()
-	n.logIsolation()
+	n.watchIsolation()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
 	n.limits.SetSenders(activeVMs(n.opts.VM.ID, n.calls.Last(), n.gossip.Peers(), now, n.opts.Bounds.Quota.Window))
 	n.crashCauses.Settle()
 	n.applyPeers()
 }
 
-// logIsolation logs when this VM seems to be partitioned from the servers, and when it no longer
-// does.
-func (n *Node) logIsolation() {
+// watchIsolation has the path to the servers checked while this VM seems to be partitioned from
+// them, and logs when that begins and ends.
+func (n *Node) watchIsolation() {
 	isolated, pending, silent := n.servers.Isolated()
+	if isolated || n.servers.DownCount() > n.maxDownServers() {
+		n.path.Suspect()
+	}
 	if isolated == n.isolated {
 		return
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -44,7 +44,7 @@
 		From:            d.Member,
 		Incarnation:     d.Incarnation,
 		Sequence:        d.Sequence,
-		Members:         []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving, Calls: d.Calls}},
+		Members:         []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving, Calls: d.Calls, Stranded: d.Stranded}},
 		Uptime:          d.Uptime,
 		FollowingFor:    d.FollowingFor,
 		HoldsOrderLease: d.HoldsOrderLease,
@@ -68,7 +68,7 @@
 		if p.FailureDomain != d.FailureDomain || !p.Alive(now) {
 			continue
 		}
-		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving, Calls: p.Calls})
+		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving, Calls: p.Calls, Stranded: p.Stranded})
 		s.Uptime = max(s.Uptime, p.Uptime)
 		s.FollowingFor = max(s.FollowingFor, p.FollowingFor)
 		s.HoldsOrderLease = s.HoldsOrderLease || p.HoldsOrderLease
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -393,6 +393,28 @@
 	return s.runProvedAt, s.runDoubted
 }
 
+// DownCount returns the number of servers that accept no connections from this VM.
+func (t *Table) DownCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if !s.downSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// MarkAllReachable records that this VM has another path to all servers.
+func (t *Table) MarkAllReachable() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		s.downSince, s.failures = time.Time{}, 0
+	}
+}
+
 // MarkReachable records that a server accepts connections.
 func (t *Table) MarkReachable(key ServerKey) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,237 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
+)
+
+var testTarget = Target{ID: "server", Started: 7}
+
+// acceptConns returns a listener whose connections are served by serve.
+func acceptConns(t *testing.T, serve func(net.Conn)) string {
+	l := loopback.Listen(t)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// startPeer starts the endpoint of a VM that knows testTarget at an address.
+func startPeer(t *testing.T, server string) (peer string, h *Handler) {
+	h = NewHandler(zap.NewNop(), func(ctx context.Context, target Target) (net.Conn, error) {
+		if target != testTarget {
+			return nil, errors.Errorf("server %v is not known", target)
+		}
+		return hop.Dial(ctx, server)
+	})
+	s := loopback.Serve(t, h)
+	return strings.TrimPrefix(s.URL, "http://"), h
+}
+
+func open(t *testing.T, peer string) net.Conn {
+	t.Helper()
+	conn, err := Open(context.Background(), hop.Dial, peer, testTarget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func readWithin(t *testing.T, c net.Conn, n int) (string, error) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	buf := make([]byte, n)
+	read, err := io.ReadFull(c, buf)
+	return string(buf[:read]), err
+}
+
+func TestTunnelPassesBytesInBothDirections(t *testing.T) {
+	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) { _, _ = io.Copy(c, c) }))
+	conn := open(t, peer)
+	if _, ok := conn.(*net.TCPConn); !ok {
+		t.Errorf("the tunnel is a %T; the pool checks idle connections of type *net.TCPConn only", conn)
+	}
+	if _, err := conn.Write([]byte("echo")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := readWithin(t, conn, 4); got != "echo" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+func TestEndOfServersConnectionEndsTunnel(t *testing.T) {
+	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) {
+				_, _ = io.ReadFull(c, make([]byte, 1))
+				_ = c.(*net.TCPConn).SetLinger(linger)
+				c.Close()
+			}))
+			conn := open(t, peer)
+			_, _ = conn.Write([]byte("x"))
+			_, err := readWithin(t, conn, 1)
+			if isReset := err != nil && strings.Contains(err.Error(), "reset"); isReset != (linger == 0) || err == nil {
+				t.Errorf("the tunnel ends with %v", err)
+			}
+		})
+	}
+}
+
+func TestCloseOfTunnelClosesServersConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}))
+	open(t, peer).Close()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the server's connection is still open after 1 s")
+	}
+}
+
+func TestHandlerCloseEndsTunnels(t *testing.T) {
+	peer, h := startPeer(t, acceptConns(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }))
+	conn := open(t, peer)
+	h.Close()
+	if _, err := readWithin(t, conn, 1); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the tunnel ends with %v", err)
+	}
+	if _, err := Open(context.Background(), hop.Dial, peer, testTarget); err == nil {
+		t.Error("a closed handler opens a tunnel")
+	}
+}
+
+func TestTunnelToUnknownOrDeadServerIsRefused(t *testing.T) {
+	l := loopback.Listen(t)
+	l.Close()
+	peer, _ := startPeer(t, l.Addr().String())
+	for _, target := range []Target{testTarget, {ID: "other"}, {ID: "server", Started: 8}} {
+		if _, err := Open(context.Background(), hop.Dial, peer, target); !errors.Is(err, ErrNoServer) {
+			t.Errorf("%v: %v", target, err)
+		}
+	}
+	for _, path := range []string{"", "?server=server", "?server=server&started=x", "?server=server&started=7"} {
+		resp, err := http.Get("http://" + peer + Endpoint + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%q: status %d", path, resp.StatusCode)
+		}
+	}
+}
+
+func TestSilentPeerDoesNotHoldTheTunnelUp(t *testing.T) {
+	peer := acceptConns(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	began := time.Now()
+	if _, err := Open(context.Background(), hop.Dial, peer, testTarget); err == nil {
+		t.Fatal("a tunnel through a silent VM")
+	}
+	if took := time.Since(began); took > 2*openTimeout {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// pathModel is the world as seen by a VM's path.
+type pathModel struct {
+	path *Path
+	// direct and through are set while servers respond directly and through other VMs.
+	direct, through atomic.Bool
+	changes         chan bool
+}
+
+func newPathModel(t *testing.T) *pathModel {
+	m := &pathModel{changes: make(chan bool, 10)}
+	echo := acceptConns(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	peer, _ := startPeer(t, echo)
+	m.path = NewPath(Options{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if address == echo && !m.direct.Load() {
+				return nil, errors.New("the path is cut")
+			}
+			return hop.Dial(ctx, address)
+		},
+		Peers:   func(Target) []string { return []string{peer} },
+		Servers: func() []Server { return []Server{{Target: testTarget, Address: echo}} },
+		Responds: func(ctx context.Context, s Server, dial DialFunc) bool {
+			c, err := dial(ctx, s.Address)
+			if err != nil {
+				return false
+			}
+			c.Close()
+			return m.direct.Load() || m.through.Load()
+		},
+		Changed: func(cut bool) { m.changes <- cut },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go m.path.Run(ctx)
+	return m
+}
+
+// change returns the next change of the path, and false if there is none in time.
+func (m *pathModel) change(within time.Duration) (cut, changed bool) {
+	select {
+	case cut = <-m.changes:
+		return cut, true
+	case <-time.After(within):
+		return false, false
+	}
+}
+
+func TestPathIsCutOnlyIfServersRespondThroughOtherVMs(t *testing.T) {
+	for _, c := range []struct{ direct, through, cut bool }{{true, true, false}, {false, false, false}, {false, true, true}} {
+		m := newPathModel(t)
+		m.direct.Store(c.direct)
+		m.through.Store(c.through)
+		m.path.Suspect()
+		if cut, _ := m.change(checkTimeout + openTimeout); cut != c.cut || m.path.Cut() != c.cut {
+			t.Errorf("%+v: cut %v", c, cut)
+		}
+	}
+}
+
+func TestPathIsRestoredAfterSeveralSuccessfulChecks(t *testing.T) {
+	m := newPathModel(t)
+	m.through.Store(true)
+	m.path.Suspect()
+	if cut, _ := m.change(time.Second); !cut {
+		t.Fatal("the path isn't cut")
+	}
+	if conn, err := m.path.Dial(context.Background(), m.path.opts.Servers()[0]); err != nil {
+		t.Error(err)
+	} else {
+		conn.Close()
+	}
+	m.direct.Store(true)
+	began := time.Now()
+	if cut, changed := m.change(3 * time.Second); cut || !changed {
+		t.Fatal("the path isn't restored")
+	}
+	if took := time.Since(began); took < (returnChecks-1)*returnInterval {
+		t.Errorf("the path is restored after %v", took)
+	}
+}
