Divide the slots of brittle servers between the VMs

Servers that state that they are brittle fell over, as VMs sent them as many requests as before: each of them took down what it ran, and callers waited or were refused.

Cause: nothing read Server-Brittle. The statement now belongs to what internal/ratelimit keeps of a server, so that it reaches all VMs and ends as rate limits do. The VMs that take calls divide the slots of brittle servers by rank, from lists that all of them have; a request without room waits at its VM for up to half of its objective and is refused then; a refusal keeps the VM off that server for a second. Why it works: together the VMs never have more requests at a server than it runs at once, whatever its queue shrinks to.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,6 +169,9 @@
 		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s became too old after it was chosen", a.candidate.Entry.ID)}
 	}
 	a.candidate.Entry = current
+	if a.candidate.Brittle && t.g.opts.Servers.OwnRequestCount(selector.KeyOf(current)) > a.candidate.Room {
+		return &failure{code: codeServersFull, err: errors.Errorf("server %s got other requests after it was chosen", current.ID)}
+	}
 	if !t.place.Counted && !t.reservePlace(&a.candidate, 0) {
 		return &failure{code: "rate_limited", err: errors.Errorf("server %s stated a rate limit after it was chosen", current.ID)}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,9 +78,9 @@
 	Signed bool
 	// WeightsVersion is the weights version that produced the response; 0 if unknown.
 	WeightsVersion uint64
-	// RateLimit is the request rate that the server accepts from all VMs together.
+	// RateLimit is what the server states of the requests that it takes.
 	RateLimit ratelimit.Statement
-	// RateLimitErr is set if the server states a rate limit that can't be parsed.
+	// RateLimitErr is set if that can't be parsed.
 	RateLimitErr error
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,6 +25,8 @@
 	withheld []selector.Candidate
 	// limited servers have no place within their rate limits in time.
 	limited []selector.Candidate
+	// full servers are brittle and have as many requests of this VM as it may send.
+	full []selector.Candidate
 }
 
 // choices classifies the servers of a service that have not been tried for this call.
@@ -33,7 +35,9 @@
 	withheld := *g.withheld.Load()
 	maxWait := t.maxPlaceWait()
 	var c choices
+	division, offset, part := g.opts.RateLimits.Division(), 0, 0
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
+		part, offset = division.Part(e.Slots, offset)
 		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) {
 			continue
 		}
@@ -43,9 +47,12 @@
 		if model.TooOld(&candidate) || !model.StartsInTime(q, &candidate) {
 			continue
 		}
+		candidate.Room, candidate.Brittle = g.opts.RateLimits.Room(selector.KeyOf(e), part)
 		var shared bool
 		candidate.RateLimitWait, shared = g.opts.RateLimits.Wait(selector.KeyOf(e))
 		switch {
+		case candidate.Brittle && candidate.OwnRunning >= candidate.Room:
+			c.full = append(c.full, candidate)
 		case !shared || candidate.RateLimitWait > maxWait:
 			c.limited = append(c.limited, candidate)
 		case withheld[string(e.ID)]:
@@ -72,11 +79,14 @@
 	if len(candidates) == 0 {
 		candidates = all.withheld
 	}
+	if len(candidates) == 0 && len(all.full) > 0 {
+		return selector.Candidate{}, serversFullError()
+	}
 	if len(candidates) == 0 && len(all.limited) > 0 {
 		return selector.Candidate{}, t.rateLimitedError(all.limited)
 	}
 	if t.prompt != nil && t.prompt.Fetchable() {
-		sources := slices.Concat(all.withheld, all.limited, all.unsettled)
+		sources := slices.Concat(all.withheld, all.limited, all.unsettled, all.full)
 		for i := range candidates {
 			t.setFetchSource(service, &candidates[i], candidates, sources)
 		}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -67,7 +67,7 @@
 		t.g.opts.Log.Warn("rate_limit_malformed", zap.String("request_id", t.call.ID),
 			zap.String("server", string(a.candidate.Entry.ID)), logging.Error(head.RateLimitErr))
 		return
-	case !head.RateLimit.Limited && (!head.Signed || head.NotRun):
+	case head.RateLimit == (ratelimit.Statement{}) && (!head.Signed || head.NotRun):
 		return // A refusal need not state the rate limit, and an unsigned response may not be the server's.
 	}
 	if c, changed := t.g.opts.RateLimits.RecordStatement(selector.KeyOf(a.candidate.Entry), head.RateLimit, a.sentAt); changed {
@@ -82,5 +82,37 @@
 	g.opts.Log.Info("rate_limit_changed", zap.String("server", string(c.Key.ID)), zap.Int64("server_started", c.Key.Started),
 		zap.Bool("limited", c.Now.Limited), zap.Float64("rate_limit", c.Now.Rate),
 		zap.Bool("was_limited", c.Before.Limited), zap.Float64("before", c.Before.Rate),
+		zap.Bool("brittle", c.Now.Brittle), zap.Float64("max_refusals", c.Now.MaxRefusals), zap.Bool("was_brittle", c.Before.Brittle),
 		zap.Float64("share", g.opts.RateLimits.Share(c.Key)), zap.String("source", source))
 }
+
+const (
+	// codeServersFull is the code of a request for which no brittle server has room.
+	codeServersFull = "servers_full"
+	// roomPollInterval is the interval at which a request that waits for room at a brittle server
+	// chooses one again.
+	roomPollInterval = 10 * time.Millisecond
+)
+
+// serversFullError refuses a request because this VM may have no further one at the brittle
+// servers.
+func serversFullError() *verdict.Error {
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, codeServersFull, "the backend servers have no room", retryDelay(0, rand.Float64()))
+}
+
+// awaitRoom waits before another choice if the request was refused because the servers are full.
+// It returns false if the request has waited for as long as it may.
+func (t *task) awaitRoom(ctx context.Context, refusal *verdict.Error) bool {
+	if refusal.Code != codeServersFull {
+		return false
+	}
+	now := t.g.opts.Now()
+	if t.fullSince.IsZero() {
+		t.fullSince = now
+	}
+	limit := time.Duration(placeWaitShare * float64(t.route.Objective))
+	if t.begun {
+		limit = maxStreamPause
+	}
+	return now.Sub(t.fullSince) < limit && clock.Sleep(ctx, roomPollInterval)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,6 +61,8 @@
 		f.code = "misdirected"
 		a.result = selector.Misdirected
 		a.t.sends--
+	default:
+		a.t.g.opts.RateLimits.RecordRefusal(selector.KeyOf(a.candidate.Entry))
 	}
 	return f
 }
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -36,6 +36,8 @@
 	tried []selector.ServerKey
 	// place is the reservation within the rate limit of the current attempt's server.
 	place ratelimit.Place
+	// fullSince is when the servers were first found to have no room; zero before that.
+	fullSince time.Time
 	// sends counts the servers that the call was sent to.
 	sends int
 	// ran is NotRun until a server may have run the call.
@@ -113,6 +115,9 @@
 			return
 		}
 		candidate, refusal := t.choose(service)
+		if refusal != nil && t.awaitRoom(ctx, refusal) {
+			continue
+		}
 		if refusal != nil {
 			t.fail(refusal)
 			return
@@ -132,6 +137,9 @@
 			t.ran = verdict.MayHaveRun
 		}
 		t.logAttempt(candidate, failure)
+		if failure.code == codeServersFull {
+			t.tried = t.tried[:len(t.tried)-1] // It gets the request once it has room.
+		}
 		if ctx.Err() != nil || !t.mayRetry(failure) || failure.sent && !budget.Spend() {
 			t.fail(failure.finalError(t))
 			return
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -23,12 +23,16 @@
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-// Statement is the rate limit in a server's response, or its absence.
+// Statement is what a server's response states of the requests that it takes.
 type Statement struct {
 	// Limited is set if the response states a rate limit.
 	Limited bool
 	// Rate is the limit for all VMs together, in requests a second.
 	Rate float64
+	// Brittle is set if the server lets few requests wait, and falls over if it has to turn away
+	// more than MaxRefusals a second.
+	Brittle     bool
+	MaxRefusals float64
 }
 
 // Change is a change of a server's rate limit.
@@ -42,8 +46,11 @@
 	ID      backend.ID `json:"i"`
 	Started int64      `json:"s"`
 	Rate    float64    `json:"r,omitempty"`
-	// Lifted is set if the server no longer states a limit.
+	// Lifted is set if the server states no limit, or no longer does.
 	Lifted bool `json:"u,omitempty"`
+	// Brittle and MaxRefusals have the same meaning as in a Statement.
+	Brittle     bool    `json:"b,omitempty"`
+	MaxRefusals float64 `json:"m,omitempty"`
 	// Age is the age of the response that stated it, in milliseconds.
 	Age int64 `json:"a"`
 }
@@ -69,6 +76,9 @@
 	// digest last included it.
 	announceUntil, announcedAt time.Time
 	share                      *share
+	// refusedUntil is the time until which a brittle server that has turned a request of this VM
+	// away gets no other one.
+	refusedUntil time.Time
 }
 
 // Table keeps the newest statement of each server and this VM's share of its rate limit. It
@@ -83,12 +93,18 @@
 	senders []vm.ID
 	// shares has an entry for each server with a rate limit. Updates replace the whole map.
 	shares atomic.Pointer[map[selector.ServerKey]*share]
+	// brittle holds the brittle servers. Updates replace the whole map.
+	brittle atomic.Pointer[map[selector.ServerKey]bool]
+	// division is how the VMs divide the slots of brittle servers.
+	division atomic.Pointer[Division]
 }
 
 // NewTable returns an empty table for the VM self.
 func NewTable(self vm.ID, now func() time.Time) *Table {
 	t := &Table{self: self, now: now, servers: map[selector.ServerKey]*serverState{}, senders: []vm.ID{self}}
 	t.shares.Store(&map[selector.ServerKey]*share{})
+	t.brittle.Store(&map[selector.ServerKey]bool{})
+	t.division.Store(&Division{count: 1})
 	return t
 }
 
@@ -99,9 +115,18 @@
 func (t *Table) RecordStatement(key selector.ServerKey, s Statement, sent time.Time) (Change, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !s.Limited {
-		before := t.servers[key]
-		if before == nil || !before.Limited || !sent.After(before.statedAt) {
+	before := t.servers[key]
+	if before == nil && s == (Statement{}) {
+		return Change{}, false
+	}
+	if before != nil && !sent.After(before.statedAt) {
+		if !s.Limited {
+			s.Limited, s.Rate = before.Limited, before.Rate
+		}
+		if !s.Brittle {
+			s.Brittle, s.MaxRefusals = before.Brittle, before.MaxRefusals
+		}
+		if s == before.Statement {
 			return Change{}, false
 		}
 	}
@@ -114,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := selector.ServerKey{ID: n.ID, Started: n.Started}
-	s := Statement{Limited: !n.Lifted, Rate: n.Rate}
+	s := Statement{Limited: !n.Lifted, Rate: n.Rate, Brittle: n.Brittle, MaxRefusals: n.MaxRefusals}
 	at := t.now().Add(-time.Duration(max(0, n.Age)) * time.Millisecond)
 	before := t.servers[key]
 	if before != nil && !at.After(before.statedAt) {
@@ -123,7 +148,7 @@
 		}
 		return Change{}, false
 	}
-	if before == nil && n.Lifted {
+	if before == nil && s == (Statement{}) {
 		return Change{}, false
 	}
 	return t.record(key, s, at)
@@ -173,7 +198,7 @@
 	now := t.now()
 	var due []selector.ServerKey
 	for key, x := range t.servers {
-		if now.Before(x.announceUntil) || x.Limited && now.Sub(x.announcedAt) >= noticeInterval {
+		if now.Before(x.announceUntil) || x.Statement != (Statement{}) && now.Sub(x.announcedAt) >= noticeInterval {
 			due = append(due, key)
 		}
 	}
@@ -182,7 +207,7 @@
 	for _, key := range due[:min(len(due), maxNotices)] {
 		x := t.servers[key]
 		x.announcedAt = now
-		out = append(out, Notice{ID: key.ID, Started: key.Started, Rate: x.Rate, Lifted: !x.Limited, Age: now.Sub(x.statedAt).Milliseconds()})
+		out = append(out, Notice{ID: key.ID, Started: key.Started, Rate: x.Rate, Lifted: !x.Limited, Brittle: x.Brittle, MaxRefusals: x.MaxRefusals, Age: now.Sub(x.statedAt).Milliseconds()})
 	}
 	return out
 }
@@ -218,14 +243,18 @@
 	defer t.mu.Unlock()
 	if !slices.Equal(ids, t.senders) {
 		t.senders = ids
+		t.division.Store(&Division{count: len(ids), rank: slices.Index(ids, t.self)})
 		t.updateShares()
 	}
 }
 
 // updateShares recomputes this VM's shares of all limits. The caller holds the mutex.
 func (t *Table) updateShares() {
-	shares := map[selector.ServerKey]*share{}
+	shares, brittle := map[selector.ServerKey]*share{}, map[selector.ServerKey]bool{}
 	for key, x := range t.servers {
+		if x.Brittle {
+			brittle[key] = true
+		}
 		if !x.Limited {
 			x.share = nil
 			continue
@@ -234,4 +263,5 @@
 		shares[key] = x.share
 	}
 	t.shares.Store(&shares)
+	t.brittle.Store(&brittle)
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -38,6 +38,11 @@
 	Running int
 	// Backlog is the estimated number of prompt tokens queued for prefill at the server.
 	Backlog float64
+	// OwnRunning is the number of requests of this VM at the server.
+	OwnRunning int
+	// Brittle is set if the server must not have more than Room requests of this VM.
+	Brittle bool
+	Room    int
 	// KnownRunning and KnownBacklog are the parts of those that this VM sent or that
 	// other VMs reported, without the unreported load that other VMs are assumed to add.
 	KnownRunning int
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -140,6 +140,7 @@
 	s := t.server(KeyOf(c.Entry))
 	now := t.now()
 	s.decay(now)
+	c.OwnRunning = s.running
 	c.KnownRunning = s.running + s.peerLoad.Running
 	c.KnownBacklog = s.backlog + s.peerLoad.Backlog
 	// Other VMs choose from the same state and add as much load until they receive the report.
@@ -510,6 +511,16 @@
 	}
 }
 
+// OwnRequestCount returns the number of requests of this VM at a server.
+func (t *Table) OwnRequestCount(key ServerKey) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil {
+		return s.running
+	}
+	return 0
+}
+
 // RequestCount returns the number of known requests at a server.
 func (t *Table) RequestCount(key ServerKey) int {
 	t.mu.Lock()
