Keep connections to sound servers that are silent for a second

Callers lost requests at servers that fell silent for a second or so and went on: the connection was closed.

Cause: a TCP user timeout of 1.5 s also decides when keep-alive probes give up. With probes each second, a silence of 1.0 s that begins just before a probe is enough. The timeout is 3 s now: a silence below 2 s ends no connection, and a dead server is noticed after 3 s; streams and repeatable requests have timers of their own that act before.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -28,8 +28,9 @@
 	// away, and TCP retransmits a lost SYN only after a second.
 	connectTimeout = 250 * time.Millisecond
 	// userTimeout is the TCP user timeout: a connection is closed if sent bytes are
-	// not acknowledged within it.
-	userTimeout = 1500 * time.Millisecond
+	// not acknowledged within it. It also decides when keep-alive probes give up,
+	// whatever their count. Sound servers may be silent for a second or so.
+	userTimeout = 3 * time.Second
 	// idleKeepAlive is the interval of TCP keep-alive probes, which detect idle
 	// connections whose server no longer responds.
 	idleKeepAlive   = 1 * time.Second
