Bound the precedence of resumed streams in the engines' queues

Resumed streams went to engines whatever their queues were. Under an overload each of them delays all others, whose callers break off and resume in turn. They are now admitted up to twice the queue of new long prompts: 0.8 of the objective instead of 0.4.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -96,8 +96,8 @@
 		return selector.Candidate{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", retryDelay(0, rand.Float64()))
 	}
 	t.outcome.expectedLoss, t.outcome.chosen = loss, candidates[i]
-	if t.prompt == nil || t.begun || t.resumes() {
-		return candidates[i], nil // A caller that has a part of the response goes first.
+	if t.prompt == nil || t.begun {
+		return candidates[i], nil
 	}
 	j, ok := model.Admit(q, candidates, i)
 	if !ok {
@@ -112,6 +112,7 @@
 	q := selector.Query{
 		Objective:    t.route.Objective,
 		Waited:       t.waited(),
+		Resumed:      t.resumes(),
 		PromptTokens: t.call.PromptTokens,
 		SharedTokens: t.sharedTokens(),
 		BodyBytes:    len(t.call.Body),
--- a/internal/selector/admit.go
+++ b/internal/selector/admit.go
@@ -6,6 +6,8 @@
 	// maxQueueShare is the share of the latency objective for which a long prompt may
 	// wait in an engine's queue. The rest is for the prefill of the prompt itself.
 	maxQueueShare = 0.4
+	// resumedQueueShare is the same for a prompt whose caller already has a part of the response.
+	resumedQueueShare = 0.8
 	// shortPromptTokens is the length up to which a prompt adds next to nothing to a
 	// queue: one chunk of an engine's prefill.
 	shortPromptTokens = 2048
@@ -48,5 +50,9 @@
 	if c.Entry.Slots > 0 && float64(c.KnownRunning) >= fullSlotShare*float64(c.Entry.Slots) {
 		return true
 	}
-	return float64(m.QueueTime(c)) > maxQueueShare*float64(q.Objective)
+	share := maxQueueShare
+	if q.Resumed {
+		share = resumedQueueShare
+	}
+	return float64(m.QueueTime(c)) > share*float64(q.Objective)
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -17,6 +17,8 @@
 	Objective time.Duration
 	// Waited is the part of that time which the request has already used.
 	Waited time.Duration
+	// Resumed is set if the caller already has a part of the response.
+	Resumed bool
 	// PromptTokens is the length of the prompt; 0 for plain requests.
 	PromptTokens int
 	// Senders is the number of VMs that choose from the same state.
