Send the origins of streams a few times, not for a time

Cause: messages repeated all records of the last second, and a VM that started had the relays repeat all records for a second, up to 3,000 a message, 25 messages a second to each of 28 VMs, some of which have links of 10 Mbit/s. After each restart of all VMs the store and other VMs were out of reach for two seconds (63 lines of event=store_lost, 296 of state_fetch_failed, none before the fix), and placements were lost.

A record is now announced twice within its failure domain and four times to the others, at most 256 in a message, and at once to the VMs that take calls. A VM that starts reads the store; if it can't, it fetches all records from one VM. IDs take 6 bytes instead of 8.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -101,6 +102,7 @@
 		pause := minOriginReadInterval
 		if err := n.readOrigins(ctx); err != nil {
 			n.log.Info("origins_not_read", logging.Error(err))
+			n.fetchOrigins(ctx)
 			pause = min(maxBackoff, minBackoff<<min(failures, 8))
 			failures++
 		} else {
@@ -146,6 +148,33 @@
 	return nil
 }
 
+// originsPath is the path at which VMs serve all origins that they know.
+const originsPath = "/origins"
+
+func (n *Node) serveOrigins(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.origins.Export()); err != nil {
+		n.log.Info("origins_not_written", logging.Error(err))
+	}
+}
+
+// fetchOrigins fetches the origins that another VM knows, as the store can't be read.
+func (n *Node) fetchOrigins(ctx context.Context) {
+	now := n.now()
+	peers := slices.DeleteFunc(n.gossip.Peers(), func(p gossip.Peer) bool { return !p.Alive(now) || p.Origins == nil || !p.Origins.Complete })
+	if len(peers) == 0 {
+		return
+	}
+	p := peers[rand.IntN(len(peers))]
+	var notices origin.Notices
+	if err := fetchFromPeer(ctx, p.Member, originsPath, &notices); err != nil {
+		n.log.Info("origins_not_fetched", zap.String("peer", string(p.ID)), logging.Error(err))
+		return
+	}
+	n.applyOrigins(&notices, false)
+	n.log.Info("origins_fetched", zap.String("peer", string(p.ID)), zap.Int("streams", n.origins.Len()))
+}
+
 // applyVersionsRow applies the stored versions. now is the reading of the store's clock.
 func (n *Node) applyVersionsRow(r platform.Row, now time.Duration) {
 	var row versionsRow
@@ -173,12 +202,15 @@
 		}
 		stagger := time.Duration((float64(n.gossip.Rank()) + rand.Float64()/2) * float64(persistStagger))
 		for n.Following() && clock.Sleep(ctx, stagger) {
+			stagger = persistRetryDelay
+			if _, ok := n.storeClock.toStore(n.now()); !ok {
+				continue // Until the members are read.
+			}
 			err := n.storeVersions(ctx)
 			if err == nil {
 				break
 			}
 			n.log.Info("versions_not_stored", logging.Error(err))
-			stagger = persistRetryDelay
 		}
 	}
 }
@@ -192,10 +224,7 @@
 	if err != nil {
 		return err
 	}
-	now, ok := n.storeClock.toStore(n.now())
-	if !ok {
-		return errors.New("the store's clock is not known")
-	}
+	now, _ := n.storeClock.toStore(n.now())
 	check := platform.Check{Key: key}
 	stored := map[origin.VersionNotice]bool{}
 	if len(rows) == 1 {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,6 +21,7 @@
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -72,6 +73,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, n.serveState)
+	mux.HandleFunc("GET "+originsPath, n.serveOrigins)
 	mux.HandleFunc("GET /metrics", n.ServeMetrics)
 	mux.Handle("GET "+tunnel.Endpoint, n.tunnels)
 	return mux
@@ -122,6 +124,7 @@
 		}
 		last = n.now()
 		d := n.digest()
+		d.Origins = n.origins.Notices(map[gossip.Audience]origin.Audience{gossip.Everyone: origin.Domain, gossip.Busy: origin.ActiveVMs}[audience])
 		n.queueForRelay(d.Placements, d.Kept)
 		n.gossip.Send(n.addUnsent(d, audience), audience)
 		if n.gossip.IsRelay() && (audience == gossip.Everyone || last.Sub(summarized) >= minSummaryGap) {
@@ -172,7 +175,6 @@
 	d.Withheld = n.directory.UnusableRuns(now)
 	d.Limits = n.limits.Notices()
 	d.Crashes = n.crashCauses.Notices(crashcause.OwnDomain, n.gossip.IsRelay())
-	d.Origins = n.origins.Notices(false)
 	for model, list := range n.goals.All() {
 		for _, g := range list {
 			if g.Since.IsZero() {
@@ -312,7 +314,6 @@
 	n.endFirstPeerWait()
 	n.observePeerEra(p.Servers, string(p.ID))
 	if p.Uptime < startUptime && n.gossip.IsRelay() {
-		n.origins.Repeat()
 		n.notifyAll() // It waits to learn what the store may have lost.
 	}
 	n.confirmServers(p.Servers, p.EvidenceAge)
@@ -474,16 +475,25 @@
 		"servers": {n.directory.Known().String()},
 	}
 	var s peerState
-	resp, err := peerClient.Get("http://" + p.Peer + statePath + "?" + q.Encode())
+	err := fetchFromPeer(context.Background(), p, statePath+"?"+q.Encode(), &s)
+	return s, err
+}
+
+// fetchFromPeer decodes the JSON that another VM serves at a path.
+func fetchFromPeer(ctx context.Context, p gossip.Member, path string, out any) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Peer+path, http.NoBody)
+	if err != nil {
+		return errors.Wrapf(err, "fetch %s", path)
+	}
+	resp, err := peerClient.Do(r)
 	if err != nil {
-		return s, errors.Wrap(err, "fetch state")
+		return errors.Wrapf(err, "fetch %s", path)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return s, errors.Errorf("fetch state: status %d", resp.StatusCode)
+		return errors.Errorf("fetch %s: status %d", path, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&s)
-	return s, errors.Wrap(err, "decode state")
+	return errors.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(out), "decode %s", path)
 }
 
 // peerHoldsOrderLease reports whether a live peer holds the order lease, according to the
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -7,6 +7,7 @@
 
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/vm"
@@ -59,7 +60,7 @@
 		Reserved:        slices.Clone(d.Reserved),
 		Usage:           n.quota.DomainUsages(),
 		Crashes:         n.crashCauses.Notices(crashcause.OtherDomains, true),
-		Origins:         n.origins.Notices(true),
+		Origins:         n.origins.Notices(origin.OtherDomains),
 	}
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -32,9 +32,15 @@
 // StreamID identifies a stream.
 type StreamID uint64
 
+// streamIDBytes is the length of a stream's ID. With 50,000 recorded streams, one in 5 billion
+// others has the ID of one of them.
+const streamIDBytes = 6
+
 // NewStreamID returns the ID of the stream whose first event the given caller's attempt
 // brought.
-func NewStreamID(attempt string) StreamID { return StreamID(xxhash.Sum64String(attempt)) }
+func NewStreamID(attempt string) StreamID {
+	return StreamID(xxhash.Sum64String(attempt) >> (64 - 8*streamIDBytes))
+}
 
 // Origin is a software version of a service.
 type Origin struct {
@@ -83,18 +89,17 @@
 	// order lists the recorded streams, mostly by age.
 	order    []StreamID
 	versions map[Origin]*version
-	// mixedSince is when a service last turned out to have several versions; there is no
-	// entry for a service with one version.
-	mixedSince map[string]time.Time
+	// mixed holds the services with several versions.
+	mixed map[string]bool
 	// complete is set once the versions of the recent past are known.
 	complete bool
-	// repeatedAt is when all records were last due to be announced again.
-	repeatedAt time.Time
+	// queues hold the streams to be announced to each audience.
+	queues [audiences][]announcement
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, streams: map[StreamID]*stream{}, versions: map[Origin]*version{}, mixedSince: map[string]time.Time{}}
+	return &Table{now: now, streams: map[StreamID]*stream{}, versions: map[Origin]*version{}, mixed: map[string]bool{}}
 }
 
 // Observe records which versions have servers now. It reports whether the versions have
@@ -122,8 +127,9 @@
 	if v == nil {
 		v = &version{knownSince: now, lastSeen: now}
 		t.versions[o] = v
-		if _, mixed := t.mixedSince[o.Service]; !mixed && t.count(o.Service) > 1 {
-			t.mixedSince[o.Service] = now
+		if !t.mixed[o.Service] && t.count(o.Service) > 1 {
+			t.mixed[o.Service] = true
+			t.announceEarlier(o.Service, now)
 		}
 	}
 	return v
@@ -145,7 +151,7 @@
 		if !v.present && now.Sub(v.lastSeen) > Horizon {
 			delete(t.versions, o)
 			if t.count(o.Service) <= 1 {
-				delete(t.mixedSince, o.Service)
+				delete(t.mixed, o.Service)
 			}
 		}
 	}
@@ -174,6 +180,7 @@
 	if s == nil {
 		t.streams[id] = &stream{origin: o, scope: from, recordedAt: at}
 		t.order = append(t.order, id)
+		t.announce(id, from)
 		return
 	}
 	if s.origin != o {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -79,14 +79,20 @@
 	for i := range maxStreams + 500 {
 		table.Record(StreamID(i), of("v1"))
 	}
-	if n := len(table.Notices(false).Streams[0].IDs) / streamIDBytes; n > maxNoticeStreams {
-		t.Errorf("%d streams in a message", n)
+	for to := range announcements {
+		notices := table.Notices(Audience(to))
+		if n := len(notices.Streams[0].IDs) / streamIDBytes; n != maxNoticeStreams {
+			t.Errorf("%d streams in a message", n)
+		}
+		if n := len(table.queues[to]); n > maxQueue {
+			t.Errorf("%d announcements are queued", n)
+		}
 	}
 	if table.Len() > maxStreams {
 		t.Errorf("%d streams are recorded", table.Len())
 	}
 	clock.now = clock.now.Add(Horizon + time.Second)
-	table.Notices(false)
+	table.Notices(Domain)
 	if table.Len() != 0 {
 		t.Errorf("%d streams are recorded after the horizon", table.Len())
 	}
@@ -106,13 +112,13 @@
 	table, clock := newTestTable()
 	table.Observe([]Origin{of("v1")})
 	table.Record(7, of("v1"))
-	clock.now = clock.now.Add(2 * announceTime)
-	if n := table.Notices(false); len(n.Streams) != 0 {
+	clock.now = clock.now.Add(earlierTime / 2)
+	if n := table.Notices(Domain); len(n.Streams) != 0 {
 		t.Errorf("streams of a service with one version are announced: %+v", n)
 	}
 	table.Observe([]Origin{of("v1"), of("v2")})
 	other, _ := newTestTable()
-	other.Apply(table.Notices(false), true)
+	other.Apply(table.Notices(Domain), true)
 	if o, ok := other.Lookup(7); !ok || o != of("v1") {
 		t.Errorf("origin %v, %v", o, ok)
 	}
@@ -215,7 +221,7 @@
 	case 0, 1, 2:
 		m.begin(t, m.present()[rng.Intn(len(m.present()))])
 	case 3, 4, 5:
-		n := t.Notices(rng.Intn(2) == 0)
+		n := t.Notices([]Audience{Domain, OtherDomains, ActiveVMs}[rng.Intn(3)])
 		for j := range m.vms {
 			if j != i && rng.Intn(4) > 0 {
 				m.vms[j].Apply(n, (i+j)%2 == 0)
--- a/internal/origin/stored.go
+++ b/internal/origin/stored.go
@@ -22,7 +22,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(t.now())
-	return len(t.mixedSince) > 0
+	return len(t.mixed) > 0
 }
 
 // Unstored returns the slots with streams of this VM's failure domain that are not stored
@@ -68,7 +68,7 @@
 // versions.
 func (t *Table) eachLocal(f func(StreamID, *stream)) {
 	for id, s := range t.streams {
-		if _, mixed := t.mixedSince[s.origin.Service]; mixed && s.scope != remote && !s.ambiguous {
+		if t.mixed[s.origin.Service] && s.scope != remote && !s.ambiguous {
 			f(id, s)
 		}
 	}
@@ -82,14 +82,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	from := remote
-	if mine {
-		from = domain
-	}
 	at := t.now().Add(-max(0, age))
 	for _, group := range s.Streams {
 		for _, id := range group.streams() {
-			t.record(id, group.Origin, from, at)
+			t.record(id, group.Origin, remote, at) // Other VMs read it as well.
+			if mine {
+				t.streams[id].scope = min(t.streams[id].scope, domain)
+			}
 		}
 	}
 }
