Bind a stream of an unproved server run to that run

By reading: a new stream goes to a server whose report can't be had, as that is better for its caller than none; it was then pinned to the version in the server's entry, although the process may be another one, so that a further attempt in the same response could join two versions. It is bound to the run itself now. The log shows at most 64 characters of what a caller names in Resumes.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -100,9 +100,12 @@
 	t := a.t
 	if t.pinned == nil {
 		e := a.candidate.Entry
-		t.pinned = &pin{Origin: origin.Origin{Service: e.Service, Version: e.Software}, run: selector.KeyOf(e)}
+		t.pinned = &pin{Origin: origin.Origin{Service: e.Service}, run: selector.KeyOf(e)}
+		if a.runProved {
+			t.pinned.Version = e.Software
+		}
 	}
-	if t.resumable() && t.pinned.Version != "" && a.runProved {
+	if t.resumable() && t.pinned.Version != "" {
 		t.g.opts.Origins.Record(t.streamID(), t.pinned.Origin)
 		t.g.opts.NotifyPeers()
 	}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -279,7 +280,7 @@
 		fields = append(fields, zap.Duration("place_wait", t.place.In))
 	}
 	if t.call.LastEvent >= 0 {
-		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", t.call.Resumes),
+		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", fmt.Sprintf("%.64s", t.call.Resumes)),
 			zap.String("origin_source", t.outcome.originSource))
 		if t.pinned != nil {
 			fields = append(fields, zap.String("origin", t.pinned.Version))
