Don't let VMs renew gone software versions of one another

By reading: the time since a version had servers is reported as an age, which grows by the message's way only at the receiver. Two VMs that report it to one another renew it with each message, so that over slow links a version that has gone would count for ever, and streams without a record would be refused. A difference below 2 s no longer counts. TestVMsDoNotRenewGoneVersionsOfOneAnother fails without that ("still counts after the horizon") and passes.

--- a/internal/origin/notices.go
+++ b/internal/origin/notices.go
@@ -32,6 +32,9 @@
 	// freshTime is the age up to which a record is in messages to active VMs, and maxFresh their number.
 	freshTime = 250 * time.Millisecond
 	maxFresh  = 64
+	// ageTolerance is the smallest difference between two reported times of the same event that
+	// counts: ages grow on the way, and VMs that report them to one another must not renew them.
+	ageTolerance = 2 * time.Second
 	// earlierTime is the age up to which streams are announced that were begun before their service
 	// had several versions.
 	earlierTime = 20 * time.Second
@@ -242,10 +245,7 @@
 		_, known := t.versions[notice.Origin]
 		changed = changed || !known
 		v := t.ensureVersion(notice.Origin, now)
-		if lastSeen.After(v.lastSeen) {
-			v.lastSeen = lastSeen
-		}
-		if !known {
+		if !known || lastSeen.Sub(v.lastSeen) > ageTolerance {
 			v.lastSeen = lastSeen
 		}
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+func TestVMsDoNotRenewGoneVersionsOfOneAnother(t *testing.T) {
+	clock := &testClock{now: time.Unix(1e9, 0)}
+	a, b := NewTable(clock.Now), NewTable(clock.Now)
+	for _, table := range []*Table{a, b} {
+		table.Observe([]Origin{of("v1"), of("v2")})
+		table.Observe([]Origin{of("v2")})
+	}
+	const transit = 300 * time.Millisecond
+	for elapsed := time.Duration(0); elapsed < Horizon+ageTolerance+time.Second; elapsed += 2 * transit {
+		from := a.Notices(Domain)
+		clock.now = clock.now.Add(transit)
+		b.Apply(from, true)
+		from = b.Notices(Domain)
+		clock.now = clock.now.Add(transit)
+		a.Apply(from, true)
+	}
+	if a.Mixed() || b.Mixed() {
+		t.Error("a version that has gone still counts after the horizon")
+	}
+}
+
 // fleetModel is a model of some VMs of two failure domains whose messages are lost, that are
 // killed together or alone, and whose views of the versions lag.
 type fleetModel struct {
