Fetch the origins of streams once if the store is away

By reading: a VM that started while the store was away fetched all records from another VM again with each of its attempts to read the store, every 0.8 s. It fetches them once now, and again when one is missing. TestStreamGoesOnAtVMThatStartedWithoutStore shows that such a VM resumes streams at the version that began them; it would pass without this change too.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -99,21 +99,19 @@
 // loadOrigins reads the stored origins when the VM starts, and again when one is missing.
 func (n *Node) loadOrigins(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
-		pause := minOriginReadInterval
-		if err := n.readOrigins(ctx); err != nil {
+		err := n.readOrigins(ctx)
+		if err != nil {
 			n.log.Info("origins_not_read", logging.Error(err))
-			n.fetchOrigins(ctx)
-			pause = min(maxBackoff, minBackoff<<min(failures, 8))
+		}
+		if err != nil && !n.fetchOrigins(ctx) {
+			clock.Sleep(ctx, min(maxBackoff, minBackoff<<min(failures, 8)))
 			failures++
-		} else {
-			failures = 0
+			continue
 		}
-		if !clock.Sleep(ctx, pause) {
+		failures = 0
+		if !clock.Sleep(ctx, minOriginReadInterval) {
 			return
 		}
-		if failures > 0 {
-			continue
-		}
 		select {
 		case <-n.originMissed:
 		case <-ctx.Done():
@@ -158,21 +156,23 @@
 	}
 }
 
-// fetchOrigins fetches the origins that another VM knows, as the store can't be read.
-func (n *Node) fetchOrigins(ctx context.Context) {
+// fetchOrigins fetches the origins that another VM knows, as the store can't be read, and reports
+// whether it succeeded.
+func (n *Node) fetchOrigins(ctx context.Context) bool {
 	now := n.now()
 	peers := slices.DeleteFunc(n.gossip.Peers(), func(p gossip.Peer) bool { return !p.Alive(now) || p.Origins == nil || !p.Origins.Complete })
 	if len(peers) == 0 {
-		return
+		return false
 	}
 	p := peers[rand.IntN(len(peers))]
 	var notices origin.Notices
 	if err := fetchFromPeer(ctx, p.Member, originsPath, &notices); err != nil {
 		n.log.Info("origins_not_fetched", zap.String("peer", string(p.ID)), logging.Error(err))
-		return
+		return false
 	}
 	n.applyOrigins(&notices, false)
 	n.log.Info("origins_fetched", zap.String("peer", string(p.ID)), zap.Int("streams", n.origins.Len()))
+	return true
 }
 
 // applyVersionsRow applies the stored versions. now is the reading of the store's clock.
