--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -68,7 +68,11 @@
 	held := n.keeper.Term().Fencing
 	stranded := n.path.Cut() && n.peerFollows()
 	if held != 0 && (n.Leaving() || stranded) {
-		n.resign(map[bool]string{true: "leaving", false: "no path to the servers"}[n.Leaving()])
+		reason := "leaving"
+		if stranded {
+			reason = "no path to the servers"
+		}
+		n.resign(reason)
 		return n.opts.Bounds.Lease
 	}
 	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -41,6 +41,9 @@
 	Versions []origin.VersionNotice `json:"versions"`
 }
 
+// originAudiences are the audiences of notices in digests.
+var originAudiences = map[gossip.Audience]origin.Audience{gossip.Everyone: origin.Domain, gossip.Busy: origin.ActiveVMs}
+
 func (n *Node) originKey(key string) string { return n.opts.StreamTable + "/" + key }
 
 func (n *Node) slotKey(number int64) string {
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -152,3 +152,22 @@
 		return n.dialServer(ctx, string(e.ID), address)
 	}
 }
+
+// watchIsolation has the path to the servers checked while this VM seems to be partitioned from
+// them, and logs when that begins and ends.
+func (n *Node) watchIsolation() {
+	isolated, pending, silent := n.servers.Isolated()
+	if isolated || n.servers.DownCount() > n.maxDownServers() {
+		n.path.Suspect()
+	}
+	if isolated == n.isolated {
+		return
+	}
+	n.isolated = isolated
+	event := "servers_isolated"
+	if !isolated {
+		event = "servers_isolation_ended"
+	}
+	n.log.Warn(event, zap.Int("pending", pending), zap.Int("silent", silent), zap.Float64("calls", n.calls.Last()),
+		zap.Strings("offered", n.Addresses(n.opts.VM.FailureDomain)))
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,7 +21,6 @@
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/logging"
-	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -124,7 +123,7 @@
 		}
 		last = n.now()
 		d := n.digest()
-		d.Origins = n.origins.Notices(map[gossip.Audience]origin.Audience{gossip.Everyone: origin.Domain, gossip.Busy: origin.ActiveVMs}[audience])
+		d.Origins = n.origins.Notices(originAudiences[audience])
 		n.queueForRelay(d.Placements, d.Kept)
 		n.gossip.Send(n.addUnsent(d, audience), audience)
 		if n.gossip.IsRelay() && (audience == gossip.Everyone || last.Sub(summarized) >= minSummaryGap) {
@@ -215,25 +214,6 @@
 	n.applyPeers()
 }
 
-// watchIsolation has the path to the servers checked while this VM seems to be partitioned from
-// them, and logs when that begins and ends.
-func (n *Node) watchIsolation() {
-	isolated, pending, silent := n.servers.Isolated()
-	if isolated || n.servers.DownCount() > n.maxDownServers() {
-		n.path.Suspect()
-	}
-	if isolated == n.isolated {
-		return
-	}
-	n.isolated = isolated
-	event := "servers_isolated"
-	if !isolated {
-		event = "servers_isolation_ended"
-	}
-	n.log.Warn(event, zap.Int("pending", pending), zap.Int("silent", silent), zap.Float64("calls", n.calls.Last()),
-		zap.Strings("offered", n.Addresses(n.opts.VM.FailureDomain)))
-}
-
 // applyPeers applies the latest state of the other VMs: their loads, their reserved engines and
 // their number.
 func (n *Node) applyPeers() {
--- /dev/null
+++ b/internal/selector/reach.go
@@ -0,0 +1,103 @@
+package selector
+
+import "time"
+
+// Isolated reports whether this VM is likely partitioned from the servers. pending is the number
+// of servers that have requests of this VM in flight or accept no connections from it, and silent
+// the number of those that are silent.
+func (t *Table) Isolated() (isolated bool, pending, silent int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pending, silent = t.countSilent(t.now())
+	return likelyIsolated(pending, silent), pending, silent
+}
+
+func (t *Table) countSilent(now time.Time) (pending, silent int) {
+	for _, s := range t.servers {
+		if s.running == 0 && s.downSince.IsZero() {
+			continue
+		}
+		pending++
+		if s.silence(now) >= silenceRampStart {
+			silent++
+		}
+	}
+	return pending, silent
+}
+
+// likelyIsolated reports whether so many servers are silent that a partition of this VM is the
+// more likely cause.
+func likelyIsolated(pending, silent int) bool { return silent > 1 && 2*silent > pending }
+
+// Down reports whether an incarnation of a server accepts no connections, according to
+// the attempts of this VM.
+func (t *Table) Down(key ServerKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[key]
+	return s != nil && !s.downSince.IsZero()
+}
+
+// DownCount returns the number of servers that accept no connections from this VM.
+func (t *Table) DownCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.servers {
+		if !s.downSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// MarkDown records that a server accepts no connections.
+func (t *Table) MarkDown(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil && s.downSince.IsZero() {
+		s.downSince = t.now()
+	}
+}
+
+// MarkReachable records that a server accepts connections.
+func (t *Table) MarkReachable(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil {
+		s.downSince = time.Time{}
+	}
+}
+
+// MarkAllReachable records that this VM has another path to all servers.
+func (t *Table) MarkAllReachable() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		s.downSince, s.failures = time.Time{}, 0
+	}
+}
+
+// DoubtRun records that a connection to a server run was lost: the run may have ended.
+func (t *Table) DoubtRun(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.server(key).runDoubted = true
+}
+
+// ProveRun records that a server run has proved that it goes on.
+func (t *Table) ProveRun(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(key)
+	s.runProvedAt, s.runDoubted = t.now(), false
+}
+
+// RunProof returns when a server run last proved that it goes on, zero if it never has, and
+// whether a connection to it was lost since.
+func (t *Table) RunProof(key ServerKey) (at time.Time, doubted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(key)
+	return s.runProvedAt, s.runDoubted
+}
