Ask servers without a row for their run before a stream goes on there

A server started again as the other version; the store came back from an older copy and then without the server's row; the directory kept the ended run for its grace period. One VM asked the server and learned that the run had ended. Another one had lost no connection to it, took its directory, 0.5 s old, for proof, and resumed the streams there.

A directory no longer proves the run of a server that it shows without a row, nor any for as long as rows of a restored copy may outlive their servers. A run that a server has reported as ended gets no resumed stream, and new resumable ones only if no other server is available; other requests still go there, as the server may be sound and only its row missing.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -183,6 +183,15 @@
 	return d.known
 }
 
+// HasRow reports whether the server run of an entry had a row when the store was last read. A
+// server also counts as present for a grace period without one.
+func (d *Directory) HasRow(e *Entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.records[e.ID]
+	return r != nil && !r.Gone && r.Same(e) && r.holdUntil.IsZero()
+}
+
 // Newest returns the revision of the newest change up to Known. A VM whose state is
 // complete up to Newest has nothing to fetch here.
 func (d *Directory) Newest() platform.Revision {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -17,8 +17,8 @@
 	// available servers accept the call, possibly after a wait for a place within their
 	// rate limit.
 	available []selector.Candidate
-	// unsettled servers have a software version that other VMs may not know yet. They get
-	// resumable streams only if no other server is available.
+	// unsettled servers have a software version that this VM doesn't know, or that others may not
+	// know yet. They get resumable streams only if no other server is available.
 	unsettled []selector.Candidate
 	// withheld servers are about to load weights and get the call only if none is
 	// available.
@@ -47,6 +47,9 @@
 		if model.TooOld(&candidate) || !model.StartsInTime(q, &candidate) {
 			continue
 		}
+		if t.pinned != nil && candidate.RunEnded {
+			continue
+		}
 		candidate.Room, candidate.Brittle = g.opts.RateLimits.Room(selector.KeyOf(e), part)
 		var shared bool
 		candidate.RateLimitWait, shared = g.opts.RateLimits.Wait(selector.KeyOf(e))
@@ -57,7 +60,7 @@
 			c.limited = append(c.limited, candidate)
 		case withheld[string(e.ID)]:
 			c.withheld = append(c.withheld, candidate)
-		case t.pinned == nil && t.resumable() && !g.opts.Origins.Settled(origin.Origin{Service: service.Name, Version: e.Software}):
+		case t.pinned == nil && t.resumable() && (candidate.RunEnded || !g.opts.Origins.Settled(origin.Origin{Service: service.Name, Version: e.Software})):
 			c.unsettled = append(c.unsettled, candidate)
 		default:
 			c.available = append(c.available, candidate)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,9 @@
 	// DirectoryAge returns the age of the evidence that no server is missing from the
 	// directory; negative if there is none. Only logs use it.
 	DirectoryAge func() time.Duration
+	// ServersProvedAt returns the latest time at which servers that had ended were missing from the
+	// directory, or shown with their next run; zero if there is none.
+	ServersProvedAt func() time.Time
 	// ServersCurrent reports whether the directory has all servers that other VMs may use.
 	ServersCurrent func() bool
 	// OriginMissed is called when a stream can't be resumed because its origin isn't known.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,7 +75,7 @@
 		Goals: fleet.NewGoals(), Servers: servers, Pool: hop.NewPool(),
 		Quota:      quota.NewLedger(quota.Settings{Window: 8 * time.Second}, true, time.Now),
 		RateLimits: ratelimit.NewTable("vm", time.Now), CrashCauses: crashcause.NewTable(time.Now, func(crashcause.Change) {}), StoreContents: selector.NewStoreIndex(time.Now),
-		Origins: origin.NewTable(time.Now), ServersCurrent: func() bool { return true }, OriginMissed: func() {},
+		Origins: origin.NewTable(time.Now), ServersCurrent: func() bool { return true }, ServersProvedAt: time.Now, OriginMissed: func() {},
 		ReachableByPeers: func(*fleet.Entry) bool { return false },
 		Model:            selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -113,19 +113,23 @@
 
 // proveRun checks that the connection leads to the run of the server that the directory shows,
 // whose software version is known. The run may have ended if a connection to it was lost, or if
-// the directory is old. A stream that has begun isn't sent without that proof.
+// the directory is old, or shows the server without a row. A stream that has begun isn't sent
+// without that proof.
 func (a *attempt) proveRun(ctx context.Context) *failure {
 	t := a.t
 	if !t.resumable() && !t.resumes() {
 		return nil
 	}
-	e, servers, now := a.candidate.Entry, t.g.opts.Servers, t.g.opts.Now()
+	e, servers := a.candidate.Entry, t.g.opts.Servers
+	if a.candidate.RunEnded {
+		return nil // The choice of a server has allowed for it.
+	}
 	key := selector.KeyOf(e)
 	provedAt, doubted := servers.RunProof(key)
-	if age := t.g.opts.DirectoryAge(); age >= 0 && now.Add(-age).After(provedAt) {
-		provedAt = now.Add(-age)
+	if at := t.g.opts.ServersProvedAt(); at.After(provedAt) && t.g.opts.Directory.HasRow(e) {
+		provedAt = at
 	}
-	opened := now.Add(-a.conn.Age())
+	opened := t.g.opts.Now().Add(-a.conn.Age())
 	if doubted || t.g.opts.Pool.Lost(a.poolKey(), e.Address) {
 		provedAt = time.Time{}
 	}
@@ -143,10 +147,12 @@
 		a.runProved = true
 		return nil
 	case err == nil:
-		a.result = selector.Misdirected
-		return &failure{code: "server_restarted", err: errors.Errorf("server %s has started again since its announcement", e.ID)}
+		servers.MarkRunEnded(key)
+		if t.pinned != nil {
+			return &failure{code: "server_restarted", err: errors.Errorf("server %s has started again since its announcement", e.ID)}
+		}
 	case t.pinned != nil:
 		return &failure{code: "server_unproved", err: errors.Wrapf(err, "server %s may have started again", e.ID)}
 	}
-	return nil // A new stream without a record can't be resumed, which is better than none.
+	return nil // A new stream without a record can't be resumed elsewhere, which is better than none.
 }
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"testing"
+	"time"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
@@ -26,3 +30,29 @@
 		g.opts.Origins = origin.NewTable(g.opts.Now)
 	}
 }
+
+func TestResumedStreamNeedsProofOfServerWithoutRow(t *testing.T) {
+	for _, running := range []int64{0, 99} {
+		served := false
+		g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+			served = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 4\ndata: a\n\n")
+		})
+		entry := *g.opts.Directory.View().Server("e")
+		entry.Software, entry.Revision.Version = "v1", 2
+		gone := fleet.Entry{ID: "e", Gone: true, Hold: time.Minute}
+		gone.Revision.Version = 3
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{entry, gone}}, time.Now())
+		g.opts.RunningSince = func(context.Context, *fleet.Entry) (int64, error) { return running, nil }
+		v1 := origin.Origin{Service: "llm", Version: "v1"}
+		g.opts.Origins.Observe([]origin.Origin{v1})
+		g.opts.Origins.Record(origin.NewStreamID("first"), v1)
+		call, sink := modelCall(), &recordingSink{}
+		call.LastEvent, call.Resumes = 3, "first"
+		g.Serve(context.Background(), call, sink)
+		if served != (running == 0) || (sink.refusal == nil) != served {
+			t.Errorf("a server that reports the run %d instead of 0: served %v, refusal %v", running, served, sink.refusal)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -292,6 +292,7 @@
 		FailureDomain:    opts.VM.FailureDomain,
 		Model:            selector.CostModel{PrefillRate: nominalPrefillRate, VersionBound: opts.Bounds.VersionBound},
 		ServersCurrent:   n.serversCurrent,
+		ServersProvedAt:  n.serversProvedAt,
 		OriginMissed:     func() { n.signal(n.originMissed) },
 		RunningSince:     n.runningSince,
 		ReachableByPeers: n.reachableByPeers,
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -93,6 +93,17 @@
 	return alive || len(peers) == 0
 }
 
+// serversProvedAt returns the latest time at which servers that had ended were missing from the
+// directory, or shown with their next run; zero if there is none. A store that was restored from
+// an older copy shows ended runs until their rows expire.
+func (n *Node) serversProvedAt() time.Time {
+	age := n.serverStaleness()
+	if _, since := n.era(); age < 0 || !since.IsZero() && n.now().Sub(since) < rowTTL(n.opts.Bounds.Heartbeat) {
+		return time.Time{}
+	}
+	return n.now().Add(-age)
+}
+
 // runningSince returns the start time of the run that a server reports.
 func (n *Node) runningSince(ctx context.Context, e *fleet.Entry) (int64, error) {
 	report, err := n.opts.Engines.Report(ctx, e, n.dialVia(e))
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -93,6 +93,13 @@
 	s.runProvedAt, s.runDoubted = t.now(), false
 }
 
+// MarkRunEnded records that a server has reported a later run.
+func (t *Table) MarkRunEnded(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.server(key).runEnded = true
+}
+
 // RunProof returns when a server run last proved that it goes on, zero if it never has, and
 // whether a connection to it was lost since.
 func (t *Table) RunProof(key ServerKey) (at time.Time, doubted bool) {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -42,6 +42,9 @@
 	Backlog float64
 	// OwnRunning is the number of requests of this VM at the server.
 	OwnRunning int
+	// RunEnded is set if another run of the server, whose software isn't known, has taken the
+	// place of the one that its entry describes.
+	RunEnded bool
 	// Brittle is set if the server must not have more than Room requests of this VM.
 	Brittle bool
 	Room    int
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -70,8 +70,10 @@
 	// connection to it was lost since.
 	runProvedAt time.Time
 	runDoubted  bool
-	successes   float64
-	failures    float64
+	// runEnded is set once the server reported a later run than this one.
+	runEnded  bool
+	successes float64
+	failures  float64
 	// decayedAt is when successes and failures were last decayed.
 	decayedAt time.Time
 	latency   time.Duration
@@ -140,7 +142,7 @@
 	s := t.server(KeyOf(c.Entry))
 	now := t.now()
 	s.decay(now)
-	c.OwnRunning = s.running
+	c.OwnRunning, c.RunEnded = s.running, s.runEnded
 	c.KnownRunning = s.running + s.peerLoad.Running
 	c.KnownBacklog = s.backlog + s.peerLoad.Backlog
 	// Other VMs choose from the same state and add as much load until they receive the report.
