--- a/internal/hop/silent_test.go
+++ b/internal/hop/silent_test.go
@@ -58,9 +58,7 @@
 	}
 }
 
-// TestKeepAliveToleratesSilentSoundServer computes the shortest silence by which keep-alive probes
-// end a connection: it begins just before the first probe, and with a user timeout the connection ends at the first
-// probe that is due after it.
+// The shortest silence that ends a connection begins just before the first keep-alive probe.
 func TestKeepAliveToleratesSilentSoundServer(t *testing.T) {
 	end := keepAlive.Idle + keepAlive.Interval
 	for end < userTimeout {
