review: streams of two software versions are joined after a restart in place

Cause: gateway.proveRun takes a connection that was opened up to 2 s after the directory's last evidence as leading to the run that the directory shows. While the store is down, a worker that restarts under its id with newer software isn't noticed by a router that had no connection to it.

Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,6 +23,8 @@
 	// complete is set if the answer ended as complete in the protocol.
 	complete bool
 	err      error
+	// tries are the ids of the client's further attempts.
+	tries []string
 }
 
 var attempts atomic.Int64
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// deployment is a small deployment: one router and one worker of each service in each zone.
+// deployment is a small deployment: one router, one plain worker and some engines in each zone.
 type deployment struct {
 	store   *store
 	routers []*router
@@ -48,16 +49,27 @@
 	}
 }
 
-// newDeployment starts a deployment and waits until all routers are ready. prepare may change a
-// worker before it starts. direct is set if no path to a worker is cut.
-func newDeployment(direct bool, memoryMB int, prepare func(*worker)) *deployment {
+// options are the properties of a deployment that differ between cases.
+type options struct {
+	// cuts is set if paths to workers are cut.
+	cuts bool
+	// engines is the number of engines in each zone.
+	engines int
+	// prepare may change a worker before it starts.
+	prepare func(*worker)
+}
+
+// newDeployment starts a deployment and waits until all routers are ready.
+func newDeployment(o options) *deployment {
 	d := &deployment{store: newStore()}
 	d.store.put("op", "config", config(3))
 	d.store.put("op", "version/model-1", map[string]any{"model": "model-1", "version": 1})
 	for _, zone := range zones {
-		for _, service := range []string{"llm", "app"} {
-			w := &worker{store: d.store, service: service, zone: zone, software: "v1", events: 40, pause: 50 * time.Millisecond, engine: service == "llm", nameNew: true}
-			prepare(w)
+		for i, service := range append(slices.Repeat([]string{"llm"}, o.engines), "app") {
+			w := &worker{store: d.store, number: i, service: service, zone: zone, software: "v1", events: 40, pause: 50 * time.Millisecond, engine: service == "llm", nameNew: true}
+			if o.prepare != nil {
+				o.prepare(w)
+			}
 			w.start()
 			if w.engine {
 				d.engines = append(d.engines, w)
@@ -67,7 +79,7 @@
 		}
 	}
 	for i, zone := range zones {
-		r := newRouter(fmt.Sprintf("edge-%s-%d", zone, i+1), zone, d.store, direct, memoryMB, workDir)
+		r := newRouter(fmt.Sprintf("edge-%s-%d", zone, i+1), zone, d.store, !o.cuts, workDir)
 		d.routers = append(d.routers, r)
 		routers = append(routers, r)
 		r.start()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -54,7 +54,8 @@
 
 // cases are the cases by number. Each reports whether the rule was broken.
 var cases = map[string]func(trouble bool) bool{
-	"tunnel": playTunnel,
+	"versions": playVersions,
+	"tunnel":   playTunnel,
 }
 
 func main() {
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -57,9 +57,12 @@
 	return 0
 }
 
+// memoryLimitMB is memory_mb of the example in DEPLOY.
+const memoryLimitMB = 284
+
 func local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
-func newRouter(name, zone string, s *store, direct bool, memoryMB int, dir string) *router {
+func newRouter(name, zone string, s *store, direct bool, dir string) *router {
 	r := &router{name: name, zone: zone, paths: newPaths(direct)}
 	r.front, r.ready, r.directory, r.internal = local(freePort()), local(freePort()), local(freePort()), freePort()
 	r.store = serve(&storePath{store: s, address: r.paths.address})
@@ -72,7 +75,7 @@
 		// Only the first port is used.
 		"internal_ports": []int{r.internal, r.internal},
 		"seeds":          []string{}, "bootstrap": true, "in_fault_budget": false,
-		"limits":   map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryMB, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":   map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryLimitMB, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "registry", "heartbeat_ms": 1200,
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants", "quota", "platform"},
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
@@ -161,20 +164,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-// addresses looks up where clients of a zone connect.
-func (r *router) addresses(zone string) []string {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + r.directory + "/resolve?name=calls.example&region=region-1&zone=" + zone)
-	if err != nil {
-		return nil
-	}
-	defer resp.Body.Close()
-	var reply struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(resp.Body).Decode(&reply) != nil {
-		return nil
-	}
-	return reply.Addresses
-}
--- a/review/standin/tunnel.go
+++ b/review/standin/tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,7 +11,7 @@
 // playTunnel partitions one router from all workers. Its streams then pass through the other
 // routers. One of those is killed while streams without a length pass through it.
 func playTunnel(trouble bool) bool {
-	d := newDeployment(false, 284, func(w *worker) { w.unframed = true })
+	d := newDeployment(options{cuts: true, engines: 1, prepare: func(w *worker) { w.unframed = true }})
 	cutOff, relay := d.routers[0], d.routers[1]
 	var mu sync.Mutex
 	var answers []answer
@@ -75,12 +76,13 @@
 	return short > 0
 }
 
-func runsOf(id string) string {
+// runsOf describes the runs of a client's attempts.
+func runsOf(ids ...string) string {
 	runsMu.Lock()
 	defer runsMu.Unlock()
 	out := ""
 	for _, r := range runs {
-		if r.id == id {
+		if slices.Contains(ids, r.id) {
 			out += fmt.Sprintf("[%s from event %d, wrote up to %d, whole %v]", r.worker, r.lastEvent+1, r.sent, r.ended)
 		}
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -33,6 +33,9 @@
 	outage          time.Duration
 	engine, nameNew bool
 
+	// number tells the workers of a zone apart.
+	number int
+
 	mu       sync.Mutex
 	id       string
 	born     int64
@@ -67,6 +70,12 @@
 
 // start starts a boot of the worker and registers it.
 func (w *worker) start() {
+	w.startUnannounced()
+	w.announce()
+}
+
+// startUnannounced starts a boot of the worker. It can't register while the store is down.
+func (w *worker) startUnannounced() {
 	w.mu.Lock()
 	address := w.address
 	if address == "" {
@@ -85,7 +94,7 @@
 	}
 	if w.id == "" || w.nameNew {
 		w.boots++
-		w.id = fmt.Sprintf("i-%s-%s-%d", w.service, w.zone, w.boots)
+		w.id = fmt.Sprintf("i-%s-%s-%d-%d", w.service, w.zone, w.number, w.boots)
 	}
 	w.listener, w.address, w.born, w.conns = l, l.Addr().String(), time.Now().UnixMilli(), map[net.Conn]bool{}
 	record("worker %s started, software %s, address %s", w.id, w.software, w.address)
@@ -103,7 +112,6 @@
 		}
 	}}
 	go func() { _ = server.Serve(l) }()
-	w.announce()
 }
 
 func (w *worker) announce() { w.store.put("servers", w.id, w.row()) }
@@ -176,7 +184,7 @@
 		rw.Header().Set("Papayaspan-Instance-Id", id)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	length, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
 	}
@@ -192,7 +200,7 @@
 	if !w.engine {
 		time.Sleep(15 * time.Millisecond)
 		h.Set("Content-Type", "application/octet-stream")
-		_, err := rw.Write([]byte(fmt.Sprintf("%d bytes read by %s", len(body), id)))
+		_, err := rw.Write([]byte(fmt.Sprintf("%d bytes read by %s", length, id)))
 		x.set(func() { x.ended = err == nil })
 		return
 	}
