review: sound requests that share a prompt part with crashing ones are refused

Cause: crashcause breaks a tie between two parts that were on all crashed servers by whether one has ever succeeded, which it keeps for 4,096 traits only, and then by their hashes. A conviction of the part that sound requests share can't be cleared, because all of them are refused.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -54,6 +54,7 @@
 
 // cases are the cases by number. Each reports whether the rule was broken.
 var cases = map[string]func(trouble bool) bool{
+	"lockout":  playLockout,
 	"versions": playVersions,
 	"tunnel":   playTunnel,
 }
--- a/review/standin/tunnel.go
+++ b/review/standin/tunnel.go
@@ -5,13 +5,19 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // playTunnel partitions one router from all workers. Its streams then pass through the other
 // routers. One of those is killed while streams without a length pass through it.
 func playTunnel(trouble bool) bool {
-	d := newDeployment(options{cuts: true, engines: 1, prepare: func(w *worker) { w.unframed = true }})
+	// PART plays one of the two disruptions alone, or a planned stop in place of the kill.
+	part, events := os.Getenv("PART"), 40
+	if part == "stop" {
+		events = 160 // Streams of 8 s, so that some last until the stopped router ends.
+	}
+	d := newDeployment(options{cuts: true, engines: 1, prepare: func(w *worker) { w.unframed, w.events = true, events }})
 	cutOff, relay := d.routers[0], d.routers[1]
 	var mu sync.Mutex
 	var answers []answer
@@ -37,20 +43,22 @@
 		}()
 	}
 	time.Sleep(3 * time.Second)
-	part := os.Getenv("PART") // One of the two disruptions alone, for the report.
 	if trouble && part != "kill" {
 		record("partition: %s reaches no worker", cutOff.name)
 		cutOff.paths.hold(true)
 	}
 	time.Sleep(3500 * time.Millisecond)
-	if trouble && part != "partition" {
+	if trouble && part == "stop" {
+		record("SIGTERM: %s", relay.name)
+		relay.signal(syscall.SIGTERM)
+	} else if trouble && part != "partition" {
 		record("SIGKILL: %s", relay.name)
 		relay.kill()
 		time.Sleep(500 * time.Millisecond)
 		relay.start()
 	}
 	clients.Wait()
-	return judgeWhole(answers, 40)
+	return judgeWhole(answers, events)
 }
 
 // judgeWhole checks MIXED and ORDER: an answer that ends early must not look complete.
