review: take the routers' ports from below the ephemeral range

A restarted router could find its port taken by a client's connection; one run of several beside one another could not start for that reason.

--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -27,31 +27,28 @@
 	done chan struct{}
 }
 
-var (
-	usedPorts   = map[int]bool{}
-	usedPortsMu sync.Mutex
-)
+// Ports of routers are below the kernel's ephemeral range, whose ports the clients' connections take.
+const firstPort, lastPort = 12000, 32000
+
+var nextPort = firstPort + os.Getpid()*101%(lastPort-firstPort)
 
 // freePort returns a port that is free for TCP and UDP.
 func freePort() int {
-	usedPortsMu.Lock()
-	defer usedPortsMu.Unlock()
-	for range 1000 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", local(nextPort))
 		if err != nil {
 			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port))
+		u, err := net.ListenPacket("udp4", local(nextPort))
 		_ = l.Close()
 		if err != nil {
 			continue
 		}
 		_ = u.Close()
-		if !usedPorts[port] {
-			usedPorts[port] = true
-			return port
-		}
+		return nextPort
 	}
 	fatal("no free port")
 	return 0
