--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -145,12 +145,6 @@
 	}
 }
 
-func (r *router) pid() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cmd.Process.Pid
-}
-
 // isReady asks the router's readiness address.
 func (r *router) isReady() bool {
 	client := http.Client{Timeout: time.Second}
