Log sizes and times of the state that VMs fetch from one another

The logs couldn't tell a transfer that never fits its time limit from a VM that serves all others of its domain, or from slow processing: no size of a fetch was logged, the serving side logged nothing, and a configuration in force didn't say since when others had it.

The functions for fetching moved to a file of their own. No decision changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,6 +223,8 @@
 	observed       map[backend.ID]observedWeights
 	peerAheadSince map[vm.ID]time.Time
 	fetching       bool
+	// newestCatalog is the newest version of the configuration that another VM has reported.
+	newestCatalog knownCatalog
 	// domains holds the last summary of each other failure domain.
 	domains map[string]domainState
 	// relayQueue holds the prompt notices that the next summary sends to the other domains.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -115,12 +115,39 @@
 	n.log.Info("catalog_in_force",
 		zap.Uint64("version", uint64(s.Version)),
 		zap.String("source", source),
+		zap.Duration("behind", n.catalogBehind(s.Version)),
 		zap.Int("routes", len(s.Routes)),
 		zap.Int("services", len(s.Services)),
 		zap.Int("accounts", len(s.Accounts)))
 	n.notifyAll()
 }
 
+// noteCatalog records that a version of the configuration exists.
+func (n *Node) noteCatalog(version catalog.Version) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if version > n.newestCatalog.version {
+		n.newestCatalog = knownCatalog{version: version, since: n.now()}
+	}
+}
+
+// catalogBehind returns how long ago another VM first reported the given or a newer version of the
+// configuration; 0 if none has.
+func (n *Node) catalogBehind(version catalog.Version) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.newestCatalog.version < version {
+		return 0
+	}
+	return n.now().Sub(n.newestCatalog.since)
+}
+
+// knownCatalog is a version of the configuration that another VM has in force.
+type knownCatalog struct {
+	version catalog.Version
+	since   time.Time
+}
+
 func (n *Node) setGoal(model string, goal fleet.Goal, source string) {
 	change := n.goals.Add(model, goal)
 	if change == fleet.Known {
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -180,7 +180,7 @@
 	}
 	p := peers[rand.IntN(len(peers))]
 	var notices origin.Notices
-	if err := fetchFromPeer(ctx, p.Member, originsPath, &notices); err != nil {
+	if _, err := fetchFromPeer(ctx, p.Member, originsPath, &notices); err != nil {
 		n.log.Info("origins_not_fetched", zap.String("peer", string(p.ID)), logging.Error(err))
 		return false
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,25 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"papayaspan.dev/papayaspan/internal/backend"
-	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
-	"papayaspan.dev/papayaspan/internal/httpbounds"
-	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -38,37 +28,16 @@
 	minSummaryGap = 100 * time.Millisecond
 	// largeFleet is the number of VMs from which digests are sent half as often: each VM then
 	// has a small share of the load that they report.
-	largeFleet = 16
-	// fetchDelay is how long a peer must be ahead before its state is fetched: the store's feed
-	// delivers most changes within that time.
-	fetchDelay = 300 * time.Millisecond
-	// remoteFetchDelay is the same for a peer in another failure domain: a peer in the same
-	// domain most likely has the state by then.
-	remoteFetchDelay = 800 * time.Millisecond
-	// fetchTimeout bounds the fetch of a peer's state.
-	fetchTimeout = 700 * time.Millisecond
-	// fetchFailureHold is how long a VM reads the store itself after a failed fetch. A failure
-	// delays a change by up to fetchTimeout, a third of the time allowed to apply a drain or a removal,
-	// so that failures must not follow one another.
-	fetchFailureHold = 30 * time.Second
-	peerIdleTimeout  = 30 * time.Second
+	largeFleet      = 16
+	peerIdleTimeout = 30 * time.Second
 	// observedMaxAge is how long digests report a version that a server was observed to hold;
 	// the server announces it itself within its heartbeat interval.
 	observedMaxAge = 4 * time.Second
 	// startUptime is the uptime below which a VM counts as just started and is sending its
 	// first digests.
 	startUptime = 300 * time.Millisecond
-	// maxStateBytes bounds a peer's state.
-	maxStateBytes = 8 << 20
-	statePath     = "/state"
 )
 
-// peerState is the state that one VM fetches from another.
-type peerState struct {
-	Catalog *catalog.Snapshot `json:"catalog,omitempty"`
-	Servers fleet.Update      `json:"servers"`
-}
-
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, n.serveState)
@@ -78,24 +47,6 @@
 	return mux
 }
 
-func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
-	known, err1 := strconv.ParseUint(r.URL.Query().Get("catalog"), 10, 64)
-	var revision platform.Revision
-	err2 := revision.UnmarshalText([]byte(r.URL.Query().Get("servers")))
-	if err1 != nil || err2 != nil {
-		http.Error(w, "the parameter catalog must be a number, and servers a revision", http.StatusBadRequest)
-		return
-	}
-	s := peerState{Servers: n.directory.Export(revision, n.now())}
-	if c := n.Gateway.Catalog(); c != nil && uint64(c.Version) > known {
-		s.Catalog = &c.Snapshot
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
-		n.log.Info("state_write_failed", logging.Error(err))
-	}
-}
-
 // sendDigests sends digests to the peers several times a second and when changes are signalled.
 func (n *Node) sendDigests(ctx context.Context) {
 	ticker := time.NewTicker(digestInterval)
@@ -299,6 +250,7 @@
 	n.confirmServers(p.Servers, p.EvidenceAge)
 	n.queueForRelay(p.Placements, p.Kept)
 	n.applyPeers()
+	n.noteCatalog(p.Catalog)
 	if n.shouldFetch(p.Member, p.Catalog, p.Servers) {
 		go n.fetch(p.Member)
 	}
@@ -376,106 +328,6 @@
 	n.observed[id] = h
 }
 
-// shouldFetch reports whether a peer has been ahead for long enough that its state should be
-// fetched now, and if so marks a fetch as in progress.
-func (n *Node) shouldFetch(p gossip.Member, catalogKnown catalog.Version, serversKnown platform.Revision) bool {
-	var version catalog.Version
-	if c := n.Gateway.Catalog(); c != nil {
-		version = c.Version
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if catalogKnown <= version && !serversKnown.After(n.directory.Known()) {
-		delete(n.peerAheadSince, p.ID)
-		return false
-	}
-	since, known := n.peerAheadSince[p.ID]
-	if !known {
-		since = n.now()
-		n.peerAheadSince[p.ID] = since
-	}
-	newEra := serversKnown.Era > n.directory.Known().Era && p.FailureDomain == n.opts.VM.FailureDomain
-	if n.now().Sub(since) < n.fetchDelayFor(p) && !newEra || n.fetching {
-		return false
-	}
-	n.fetching = true
-	return true
-}
-
-// fetchDelayFor returns how long a peer must be ahead before its state is fetched. A VM that
-// doesn't follow the feeds itself fetches at the next digest.
-func (n *Node) fetchDelayFor(p gossip.Member) time.Duration {
-	switch {
-	case p.FailureDomain != n.opts.VM.FailureDomain:
-		return remoteFetchDelay
-	case n.Following():
-		return fetchDelay
-	default:
-		return 0
-	}
-}
-
-// fetch fetches and applies a peer's state.
-func (n *Node) fetch(p gossip.Member) {
-	defer func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.fetching = false
-		delete(n.peerAheadSince, p.ID)
-	}()
-	began, known := n.now(), n.directory.Known()
-	s, err := n.fetchState(p)
-	if err != nil {
-		at := n.now()
-		n.fetchFailedAt.Store(&at)
-		n.log.Info("state_fetch_failed", zap.String("peer", string(p.ID)), zap.Duration("took", at.Sub(began)), logging.Error(err))
-		return
-	}
-	n.fetchFailedAt.Store(nil)
-	n.log.Info("state_fetched", zap.String("peer", string(p.ID)), zap.Stringer("after", known),
-		zap.Stringer("up_to", s.Servers.UpTo), zap.Bool("whole", s.Servers.Whole), zap.Int("servers", len(s.Servers.Entries)),
-		zap.Bool("catalog", s.Catalog != nil), zap.Duration("took", n.now().Sub(began)))
-	if s.Catalog != nil {
-		n.publish(*s.Catalog, string(p.ID))
-	}
-	n.applyServers(s.Servers, string(p.ID))
-}
-
-// peerClient opens a new connection for each fetch: an idle one may have failed silently, and
-// the timeout that detects this is a third of the time allowed to apply a drain or a removal.
-var peerClient = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}
-
-func (n *Node) fetchState(p gossip.Member) (peerState, error) {
-	var version catalog.Version
-	if c := n.Gateway.Catalog(); c != nil {
-		version = c.Version
-	}
-	q := url.Values{
-		"catalog": {strconv.FormatUint(uint64(version), 10)},
-		"servers": {n.directory.Known().String()},
-	}
-	var s peerState
-	err := fetchFromPeer(context.Background(), p, statePath+"?"+q.Encode(), &s)
-	return s, err
-}
-
-// fetchFromPeer decodes the JSON that another VM serves at a path.
-func fetchFromPeer(ctx context.Context, p gossip.Member, path string, out any) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Peer+path, http.NoBody)
-	if err != nil {
-		return errors.Wrapf(err, "fetch %s", path)
-	}
-	resp, err := peerClient.Do(r)
-	if err != nil {
-		return errors.Wrapf(err, "fetch %s", path)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("fetch %s: status %d", path, resp.StatusCode)
-	}
-	return errors.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(out), "decode %s", path)
-}
-
 // peerHoldsOrderLease reports whether a live peer holds the order lease, according to the
 // latest digests and summaries.
 func (n *Node) peerHoldsOrderLease() bool {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -102,6 +102,7 @@
 	n.observePeerEra(s.Servers, string(s.From.ID))
 	n.confirmServers(s.Servers, s.EvidenceAge)
 	n.applyPeers()
+	n.noteCatalog(s.Catalog)
 	if n.shouldFetch(s.From, s.Catalog, s.Servers) {
 		go n.fetch(s.From)
 	}
