Let reads go on as long as their responses make progress

What callers saw: a configuration with 1400 more routes was not in force in time.

Cause: a call to the store ended at a time that doesn't know the size of its response. A long poll had its wait and 0.7 s for everything; a change late in the wait left 0.7 s for a row of 400 KB, and the repeated call, which doesn't wait, always had 0.7 s: on a link that needs longer, the configuration was never read. The call for the operator's objects was also cancelled whenever the one for servers failed or succeeded again, whatever had arrived.

Evidence: event=store_lost with "context deadline exceeded after 264558 bytes of the response"; TestConfigurationThatOutlastsTimeLimitOfCallIsRead fails on the code before (not in force 5 s after its acknowledgement on a link that takes 3 s, both cases).

Change: internal/stall. The response must begin within the old time, and then bring 1 KiB, or its end, within each 0.7 s; an interruption ends only a call whose response hasn't begun. The watchdog of internal/dispatch moved there, so that both fronts use one. Reads are cut to 1 KiB, as a chunked body fills the whole buffer before it returns, which looked like silence in a trial.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"time"
 )
 
 // relay passes the response on to the sink. One relay serves all attempts of a
@@ -65,19 +63,6 @@
 	})
 }
 
-// watchdog cancels an attempt whose server sends nothing within a timeout.
-type watchdog struct {
-	timer *time.Timer
-}
-
-func newWatchdog(cancel context.CancelCauseFunc, d time.Duration) *watchdog {
-	return &watchdog{timer: time.AfterFunc(d, func() { cancel(errStalled) })}
-}
-
-func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
-
 // timedReader runs the watchdog only while a read waits for the server, so that
 // a slow caller does not make the server appear stalled.
 type timedReader struct {
@@ -87,9 +72,9 @@
 
 // Read implements io.Reader.
 func (t *timedReader) Read(p []byte) (int, error) {
-	t.x.watchdog.reset(t.x.d.cfg.StallTimeout)
+	t.x.watchdog.Reset(t.x.d.cfg.StallTimeout)
 	n, err := t.r.Read(p)
-	t.x.watchdog.stop()
+	t.x.watchdog.Stop()
 	if n > 0 && t.x.result.FirstByte == 0 {
 		t.x.result.FirstByte = t.x.d.cfg.Now().Sub(t.x.startedAt)
 	}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -15,6 +15,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/sse"
+	"papayaspan.dev/papayaspan/internal/stall"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -22,8 +23,6 @@
 // usual time between tokens.
 const maxTimePerToken = 100 * time.Millisecond
 
-var errStalled = errors.New("the server sent nothing for too long")
-
 // exchange is one attempt: a request to one server and the relay of its
 // response.
 type exchange struct {
@@ -36,7 +35,7 @@
 	callerCtx context.Context
 	result    *Result
 	startedAt time.Time
-	watchdog  *watchdog
+	watchdog  *stall.Watchdog
 	observers observers
 }
 
@@ -44,8 +43,8 @@
 func (x *exchange) run() *attemptError {
 	ctx, cancel := context.WithCancelCause(x.callerCtx)
 	defer cancel(nil)
-	x.watchdog = newWatchdog(cancel, x.headerTimeout())
-	defer x.watchdog.stop()
+	x.watchdog = stall.NewWatchdog(cancel, x.headerTimeout())
+	defer x.watchdog.Stop()
 
 	out, err := x.newRequest()
 	if err != nil {
@@ -56,7 +55,7 @@
 		return x.attributeFailure(ctx, failure)
 	}
 	defer resp.Body.Close()
-	x.watchdog.reset(x.d.cfg.StallTimeout)
+	x.watchdog.Reset(x.d.cfg.StallTimeout)
 	x.result.Status = resp.StatusCode
 	x.result.Incarnation = backend.Incarnation(resp.Header.Get(openai.HeaderIncarnation))
 	x.result.WeightsVersion = resp.Header.Get(openai.HeaderWeightsVersion)
@@ -144,7 +143,7 @@
 		e.failure = CallerCanceled
 		return e
 	}
-	if context.Cause(ctx) == errStalled && e.verdict != verdict.NotRun {
+	if context.Cause(ctx) == stall.ErrStalled && e.verdict != verdict.NotRun {
 		e.failure = Stalled
 	}
 	return e
@@ -257,7 +256,7 @@
 // drain reads the rest of a stream after its done marker, so that the connection
 // can be reused.
 func (x *exchange) drain(body io.Reader) {
-	x.watchdog.reset(drainTimeout)
+	x.watchdog.Reset(drainTimeout)
 	_, _ = io.CopyN(io.Discard, body, drainBytes)
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -12,6 +12,7 @@
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/stall"
 )
 
 const (
@@ -42,16 +43,13 @@
 	serverBatchPause = 250 * time.Millisecond
 )
 
-// errInterrupted means that a call was cancelled in order to be repeated.
-var errInterrupted = errors.New("the call was cancelled in order to be repeated")
-
 // feedState is the state of the loop that reads one feed.
 type feedState struct {
 	name string
 	// pollWait is how long a call waits for a change.
 	pollWait time.Duration
-	// interrupt cancels the call in progress; nil if there is none.
-	interrupt atomic.Pointer[context.CancelFunc]
+	// interrupt ends the wait of the call in progress; nil if there is none.
+	interrupt atomic.Pointer[func()]
 	// batchPause is the delay after an answer with changes, which lets further changes
 	// accumulate.
 	batchPause time.Duration
@@ -172,7 +170,7 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, errInterrupted):
+		case errors.Is(err, stall.ErrInterrupted):
 			f.gap = true
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
@@ -253,9 +251,10 @@
 
 func (n *Node) watchTable(ctx context.Context, f *feedState, table string, applyChanges changesFunc) error {
 	after := f.after
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.interrupt.Store(&cancel)
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	interrupt := func() { cancel(stall.ErrInterrupted) }
+	f.interrupt.Store(&interrupt)
 	wait := f.pollWait
 	if f.failures > 0 {
 		wait = 0 // An immediate answer shows that the store is back.
@@ -264,7 +263,7 @@
 	f.interrupt.Store(nil)
 	if err != nil {
 		if callCtx.Err() != nil && ctx.Err() == nil {
-			return errInterrupted
+			return errors.WithStack(stall.ErrInterrupted)
 		}
 		return err
 	}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -37,6 +37,7 @@
 	Rows(ctx context.Context, table string) (Listing, error)
 	// Changes returns the changes after a revision, in order, and the revision
 	// from which to continue. It returns as soon as there is a change, or with
-	// no changes once wait has passed. Its errors include ErrHistoryGone.
+	// no changes once wait has passed. Its errors include ErrHistoryGone. If ctx
+	// ends with stall.ErrInterrupted, a response that is arriving is still read.
 	Changes(ctx context.Context, table string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
