Spread a configuration over all VMs that have it, compressed and apart from the servers

What callers saw: a configuration with 1400 more routes was not in force in time on many small VMs.

Cause: the two VMs of a domain that read the store sent the whole configuration, 0.3 MB and in the incident up to 0.9 MB, to all others at once, encoded for each. A fetch had 0.7 s for all of it, and one that was cut began again from its first byte, so that the links were full of bytes that nobody used. The same fetch brought the servers, which therefore waited for it too.

Change: a response is compressed once for all (305 KB become 15 KB in the test), a VM gives it half of its link and refuses further VMs when 0.1 s of it is promised; these take it from the first that has it. A fetch goes on as long as it makes progress; after 0.7 s another source, and the store, are tried beside it. The servers are fetched apart. The link's rate is read from the settings (link_mbps).

Side by side with earlier builds: compression is used only if the request accepts it, as earlier builds do (net/http); the new parameter parts is ignored by them and their whole response is read; a fetch of servers states the largest version, so that they send no configuration.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,8 @@
 	// Peer is the host:port on which this router listens for other routers, on TCP and UDP.
 	// They connect to the VM's peer address instead, if it has one.
 	Peer string
+	// LinkBitRate is the bandwidth of the VM's link in bits per second; 0 if it isn't known.
+	LinkBitRate float64
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Table and Feed access the platform's store.
@@ -208,7 +210,12 @@
 	// serversCurrentAt is the latest time at which the servers known here were known to be
 	// complete; nil before that.
 	serversCurrentAt atomic.Pointer[time.Time]
-	// fetchFailedAt is when the last fetch of a peer's state failed, nil if it succeeded.
+	// encoded is the configuration in force as it is sent to other VMs, guarded by encodeMu.
+	encodeMu    sync.Mutex
+	encoded     encodedCatalog
+	catalogLink linkBudget
+	// fetchFailedAt is when a fetch of a peer's state last failed or was slow, nil if one
+	// succeeded since.
 	fetchFailedAt atomic.Pointer[time.Time]
 	// isolated is set while this VM seems to be partitioned from the servers; used by the digest
 	// loop only.
@@ -218,11 +225,12 @@
 	// claim is the newest known report about the order lease's term.
 	claim atomic.Pointer[claim]
 
-	mu             sync.Mutex
-	reserved       []backend.ID
-	observed       map[backend.ID]observedWeights
-	peerAheadSince map[vm.ID]time.Time
-	fetching       bool
+	mu       sync.Mutex
+	reserved []backend.ID
+	observed map[backend.ID]observedWeights
+	// catalogFetches and serverFetches are the fetches of the configuration and of the servers
+	// from other VMs.
+	catalogFetches, serverFetches fetches
 	// newestCatalog is the newest version of the configuration that another VM has reported.
 	newestCatalog knownCatalog
 	// domains holds the last summary of each other failure domain.
@@ -258,7 +266,8 @@
 		originMissed:       make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
-		peerAheadSince:     map[vm.ID]time.Time{},
+		catalogFetches:     newFetches(),
+		serverFetches:      newFetches(),
 		persistedGoals:     map[string]uint64{},
 		domains:            map[string]domainState{},
 		planner:            rollout.NewPlanner(rolloutSettings(opts.Bounds)),
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if from, ok := n.vmWithNewerCatalog(stored.Version); ok {
-		n.fetch(from)
+		n.fetchCatalog(from)
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -250,10 +250,7 @@
 	n.confirmServers(p.Servers, p.EvidenceAge)
 	n.queueForRelay(p.Placements, p.Kept)
 	n.applyPeers()
-	n.noteCatalog(p.Catalog)
-	if n.shouldFetch(p.Member, p.Catalog, p.Servers) {
-		go n.fetch(p.Member)
-	}
+	n.fetchIfAhead(p.Member, p.Catalog, p.Servers)
 }
 
 // confirmServers records another VM's evidence, of the given age, that there is no entry newer
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -102,10 +102,7 @@
 	n.observePeerEra(s.Servers, string(s.From.ID))
 	n.confirmServers(s.Servers, s.EvidenceAge)
 	n.applyPeers()
-	n.noteCatalog(s.Catalog)
-	if n.shouldFetch(s.From, s.Catalog, s.Servers) {
-		go n.fetch(s.From)
-	}
+	n.fetchIfAhead(s.From, s.Catalog, s.Servers)
 }
 
 // Following reports whether this VM reads the store's feeds. Two VMs of each domain do; the
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -159,7 +159,7 @@
 }
 
 // fetchFrom fetches and applies the state of another VM.
-func (v *testVM) fetchFrom(address string) { v.fetch(gossip.Member{ID: "other", Peer: address}) }
+func (v *testVM) fetchFrom(address string) { v.fetchServers(gossip.Member{ID: "other", Peer: address}) }
 
 // receiveFrom applies the digest of another VM.
 func (v *testVM) receiveFrom(other *testVM) { v.receiveDigest(&gossip.Peer{Digest: other.digest()}) }
