Send nothing new to servers whose responses say that they leave

What servers saw: requests from a VM that had passed on a response with Server-Leaving more than drain_ms before.

Cause: nothing read the header; leaves were known from the store alone. Beside it, a late draining row of an earlier run erased what was known of the present run's drain, and a run without a start time couldn't be marked as draining.

Other VMs get no tunnel to it.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -118,7 +118,7 @@
 // record is the state kept for a server.
 type record struct {
 	*Entry
-	// drainedRun is the start time of the run that announced its drain; 0 for none. A
+	// drainedRun is the start time of the latest run that is known to drain, or noRun. A
 	// draining run never becomes ready again, but an earlier write of its own may reach
 	// the store late.
 	drainedRun int64
@@ -141,6 +141,9 @@
 	confirmedRun int64
 }
 
+// noRun is the start time of no run. Servers that state none have the start time 0.
+const noRun = -1
+
 // seenWeightsAge is for how long weights seen in a server's responses take precedence over
 // an announcement of older ones, which may have been sent before. Servers announce
 // themselves at their heartbeat interval of about a second, and a delayed write takes a few
@@ -255,7 +258,7 @@
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now}
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun}
 		d.records[id] = r
 	}
 	return r
@@ -298,14 +301,16 @@
 	case older && laterEra:
 		next = *r.Entry
 	case e.State == Draining:
-		r.drainedRun, r.drainOverwritten = e.Started, e.DrainOverwritten
+		if e.Started >= r.drainedRun {
+			r.drainedRun, r.drainOverwritten = e.Started, e.DrainOverwritten
+		}
 		if older && !r.Gone {
 			next = *r.Entry
 			next.State = Draining
 		}
 	case older:
 		next = *r.Entry
-	case r.drainedRun != 0 && e.Started == r.drainedRun:
+	case e.Started == r.drainedRun:
 		next.State, r.drainOverwritten = Draining, true
 	}
 	next.Revision, next.Hold, next.DrainOverwritten = e.Revision, 0, false
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,3 +162,45 @@
 		t.Errorf("behind by %v after the correction", got)
 	}
 }
+
+func TestRunThatSaidItLeavesStaysDrained(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, started := range []int64{0, 5} {
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", started, 1))
+		if d.MarkDrained("x", started, now) == nil || d.MarkDrained("x", started, now) != nil {
+			t.Error("only the first statement changes the state")
+		}
+		apply(d, now, ready("x", started, 2))
+		d.Apply(Update{UpTo: at(3), Whole: true, Entries: []Entry{ready("x", started, 3)}}, now)
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("a row made the leaving run %d usable", started)
+		}
+		other := NewDirectory(testRowTTL)
+		apply(other, now, ready("x", started, 3))
+		for _, run := range d.UnusableRuns(now) {
+			other.ApplyUnusableRun(run, now)
+		}
+		if len(other.View().Service("s")) != 0 {
+			t.Errorf("another VM uses the leaving run %d", started)
+		}
+		apply(d, now, ready("x", 9, 4))
+		if len(d.View().Service("s")) != 1 {
+			t.Errorf("the run after the leaving run %d isn't used", started)
+		}
+	}
+}
+
+func TestLateDrainOfEarlierRunKeepsLaterRunDrained(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 9, 1))
+	d.MarkDrained("x", 9, now)
+	late := ready("x", 5, 2)
+	late.State = Draining
+	apply(d, now, late)
+	apply(d, now, ready("x", 9, 3))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the later run is used again")
+	}
+}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -144,6 +144,13 @@
 	return changed
 }
 
+// MarkDrained records that a run of a server is draining, as its own responses state, whatever its
+// row says now or later. It returns the entry if that changes the known state. The runs that follow
+// aren't affected.
+func (d *Directory) MarkDrained(id backend.ID, started int64, now time.Time) *Entry {
+	return d.ApplyUnusableRun(UnusableRun{ID: id, Started: started}, now)
+}
+
 // markDrained records that a run is draining although its row may say that it is ready, and
 // returns the entry if that changes the known state.
 func (d *Directory) markDrained(r *record, started int64) *Entry {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,6 +82,10 @@
 	RateLimit ratelimit.Statement
 	// RateLimitErr is set if that can't be parsed.
 	RateLimitErr error
+	// Leaving is set if the server states that it leaves, LeavingErr if what it states can't
+	// be parsed.
+	Leaving    bool
+	LeavingErr error
 }
 
 // Dialect is the wire format of requests to backend servers and of their responses.
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -18,7 +18,9 @@
 type meters struct {
 	registry                           metrics.Registry
 	requests, refused, failed, retries metrics.Meter
-	firstByte, total                   map[catalog.Kind]metrics.Histogram
+	// leaves counts the servers whose responses stated that they leave.
+	leaves           metrics.Counter
+	firstByte, total map[catalog.Kind]metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -31,6 +33,7 @@
 		refused:   metrics.GetOrRegisterMeter("requests_refused", r),
 		failed:    metrics.GetOrRegisterMeter("requests_failed", r),
 		retries:   metrics.GetOrRegisterMeter("retries", r),
+		leaves:    metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
 		firstByte: map[catalog.Kind]metrics.Histogram{},
 		total:     map[catalog.Kind]metrics.Histogram{},
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,7 +7,9 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -23,6 +25,7 @@
 	head := t.g.opts.Dialect.Head(a.candidate.Entry.ID, resp)
 	a.inFlight.DataReceived()
 	a.recordRateLimit(head)
+	a.recordLeaving(head)
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.candidate.Entry.ID, a.candidate.Entry.Started, t.call.Model, head.WeightsVersion, t.g.opts.Now())
 	}
@@ -47,6 +50,26 @@
 	return a.relayWhole(caller, resp)
 }
 
+// recordLeaving records that the server's run leaves, as its response states. The response may be
+// an error: a leaving server says so in all of them.
+func (a *attempt) recordLeaving(head Head) {
+	t, e := a.t, a.candidate.Entry
+	switch {
+	case head.Misdirected:
+		return // The response is another server's.
+	case head.LeavingErr != nil:
+		t.g.opts.Log.Warn("server_leaving_malformed", zap.String("request_id", t.call.ID),
+			zap.String("server", string(e.ID)), logging.Error(head.LeavingErr))
+		return
+	case !head.Leaving || t.g.opts.Directory.MarkDrained(e.ID, e.Started, t.g.opts.Now()) == nil:
+		return
+	}
+	t.g.meters.leaves.Inc(1)
+	t.g.opts.Log.Info("server_says_leaving", zap.String("request_id", t.call.ID), zap.String("server", string(e.ID)),
+		zap.Int64("server_started", e.Started), zap.Stringer("server_revision", e.Revision))
+	t.g.opts.NotifyPeers()
+}
+
 // declinedFailure returns the failure of a request that the server guarantees not to
 // have run.
 func (a *attempt) declinedFailure(resp *http.Response, head Head) *failure {
--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -1,16 +1,19 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/tunnel"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -133,3 +136,14 @@
 		t.Error("the failure was not recorded")
 	}
 }
+
+func TestLeavingServerGetsNoConnectionForAnotherVM(t *testing.T) {
+	store := newServerStore()
+	store.write("x", fleet.Ready, 1)
+	v := newTestVM(t, store)
+	v.loadServers()
+	v.directory.MarkDrained("x", 1, v.clock)
+	if conn, err := v.connectForPeer(context.Background(), tunnel.Target{ID: "x", Started: 1}); err == nil || !strings.Contains(err.Error(), "leaves") {
+		t.Errorf("connection %v, error %v", conn, err)
+	}
+}
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -49,6 +49,9 @@
 	if e == nil || e.Started != target.Started {
 		return nil, errors.Errorf("no server %s has started at %d", target.ID, target.Started)
 	}
+	if !e.Usable() {
+		return nil, errors.Errorf("server %s leaves", target.ID) // The other VM doesn't know it yet.
+	}
 	return hop.Dial(ctx, e.Address)
 }
 
