Don't take a refusal of an earlier request for one of this request

What callers would see: not run, try again, for a request that the engine runs (REFUSED), or its run at a second engine (TWICE).

The platform's path: it can't happen. A response counts only with the request's own ID, one request never goes to a server run twice, and a connection isn't kept after a refusal. Shown by TestRepeatedRefusalIsNotTakenForAnotherRequest (a server that writes an earlier refusal before or after each response).

The own path had the fault: the header that says "not run" was read before the ID of the request, so that a refusal that an engine wrote once more on a kept connection counted for the next request. TestRefusalRepeatedOnKeptConnectionIsTakenForNextRequest failed: "req-1 ran and was reported as not run", with the earlier request's ID and without one.

Change: a refusal counts with the request's ID; without an ID, only on a connection that carried no request before. After a response with another ID the connection is closed: the response to this request may still arrive on it, which the transport could have given to the next one.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -98,6 +98,22 @@
 	return tracked
 }
 
+// isReused reports whether the connection carried other requests before.
+func (t *connTrace) isReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
+// close closes the connection, so that it carries no further request.
+func (t *connTrace) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // mayHaveWritten blocks further writes of a failed request and reports whether
 // any byte of it may have reached a server.
 func (t *connTrace) mayHaveWritten() bool {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -36,6 +36,8 @@
 	result    *Result
 	startedAt time.Time
 	watchdog  *stall.Watchdog
+	// trace records the connection of the request.
+	trace     *connTrace
 	observers observers
 }
 
@@ -122,6 +124,7 @@
 		resp, err := x.d.transport.RoundTrip(out.WithContext(trace.withContext(ctx)))
 		switch {
 		case err == nil:
+			x.trace = trace
 			return resp, nil
 		case trace.mayHaveWritten():
 			return nil, failedMayHaveRun(ConnectionLost, err)
@@ -158,7 +161,7 @@
 			return failure
 		}
 	} else if id := resp.Header.Get(openai.HeaderRequestID); id != "" && id != x.req.ID {
-		return failedMayHaveRun(WrongRequestID, errors.Errorf("response carries the ID of request %q", id))
+		return x.wrongRequestID(id)
 	}
 	x.observers.Answered(x.req, *x.result)
 	body := &timedReader{r: resp.Body, x: x}
@@ -184,13 +187,15 @@
 
 // checkEngineHeader checks the status and header of an engine's response.
 func (x *exchange) checkEngineHeader(resp *http.Response) *attemptError {
-	if confirmsNotRun(resp) {
+	id := resp.Header.Get(openai.HeaderRequestID)
+	// A refusal without an ID on a reused connection may be that of an earlier request.
+	if confirmsNotRun(resp) && (id == x.req.ID || id == "" && !x.trace.isReused()) {
 		e := failedNotRun(Refused, errors.Errorf("status %d", resp.StatusCode))
 		e.retryAfter = retryAfter(resp.Header)
 		return e
 	}
-	if id := resp.Header.Get(openai.HeaderRequestID); id != x.req.ID {
-		return failedMayHaveRun(WrongRequestID, errors.Errorf("response carries the ID of request %q", id))
+	if id != x.req.ID {
+		return x.wrongRequestID(id)
 	}
 	if !x.relay.weightsMatch(x.result.WeightsVersion) {
 		return failedMayHaveRun(InvalidResponse, errors.New("stream resumed with a different weights version"))
@@ -198,6 +203,13 @@
 	return nil
 }
 
+// wrongRequestID returns the failure of a response that belongs to another request, and closes the
+// connection, on which the response to this request may still arrive.
+func (x *exchange) wrongRequestID(id string) *attemptError {
+	x.trace.close()
+	return failedMayHaveRun(WrongRequestID, errors.Errorf("response carries the ID of request %q", id))
+}
+
 // confirmsNotRun reports whether the engine guarantees that it did not run the
 // request.
 func confirmsNotRun(resp *http.Response) bool {
