Use no server whose entry can't name one

Ports out of range and host names were taken as servers that are down.

Change: an entry names a server only with an IP address and port, 1 to 2^20 slots, names of at most 200 bytes, at most 100 models, each once, and a start that isn't negative (fleet.Entry.Check). Entries of earlier builds are checked as they are fetched. Servers of services that aren't configured get no orders and don't count when the path to the servers is judged.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -11,7 +11,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,79 +24,6 @@
 // VMs lag by a few seconds; a VM that lags by more receives the list of all servers instead.
 const tombstoneAge = 60 * time.Second
 
-// State is the serving state that a server announces.
-type State string
-
-const (
-	// Ready servers take requests.
-	Ready State = "ready"
-	// Draining servers get no new requests.
-	Draining State = "draining"
-)
-
-// Entry is the announcement of a backend server. It must not be modified.
-type Entry struct {
-	ID      backend.ID `json:"id"`
-	Service string     `json:"service"`
-	// Address is host:port.
-	Address       string `json:"address"`
-	FailureDomain string `json:"failure_domain"`
-	Slots         int    `json:"slots"`
-	State         State  `json:"state"`
-	// Software is the version of the server's software; empty if it isn't known.
-	Software string `json:"software,omitempty"`
-	// Started is when the server's process started, in Unix milliseconds by its
-	// own clock. It distinguishes the runs of one ID.
-	Started int64 `json:"started"`
-	// Warmup is the rest of the slow period after the server's start, as of the
-	// announcement.
-	Warmup time.Duration `json:"warmup,omitempty"`
-	// Weights maps each model that an engine holds to its version.
-	Weights map[string]uint64 `json:"weights,omitempty"`
-	// Revision is the revision of the store's row.
-	Revision platform.Revision `json:"revision"`
-	// Gone is set once the server has been removed.
-	Gone bool `json:"gone,omitempty"`
-	// Hold is set if the row is gone, possibly because of a store outage: a known server
-	// counts as present for this grace period, unless it announces itself again.
-	Hold time.Duration `json:"hold,omitempty"`
-	// Wait is set if the run is known to have ended but has a row again since the store
-	// was restored from an older copy. The run is not used for this time, within which
-	// the row expires unless the server still renews it.
-	Wait time.Duration `json:"wait,omitempty"`
-	// DrainOverwritten is set if the run is draining although its row says Ready again.
-	DrainOverwritten bool `json:"undone,omitempty"`
-}
-
-// Update is the state of the servers as known to the store or to another VM.
-type Update struct {
-	// The update is complete for the revisions above After, up to and including UpTo.
-	After platform.Revision `json:"after"`
-	UpTo  platform.Revision `json:"up_to"`
-	// Whole is set if Entries lists all servers that existed at UpTo.
-	Whole   bool    `json:"whole,omitempty"`
-	Entries []Entry `json:"entries"`
-	// Hold is the grace period for which servers that a whole update doesn't list count
-	// as present, unless they announce themselves again.
-	Hold time.Duration `json:"-"`
-}
-
-// WeightsText formats the weights for logs as "model=version" pairs, sorted and joined by
-// commas.
-func (e *Entry) WeightsText() string {
-	parts := make([]string, 0, len(e.Weights))
-	for _, model := range slices.Sorted(maps.Keys(e.Weights)) {
-		parts = append(parts, model+"="+strconv.FormatUint(e.Weights[model], 10))
-	}
-	return strings.Join(parts, ",")
-}
-
-// Usable reports whether the server may get new requests.
-func (e *Entry) Usable() bool { return !e.Gone && e.State == Ready }
-
-// Same reports whether two entries belong to the same run of a server.
-func (e *Entry) Same(o *Entry) bool { return e.ID == o.ID && e.Started == o.Started }
-
 // View is an immutable list of the servers.
 type View struct {
 	byService map[string][]*Entry
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -369,10 +369,25 @@
 		n.publish(*s.Catalog, string(p.ID))
 	}
 	if s.Servers != nil {
+		n.removeOdd(s.Servers)
 		n.applyServers(*s.Servers, string(p.ID))
 	}
 }
 
+// removeOdd marks the entries that name no server as gone. Earlier builds pass them on.
+func (n *Node) removeOdd(u *fleet.Update) {
+	for i := range u.Entries {
+		e := &u.Entries[i]
+		if e.Gone {
+			continue
+		}
+		if err := e.Check(); err != nil {
+			n.log.Warn("server_entry_malformed", zap.String("server", string(e.ID)), zap.Stringer("revision", e.Revision), logging.Error(err))
+			e.Gone = true
+		}
+	}
+}
+
 // peerClient opens a new connection for each fetch, as an idle one may have failed silently. It
 // accepts compressed responses.
 var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}
--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -13,6 +13,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
+	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/tunnel"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -147,3 +148,13 @@
 		t.Errorf("connection %v, error %v", conn, err)
 	}
 }
+
+func TestOddEntryOfEarlierBuildIsNotUsed(t *testing.T) {
+	source, v := newTestVM(t, newServerStore()), newTestVM(t, newServerStore())
+	sound := fleet.Entry{ID: "sound", Service: "s", Address: "127.0.0.1:1", Slots: 4, State: fleet.Ready, Started: 1, Revision: platform.Revision{Version: 2}}
+	odd := sound
+	odd.ID, odd.Address, odd.Revision.Version = "odd", "127.0.0.1:70000", 3
+	source.directory.Apply(fleet.Update{UpTo: odd.Revision, Whole: true, Entries: []fleet.Entry{sound, odd}}, source.clock)
+	v.fetchServers(gossip.Member{ID: "old", Peer: source.address})
+	v.wantUsable("sound")
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -104,7 +104,7 @@
 // hasEngines reports whether any server has loadable weights. The lease is acquired even before
 // weights are named, because the first orders of a term may have to wait.
 func (n *Node) hasEngines() bool {
-	return slices.ContainsFunc(n.directory.View().All(), func(e *fleet.Entry) bool { return len(e.Weights) > 0 })
+	return slices.ContainsFunc(n.serversOfServices(n.directory.View()), func(e *fleet.Entry) bool { return len(e.Weights) > 0 })
 }
 
 // releaseLease releases the lease, unless an order was sent so recently that the next holder
@@ -175,7 +175,7 @@
 // rolloutEngines lists the engines for the planner.
 func (n *Node) rolloutEngines(view *fleet.View) []rollout.Engine {
 	var out []rollout.Engine
-	for _, e := range view.All() {
+	for _, e := range n.serversOfServices(view) {
 		if !e.Usable() {
 			continue
 		}
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -96,7 +96,7 @@
 // there are none.
 func (n *Node) checkableServers() []tunnel.Server {
 	var engines, all []tunnel.Server
-	for _, e := range n.directory.View().All() {
+	for _, e := range n.serversOfServices(n.directory.View()) {
 		if !e.Usable() {
 			continue
 		}
@@ -133,7 +133,7 @@
 // maxDownServers returns the number of servers that may accept no connections from this VM before
 // its path to them is checked.
 func (n *Node) maxDownServers() int {
-	return max(1, int(maxDownShare*float64(len(n.directory.View().All()))))
+	return max(1, int(maxDownShare*float64(len(n.serversOfServices(n.directory.View())))))
 }
 
 // serverPathChanged applies that this VM's path to the servers was found to be cut, or restored.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -143,6 +144,16 @@
 	}
 }
 
+// serversOfServices returns the servers of a view that belong to services of the configuration,
+// or all while there is none. An entry that names another service names no server to use.
+func (n *Node) serversOfServices(view *fleet.View) []*fleet.Entry {
+	c := n.Gateway.Catalog()
+	if c == nil {
+		return view.All()
+	}
+	return slices.DeleteFunc(view.All(), func(e *fleet.Entry) bool { return c.Service(e.Service) == nil })
+}
+
 func (n *Node) logServer(e *fleet.Entry, source string) {
 	switch {
 	case e.Hold > 0:
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -36,7 +36,7 @@
 func newServerStore() *serverStore { return &serverStore{rows: map[string]platform.Row{}} }
 
 func (s *serverStore) write(id string, state fleet.State, started int64) {
-	value, err := json.Marshal(fleet.Entry{ID: backend.ID(id), Service: "s", Address: "127.0.0.1:1", State: state, Started: started})
+	value, err := json.Marshal(fleet.Entry{ID: backend.ID(id), Service: "s", Address: "127.0.0.1:1", Slots: 4, State: state, Started: started})
 	if err != nil {
 		panic(err)
 	}
