Don't take what waited at a VM that stood still for recent

What callers would see: streams that began on servers of a new software version are taken up at a VM that was out of step for some seconds, and go on at a server of another version (ORDER).

Cause: a VM that wakes up reads answers of the store and digests that had been waiting for it, and took the time of reading for that of their content: "there is no other server" counted as of now. For a moment the only software version that it knew was taken for the one that had begun every stream. A second way: old evidence was enough if no VM that it heard of knew more, so that VMs that were cut off together confirmed one another.

Evidence: TestStreamIsJoinedAtVMThatIsOutOfStep (a process stopped while a version joins and the one before leaves) failed: 5 streams "began at version v2 and goes on at v1". The case of a cut held before.

Change: an answer counts as complete up to the time at which the store can have given it at the earliest, plus 0.45 s, less than what the time before a version's use leaves. The delay of a digest is known from the sender's uptime against the fastest digest of that process (clocks may drift by 0.1 %), and its evidence and the sender's liveness are that much older; summaries carry the relay's uptime for it, which earlier builds ignore. Evidence that is old is enough only if no known VM is silent. A version without servers is called gone only if the servers are current; else the caller may try again after 0.3 s.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -81,6 +81,9 @@
 	}
 	service := t.catalog.Service(t.pinned.Service)
 	if service == nil || !t.route.Leads(t.pinned.Service) || !origins.Present(t.pinned.Origin) {
+		if !t.g.opts.ServersCurrent() {
+			return nil, verdict.RefuseUntil(http.StatusServiceUnavailable, "software_version_unknown", "this VM may not know the servers of the software version that began the stream", originRetryAfter)
+		}
 		e := verdict.RefuseUntil(http.StatusServiceUnavailable, "software_version_gone", "the software version that began the stream has no server any more", origin.Horizon)
 		e.NoRetry = true
 		return nil, e
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,9 @@
 	// At is when the VM last sent a digest or appeared in a summary; zero if it has
 	// done neither.
 	At time.Time
+	// Delay is how much longer the last digest took to arrive than the fastest ones.
+	Delay   time.Duration
+	transit transit
 	// Listed is when the store last listed the VM.
 	Listed time.Time
 }
@@ -93,8 +96,10 @@
 
 	mu    sync.Mutex
 	peers map[vm.ID]*Peer
-	// relays holds the last summary from each relay of the other domains.
-	relays map[vm.ID]*Summary
+	// relays holds the last summary from each relay of the other domains, and transits how long
+	// their summaries take.
+	relays   map[vm.ID]*Summary
+	transits map[vm.ID]transit
 	// forwardedAt is when a summary of a domain was last forwarded to Everyone.
 	forwardedAt map[string]time.Time
 }
@@ -119,7 +124,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s/udp", opts.Listen)
 	}
-	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, forwardedAt: map[string]time.Time{}}, nil
+	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, transits: map[vm.ID]transit{}, forwardedAt: map[string]time.Time{}}, nil
 }
 
 // Run receives messages until ctx ends.
@@ -174,6 +179,10 @@
 	}
 	n.relays[s.From.ID] = s
 	now := n.opts.Now()
+	transit := n.transits[s.From.ID]
+	s.Delay = transit.delay(s.Incarnation, s.RelayUptime, now)
+	n.transits[s.From.ID] = transit
+	now = now.Add(-s.Delay)
 	for _, m := range s.Members {
 		p := n.peers[m.ID]
 		if p == nil {
@@ -229,7 +238,9 @@
 		n.opts.Log.Info("peer_heard", zap.String("peer", string(d.ID)), zap.Uint64("incarnation", uint64(d.Incarnation)),
 			zap.Duration("uptime", d.Uptime), zap.Duration("silence", silence(p, now)))
 	}
-	p.Digest, p.At = d, now
+	p.Digest = d
+	p.Delay = p.transit.delay(d.Incarnation, d.Uptime, now)
+	p.At = now.Add(-p.Delay)
 	out := *p
 	return &out
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -14,7 +14,7 @@
 )
 
 func newNode(now *time.Time) *Node {
-	return &Node{opts: Options{Self: Member{ID: "self"}, Log: zap.NewNop(), Now: func() time.Time { return *now }}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, forwardedAt: map[string]time.Time{}}
+	return &Node{opts: Options{Self: Member{ID: "self"}, Log: zap.NewNop(), Now: func() time.Time { return *now }}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, transits: map[vm.ID]transit{}, forwardedAt: map[string]time.Time{}}
 }
 
 func digest(id vm.ID, incarnation vm.Incarnation, sequence uint64, uptime time.Duration) Digest {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -149,6 +149,10 @@
 	Members   []MemberState `json:"members"`
 	// Uptime is the uptime of the domain's oldest process.
 	Uptime time.Duration `json:"up"`
+	// RelayUptime is the uptime of the relay's process; 0 if it is of an earlier build.
+	RelayUptime time.Duration `json:"ru,omitempty"`
+	// Delay is how much longer the summary took to arrive than the fastest ones of its relay.
+	Delay time.Duration `json:"-"`
 	// FollowingFor is the longest FollowingFor of the domain's VMs.
 	FollowingFor    time.Duration     `json:"ff,omitempty"`
 	HoldsOrderLease bool              `json:"giver,omitempty"`
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -56,8 +56,9 @@
 	// onStateChange, if set, is called after a failed call and after the first success that
 	// follows: other calls in progress may never be answered.
 	onStateChange func()
-	// onApplied, if set, is called when all changes of an answer are applied.
-	onApplied func()
+	// onApplied, if set, is called when all changes of an answer are applied, with the time up to
+	// which there were no others.
+	onApplied func(completeAt time.Time)
 	after     platform.Revision
 	failures  int
 	// peerRevision, if set, returns the revision up to which other VMs have delivered the
@@ -229,10 +230,12 @@
 }
 
 func (n *Node) loadTable(ctx context.Context, f *feedState, table string, applyRows func([]platform.Row, platform.Revision)) error {
+	began := n.now()
 	list, err := n.opts.Feed.Rows(ctx, table)
 	if err != nil {
 		return err
 	}
+	completeAt := n.completeAt(began)
 	if !n.observeEra(list.Revision.Era, "store") {
 		return errors.Wrapf(platform.ErrUnavailable, "the answer belongs to the earlier era %d", list.Revision.Era)
 	}
@@ -244,11 +247,25 @@
 	f.after = list.Revision
 	applyRows(list.Rows, list.Revision)
 	if f.onApplied != nil {
-		f.onApplied()
+		f.onApplied(completeAt)
 	}
 	return nil
 }
 
+// maxAnswerLag is the time by which an answer may be older than it is taken for. It is less than
+// the difference of origin.SettleTime and origin.MaxLag.
+const maxAnswerLag = 450 * time.Millisecond
+
+// completeAt returns the time up to which an answer that has just been read counts as complete. The
+// store gave it at earliest or later; this VM may have stood still since.
+func (n *Node) completeAt(earliest time.Time) time.Time {
+	now := n.now()
+	if at := earliest.Add(maxAnswerLag); at.Before(now) {
+		return at
+	}
+	return now
+}
+
 func (n *Node) watchTable(ctx context.Context, f *feedState, table string, applyChanges changesFunc) error {
 	after := f.after
 	callCtx, cancel := context.WithCancelCause(ctx)
@@ -259,7 +276,12 @@
 	if f.failures > 0 {
 		wait = 0 // An immediate answer shows that the store is back.
 	}
+	earliest := n.now()
 	changes, next, err := n.opts.Feed.Changes(callCtx, table, after, wait)
+	if len(changes) == 0 {
+		earliest = earliest.Add(wait) // The store waits for changes.
+	}
+	completeAt := n.completeAt(earliest)
 	f.interrupt.Store(nil)
 	if err != nil {
 		if callCtx.Err() != nil && ctx.Err() == nil {
@@ -271,7 +293,7 @@
 	f.after = next
 	applyChanges(changes, after, next)
 	if f.onApplied != nil {
-		f.onApplied()
+		f.onApplied(completeAt)
 	}
 	if len(changes) > 0 {
 		clock.Sleep(ctx, f.batchPause)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -73,24 +73,19 @@
 }
 
 // serversCurrent reports whether the directory lacks no software version that other VMs may
-// use: it is recent, or no other VM can have a more recent one.
+// use: it is recent, or no other VM has a more recent one. A VM that is silent may have one.
 func (n *Node) serversCurrent() bool {
 	age := n.serverStaleness()
 	if age < 0 || age <= origin.MaxLag {
 		return age >= 0
 	}
-	known, now, peers := n.directory.Known(), n.now(), n.gossip.Peers()
-	alive := false
-	for _, p := range peers {
-		if !p.Alive(now) {
-			continue
-		}
-		if p.Servers.After(known) {
+	known, now := n.directory.Known(), n.now()
+	for _, p := range n.gossip.Peers() {
+		if !p.Alive(now) || p.Servers.After(known) {
 			return false
 		}
-		alive = true
 	}
-	return alive || len(peers) == 0
+	return true
 }
 
 // serversProvedAt returns the latest time at which servers that had ended were missing from the
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -247,19 +247,19 @@
 	if p.Uptime < startUptime && n.gossip.IsRelay() {
 		n.notifyAll() // It waits to learn what the store may have lost.
 	}
-	n.confirmServers(p.Servers, p.EvidenceAge)
+	n.confirmServers(p.Servers, p.EvidenceAge, p.Delay)
 	n.queueForRelay(p.Placements, p.Kept)
 	n.applyPeers()
 	n.fetchIfAhead(p.Member, p.Catalog, p.Servers)
 }
 
-// confirmServers records another VM's evidence, of the given age, that there is no entry newer
-// than a revision.
-func (n *Node) confirmServers(revision platform.Revision, age time.Duration) {
+// confirmServers records another VM's evidence, of the given age when it was sent, that there is no
+// entry newer than a revision.
+func (n *Node) confirmServers(revision platform.Revision, age, delay time.Duration) {
 	if age <= 0 || revision.After(n.directory.Known()) {
 		return
 	}
-	n.noteServersCurrent(n.now().Add(-age))
+	n.noteServersCurrent(n.now().Add(-age - delay))
 }
 
 // noteServersCurrent records a time at which the servers known here were complete.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -47,6 +47,7 @@
 		Sequence:        d.Sequence,
 		Members:         []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving, Calls: d.Calls, Stranded: d.Stranded}},
 		Uptime:          d.Uptime,
+		RelayUptime:     d.Uptime,
 		FollowingFor:    d.FollowingFor,
 		HoldsOrderLease: d.HoldsOrderLease,
 		Claim:           d.Claim,
@@ -88,7 +89,7 @@
 func (n *Node) receiveSummary(s *gossip.Summary) {
 	domain := s.From.FailureDomain
 	n.mu.Lock()
-	n.domains[domain] = domainState{summary: s, receivedAt: n.now()}
+	n.domains[domain] = domainState{summary: s, receivedAt: n.now().Add(-s.Delay)}
 	n.mu.Unlock()
 	name := vm.ID("domain/" + domain)
 	n.quota.Record(quota.Report{From: quota.Process{VM: name}, Members: len(s.Members), Domain: true, Uptime: s.Uptime, Usages: s.Usage})
@@ -100,7 +101,7 @@
 	n.applyRateLimits(string(s.From.ID), s.Limits, s.Uptime)
 	n.endFirstPeerWait()
 	n.observePeerEra(s.Servers, string(s.From.ID))
-	n.confirmServers(s.Servers, s.EvidenceAge)
+	n.confirmServers(s.Servers, s.EvidenceAge, s.Delay)
 	n.applyPeers()
 	n.fetchIfAhead(s.From, s.Catalog, s.Servers)
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -35,7 +35,7 @@
 			(*interrupt)()
 		}
 	}
-	n.serverFeed.onApplied = func() { n.noteServersCurrent(n.now()) }
+	n.serverFeed.onApplied = n.noteServersCurrent
 	n.followTable(ctx, &n.serverFeed, n.opts.ServerTable, n.applyServerListing, n.applyServerChanges)
 }
 
