Don't send requests on whose callers have left

Cause: a caller that leaves is noticed by a goroutine of net/http that reads the connection. When a VM gets to requests late, the request and the caller's close are both there, and whether the request is written before that goroutine runs is a matter of scheduling.

Change: just before a request is written, the caller's socket is looked at without reading it (internal/peek; the pool's check of idle connections uses the same).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/link"
+	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/router"
@@ -191,6 +192,7 @@
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
 		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
+		ConnContext:       peek.ConnContext,
 	}
 	if cert := d.settings.CallerTLS; cert.CertFile != "" {
 		loadCertificate := func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -14,6 +14,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/stall"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -52,6 +53,9 @@
 	if err != nil {
 		return failedNotRun(BadRequest, err)
 	}
+	if peek.CallerGone(x.callerCtx) {
+		return failedNotRun(CallerCanceled, errors.New("the caller left before the request was sent"))
+	}
 	resp, failure := x.roundTrip(ctx, out)
 	if failure != nil {
 		return x.attributeFailure(ctx, failure)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -155,8 +156,8 @@
 // chosen.
 func (a *attempt) recheck(caller context.Context) *failure {
 	t := a.t
-	if err := caller.Err(); err != nil {
-		return a.unsentFailure(caller, err)
+	if peek.CallerGone(caller) {
+		return &failure{code: "caller_gone", err: errors.New("the caller left before the request was sent"), callerGone: true}
 	}
 	if t.refuseCrashing() != nil {
 		return &failure{code: codeCrashesServers, err: errors.Errorf("requests with the trait %v crash servers", t.outcome.crashCause)}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"papayaspan.dev/papayaspan/internal/httpbounds"
+	"papayaspan.dev/papayaspan/internal/peek"
 )
 
 const (
@@ -169,22 +170,8 @@
 	if c.notReusable || now.After(c.idleUntil) || c.br.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+	state := peek.Conn(c.Conn)
+	return state == peek.Quiet || state == peek.Unknown
 }
 
 // Send writes the request and returns the head of its response. It discards responses
--- /dev/null
+++ b/internal/peek/peek.go
@@ -0,0 +1,75 @@
+// Package peek looks at what a TCP connection has received without reading it.
+package peek
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is what a read of a connection would return at once.
+type State uint8
+
+const (
+	// Unknown means that the connection can't be looked at.
+	Unknown State = iota
+	// Quiet means that a read would wait.
+	Quiet
+	// Data means that a read would return bytes.
+	Data
+	// Ended means that the other side has closed or reset the connection.
+	Ended
+)
+
+// Conn returns the state of a connection. It doesn't wait for a read in progress.
+func Conn(c net.Conn) State {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // A TLS connection.
+		c = wrapped.NetConn()
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return Unknown
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return Unknown
+	}
+	state := Unknown
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN || err == unix.EWOULDBLOCK:
+			state = Quiet
+		case err == unix.EINTR:
+		case err == nil && n > 0:
+			state = Data
+		default:
+			state = Ended
+		}
+	})
+	if err != nil {
+		return Ended // The connection is closed.
+	}
+	return state
+}
+
+type connKey struct{}
+
+// ConnContext keeps a caller's connection in the context of its requests. It is meant for
+// http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// CallerGone reports whether the caller of a request has closed its connection. The context of the
+// request may end later, as its server has to be scheduled to notice.
+func CallerGone(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && Conn(c) == Ended
+}
