Tell the end of a server's connection from that of the VM that passes it on

Cause: the kernel of a killed VM closes its connections in the same way as a server that has sent everything, and a tunnel had no sign of its own for the server's end.

Change: the server's bytes travel in frames of a two-byte length; a length of 0 is the end of the server's connection, any other end is an error. The requesting VM offers it in Tunnel-Framing and uses it if the other one answers so. Earlier builds ignore the header; the end of a tunnel through one of them counts as cut. The pool looks at idle tunnels through peek, so the test of their type asks for their state now.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -60,33 +60,39 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to VM %s", peer)
 	}
-	if err := handshake(ctx, conn, target); err != nil {
+	framed, err := handshake(ctx, conn, target)
+	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "tunnel through VM %s", peer)
 	}
-	return conn, nil
+	if framed {
+		return newFramedConn(conn), nil
+	}
+	return unframedConn{conn}, nil
 }
 
-func handshake(ctx context.Context, conn net.Conn, target Target) error {
+// handshake requests a tunnel and reports whether the other VM frames the server's bytes.
+func handshake(ctx context.Context, conn net.Conn, target Target) (framed bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
 	query := url.Values{"server": {target.ID}, "started": {strconv.FormatInt(target.Started, 10)}}
-	if _, err := fmt.Fprintf(conn, "GET %s?%s HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", Endpoint, query.Encode(), protocol); err != nil {
-		return err
+	if _, err := fmt.Fprintf(conn, "GET %s?%s HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: %s\r\n%s: %s\r\n\r\n",
+		Endpoint, query.Encode(), protocol, framingHeader, framing); err != nil {
+		return false, err
 	}
 	in := bufio.NewReader(io.LimitReader(conn, maxHeadBytes))
 	resp, err := http.ReadResponse(in, nil)
 	switch {
 	case err != nil:
-		return err
+		return false, err
 	case resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusNotFound:
-		return errors.WithStack(ErrNoServer)
+		return false, errors.WithStack(ErrNoServer)
 	case resp.StatusCode != http.StatusSwitchingProtocols || in.Buffered() > 0:
-		return errors.Errorf("status %d and %d bytes in response to a request for a tunnel", resp.StatusCode, in.Buffered())
+		return false, errors.Errorf("status %d and %d bytes in response to a request for a tunnel", resp.StatusCode, in.Buffered())
 	case !stop():
-		return ctx.Err()
+		return false, ctx.Err()
 	}
-	return nil
+	return resp.Header.Get(framingHeader) == framing, nil
 }
 
 // Handler serves requests for tunnels.
@@ -132,15 +138,19 @@
 	if err := hop.LimitSilence(client); err != nil {
 		h.log.Info("tunnel_not_limited", logging.Error(err))
 	}
-	if _, err := fmt.Fprintf(client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", protocol); err != nil {
+	framed, extra := r.Header.Get(framingHeader) == framing, ""
+	if framed {
+		extra = framingHeader + ": " + framing + "\r\n"
+	}
+	if _, err := fmt.Fprintf(client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n%s\r\n", protocol, extra); err != nil {
 		return
 	}
-	pass(client, buffered.Reader, server)
+	pass(client, buffered.Reader, server, framed)
 }
 
 // pass passes bytes on in both directions until either side closes its connection, and closes
 // the other one then: the end of a response and a caller that leaves must be noticed at once.
-func pass(client net.Conn, fromClient io.Reader, server net.Conn) {
+func pass(client net.Conn, fromClient io.Reader, server net.Conn, framed bool) {
 	var directions sync.WaitGroup
 	directions.Add(2)
 	go func() {
@@ -150,7 +160,13 @@
 	}()
 	go func() {
 		defer directions.Done()
-		if _, err := io.Copy(client, server); err != nil {
+		var err error
+		if framed {
+			err = copyFramed(client, server)
+		} else {
+			_, err = io.Copy(client, server)
+		}
+		if err != nil {
 			reset(client)
 		}
 		_ = client.Close()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 )
 
@@ -68,12 +70,17 @@
 func TestTunnelPassesBytesInBothDirections(t *testing.T) {
 	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) { _, _ = io.Copy(c, c) }))
 	conn := open(t, peer)
-	if _, ok := conn.(*net.TCPConn); !ok {
-		t.Errorf("the tunnel is a %T; the pool checks idle connections of type *net.TCPConn only", conn)
+	if state := peek.Conn(conn); state != peek.Quiet {
+		t.Errorf("an idle tunnel has the state %d; the pool reuses idle connections that are quiet", state)
 	}
 	if _, err := conn.Write([]byte("echo")); err != nil {
 		t.Fatal(err)
 	}
+	for i := 0; peek.Conn(conn) == peek.Quiet; i++ {
+		if time.Sleep(time.Millisecond); i == 2000 {
+			t.Fatal("a tunnel with unread bytes counts as quiet")
+		}
+	}
 	if got, err := readWithin(t, conn, 4); got != "echo" {
 		t.Errorf("got %q, %v", got, err)
 	}
@@ -97,6 +104,86 @@
 	}
 }
 
+// A VM that passes bytes on is killed, or stops, in the middle of a response that ends with its
+// connection.
+func TestEndOfPassingVMLooksLikeEndOfServersConnection(t *testing.T) {
+	sent := make(chan net.Conn, 10)
+	server := acceptConns(t, func(c net.Conn) {
+		_, _ = io.ReadFull(c, make([]byte, 1))
+		_, _ = io.WriteString(c, "part")
+		sent <- c
+	})
+	for name, end := range map[string]func(h *Handler){
+		"stops": (*Handler).Close,
+		"is killed": func(h *Handler) { // The kernel closes all of its connections.
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			for c := range h.open {
+				_ = c.Close()
+			}
+		},
+	} {
+		peer, h := startPeer(t, server)
+		conn := open(t, peer)
+		_, _ = io.WriteString(conn, "x")
+		defer (<-sent).Close()
+		if got, err := readWithin(t, conn, 4); got != "part" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		end(h)
+		if _, err := conn.Read(make([]byte, 1)); err == nil || err == io.EOF {
+			t.Errorf("the VM %s: the tunnel ends with %v", name, err)
+		}
+	}
+	peer, _ := startPeer(t, server)
+	conn := open(t, peer)
+	_, _ = io.WriteString(conn, "x")
+	(<-sent).Close()
+	if data, err := io.ReadAll(conn); err != nil || string(data) != "part" {
+		t.Errorf("the server closes its connection: read %q, error %v", data, err)
+	}
+}
+
+// ofEarlierBuild is the endpoint of a VM that knows no framing.
+func ofEarlierBuild(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del(framingHeader)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func TestTunnelThroughVMOfEarlierBuild(t *testing.T) {
+	_, h := startPeer(t, acceptConns(t, func(c net.Conn) {
+		_, _ = io.Copy(c, io.LimitReader(c, 4))
+		c.Close()
+	}))
+	conn := open(t, strings.TrimPrefix(loopback.Serve(t, ofEarlierBuild(h)).URL, "http://"))
+	if _, err := conn.Write([]byte("echo")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := readWithin(t, conn, 4); got != "echo" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != io.ErrUnexpectedEOF {
+		t.Errorf("the tunnel ends with %v: it can't tell the server's end from the VM's", err)
+	}
+}
+
+// A VM of an earlier build requests no framing.
+func TestTunnelForVMOfEarlierBuildIsNotFramed(t *testing.T) {
+	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) { _, _ = io.WriteString(c, "plain"); c.Close() }))
+	conn, err := net.Dial("tcp", peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET %s?server=%s&started=%d HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", Endpoint, testTarget.ID, testTarget.Started, protocol)
+	data, err := io.ReadAll(conn)
+	if _, body, _ := strings.Cut(string(data), "\r\n\r\n"); body != "plain" || err != nil {
+		t.Errorf("read %q, %v", data, err)
+	}
+}
+
 func TestCloseOfTunnelClosesServersConnection(t *testing.T) {
 	ended := make(chan error, 1)
 	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) {
