Ask a server for its run if a connection was opened after the last evidence of it

What callers saw: streams that a server's new version began, after it had started again in place with the store away, went on at servers of the old version.

Cause: evidence of the servers counted for connections that were opened up to 2 s after it, unless one was lost meanwhile. A VM without an open connection loses none.

Change: the evidence must be from after the connection was opened. If it isn't, the server reports the start of its run, which proves connections that were opened before the report began; requests whose connections are opened at the same time share one report.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	// probeUntilReachable probes; crashChecks holds the pending *crashCheck of each
 	// such key.
 	probedServers, crashChecks sync.Map
+	runCheckMu                 sync.Mutex
+	// runChecks holds the reports in progress by server.
+	runChecks map[selector.ServerKey]*runCheck
 	// attempts holds each *attempt in progress.
 	attempts sync.Map
 	meters   meters
@@ -85,7 +88,7 @@
 
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, meters: newMeters(opts.Metrics)}
+	g := &Gateway{opts: opts, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
 	g.SetMembers(1, 1)
 	g.withheld.Store(&map[string]bool{})
 	return g
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -18,9 +18,6 @@
 	// originRetryAfter is the delay after which the caller of a stream without a known origin
 	// should retry while the origin may still become known here.
 	originRetryAfter = 300 * time.Millisecond
-	// runProofTime is how long a proof of a server's run holds for connections that were opened
-	// after it, unless one was lost meanwhile.
-	runProofTime = 2 * time.Second
 	// verifyTimeout bounds the wait for a server's report of its run.
 	verifyTimeout = 300 * time.Millisecond
 )
@@ -115,9 +112,9 @@
 }
 
 // proveRun checks that the connection leads to the run of the server that the directory shows,
-// whose software version is known. The run may have ended if a connection to it was lost, or if
-// the directory is old, or shows the server without a row. A stream that has begun isn't sent
-// without that proof.
+// whose software version is known. A connection leads there if it was opened before the run was
+// last known to go on. Later the run may have ended, which the directory shows only with the next
+// run's row. A stream that has begun isn't sent without that proof.
 func (a *attempt) proveRun(ctx context.Context) *failure {
 	t := a.t
 	if !t.resumable() && !t.resumes() {
@@ -136,16 +133,14 @@
 	if doubted || t.g.opts.Pool.Lost(a.poolKey(), e.Address) {
 		provedAt = time.Time{}
 	}
-	if opened.Before(provedAt.Add(runProofTime)) {
+	if opened.Before(provedAt) {
 		a.runProved = true
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	started, err := t.g.opts.RunningSince(ctx, e)
+	check, err := t.g.verifyRun(ctx, e, opened)
 	switch {
-	case err == nil && started == e.Started:
-		servers.ProveRun(key)
+	case err == nil && check.started == e.Started:
+		servers.ProveRun(key, check.beganAt)
 		t.g.opts.Pool.Found(a.poolKey(), e.Address)
 		a.runProved = true
 		return nil
@@ -159,3 +154,43 @@
 	}
 	return nil // A new stream without a record can't be resumed elsewhere, which is better than none.
 }
+
+// runCheck is a request for the start time of a server's run.
+type runCheck struct {
+	beganAt time.Time
+	done    chan struct{}
+	started int64
+	err     error
+}
+
+// verifyRun asks a server for the start time of its run after a connection to it was opened.
+// Requests whose connections are opened at about the same time share one report.
+func (g *Gateway) verifyRun(ctx context.Context, e *fleet.Entry, opened time.Time) (*runCheck, error) {
+	key := selector.KeyOf(e)
+	g.runCheckMu.Lock()
+	check := g.runChecks[key]
+	if check == nil || !opened.Before(check.beganAt) {
+		check = &runCheck{beganAt: g.opts.Now(), done: make(chan struct{})}
+		g.runChecks[key] = check
+		go g.runReport(check, e)
+	}
+	g.runCheckMu.Unlock()
+	select {
+	case <-check.done:
+		return check, check.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (g *Gateway) runReport(check *runCheck, e *fleet.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	check.started, check.err = g.opts.RunningSince(ctx, e)
+	close(check.done)
+	g.runCheckMu.Lock()
+	defer g.runCheckMu.Unlock()
+	if key := selector.KeyOf(e); g.runChecks[key] == check {
+		delete(g.runChecks, key)
+	}
+}
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -56,3 +56,31 @@
 		}
 	}
 }
+
+// The evidence of the servers is from before the connection was opened, and the server has started
+// again since.
+func TestStreamGoesOnAtServerThatRestartedSinceEvidence(t *testing.T) {
+	for _, running := range []int64{0, 99} {
+		served := false
+		g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+			served = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 4\ndata: a\n\n")
+		})
+		entry := *g.opts.Directory.View().Server("e")
+		entry.Software, entry.Revision.Version = "v1", 2
+		g.opts.Directory.Apply(fleet.Update{Entries: []fleet.Entry{entry}}, time.Now())
+		evidence := g.opts.Now().Add(-100 * time.Millisecond)
+		g.opts.ServersProvedAt = func() time.Time { return evidence }
+		g.opts.RunningSince = func(context.Context, *fleet.Entry) (int64, error) { return running, nil }
+		v1 := origin.Origin{Service: "llm", Version: "v1"}
+		g.opts.Origins.Observe([]origin.Origin{v1})
+		g.opts.Origins.Record(origin.NewStreamID("first"), v1)
+		call, sink := modelCall(), &recordingSink{}
+		call.LastEvent, call.Resumes = 3, "first"
+		g.Serve(context.Background(), call, sink)
+		if served != (running == 0) {
+			t.Errorf("a server that reports the run %d instead of 0: served %v, refusal %v", running, served, sink.refusal)
+		}
+	}
+}
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -85,12 +85,12 @@
 	t.server(key).runDoubted = true
 }
 
-// ProveRun records that a server run has proved that it goes on.
-func (t *Table) ProveRun(key ServerKey) {
+// ProveRun records that a server run has proved that it went on at a time.
+func (t *Table) ProveRun(key ServerKey, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.server(key)
-	s.runProvedAt, s.runDoubted = t.now(), false
+	s.runProvedAt, s.runDoubted = at, false
 }
 
 // MarkRunEnded records that a server has reported a later run.
