Bound another VM's doubt of a run by how long this VM knows the store's era

What callers saw: less capacity for up to 6 s after a store that came back from an older copy; nothing unsafe was used.

Cause: a VM that reads a new era late doubts runs for as long as a row may come from the copy, rightly for what it knows. Other VMs took this doubt over whole, although a row had outlived that time in their own knowledge of the era: only a living server has a row then.

Change: a doubt names the era for which it holds. A VM that knows this or a later era bounds the wait by its own time in its era; one that doesn't, and doubts of earlier builds, which name none, are taken whole. Earlier builds ignore the field.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -204,3 +204,49 @@
 		t.Error("the later run is used again")
 	}
 }
+
+// eraDirectory returns a directory that knows a ready run, of which an earlier copy of the store
+// showed the end, from a listing of an era.
+func eraDirectory(era platform.Era, now time.Time) *Directory {
+	d := NewDirectory(testRowTTL)
+	e := ready("x", 5, 1)
+	e.Revision.Era = era
+	d.Apply(Update{UpTo: platform.Revision{Era: era, Version: 1}, Whole: true, Entries: []Entry{e}}, now)
+	return d
+}
+
+func TestDoubtOfAnotherVMOutlastsOwnKnowledge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	later := start.Add(2 * testRowTTL)
+	doubt := UnusableRun{ID: "x", Started: 5, Wait: testRowTTL, Era: 2}
+	for _, c := range []struct {
+		name   string
+		era    platform.Era
+		change func(*UnusableRun)
+		used   bool
+	}{
+		{name: "the era is known here for longer than a row lasts", era: 2, used: true},
+		{name: "a later era is known here for as long", era: 3, used: true},
+		{name: "the era isn't known here", era: 1},
+		{name: "an earlier build states no era", era: 2, change: func(r *UnusableRun) { r.Era = 0 }},
+		{name: "the run ended for good", era: 2, change: func(r *UnusableRun) { r.Wait = 0 }},
+	} {
+		d, run := eraDirectory(c.era, start), doubt
+		if c.change != nil {
+			c.change(&run)
+		}
+		d.ApplyUnusableRun(run, later)
+		if used := len(d.View().Service("s")) == 1; used != c.used {
+			t.Errorf("%s: in use %v", c.name, used)
+		}
+	}
+	d := eraDirectory(2, start)
+	d.ApplyUnusableRun(doubt, start.Add(testRowTTL/2))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("a doubted run is used although its row may still be that of the copy")
+	}
+	d.Expire(start.Add(testRowTTL))
+	if len(d.View().Service("s")) != 1 {
+		t.Error("a run whose row outlived the copy isn't used")
+	}
+}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/platform"
 )
 
 // applyEarlierEra applies the drains and removals of an update of an earlier era that weren't
@@ -107,6 +108,9 @@
 	Started int64      `json:"s"`
 	// Wait is for how long the run must not be used; 0 means forever.
 	Wait time.Duration `json:"w,omitempty"`
+	// Era is the store's era in which the run is doubted for Wait; 0 if the sender's build doesn't
+	// state it.
+	Era platform.Era `json:"e,omitempty"`
 }
 
 // UnusableRuns returns the runs that are not used although their rows say that they are ready.
@@ -120,7 +124,7 @@
 		case r.drainOverwritten && !r.Gone && r.Started == r.drainedRun:
 			list = append(list, UnusableRun{ID: r.ID, Started: r.Started})
 		case r.withheldRow != nil && r.withheldUntil.After(now):
-			list = append(list, UnusableRun{ID: r.ID, Started: r.withheldRow.Started, Wait: r.withheldUntil.Sub(now)})
+			list = append(list, UnusableRun{ID: r.ID, Started: r.withheldRow.Started, Wait: r.withheldUntil.Sub(now), Era: d.known.Era})
 		}
 	}
 	return list
@@ -134,7 +138,12 @@
 	r := d.ensureRecord(run.ID, now)
 	var changed *Entry
 	if run.Wait > 0 {
-		changed = d.withholdRun(r, run.Started, run.Wait, now)
+		wait := run.Wait
+		if run.Era > 0 && run.Era <= d.known.Era {
+			// This VM may have seen for longer that the row outlives the copy.
+			wait = min(wait, d.remainingCopyTTL(now))
+		}
+		changed = d.withholdRun(r, run.Started, wait, now)
 	} else {
 		changed = d.markDrained(r, run.Started)
 	}
