Don't hold new streams up for the report of a server's run

The proof is needed only when the first event is passed on and the stream's origin is recorded, so that a new stream is sent at once and the report runs beside it. Resumed streams wait as before. TestNewStreamWaitsForReportOfRunBeforeItIsSent fails on the code before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,8 @@
 	// runProved is set if the connection leads to the run of the server that the candidate's
 	// entry describes.
 	runProved bool
+	// runCheck is the report that proves it later; nil if none is needed.
+	runCheck *runCheck
 	// saveAddress is the store to which the engine saves the shared prompt parts; empty
 	// if it saves none.
 	saveAddress string
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -101,7 +101,7 @@
 	if t.pinned == nil {
 		e := a.candidate.Entry
 		t.pinned = &pin{Origin: origin.Origin{Service: e.Service}, run: selector.KeyOf(e)}
-		if a.runProved {
+		if a.connectionProved() {
 			t.pinned.Version = e.Software
 		}
 	}
@@ -137,22 +137,35 @@
 		a.runProved = true
 		return nil
 	}
-	check, err := t.g.verifyRun(ctx, e, opened)
+	a.runCheck = t.g.checkRun(e, opened)
+	if t.pinned == nil {
+		return nil // The result is needed at the first event.
+	}
+	select {
+	case <-a.runCheck.done:
+	case <-ctx.Done():
+		return a.unsentFailure(ctx, ctx.Err())
+	}
 	switch {
-	case err == nil && check.started == e.Started:
-		servers.ProveRun(key, check.beganAt)
-		t.g.opts.Pool.Found(a.poolKey(), e.Address)
+	case a.runCheck.proves(e):
 		a.runProved = true
 		return nil
-	case err == nil:
-		servers.MarkRunEnded(key)
-		if t.pinned != nil {
-			return &failure{code: "server_restarted", err: errors.Errorf("server %s has started again since its announcement", e.ID)}
-		}
-	case t.pinned != nil:
-		return &failure{code: "server_unproved", err: errors.Wrapf(err, "server %s may have started again", e.ID)}
+	case a.runCheck.err != nil:
+		return &failure{code: "server_unproved", err: errors.Wrapf(a.runCheck.err, "server %s may have started again", e.ID)}
+	default:
+		return &failure{code: "server_restarted", err: errors.Errorf("server %s has started again since its announcement", e.ID)}
+	}
+}
+
+// connectionProved reports whether the connection leads to the run that the directory shows. It
+// waits for the server's report, which usually takes less time than the first event. A new stream
+// without that proof isn't recorded: it can't be resumed elsewhere, which is better than none.
+func (a *attempt) connectionProved() bool {
+	if a.runProved || a.runCheck == nil {
+		return a.runProved
 	}
-	return nil // A new stream without a record can't be resumed elsewhere, which is better than none.
+	<-a.runCheck.done
+	return a.runCheck.proves(a.candidate.Entry)
 }
 
 // runCheck is a request for the start time of a server's run.
@@ -163,34 +176,41 @@
 	err     error
 }
 
-// verifyRun asks a server for the start time of its run after a connection to it was opened.
+// proves reports whether the server has reported the run of an entry.
+func (c *runCheck) proves(e *fleet.Entry) bool { return c.err == nil && c.started == e.Started }
+
+// checkRun asks a server for the start time of its run after a connection to it was opened.
 // Requests whose connections are opened at about the same time share one report.
-func (g *Gateway) verifyRun(ctx context.Context, e *fleet.Entry, opened time.Time) (*runCheck, error) {
+func (g *Gateway) checkRun(e *fleet.Entry, opened time.Time) *runCheck {
 	key := selector.KeyOf(e)
 	g.runCheckMu.Lock()
+	defer g.runCheckMu.Unlock()
 	check := g.runChecks[key]
 	if check == nil || !opened.Before(check.beganAt) {
 		check = &runCheck{beganAt: g.opts.Now(), done: make(chan struct{})}
 		g.runChecks[key] = check
-		go g.runReport(check, e)
-	}
-	g.runCheckMu.Unlock()
-	select {
-	case <-check.done:
-		return check, check.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+		go g.requestRun(check, e)
 	}
+	return check
 }
 
-func (g *Gateway) runReport(check *runCheck, e *fleet.Entry) {
+// requestRun performs a check and records its result.
+func (g *Gateway) requestRun(check *runCheck, e *fleet.Entry) {
+	key := selector.KeyOf(e)
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
 	check.started, check.err = g.opts.RunningSince(ctx, e)
+	switch {
+	case check.proves(e):
+		g.opts.Servers.ProveRun(key, check.beganAt)
+		g.opts.Pool.Found(string(e.ID), e.Address)
+	case check.err == nil:
+		g.opts.Servers.MarkRunEnded(key)
+	}
 	close(check.done)
 	g.runCheckMu.Lock()
 	defer g.runCheckMu.Unlock()
-	if key := selector.KeyOf(e); g.runChecks[key] == check {
+	if g.runChecks[key] == check {
 		delete(g.runChecks, key)
 	}
 }
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -84,3 +84,22 @@
 		}
 	}
 }
+
+func TestNewStreamWaitsForReportOfRunBeforeItIsSent(t *testing.T) {
+	const report, firstEvent = 200 * time.Millisecond, 300 * time.Millisecond
+	g, _ := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(firstEvent)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	})
+	g.opts.ServersProvedAt = func() time.Time { return time.Time{} }
+	g.opts.RunningSince = func(context.Context, *fleet.Entry) (int64, error) {
+		time.Sleep(report)
+		return 0, nil
+	}
+	sink, began := &recordingSink{}, time.Now()
+	g.Serve(context.Background(), modelCall(), sink)
+	if took := time.Since(began); took >= report+firstEvent || sink.refusal != nil {
+		t.Errorf("took %v, refusal %v", took, sink.refusal)
+	}
+}
