Convict prompt parts together that can't be told apart

What callers saw: after three crashes by requests that share their first prompt part with sound ones, all sound requests of the family were refused with 503 crashes_servers for an hour.

Cause: both parts were on all crashed servers. The order of their hashes decided which one was convicted, and the conviction of the wrong one refused every request that could have cleared it.

TestPartSharedWithCrashingRequestsIsRefusedAlone, TestDeadlyPartBehindManySharedOnesIsFound and TestSuccessNarrowsConvictionWithoutItsEvidence fail with the joint conviction taken out.

Change: parts that were in all the same requests are convicted together; only requests with all of them are refused. A request with some of them shows which part it is, by success or by crash. A stream that has gone on for half a second clears its parts. The conviction carries the parts in messages and in the store; earlier builds ignore the field. Up to 64 parts of a request are kept.

--- a/internal/crashcause/convict.go
+++ b/internal/crashcause/convict.go
@@ -15,7 +15,9 @@
 	// sent is when the last of these requests was sent.
 	sent     time.Time
 	contents []Trait
-	weights  uint64
+	// companions are the other suspected parts that were in all of these requests.
+	companions []Trait
+	weights    uint64
 }
 
 // suspect is a trait with the crashes that it may have caused, in chronological order.
@@ -79,12 +81,6 @@
 // most crashes; of these one that never succeeded, then the rarest, because a common trait is
 // more often on a crashed server by chance.
 func compareGuilt(a, b *suspect) int {
-	rank := func(x bool) int {
-		if x {
-			return 1
-		}
-		return 0
-	}
 	contentsA, _ := a.contents()
 	contentsB, _ := b.contents()
 	return cmp.Or(
@@ -96,6 +92,30 @@
 	)
 }
 
+// companions returns the other parts that were in every request with the trait, and so may have
+// caused the crashes as well.
+func (s *suspect) companions() []Trait {
+	if !s.part || len(s.incidents) == 0 {
+		return nil
+	}
+	out := s.incidents[0].companions
+	for _, x := range s.incidents[1:] {
+		out = intersection(out, x.companions)
+	}
+	return out
+}
+
+// intersection returns the traits that are in both lists, in the order of the first.
+func intersection(a, b []Trait) []Trait {
+	var out []Trait
+	for _, x := range a {
+		if slices.Contains(b, x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 // reconsider derives the convictions from the evidence and returns the changes. Crashes that
 // a conviction in force explains don't count against other traits, unless one of these
 // explains them better. A content explains nothing that a part may have caused, because the
@@ -103,6 +123,7 @@
 func (t *Table) reconsider() []Change {
 	t.expire()
 	changes := t.liftIf(t.exonerated)
+	changes = append(changes, t.narrowConvictions()...)
 	suspects := t.suspects()
 	replaced := t.replacedConvictions(suspects)
 	t.explained = map[selector.ServerKey]Trait{}
@@ -120,7 +141,9 @@
 			switch {
 			case s.part != part:
 			case t.convictions[s.trait] != nil && !replaced[s.trait]:
-				t.convict(s)
+				if t.convict(s) {
+					changes = append(changes, Change{Conviction: t.convictions[s.trait].Conviction})
+				}
 			default:
 				others = append(others, s)
 			}
@@ -152,19 +175,55 @@
 	}
 }
 
+// narrowConvictions removes the parts that successes rule out from the convictions that are due to
+// one of several parts, and returns the changes.
+func (t *Table) narrowConvictions() []Change {
+	var changes []Change
+	for _, c := range t.convictions {
+		with := slices.DeleteFunc(slices.Clone(c.With), func(part Trait) bool {
+			other := c.Conviction
+			other.Trait = part
+			return t.exonerated(&other)
+		})
+		if len(with) < len(c.With) {
+			c.With = with
+			c.report.renew(t.now(), own)
+			changes = append(changes, Change{Conviction: c.Conviction})
+		}
+	}
+	return changes
+}
+
 // liftIf ends the convictions that meet a condition and returns the changes. Without a success
-// that exonerates it, a trait is on probation afterwards.
+// that exonerates it, a trait is on probation afterwards. With one, a part that may be the cause as
+// well takes its place.
 func (t *Table) liftIf(condition func(*Conviction) bool) []Change {
 	var changes []Change
+	var heirs []Conviction
 	for trait, c := range t.convictions {
 		if !condition(&c.Conviction) {
 			continue
 		}
 		delete(t.convictions, trait)
+		changes = append(changes, Change{Conviction: c.Conviction, Lifted: true})
 		if !t.exonerated(&c.Conviction) {
 			t.probation[trait] = t.now()
+			continue
+		}
+		for i, part := range c.With {
+			next := c.Conviction
+			next.Trait, next.With = part, slices.Clone(c.With[i+1:])
+			if t.convictions[part] == nil && !t.exonerated(&next) {
+				heirs = append(heirs, next)
+				break
+			}
+		}
+	}
+	for _, next := range heirs {
+		if t.convictions[next.Trait] == nil {
+			t.keep(next, own)
+			changes = append(changes, Change{Conviction: next})
 		}
-		changes = append(changes, Change{Conviction: c.Conviction, Lifted: true})
 	}
 	return changes
 }
@@ -215,10 +274,11 @@
 }
 
 // convict puts a conviction in force, or extends it to the suspect's last crash. It reports
-// whether the conviction is new.
+// whether the conviction is new or refuses more requests.
 func (t *Table) convict(s *suspect) bool {
 	next := Conviction{Trait: s.trait, Part: s.part, At: s.incidents[len(s.incidents)-1].at}
 	next.Contents, _ = s.contents()
+	next.With = s.companions()
 	for i, x := range s.incidents {
 		t.explain(x.server, s.trait)
 		if i < maxListedCrashes {
@@ -231,7 +291,12 @@
 			c.At = next.At
 		}
 		c.Weights = max(c.Weights, next.Weights)
-		return false
+		with := intersection(c.With, next.With)
+		narrower := len(with) < len(c.With)
+		if c.With = with; narrower {
+			c.report.renew(t.now(), own)
+		}
+		return narrower
 	}
 	t.keep(next, own)
 	return true
@@ -301,7 +366,7 @@
 	now := t.now()
 	found := map[Trait]*suspect{}
 	var out []*suspect
-	add := func(c *crash, run *Run, trait Trait, part bool) {
+	add := func(c *crash, run *Run, trait Trait, part bool, companions []Trait) {
 		if t.cleared(trait, run) {
 			return
 		}
@@ -321,11 +386,12 @@
 			out = append(out, s)
 		}
 		if n := len(s.incidents); n == 0 || s.incidents[n-1].server != c.server {
-			s.incidents = append(s.incidents, incident{server: c.server, at: c.at, sent: run.Sent})
+			s.incidents = append(s.incidents, incident{server: c.server, at: c.at, sent: run.Sent, companions: companions})
 		}
 		x := &s.incidents[len(s.incidents)-1]
 		x.weights = max(x.weights, run.Weights)
 		x.contents = append(x.contents, run.Content)
+		x.companions = intersection(x.companions, companions)
 		if run.Sent.After(x.sent) {
 			x.sent = run.Sent
 		}
@@ -333,18 +399,30 @@
 	for _, c := range byTime {
 		for i := range c.runs {
 			run := &c.runs[i]
-			add(c, run, run.Content, false)
+			add(c, run, run.Content, false, nil)
 			if run.Begun {
 				continue
 			}
 			for _, part := range run.Parts {
-				add(c, run, part, true)
+				add(c, run, part, true, t.companions(run, part))
 			}
 		}
 	}
 	return out
 }
 
+// companions returns the other parts of a request that may have crashed its server if this one
+// may. A part that has succeeded before is less likely than one that never has.
+func (t *Table) companions(run *Run, part Trait) []Trait {
+	var out []Trait
+	for _, other := range run.Parts {
+		if other != part && !t.cleared(other, run) && (t.successes.Contains(part) || !t.successes.Contains(other)) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
 // expire drops evidence and convictions that no longer count.
 func (t *Table) expire() {
 	now := t.now()
--- a/internal/crashcause/crashcause.go
+++ b/internal/crashcause/crashcause.go
@@ -8,12 +8,16 @@
 // that a convicted trait explains don't count against others. Requests with a convicted
 // trait are refused.
 //
+// Prompt parts that were always in the same requests can't be told apart. They are convicted
+// together: requests with all of them are refused, others show which part it is.
+//
 // Convictions may be wrong at first, when VMs don't have all evidence yet. One ends as soon as
 // a request with its trait succeeds, or another trait explains its crashes better; it then
 // takes one more crash to convict the trait again.
 package crashcause
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -44,8 +48,10 @@
 	// maxCrashes bounds the crashes kept, and maxRunsPerCrash the requests kept of each.
 	maxCrashes      = 256
 	maxRunsPerCrash = 128
-	// maxParts bounds the prompt parts that are kept of a request.
-	maxParts = 16
+	// maxParts bounds the prompt parts that are kept of a request, and maxPartsPerCrash those of
+	// all requests on a server.
+	maxParts         = 64
+	maxPartsPerCrash = 2048
 	// maxConvictions bounds the convictions kept; the oldest are dropped.
 	maxConvictions = 64
 	// maxSuccesses bounds the traits whose last success is kept.
@@ -111,6 +117,10 @@
 // Conviction is a trait whose requests are refused.
 type Conviction struct {
 	Trait Trait
+	// With are further prompt parts that were in all of these requests and may be the cause as
+	// well. Only requests with all of them are refused: one that has some of them succeeds, which
+	// rules these out, or crashes a server, which rules out the others.
+	With []Trait
 	// Part is set if the trait is a prompt part, not the content of a request.
 	Part bool
 	// At is when the last server that it explains crashed.
@@ -123,6 +133,21 @@
 	Weights uint64
 }
 
+// Concerns reports whether requests with these traits are refused.
+func (c *Conviction) Concerns(x Traits) bool {
+	return x.Has(c.Trait) && !slices.ContainsFunc(c.With, func(part Trait) bool { return !x.Has(part) })
+}
+
+// Label identifies the traits of the conviction: two convictions with the same label refuse the
+// same requests.
+func (c *Conviction) Label() string {
+	label := c.Trait.String()
+	for _, part := range c.With {
+		label += "+" + part.String()
+	}
+	return label
+}
+
 // expired reports whether requests with the trait are accepted again.
 func (c *Conviction) expired(now time.Time) bool { return now.Sub(c.At) >= convictionTTL }
 
@@ -141,6 +166,8 @@
 	server selector.ServerKey
 	at     time.Time
 	runs   []Run
+	// parts is the number of parts that are kept of all runs.
+	parts int
 	// changedAt is when the last request was added.
 	changedAt time.Time
 	report    announcement
@@ -202,18 +229,28 @@
 // its traits crashes servers with these weights.
 func (t *Table) RecordSuccess(traits Traits, weights uint64) {
 	t.update("", func() bool {
-		concerned := false
 		now := t.now()
-		for _, part := range traits.Parts {
-			concerned = t.addSuccess(part, now, weights, own) || concerned
-		}
-		if t.suspected[traits.Content] || t.convictions[traits.Content] != nil {
+		concerned := t.addPartSuccesses(traits, now, weights)
+		if t.matters(traits.Content) {
 			concerned = t.addSuccess(traits.Content, now, weights, own) || concerned
 		}
 		return concerned
 	})
 }
 
+// RecordBegun records that a server has survived the begin of the response to a request, which
+// proves that none of its prompt parts crashes servers with these weights.
+func (t *Table) RecordBegun(traits Traits, weights uint64) {
+	t.update("", func() bool { return t.addPartSuccesses(traits, t.now(), weights) })
+}
+
+func (t *Table) addPartSuccesses(traits Traits, at time.Time, weights uint64) (concerned bool) {
+	for _, part := range traits.Parts {
+		concerned = t.addSuccess(part, at, weights, own) || concerned
+	}
+	return concerned
+}
+
 // Settle derives the convictions again if crashes that were too recent may count now. It is
 // to be called several times a second.
 func (t *Table) Settle() {
@@ -230,7 +267,7 @@
 	}
 	now := t.now()
 	for _, trait := range append([]Trait{traits.Content}, traits.Parts...) {
-		if c := t.convictions[trait]; c != nil && !c.expired(now) {
+		if c := t.convictions[trait]; c != nil && !c.expired(now) && c.Concerns(traits) {
 			return c.Conviction, c.At.Add(convictionTTL).Sub(now), true
 		}
 	}
@@ -292,8 +329,9 @@
 		if len(c.runs) >= maxRunsPerCrash || slices.ContainsFunc(c.runs, func(r Run) bool { return r.Content == run.Content }) {
 			continue
 		}
-		run.Parts = slices.Clone(run.Parts[:min(len(run.Parts), maxParts)])
+		run.Parts = t.mostSuspect(run.Parts, min(maxParts, maxPartsPerCrash-c.parts))
 		c.runs = append(c.runs, run)
+		c.parts += len(run.Parts)
 		grew = true
 	}
 	if grew {
@@ -303,6 +341,27 @@
 	return grew
 }
 
+// mostSuspect returns a copy of at most n parts. Parts that have never succeeded go first if there
+// are too many.
+func (t *Table) mostSuspect(parts []Trait, n int) []Trait {
+	out := slices.Clone(parts)
+	if len(out) > n {
+		slices.SortStableFunc(out, func(a, b Trait) int {
+			return cmp.Compare(rank(t.successes.Contains(a)), rank(t.successes.Contains(b)))
+		})
+		out = out[:n]
+	}
+	return out
+}
+
+// rank orders false before true.
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (t *Table) dropOldestCrash() {
 	var oldest *crash
 	for _, c := range t.crashes {
@@ -325,13 +384,26 @@
 		t.successes.Add(trait, s)
 	}
 	s.at, s.weights = at, weights
-	if !t.suspected[trait] && t.convictions[trait] == nil {
+	if !t.matters(trait) {
 		return false
 	}
 	s.report.renew(t.now(), from)
 	return true
 }
 
+// matters reports whether a trait is suspected or convicted, alone or with others.
+func (t *Table) matters(trait Trait) bool {
+	if t.suspected[trait] || t.convictions[trait] != nil {
+		return true
+	}
+	for _, c := range t.convictions {
+		if slices.Contains(c.With, trait) {
+			return true
+		}
+	}
+	return false
+}
+
 // cleared reports whether a success proves that a trait did not crash the server of a run.
 func (t *Table) cleared(trait Trait, run *Run) bool {
 	s, ok := t.successes.Peek(trait)
--- a/internal/crashcause/notices.go
+++ b/internal/crashcause/notices.go
@@ -16,10 +16,11 @@
 	// missed it, and repeatTime the age until which crashes and successes are.
 	repeatInterval = 2 * time.Second
 	repeatTime     = 30 * time.Second
-	// maxNoticeRuns, maxNoticeSuccesses and maxNoticeConvictions bound a message. A request
+	// maxNoticeRuns, maxNoticeParts, maxNoticeSuccesses and maxNoticeConvictions bound a message. A request
 	// takes about 80 bytes, and all gossip of a VM has to fit into 7 kB a second
 	// (docs/CAPACITY.md).
 	maxNoticeRuns        = 24
+	maxNoticeParts       = 384
 	maxNoticeSuccesses   = 16
 	maxNoticeConvictions = 4
 	// ageTolerance is the smallest difference between two reported times of the same event
@@ -106,6 +107,10 @@
 type ConvictionNotice struct {
 	Trait Trait `json:"t"`
 	Part  bool  `json:"p,omitempty"`
+	// With has the same meaning as in a Conviction. Sole is set if there are none, which earlier
+	// builds don't say.
+	With []Trait `json:"v,omitempty"`
+	Sole bool    `json:"o,omitempty"`
 	// Age is the time since the last crash, in milliseconds.
 	Age      int64                `json:"a"`
 	Crashes  []selector.ServerKey `json:"x,omitempty"`
@@ -141,7 +146,7 @@
 	for _, c := range t.dueConvictions(now, scope, repeat) {
 		c.report.last[scope] = now
 		n.Convictions = append(n.Convictions, ConvictionNotice{
-			Trait: c.Trait, Part: c.Part, Age: now.Sub(c.At).Milliseconds(),
+			Trait: c.Trait, Part: c.Part, With: c.With, Sole: len(c.With) == 0, Age: now.Sub(c.At).Milliseconds(),
 			Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
 		})
 	}
@@ -169,23 +174,24 @@
 		}
 	}
 	var out []CrashNotice
-	runs := 0
+	runs, parts := 0, 0
 	for _, c := range due {
 		x := CrashNotice{ServerKey: c.server, Age: now.Sub(c.at).Milliseconds()}
 		for i := range c.runs {
 			if c.runs[i].Begun && crashesOf[c.runs[i].Content] == 1 {
 				continue // Most likely a bystander; only a content that was repeated matters.
 			}
-			if run, open := t.openEvidence(&c.runs[i]); open && runs+len(x.Runs) < maxNoticeRuns {
+			if run, open := t.openEvidence(&c.runs[i]); open && runs+len(x.Runs) < maxNoticeRuns && parts+len(run.Parts) <= maxNoticeParts {
 				run.SentBefore = c.at.Sub(c.runs[i].Sent).Milliseconds()
 				x.Runs = append(x.Runs, run)
+				parts += len(run.Parts)
 			}
 		}
 		c.report.last[scope] = now
 		if runs += len(x.Runs); len(x.Runs) > 0 {
 			out = append(out, x)
 		}
-		if runs >= maxNoticeRuns {
+		if runs >= maxNoticeRuns || parts >= maxNoticeParts {
 			break
 		}
 	}
@@ -254,41 +260,76 @@
 	now := t.now()
 	for _, x := range n.Convictions {
 		t.adopt(Conviction{
-			Trait: x.Trait, Part: x.Part, At: now.Add(-milliseconds(x.Age)), Crashes: x.Crashes, Contents: x.Contents, Weights: x.Weights,
-		}, from, origin)
+			Trait: x.Trait, Part: x.Part, With: x.With[:min(len(x.With), maxParts)], At: now.Add(-milliseconds(x.Age)), Crashes: x.Crashes, Contents: x.Contents, Weights: x.Weights,
+		}, x.Sole, from, origin)
 	}
 	return reply
 }
 
 // Restore puts a conviction in force that was stored, unless it is known or the evidence of
-// this VM contradicts it.
-func (t *Table) Restore(c Conviction, source string) {
+// this VM contradicts it. sole has the same meaning as in a ConvictionNotice.
+func (t *Table) Restore(c Conviction, sole bool, source string) {
 	t.mu.Lock()
 	_, known := t.convictions[c.Trait]
 	t.mu.Unlock()
 	if !known {
-		t.adopt(c, source, own)
+		t.adopt(c, sole, source, own)
 	}
 }
 
 // adopt puts a conviction in force or extends it, unless the evidence of this VM contradicts
-// it.
-func (t *Table) adopt(c Conviction, source string, from origin) {
+// it. An earlier build doesn't say which other parts may be the cause as well; those are then
+// taken from the evidence of this VM.
+func (t *Table) adopt(c Conviction, sole bool, source string, from origin) {
 	t.mu.Lock()
 	known := t.convictions[c.Trait]
 	accepted := known == nil && !c.expired(t.now()) && !t.exonerated(&c) && !t.explainedByOthers(&c)
+	narrowed := false
 	switch {
 	case accepted:
+		if len(c.With) == 0 && !sole && c.Part {
+			c.With = t.companionsIn(c.Crashes, c.Trait)
+		}
 		t.keep(c, from)
-	case known != nil && c.At.Sub(known.At) > ageTolerance:
-		known.At = c.At
+	case known != nil:
+		if c.At.Sub(known.At) > ageTolerance {
+			known.At = c.At
+		}
+		if with := intersection(known.With, c.With); len(with) < len(known.With) && (sole || len(c.With) > 0) {
+			known.With, narrowed = with, true
+			known.report.renew(t.now(), from)
+			c = known.Conviction
+		}
 	}
 	t.mu.Unlock()
-	if accepted {
+	if accepted || narrowed {
 		t.changed(Change{Conviction: c, Source: source})
 	}
 }
 
+// companionsIn returns the other parts that were in all known requests with a part on some servers
+// that crashed.
+func (t *Table) companionsIn(servers []selector.ServerKey, part Trait) []Trait {
+	var out []Trait
+	first := true
+	for _, server := range servers {
+		c := t.crashes[server]
+		if c == nil {
+			continue
+		}
+		for i := range c.runs {
+			switch run := &c.runs[i]; {
+			case run.Begun || !run.Has(part):
+			case first:
+				out, first = t.companions(run, part), false
+			default:
+				out = intersection(out, t.companions(run, part))
+			}
+		}
+	}
+	return out
+}
+
 // announceSuccesses announces the successes of the parts of requests that another VM has
 // reported, and reports whether there are any. An earlier success clears nothing, but tells
 // a part that has always crashed servers from others.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,6 +78,8 @@
 	result                     selector.Outcome
 	// firstEventAt is when the first event of the stream arrived, nil before that.
 	firstEventAt atomic.Pointer[time.Time]
+	// survivedBegin is set once that was beginTime ago.
+	survivedBegin bool
 	// sent is set just before the request is written, after sentAt.
 	sent atomic.Bool
 	// refused is set if the attempt was canceled because the request crashes servers.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -141,7 +141,7 @@
 }
 
 // ApplyConviction logs a change of the traits whose requests are refused, and cancels the
-// requests with a newly convicted trait that have not begun a response: engines drop them,
+// newly refused requests that have not begun a response: engines drop them,
 // instead of being crashed by them later.
 func (g *Gateway) ApplyConviction(c crashcause.Change) {
 	event := "crash_cause_found"
@@ -158,21 +158,21 @@
 	}
 	canceled := 0
 	if !c.Lifted {
-		canceled = g.cancelUnbegun(c.Trait)
+		canceled = g.cancelUnbegun(&c.Conviction)
 	}
-	g.opts.Log.Warn(event, zap.Stringer("crash_cause", c.Trait), zap.String("kind", kind), zap.Strings("crashed", servers),
+	g.opts.Log.Warn(event, zap.Stringer("crash_cause", c.Trait), zap.Stringers("or", c.With), zap.String("kind", kind), zap.Strings("crashed", servers),
 		zap.Int("contents", c.Contents), zap.Duration("age", g.opts.Now().Sub(c.At)), zap.Uint64("weights", c.Weights),
 		zap.String("source", cmp.Or(c.Source, "own")), zap.Int("canceled", canceled))
 	metrics.GetOrRegisterCounter(event, g.meters.registry).Inc(1)
 }
 
-// cancelUnbegun cancels the requests with a trait that have not begun a response and
-// returns their number.
-func (g *Gateway) cancelUnbegun(trait crashcause.Trait) int {
+// cancelUnbegun cancels the requests that a conviction concerns and that have not begun a
+// response, and returns their number.
+func (g *Gateway) cancelUnbegun(c *crashcause.Conviction) int {
 	n := 0
 	g.attempts.Range(func(k, _ any) bool {
 		a := k.(*attempt)
-		if a.firstEventAt.Load() == nil && a.t.traits().Has(trait) {
+		if a.firstEventAt.Load() == nil && c.Concerns(a.t.traits()) {
 			a.cancelRefused()
 			n++
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -156,6 +156,15 @@
 	a.t.g.opts.CrashCauses.RecordSuccess(a.t.traits(), a.candidate.Weights(a.t.call.Model))
 }
 
+// recordBegun records once that the server has survived the begin of the stream.
+func (a *attempt) recordBegun() {
+	if first := a.firstEventAt.Load(); a.survivedBegin || a.t.g.opts.Now().Sub(*first) < beginTime {
+		return
+	}
+	a.survivedBegin = true
+	a.t.g.opts.CrashCauses.RecordBegun(a.t.traits(), a.candidate.Weights(a.t.call.Model))
+}
+
 // recordFirstByte records the status and the time to the first byte of the response.
 func (t *task) recordFirstByte(status int) {
 	t.outcome.status = status
@@ -191,6 +200,7 @@
 			}
 		}
 		a.inFlight.DataReceived()
+		a.recordBegun()
 		if event.ID >= 0 && event.ID <= t.lastEvent {
 			continue // The caller has received it.
 		}
--- a/internal/node/convictions.go
+++ b/internal/node/convictions.go
@@ -27,6 +27,9 @@
 type storedConviction struct {
 	Trait crashcause.Trait `json:"trait"`
 	Part  bool             `json:"part,omitempty"`
+	// With and Sole have the same meaning as in a crashcause.ConvictionNotice.
+	With []crashcause.Trait `json:"with,omitempty"`
+	Sole bool               `json:"sole,omitempty"`
 	// Crashed is when the last server crashed, by the store's monotonic clock.
 	Crashed  time.Duration        `json:"crashed"`
 	Crashes  []selector.ServerKey `json:"crashes,omitempty"`
@@ -82,7 +85,7 @@
 		return err
 	}
 	check := platform.Check{Key: key}
-	var stored []crashcause.Trait
+	var stored []string
 	if len(rows) == 1 {
 		if !n.observeEra(rows[0].Era, "store") {
 			return errors.Errorf("the answer belongs to the earlier era %d", rows[0].Era)
@@ -93,15 +96,15 @@
 		}
 	}
 	var row convictionsRow
-	var known []crashcause.Trait
+	var known []string
 	for _, c := range n.crashCauses.Convictions() {
 		crashed, ok := n.storeClock.toStore(c.At)
 		if !ok {
 			return errors.New("the store's clock is not known")
 		}
-		known = append(known, c.Trait)
+		known = append(known, c.Label())
 		row.Convictions = append(row.Convictions, storedConviction{
-			Trait: c.Trait, Part: c.Part, Crashed: crashed, Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
+			Trait: c.Trait, Part: c.Part, With: c.With, Sole: len(c.With) == 0, Crashed: crashed, Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
 		})
 	}
 	slices.Sort(stored)
@@ -120,23 +123,24 @@
 	return nil
 }
 
-// applyConvictionsRow applies the convictions of the row and returns their traits.
-func (n *Node) applyConvictionsRow(r platform.Row) []crashcause.Trait {
+// applyConvictionsRow applies the convictions of the row and returns their labels.
+func (n *Node) applyConvictionsRow(r platform.Row) []string {
 	var row convictionsRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		n.log.Warn("convictions_row_malformed", zap.String("key", r.Key), logging.Error(err))
 		return nil
 	}
-	var traits []crashcause.Trait
+	var labels []string
 	for _, c := range row.Convictions {
-		traits = append(traits, c.Trait)
 		at, ok := n.storeClock.toLocal(c.Crashed)
 		if !ok || at.After(n.now()) {
 			at = n.now() // Of another copy of the store, whose clock is another one.
 		}
-		n.crashCauses.Restore(crashcause.Conviction{
-			Trait: c.Trait, Part: c.Part, At: at, Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
-		}, "store")
+		conviction := crashcause.Conviction{
+			Trait: c.Trait, With: c.With, Part: c.Part, At: at, Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
+		}
+		labels = append(labels, conviction.Label())
+		n.crashCauses.Restore(conviction, c.Sole, "store")
 	}
-	return traits
+	return labels
 }
