Send nothing to servers that ask for a back-off

What servers saw: a server that turned a request away with 503 and Retry-After got further requests and repeats from the same VM long before the time was over; two are allowed between half a second after the answer and its end.

Cause: the platform's path read no Retry-After. Only the failure rate kept requests away, and nothing did when all servers of a service refused.

Change: ratelimit.Table, which keeps what servers state of the requests that they take, holds the latest end for each run of a server. The choice of a server, the check just before a write and tunnels for other VMs go by it. If all servers are held, callers are refused at once with the soonest end. After the end the server gets one request at a time until it accepts one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,6 +174,9 @@
 		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s became too old after it was chosen", a.candidate.Entry.ID)}
 	}
 	a.candidate.Entry = current
+	if left := t.g.opts.RateLimits.Backoff(selector.KeyOf(current)).Left; left > 0 {
+		return &failure{code: codeServersBackOff, err: errors.Errorf("server %s asked for no requests for %v after it was chosen", current.ID, left), retryAfter: left}
+	}
 	if a.candidate.Brittle && t.g.opts.Servers.OwnRequestCount(selector.KeyOf(current)) > a.candidate.Room {
 		return &failure{code: codeServersFull, err: errors.Errorf("server %s got other requests after it was chosen", current.ID)}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -86,6 +86,10 @@
 	// be parsed.
 	Leaving    bool
 	LeavingErr error
+	// Backoff is the time for which a server that turns the request away wants no other one from
+	// this VM; 0 if it states none. BackoffErr is set if what it states can't be parsed.
+	Backoff    time.Duration
+	BackoffErr error
 }
 
 // Dialect is the wire format of requests to backend servers and of their responses.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,6 +25,8 @@
 	withheld []selector.Candidate
 	// limited servers have no place within their rate limits in time.
 	limited []selector.Candidate
+	// backedOff servers have turned requests of this VM away and want no others for a time.
+	backedOff []selector.Candidate
 	// full servers are brittle and have as many requests of this VM as it may send.
 	full []selector.Candidate
 }
@@ -53,7 +55,11 @@
 		candidate.Room, candidate.Brittle = g.opts.RateLimits.Room(selector.KeyOf(e), part)
 		var shared bool
 		candidate.RateLimitWait, shared = g.opts.RateLimits.Wait(selector.KeyOf(e))
+		backoff := g.opts.RateLimits.Backoff(selector.KeyOf(e))
+		candidate.Backoff = backoff.Left
 		switch {
+		case !backoff.Allows(candidate.OwnRunning):
+			c.backedOff = append(c.backedOff, candidate)
 		case candidate.Brittle && candidate.OwnRunning >= candidate.Room:
 			c.full = append(c.full, candidate)
 		case !shared || candidate.RateLimitWait > maxWait:
@@ -85,6 +91,9 @@
 	if len(candidates) == 0 && len(all.full) > 0 {
 		return selector.Candidate{}, serversFullError()
 	}
+	if len(candidates) == 0 && len(all.backedOff) > 0 {
+		return selector.Candidate{}, t.backedOffError(all.backedOff)
+	}
 	if len(candidates) == 0 && len(all.limited) > 0 {
 		return selector.Candidate{}, t.rateLimitedError(all.limited)
 	}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -100,10 +100,50 @@
 	return verdict.RefuseUntil(http.StatusServiceUnavailable, codeServersFull, "the backend servers have no room", retryDelay(0, rand.Float64()))
 }
 
-// awaitRoom waits before another choice if the request was refused because the servers are full.
-// It returns false if the request has waited for as long as it may.
+// codeServersBackOff is the code of a request for which all servers want no requests of this VM.
+const codeServersBackOff = "servers_back_off"
+
+// recordBackoff records for how long the server wants no requests of this VM, or that it has accepted
+// this one.
+func (a *attempt) recordBackoff(resp *http.Response, head Head) {
+	t, e := a.t, a.candidate.Entry
+	key := selector.KeyOf(e)
+	switch {
+	case head.Misdirected:
+		return // The response is another server's.
+	case head.BackoffErr != nil:
+		t.g.opts.Log.Warn("server_backoff_malformed", zap.String("request_id", t.call.ID),
+			zap.String("server", string(e.ID)), logging.Error(head.BackoffErr))
+	case head.Backoff > 0:
+		left := t.g.opts.RateLimits.RecordBackoff(key, head.Backoff)
+		t.g.meters.backoffs.Inc(1)
+		t.g.opts.Log.Info("server_backs_off", zap.String("request_id", t.call.ID), zap.String("server", string(e.ID)),
+			zap.Int64("server_started", e.Started), zap.Duration("asked", head.Backoff), zap.Duration("left", left))
+	case resp.StatusCode != http.StatusServiceUnavailable:
+		t.g.opts.RateLimits.RecordAccepted(key, a.sentAt)
+	}
+}
+
+// backedOffError refuses a request because all servers want no requests of this VM. Callers retry
+// when the first server takes requests again, spread so that they don't all come at once.
+func (t *task) backedOffError(backedOff []selector.Candidate) *verdict.Error {
+	t.backoffLeft = backedOff[0].Backoff
+	for _, c := range backedOff {
+		t.backoffLeft = min(t.backoffLeft, c.Backoff)
+	}
+	after := t.backoffLeft + time.Duration(rand.Float64()*float64(minServerRetryAfter))
+	return verdict.RefuseUntil(http.StatusServiceUnavailable, codeServersBackOff, "the backend servers want no requests for a time", after)
+}
+
+// awaitRoom waits before another choice if the request was refused because the servers are full
+// or are about to take requests again. It returns false if the request may not wait for as long.
 func (t *task) awaitRoom(ctx context.Context, refusal *verdict.Error) bool {
-	if refusal.Code != codeServersFull {
+	left := time.Duration(0)
+	switch refusal.Code {
+	case codeServersFull:
+	case codeServersBackOff:
+		left = t.backoffLeft
+	default:
 		return false
 	}
 	now := t.g.opts.Now()
@@ -114,5 +154,5 @@
 	if t.begun {
 		limit = maxStreamPause
 	}
-	return now.Sub(t.fullSince) < limit && clock.Sleep(ctx, roomPollInterval)
+	return now.Sub(t.fullSince)+left < limit && clock.Sleep(ctx, max(left, roomPollInterval))
 }
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -18,6 +18,8 @@
 type meters struct {
 	registry                           metrics.Registry
 	requests, refused, failed, retries metrics.Meter
+	// backoffs counts the responses that asked this VM for no requests for a time.
+	backoffs metrics.Counter
 	// leaves counts the servers whose responses stated that they leave.
 	leaves           metrics.Counter
 	firstByte, total map[catalog.Kind]metrics.Histogram
@@ -33,6 +35,7 @@
 		refused:   metrics.GetOrRegisterMeter("requests_refused", r),
 		failed:    metrics.GetOrRegisterMeter("requests_failed", r),
 		retries:   metrics.GetOrRegisterMeter("retries", r),
+		backoffs:  metrics.GetOrRegisterCounter("server_backoffs", r),
 		leaves:    metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
 		firstByte: map[catalog.Kind]metrics.Histogram{},
 		total:     map[catalog.Kind]metrics.Histogram{},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,6 +26,7 @@
 	a.inFlight.DataReceived()
 	a.recordRateLimit(head)
 	a.recordLeaving(head)
+	a.recordBackoff(resp, head)
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.candidate.Entry.ID, a.candidate.Entry.Started, t.call.Model, head.WeightsVersion, t.g.opts.Now())
 	}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -37,7 +37,10 @@
 	tried []selector.ServerKey
 	// place is the reservation within the rate limit of the current attempt's server.
 	place ratelimit.Place
-	// fullSince is when the servers were first found to have no room; zero before that.
+	// backoffLeft is the time until the first server takes requests of this VM again, if the last
+	// choice found none that does.
+	backoffLeft time.Duration
+	// fullSince is when the servers were first found to take no request; zero before that.
 	fullSince time.Time
 	// sends counts the servers that the call was sent to.
 	sends int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -278,6 +278,7 @@
 	n.path = n.newServerPath()
 	n.pool = hop.NewPoolWithDial(n.dialServer)
 	n.tunnels = tunnel.NewHandler(opts.Log, n.connectForPeer)
+	n.metrics.GetOrRegister("servers_backing_off", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BackoffCount()) }))
 	n.metrics.GetOrRegister("brittle_servers", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BrittleCount()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
 	n.quota = quota.NewLedger(opts.Bounds.Quota, opts.FirstStart, n.now)
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -14,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/tunnel"
 )
 
@@ -52,6 +53,9 @@
 	if !e.Usable() {
 		return nil, errors.Errorf("server %s leaves", target.ID) // The other VM doesn't know it yet.
 	}
+	if !n.limits.Backoff(selector.KeyOf(e)).Allows(0) {
+		return nil, errors.Errorf("server %s wants no requests of this VM for a time", target.ID)
+	}
 	return hop.Dial(ctx, e.Address)
 }
 
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,5 +1,5 @@
-// Package ratelimit keeps the request rate limits that backend servers state in their
-// responses. Each limit applies to the requests of all VMs together; the package computes
+// Package ratelimit keeps what backend servers state in their responses of the requests that
+// they take: request rate limits, brittleness, and the time for which they want none. Each limit applies to the requests of all VMs together; the package computes
 // the share of it that this VM may use.
 //
 // Overloaded servers state limits of a few requests a second. Request counts that VMs
@@ -95,6 +95,8 @@
 	shares atomic.Pointer[map[selector.ServerKey]*share]
 	// brittle holds the brittle servers. Updates replace the whole map.
 	brittle atomic.Pointer[map[selector.ServerKey]bool]
+	// backoffs holds until when servers ask this VM for no requests. Updates replace the whole map.
+	backoffs atomic.Pointer[map[selector.ServerKey]time.Time]
 	// division is how the VMs divide the slots of brittle servers.
 	division atomic.Pointer[Division]
 }
@@ -104,6 +106,7 @@
 	t := &Table{self: self, now: now, servers: map[selector.ServerKey]*serverState{}, senders: []vm.ID{self}}
 	t.shares.Store(&map[selector.ServerKey]*share{})
 	t.brittle.Store(&map[selector.ServerKey]bool{})
+	t.backoffs.Store(&map[selector.ServerKey]time.Time{})
 	t.division.Store(&Division{count: 1})
 	return t
 }
@@ -225,11 +228,15 @@
 func (t *Table) Prune(v *fleet.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := len(t.servers)
-	maps.DeleteFunc(t.servers, func(key selector.ServerKey, _ *serverState) bool {
+	ended := func(key selector.ServerKey) bool {
 		e := v.Server(key.ID)
 		return e == nil || e.Started != key.Started
-	})
+	}
+	if len(*t.backoffs.Load()) > 0 {
+		t.deleteBackoffs(func(key selector.ServerKey, _ time.Time) bool { return ended(key) })
+	}
+	before := len(t.servers)
+	maps.DeleteFunc(t.servers, func(key selector.ServerKey, _ *serverState) bool { return ended(key) })
 	if len(t.servers) != before {
 		t.updateShares()
 	}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -68,6 +68,8 @@
 	FailureRate float64
 	// Silent is how long the server has sent nothing while a response is due.
 	Silent time.Duration
+	// Backoff is the time for which the server wants no requests of this VM.
+	Backoff time.Duration
 	// RateLimitWait is the time until this VM may send a request to the server within the
 	// server's rate limit; 0 if it has none.
 	RateLimitWait time.Duration
