Refuse calls that a stopping VM can't finish, and answer those it ends

What callers saw: in a planned stop, calls that came late in the grace period were passed on and cut at its end without an answer, among them calls that may not be repeated.

Cause: calls were refused by their kind and time of arrival, not by their deadline, and what was under way at the end was cut with the process.

Evidence: TestLateCallOfPlannedStopIsCutWithoutAnswer (processes, grace 8 s, calls of 3 s or without end, 6 s of time): 66 calls that had run were cut, sent up to 5.0 s after SIGTERM.

Streams that have begun go on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,6 +213,8 @@
 func (a *attempt) unsentFailure(caller context.Context, err error) *failure {
 	f := &failure{code: "not_connected", err: err}
 	switch {
+	case caller.Err() != nil && a.t.g.ended.Err() != nil:
+		f.code = codeStopping
 	case caller.Err() != nil:
 		f.code, f.callerGone = "caller_gone", true
 	case errors.Is(err, hop.ErrConnectionLimit):
@@ -363,6 +365,10 @@
 		f.code = codeCrashesServers
 		return f
 	}
+	if caller.Err() != nil && a.t.g.ended.Err() != nil {
+		f.code = codeStopping
+		return f
+	}
 	if caller.Err() != nil {
 		f.code = "caller_gone"
 		f.callerGone = a.t.timeLeft() > 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,11 @@
 	withheld         atomic.Pointer[map[string]bool]
 	// refusesCalls is set once all calls are refused, refusesStreams once streams are.
 	refusesCalls, refusesStreams atomic.Bool
-	retryBudgets                 sync.Map // of *dispatch.RetryBudget by service
+	// endsAt is when calls end because the VM stops; nil before that is known. ended ends them.
+	endsAt       atomic.Pointer[time.Time]
+	ended        context.Context
+	endCalls     context.CancelFunc
+	retryBudgets sync.Map // of *dispatch.RetryBudget by service
 	// probedServers holds the key (selector.ServerKey) of each server that
 	// probeUntilReachable probes; crashChecks holds the pending *crashCheck of each
 	// such key.
@@ -88,7 +92,8 @@
 
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
+	ended, endCalls := context.WithCancel(context.Background())
+	g := &Gateway{opts: opts, ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
 	g.SetMembers(1, 1)
 	g.withheld.Store(&map[string]bool{})
 	return g
@@ -143,6 +148,9 @@
 // weights.
 func (g *Gateway) SetWithheld(ids map[string]bool) { g.withheld.Store(&ids) }
 
+// codeStopping is the code of a call that a VM which stops doesn't take or ends.
+const codeStopping = "stopping"
+
 // RefuseStreams refuses further stream calls, which may last long; those in progress
 // continue.
 func (g *Gateway) RefuseStreams() { g.refusesStreams.Store(true) }
@@ -150,6 +158,13 @@
 // RefuseCalls refuses all further calls; those in progress continue.
 func (g *Gateway) RefuseCalls() { g.refusesCalls.Store(true) }
 
+// RefuseBeyond refuses further calls whose deadline lies after the given time, when calls end: their
+// callers would wait for a response that may never come.
+func (g *Gateway) RefuseBeyond(end time.Time) { g.endsAt.Store(&end) }
+
+// EndCalls ends the calls in progress whose response has not begun, and tells their callers.
+func (g *Gateway) EndCalls() { g.endCalls() }
+
 // model returns the deployment's model with the prefill rate measured so far.
 func (g *Gateway) model() selector.CostModel {
 	m := g.opts.Model
@@ -188,6 +203,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(t.timeLeft()))
 	defer cancel()
+	t.keepOnStop = context.AfterFunc(g.ended, cancel)
+	defer t.keepOnStop()
 	t.run(ctx)
 	if t.ran == verdict.NotRun {
 		g.opts.Quota.Return(t.account.ID, t.units)
@@ -203,7 +220,7 @@
 	t.account = &catalog.Account{}
 	t.deadline = c.Arrived.Add(c.CallerTimeout)
 	if g.refusesCalls.Load() {
-		return verdict.RefuseUntil(http.StatusServiceUnavailable, "stopping", "this VM is about to stop", minRetryAfter)
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM is about to stop", minRetryAfter)
 	}
 	if t.catalog == nil {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_configuration", "this VM has no configuration yet", configRetryAfter)
@@ -213,7 +230,7 @@
 		return verdict.Refuse(http.StatusNotFound, "route_unknown", "no route leads to this host and path")
 	}
 	if t.route.Kind == catalog.Stream && g.refusesStreams.Load() {
-		return verdict.RefuseUntil(http.StatusServiceUnavailable, "stopping", "this VM is about to stop", minRetryAfter)
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM is about to stop", minRetryAfter)
 	}
 	if t.catalog.HasAccounts() && !t.route.Open {
 		t.account = t.catalog.Account(c.Key)
@@ -226,6 +243,9 @@
 	if c.CallerTimeout > 0 && c.CallerTimeout < t.route.Timeout {
 		t.deadline = c.Arrived.Add(c.CallerTimeout)
 	}
+	if end := g.endsAt.Load(); end != nil && t.deadline.After(*end) {
+		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM stops before the deadline of the request", minRetryAfter)
+	}
 	if t.timeLeft() <= 0 {
 		return verdict.Refuse(http.StatusServiceUnavailable, "deadline_passed", "the deadline had passed when the request had arrived")
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -127,6 +127,7 @@
 		return a.sentFailure(caller, "caller_gone", err)
 	}
 	t.begun = true
+	t.keepOnStop()
 	if err := t.sink.WriteBody(body); err != nil {
 		return a.sentFailure(caller, "caller_gone", err)
 	}
@@ -229,6 +230,7 @@
 		return a.sentFailure(caller, "caller_gone", err)
 	}
 	t.begun = true
+	t.keepOnStop()
 	return nil
 }
 
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -47,8 +47,10 @@
 	// ran is NotRun until a server may have run the call.
 	ran verdict.Verdict
 	// begun is set once the response to the caller has begun.
-	begun     bool
-	lastEvent int64
+	begun bool
+	// keepOnStop lets the call go on when the VM ends calls that have not begun.
+	keepOnStop func() bool
+	lastEvent  int64
 	// pinned is the software version to which the stream is bound; nil before its first event.
 	pinned     *pin
 	firstByte  time.Duration
