Go on with a stream only with what continues it

What callers saw: a stream had begun and broke off, and the next server answered with 200 and an event with an error, no event at all, or a later event. They got the error in the middle of their stream, a stream that ended as complete after 6 of 12 events, or one with a gap.

Cause: a response with status 200 and the content type of event streams was taken for the continuation without a look at its events.

Change: in a resumed stream each event needs an ID, and the first one must follow the last one of the caller if the events were numbered one by one so far. An empty continuation counts as the end only if a second server agrees. A stream that ends with its connection before its first event, or that contains a status line, has been broken off.

A stream whose end alone was lost can still be resumed.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/sse"
@@ -181,15 +182,25 @@
 func (a *attempt) relayStream(caller context.Context, resp *http.Response) *failure {
 	t := a.t
 	events := sse.NewRawReader(resp.Body, 0)
-	first := true
+	if !hop.Framed(resp) {
+		events.RejectStatusLines()
+	}
+	resumed := t.lastEvent >= 0
+	first, relayed := true, false
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
+			if f := a.checkStreamEnd(caller, resp, resumed, relayed); f != nil {
+				return f
+			}
 			return a.endStream(resp)
 		}
 		if err != nil {
 			return a.sentFailure(caller, "stream_cut", err)
 		}
+		if resumed && event.ID < 0 && !event.Comment {
+			return a.sentFailure(caller, "resume_declined", errors.New("an event without an ID follows in a resumed stream"))
+		}
 		if first {
 			// Engines send the head before they have read the prompt.
 			first = false
@@ -206,6 +217,12 @@
 		if event.ID >= 0 && event.ID <= t.lastEvent {
 			continue // The caller has received it.
 		}
+		if event.ID >= 0 {
+			if resumed && !relayed && t.numbering.skips(t.lastEvent, event.ID) {
+				return a.sentFailure(caller, "resume_declined", errors.Errorf("event %d follows %d in a resumed stream", event.ID, t.lastEvent))
+			}
+			t.numbering.record(t.lastEvent, event.ID)
+		}
 		if f := a.beginAnswer(caller, resp); f != nil {
 			return f
 		}
@@ -213,7 +230,7 @@
 			return a.sentFailure(caller, "caller_gone", err)
 		}
 		if event.ID >= 0 {
-			t.lastEvent = event.ID
+			t.lastEvent, relayed = event.ID, true
 		}
 	}
 }
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -51,6 +51,10 @@
 	// keepOnStop lets the call go on when the VM ends calls that have not begun.
 	keepOnStop func() bool
 	lastEvent  int64
+	// numbering is how the events of the stream are numbered, as far as this VM has seen them.
+	numbering numbering
+	// emptyResumptions counts the servers that ended the resumed stream without a further event.
+	emptyResumptions int
 	// pinned is the software version to which the stream is bound; nil before its first event.
 	pinned     *pin
 	firstByte  time.Duration
@@ -181,6 +185,9 @@
 	if t.sends == 0 && t.waited() > t.timeLeft() {
 		return false // A refusal now leaves the caller time to retry.
 	}
+	if t.begun && t.lastEvent < 0 {
+		return false // Nothing tells where the stream would go on.
+	}
 	return !f.mayHaveRun && !t.begun || t.route.Repeatable()
 }
 
--- /dev/null
+++ b/internal/gateway/whole.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/selector"
+)
+
+// minEmptyResumptions is the number of servers that must end a resumed stream without a further
+// event before its caller is told that it is complete. A server that is in trouble may do so too.
+const minEmptyResumptions = 2
+
+// numbering is how the events of a stream are numbered. Most servers number them one by one.
+type numbering struct{ regular, irregular bool }
+
+// record records the numbers of two events that followed one another.
+func (n *numbering) record(last, next int64) {
+	if last < 0 {
+		return
+	}
+	n.regular = n.regular || next == last+1
+	n.irregular = n.irregular || next != last+1
+}
+
+// skips reports whether events seem to be missing between two numbers.
+func (n *numbering) skips(last, next int64) bool {
+	return n.regular && !n.irregular && next > last+1
+}
+
+// checkStreamEnd returns a failure if the end of a server's event stream isn't the end of the
+// stream. relayed is set if it brought events that the caller didn't have.
+func (a *attempt) checkStreamEnd(caller context.Context, resp *http.Response, resumed, relayed bool) *failure {
+	switch {
+	case !hop.Framed(resp) && !relayed && !a.t.begun:
+		return a.sentFailure(caller, "stream_cut", errors.Wrap(io.ErrUnexpectedEOF, "the connection closed before the first event"))
+	}
+	if !resumed || relayed {
+		return nil
+	}
+	if a.t.emptyResumptions++; a.t.emptyResumptions >= minEmptyResumptions {
+		return nil
+	}
+	f := a.sentFailure(caller, "resume_empty", errors.New("the resumed stream ended without a further event"))
+	a.result = selector.Neutral
+	return f
+}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -201,7 +201,7 @@
 		if match(resp) {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if !Framed(resp) {
 			break // The body ends only when the connection closes.
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes+1))
@@ -282,11 +282,16 @@
 	}
 }
 
+// Framed reports whether the response has a length or chunks. Otherwise its body ends with the
+// connection.
+func Framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // finished is called when a response has been read completely. It reports whether the
 // connection may be reused.
 func (c *Conn) finished(resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	c.notReusable = !framed || resp.Close || c.br.Buffered() > 0 || !c.bodyWritten()
+	c.notReusable = !Framed(resp) || resp.Close || c.br.Buffered() > 0 || !c.bodyWritten()
 	return !c.notReusable
 }
 
--- a/internal/sse/raw.go
+++ b/internal/sse/raw.go
@@ -16,6 +16,8 @@
 	Bytes []byte
 	// ID is the number in the event's id field, or -1 if it has none.
 	ID int64
+	// Comment is set if the event has no field at all.
+	Comment bool
 }
 
 // RawReader splits a byte stream into events without changing them. Relays use
@@ -24,8 +26,20 @@
 	br    *bufio.Reader
 	limit int
 	event []byte
+	// rejectStatusLines is set if bytes of another response may follow the stream.
+	rejectStatusLines bool
 }
 
+// statusLinePrefix is how a response head begins.
+const statusLinePrefix = "HTTP/1."
+
+// ErrStatusLine means that the head of another response follows the events.
+var ErrStatusLine = errors.New("the head of another response follows the events")
+
+// RejectStatusLines makes Next return ErrStatusLine for a line that begins the head of a response.
+// Nothing else tells where a stream that ends with its connection is followed by another response.
+func (r *RawReader) RejectStatusLines() { r.rejectStatusLines = true }
+
 // NewRawReader returns a RawReader that accepts events of at most limit bytes. A
 // limit of 0 means MaxEventBytes.
 func NewRawReader(r io.Reader, limit int) *RawReader {
@@ -40,7 +54,7 @@
 func (r *RawReader) Next() (RawEvent, error) {
 	r.event = r.event[:0]
 	id := int64(-1)
-	start := 0
+	start, comment := 0, true
 	for {
 		part, err := r.br.ReadSlice('\n')
 		r.event = append(r.event, part...)
@@ -56,8 +70,12 @@
 		line := bytes.TrimRight(r.event[start:], "\r\n")
 		start = len(r.event)
 		if len(line) == 0 {
-			return RawEvent{Bytes: r.event, ID: id}, nil
+			return RawEvent{Bytes: r.event, ID: id, Comment: comment}, nil
+		}
+		if r.rejectStatusLines && bytes.HasPrefix(line, []byte(statusLinePrefix)) {
+			return RawEvent{}, ErrStatusLine
 		}
+		comment = comment && line[0] == ':'
 		if name, value := splitField(line); string(name) == "id" {
 			if id, err = strconv.ParseInt(string(value), 10, 64); err != nil || id < 0 {
 				return RawEvent{}, errors.Errorf("event id %q is not a number", value)
