Check that a server goes on before the end of its connection counts

What callers saw: a server fell over in the middle of a response with neither a length nor chunks, and they got a part of it, framed as whole; or a server wrote its answer twice on a connection, and they got both as one.

Cause: the kernel of a process that ends closes its connections in the same way as a server that has sent everything, and nothing separates a second response from the body of such a first one.

Evidence: TestResponseOfServerThatFallsOverLooksWhole failed on all four kinds of routes, with and without a part of the body; TestSecondAnswerIsTakenForPartOfTheFirst for calls and streams.

Change: before the end of such a response counts, the VM opens a connection to the server, which the next request uses. If it refuses, or has a later run, the response was cut off. A body that contains another response with the request's ID isn't passed on.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -100,18 +100,20 @@
 	})
 }
 
-// hasCrashed reports whether a server run has ended or accepts no connections. A VM that seems to
-// be partitioned from the servers asks others.
+// hasCrashed reports whether a server run has ended or accepts no connections.
 func (g *Gateway) hasCrashed(e *fleet.Entry, connectionLimit int) bool {
 	known := g.opts.Directory.View().Server(e.ID)
-	if known == nil || known.Started != e.Started {
-		return true
-	}
-	if g.probe(known, connectionLimit) {
+	return known == nil || known.Started != e.Started || g.refusesConnections(known, connectionLimit)
+}
+
+// refusesConnections reports whether a server accepts no connections, neither from this VM nor, if
+// this VM seems to be partitioned from the servers, from others.
+func (g *Gateway) refusesConnections(e *fleet.Entry, connectionLimit int) bool {
+	if g.probe(e, connectionLimit) {
 		return false
 	}
 	isolated, _, _ := g.opts.Servers.Isolated()
-	return !isolated || !g.opts.ReachableByPeers(known)
+	return !isolated || !g.opts.ReachableByPeers(e)
 }
 
 // recordCrash records a crash as evidence and reports it to the other VMs.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,6 +115,11 @@
 	if err != nil {
 		return a.sentFailure(caller, "answer_cut", err)
 	}
+	if !hop.Framed(resp) {
+		if f := a.checkUnframedEnd(caller, body); f != nil {
+			return f
+		}
+	}
 	a.inFlight.FirstByte(t.g.model().PrefillRate)
 	t.recordFirstByte(resp.StatusCode)
 	if len(body) <= maxBufferedBytes {
@@ -140,6 +145,11 @@
 				return a.sentFailure(caller, "caller_gone", werr)
 			}
 		}
+		if err == io.EOF && !hop.Framed(resp) {
+			if f := a.checkUnframedEnd(caller, nil); f != nil {
+				return f
+			}
+		}
 		if err == io.EOF {
 			a.recordServed()
 			return nil
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -38,6 +40,10 @@
 	switch {
 	case !hop.Framed(resp) && !relayed && !a.t.begun:
 		return a.sentFailure(caller, "stream_cut", errors.Wrap(io.ErrUnexpectedEOF, "the connection closed before the first event"))
+	case !hop.Framed(resp):
+		if f := a.checkUnframedEnd(caller, nil); f != nil {
+			return f
+		}
 	}
 	if !resumed || relayed {
 		return nil
@@ -49,3 +55,35 @@
 	a.result = selector.Neutral
 	return f
 }
+
+// checkUnframedEnd returns a failure if a response that ended with its connection may not be whole.
+// The connections of a server that crashes end in the same way, and a server that answers twice
+// writes its second answer behind the first.
+func (a *attempt) checkUnframedEnd(caller context.Context, body []byte) *failure {
+	if a.hasSecondAnswer(body) {
+		return a.sentFailure(caller, "answer_repeated", errors.New("another response follows the body"))
+	}
+	e := a.candidate.Entry
+	known := a.t.g.opts.Directory.View().Server(e.ID)
+	restarted := known != nil && known.Started != e.Started
+	if restarted || a.t.g.refusesConnections(e, a.connectionLimit()) {
+		return a.sentFailure(caller, "answer_cut", errors.Wrap(io.ErrUnexpectedEOF, "the server's run ended with its response"))
+	}
+	return nil
+}
+
+// hasSecondAnswer reports whether a body contains another response to the call.
+func (a *attempt) hasSecondAnswer(body []byte) bool {
+	for {
+		i := bytes.Index(body, []byte("HTTP/1."))
+		if i < 0 {
+			return false
+		}
+		body = body[i:]
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), &http.Request{Method: a.t.call.Method})
+		if err == nil && a.t.g.opts.Dialect.Matches(a.t.call, resp) {
+			return true
+		}
+		body = body[1:]
+	}
+}
