Check the end of services' connections on the own path too

What callers of papayaspand serve saw: a service fell over in the middle of a response with neither a length nor chunks, or answered twice, and the response looked whole.

Cause: as on the platform's path, the end of a connection was taken for the end of the response.

Change: the same check before the end counts; the search for a second response is shared in internal/hop. Engines mark the end of each response and weren't affected.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/sse"
@@ -292,6 +293,9 @@
 		return readError(err)
 	}
 	if len(buffered) <= limit {
+		if failure := x.checkUnframedEnd(resp, buffered); failure != nil {
+			return failure
+		}
 		return x.relayBuffered(resp, buffered)
 	}
 	if x.server.Kind == backend.Engine {
@@ -350,6 +354,9 @@
 			}
 		}
 		if err == io.EOF {
+			if failure := x.checkUnframedEnd(resp, nil); failure != nil {
+				return failure
+			}
 			return nil
 		}
 		if err != nil {
@@ -358,6 +365,25 @@
 	}
 }
 
+// checkUnframedEnd returns a failure if a response that ended with its connection may not be whole: if
+// its server accepts no connections any more, or another response to the request follows it.
+func (x *exchange) checkUnframedEnd(resp *http.Response, body []byte) *attemptError {
+	if hop.Framed(resp) || resp.Request == nil {
+		return nil
+	}
+	if hop.ContainsResponse(body, x.req.Method, func(r *http.Response) bool { return r.Header.Get(openai.HeaderRequestID) == x.req.ID }) {
+		return failedMayHaveRun(InvalidResponse, errors.New("another response follows the body"))
+	}
+	c, err := hop.Dial(x.callerCtx, resp.Request.URL.Host)
+	if err != nil {
+		return failedMayHaveRun(Truncated, errors.Wrap(err, "the server accepts no connections after the end of its response"))
+	}
+	if err := c.Close(); err != nil {
+		return failedMayHaveRun(Truncated, err)
+	}
+	return nil
+}
+
 // readError classifies an error while reading the response body.
 func readError(err error) *attemptError {
 	switch {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -60,7 +58,8 @@
 // The connections of a server that crashes end in the same way, and a server that answers twice
 // writes its second answer behind the first.
 func (a *attempt) checkUnframedEnd(caller context.Context, body []byte) *failure {
-	if a.hasSecondAnswer(body) {
+	matches := func(r *http.Response) bool { return a.t.g.opts.Dialect.Matches(a.t.call, r) }
+	if hop.ContainsResponse(body, a.t.call.Method, matches) {
 		return a.sentFailure(caller, "answer_repeated", errors.New("another response follows the body"))
 	}
 	e := a.candidate.Entry
@@ -71,19 +70,3 @@
 	}
 	return nil
 }
-
-// hasSecondAnswer reports whether a body contains another response to the call.
-func (a *attempt) hasSecondAnswer(body []byte) bool {
-	for {
-		i := bytes.Index(body, []byte("HTTP/1."))
-		if i < 0 {
-			return false
-		}
-		body = body[i:]
-		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), &http.Request{Method: a.t.call.Method})
-		if err == nil && a.t.g.opts.Dialect.Matches(a.t.call, resp) {
-			return true
-		}
-		body = body[1:]
-	}
-}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -282,12 +282,6 @@
 	}
 }
 
-// Framed reports whether the response has a length or chunks. Otherwise its body ends with the
-// connection.
-func Framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // finished is called when a response has been read completely. It reports whether the
 // connection may be reused.
 func (c *Conn) finished(resp *http.Response) bool {
