Send nothing to engines that ask for a back-off on the own path

What engines of papayaspand serve saw: requests went on reaching them after they had refused one with 503 and Retry-After.

Cause: the delay was read in whole seconds, passed on to callers, and not used for the choice of an engine.

Change: the table of back-offs is a type of its own, which both paths use, and so is the parsing of the header. An engine's next incarnation isn't bound. Callers are told the soonest end.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -130,6 +130,8 @@
 	Verdict        verdict.Verdict
 	// Err is nil if the attempt completed the response.
 	Err error
+	// Backoff is the time for which the server wants no requests of this VM; 0 if it states none.
+	Backoff time.Duration
 	// Status is the HTTP status of the response, 0 if there was none.
 	Status int
 	// Delivered counts the output tokens that the caller has so far.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +15,7 @@
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/peek"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/stall"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -196,7 +196,13 @@
 	// A refusal without an ID on a reused connection may be that of an earlier request.
 	if confirmsNotRun(resp) && (id == x.req.ID || id == "" && !x.trace.isReused()) {
 		e := failedNotRun(Refused, errors.Errorf("status %d", resp.StatusCode))
-		e.retryAfter = retryAfter(resp.Header)
+		var err error
+		if e.retryAfter, err = ratelimit.ParseBackoff(resp.Header.Values("Retry-After")); err != nil {
+			e.cause = errors.Wrap(e.cause, err.Error())
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			x.result.Backoff = e.retryAfter
+		}
 		return e
 	}
 	if id != x.req.ID {
@@ -225,16 +231,6 @@
 	return false
 }
 
-// retryAfter returns the delay given in seconds by the Retry-After header, or 0
-// if there is no such value.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // relayStream relays an engine's events until the done marker.
 func (x *exchange) relayStream(resp *http.Response, body io.Reader) *attemptError {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
--- a/internal/ratelimit/backoff_test.go
+++ b/internal/ratelimit/backoff_test.go
@@ -55,3 +55,20 @@
 		t.Error("the back-off of a server that has ended is kept")
 	}
 }
+
+func TestBackoffValues(t *testing.T) {
+	for _, x := range []struct {
+		values []string
+		want   time.Duration
+		valid  bool
+	}{
+		{nil, 0, true}, {[]string{"0"}, 0, true}, {[]string{"0.3"}, 300 * time.Millisecond, true}, {[]string{" 2 "}, 2 * time.Second, true},
+		{[]string{"2", "5"}, 5 * time.Second, true}, {[]string{"soon", "5"}, 5 * time.Second, true}, {[]string{"-1"}, 0, false},
+		{[]string{"NaN"}, 0, false}, {[]string{"Sat, 05 Dec 2026 06:00:00 GMT"}, 0, false}, {[]string{"1e12"}, maxBackoff, true},
+	} {
+		got, err := ParseBackoff(x.values)
+		if got != x.want || (err == nil) != x.valid {
+			t.Errorf("%q: %v, %v", x.values, got, err)
+		}
+	}
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -84,6 +84,7 @@
 // Table keeps the newest statement of each server and this VM's share of its rate limit. It
 // is safe for concurrent use.
 type Table struct {
+	*Backoffs
 	self vm.ID
 	now  func() time.Time
 
@@ -95,18 +96,15 @@
 	shares atomic.Pointer[map[selector.ServerKey]*share]
 	// brittle holds the brittle servers. Updates replace the whole map.
 	brittle atomic.Pointer[map[selector.ServerKey]bool]
-	// backoffs holds until when servers ask this VM for no requests. Updates replace the whole map.
-	backoffs atomic.Pointer[map[selector.ServerKey]time.Time]
 	// division is how the VMs divide the slots of brittle servers.
 	division atomic.Pointer[Division]
 }
 
 // NewTable returns an empty table for the VM self.
 func NewTable(self vm.ID, now func() time.Time) *Table {
-	t := &Table{self: self, now: now, servers: map[selector.ServerKey]*serverState{}, senders: []vm.ID{self}}
+	t := &Table{Backoffs: NewBackoffs(now), self: self, now: now, servers: map[selector.ServerKey]*serverState{}, senders: []vm.ID{self}}
 	t.shares.Store(&map[selector.ServerKey]*share{})
 	t.brittle.Store(&map[selector.ServerKey]bool{})
-	t.backoffs.Store(&map[selector.ServerKey]time.Time{})
 	t.division.Store(&Division{count: 1})
 	return t
 }
@@ -232,9 +230,7 @@
 		e := v.Server(key.ID)
 		return e == nil || e.Started != key.Started
 	}
-	if len(*t.backoffs.Load()) > 0 {
-		t.deleteBackoffs(func(key selector.ServerKey, _ time.Time) bool { return ended(key) })
-	}
+	t.RemoveEnded(ended)
 	before := len(t.servers)
 	maps.DeleteFunc(t.servers, func(key selector.ServerKey, _ *serverState) bool { return ended(key) })
 	if len(t.servers) != before {
--- a/internal/router/enginepicker.go
+++ b/internal/router/enginepicker.go
@@ -10,6 +10,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/route"
+	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
@@ -60,6 +61,9 @@
 	if err == nil {
 		server, known = view.Servers[c.decision.Engine.ID]
 	}
+	if left, waits := p.balancer.soonestReturn(view, &p.request); !known && waits {
+		return backend.Server{}, verdict.RefuseUntil(http.StatusServiceUnavailable, "servers_back_off", "the backend servers want no requests for a time", left)
+	}
 	if !known {
 		refusal := verdict.RefuseUntil(http.StatusServiceUnavailable, "no_backend_server", "no backend server can take the request now", noServerRetryAfter)
 		refusal.Cause = err
@@ -131,6 +135,12 @@
 	if c == nil {
 		return
 	}
+	if r.Backoff > 0 {
+		p.balancer.backoffs.RemoveEnded(func(key selector.ServerKey) bool { return p.balancer.table.key(key.ID) != key })
+		left := p.balancer.backoffs.RecordBackoff(p.balancer.table.key(r.Server.ID), r.Backoff)
+		p.balancer.log.Info("server_backs_off", zap.String("request_id", req.ID), zap.String("server", string(r.Server.ID)),
+			zap.Duration("asked", r.Backoff), zap.Duration("left", left))
+	}
 	switch r.Failure {
 	case dispatch.ConnectFailed, dispatch.ConnectionLost:
 		p.balancer.table.markUnreachable(r.Server.ID)
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -10,12 +10,15 @@
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/prefix"
 	"papayaspan.dev/papayaspan/internal/route"
+	"papayaspan.dev/papayaspan/internal/selector"
 )
 
 // engineState is the state of one engine from its reports and dispatches. Its
 // fields are guarded by engineTable.mu, except load, unreachable and lastSent.
 type engineState struct {
 	incarnation backend.Incarnation
+	// runs counts the incarnations.
+	runs        atomic.Int64
 	slot        prefix.Slot
 	weights     map[string]string // nil until the first report
 	load        *route.Load
@@ -184,6 +187,7 @@
 	s.slot = slot
 	if s.incarnation != incarnation {
 		s.incarnation = incarnation
+		s.runs.Add(1)
 		s.load.Reset()
 	}
 	return true
@@ -214,3 +218,12 @@
 	s.slot = slot
 	return true
 }
+
+// key returns the key of an engine's present run.
+func (t *engineTable) key(id backend.ID) selector.ServerKey {
+	key := selector.ServerKey{ID: id}
+	if s := (*t.byID.Load())[id]; s != nil {
+		key.Started = s.runs.Load()
+	}
+	return key
+}
--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/fairshare"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/prefix"
+	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/route"
 	"papayaspan.dev/papayaspan/internal/settings"
 )
@@ -38,6 +40,7 @@
 	chooser     *route.Chooser
 	clocks      *fairshare.Clocks
 	table       *engineTable
+	backoffs    *ratelimit.Backoffs
 	view        atomic.Pointer[config.View]
 	rngs        sync.Pool
 }
@@ -46,7 +49,10 @@
 func NewPrefixBalancer(s settings.Routing, log *zap.Logger) *PrefixBalancer {
 	index := prefix.NewIndex(maxIndexBlocks, time.Now())
 	b := &PrefixBalancer{log: log, blockTokens: s.PieceTokens, index: index, table: newEngineTable(index), clocks: fairshare.New()}
-	healthy := route.Healthy(func(id backend.ID) bool { return !b.table.reachable(id) })
+	b.backoffs = ratelimit.NewBackoffs(time.Now)
+	healthy := route.Healthy(func(id backend.ID) bool {
+		return !b.table.reachable(id) || !b.backoffs.Backoff(b.table.key(id)).Allows(0)
+	})
 	b.chooser = route.NewChooser(index, s.PieceTokens, healthy)
 	if s.ImportTokensPerSecond > 0 {
 		b.chooser.Imports = route.NewImportEstimator(s.ImportTokensPerSecond)
@@ -103,6 +109,20 @@
 	return b.chooser.Choose(b.table.fleetFor(view), r, time.Now(), rng)
 }
 
+// soonestReturn returns the time until the first of a pool's servers that ask for a back-off takes
+// requests again, and false if none asks for one.
+func (b *PrefixBalancer) soonestReturn(view *config.View, r *route.Request) (left time.Duration, waits bool) {
+	for id, s := range view.Servers {
+		if !slices.Contains(s.Models, r.Pool.Model) {
+			continue
+		}
+		if l := b.backoffs.Backoff(b.table.key(id)).Left; l > 0 && (!waits || l < left) {
+			left, waits = l, true
+		}
+	}
+	return left, waits
+}
+
 // Loaded implements enginewatch.Sink.
 func (b *PrefixBalancer) Loaded(id backend.ID, l openai.Load, asked, now time.Time) {
 	if b.table.recordLoad(id, l, asked, now) {
--- a/internal/router/prefixbalancer_test.go
+++ b/internal/router/prefixbalancer_test.go
@@ -32,6 +32,8 @@
 	snapshot   *config.Snapshot
 	view       *config.View
 	lastID     int
+	// serve, if set, serves a request in an engine's place and reports whether it did.
+	serve func(id backend.ID, rw http.ResponseWriter, r *http.Request) bool
 }
 
 func newBalancerHarness(t *testing.T, n int) *balancerHarness {
@@ -40,9 +42,14 @@
 	h.snapshot.Models["m"] = config.Model{Name: "m", WeightsVersion: "1"}
 	for i := range n {
 		e := engine.New(engine.Options{BlockTokens: testBlock, CacheBlocks: 1000, MaxRunning: 8, Weights: map[string]string{"m": "1"}})
-		srv := httptest.NewServer(e.Handler())
-		t.Cleanup(srv.Close)
 		id := backend.ID(fmt.Sprint("e", i))
+		handler := e.Handler()
+		srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodPost || h.serve == nil || !h.serve(id, rw, r) {
+				handler.ServeHTTP(rw, r)
+			}
+		}))
+		t.Cleanup(srv.Close)
 		h.engines[id] = e
 		h.snapshot.Servers[id] = backend.Server{ID: id, Kind: backend.Engine, URL: srv.URL, Models: []string{"m"}}
 	}
