Test heads that end early on the own path too, and reword two comments

Ruled out: a head cut off at every third byte by an engine or a service looks whole nowhere, so that no product code changes.

Change: TestHeadThatEndsEarlyLooksWhole in internal/dispatch.

--- a/internal/crashcause/crashcause.go
+++ b/internal/crashcause/crashcause.go
@@ -8,7 +8,7 @@
 // that a convicted trait explains don't count against others. Requests with a convicted
 // trait are refused.
 //
-// Prompt parts that were always in the same requests can't be told apart. They are convicted
+// Prompt parts that were always in the same requests can't be distinguished. They are convicted
 // together: requests with all of them are refused, others show which part it is.
 //
 // Convictions may be wrong at first, when VMs don't have all evidence yet. One ends as soon as
--- a/internal/dispatch/whole_test.go
+++ b/internal/dispatch/whole_test.go
@@ -60,3 +60,27 @@
 		})
 	}
 }
+
+// A server closes its connection in the middle of its response's head.
+func TestHeadThatEndsEarlyLooksWhole(t *testing.T) {
+	for _, kind := range []backend.Kind{backend.Engine, backend.Service} {
+		const size = 110
+		for cut := 0; cut < size; cut += 3 {
+			server := rawServer(t, func(c net.Conn) {
+				defer c.Close()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				discard(req.Body)
+				head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: 14\r\n\r\n", openai.HeaderRequestID, req.Header.Get(openai.HeaderRequestID))
+				fmt.Fprint(c, head[:min(cut, len(head)-1)])
+			})
+			p := listPicker{{ID: "server", Kind: kind, URL: server}}
+			_, err := newTestDispatcher(t).Do(context.Background(), Request{ID: "req-1", Method: http.MethodPost, Path: "/x"}, p, &memorySink{})
+			if err == nil {
+				t.Errorf("%s: a head cut off after %d bytes looks whole", kind, cut)
+			}
+		}
+	}
+}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -12,7 +12,7 @@
 )
 
 // minEmptyResumptions is the number of servers that must end a resumed stream without a further
-// event before its caller is told that it is complete. A server that is in trouble may do so too.
+// event before its end counts as the end of the stream. A server that is in trouble may do so too.
 const minEmptyResumptions = 2
 
 // numbering is how the events of a stream are numbered. Most servers number them one by one.
