Bound the bytes of another request's response as they arrive

Cause: the bound of 1 MiB counted what the chunks hold, not what arrives. A million chunks are parsed until it is reached, at a few bytes of overhead each.

The bound now counts bytes as they arrive, with the reader that bounds heads; a body that exceeds it ends the search for the own response as before (ErrMismatched). A sound response of less than 1 MiB in chunks of usual size is still skipped.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -42,7 +42,7 @@
 	dropResetTime = 30 * time.Millisecond
 	// maxMismatched is the number of responses to other requests after which Send
 	// gives up. maxMismatchedBytes bounds the body that is discarded to get to the next
-	// response.
+	// response, as it arrives: chunks of a byte each cost far more than they hold.
 	maxMismatched      = 4
 	maxMismatchedBytes = 1 << 20
 	// concurrentBodyBytes is the body size from which the body is written while Send
@@ -56,6 +56,8 @@
 	// ErrHeadTooLong means that the response head, including interim responses,
 	// exceeds httpbounds.MaxHeadBytes.
 	ErrHeadTooLong = errors.New("response head is too long")
+	// errBodyTooLong means that a body exceeds maxMismatchedBytes.
+	errBodyTooLong = errors.New("response body is too long")
 	// ErrNotWritten means that no byte of the request was written.
 	ErrNotWritten = errors.New("no byte of the request was written")
 )
@@ -75,7 +77,7 @@
 	net.Conn
 	hostKey
 	// in is the source of br.
-	in *headReader
+	in *boundedReader
 	br *bufio.Reader
 	// opened is when the connection was opened.
 	opened time.Time
@@ -99,29 +101,37 @@
 	notReusable bool
 }
 
-// headReader reads from a connection and bounds the bytes read for a response head.
-type headReader struct {
+// boundedReader reads from a connection and bounds the bytes read for a part of a response.
+type boundedReader struct {
 	r io.Reader
 	// remaining is the number of bytes that may still be read; negative means no bound.
 	remaining int
+	// exceeded is the error once there are more.
+	exceeded error
+}
+
+// bound bounds the bytes that are read until the function that it returns is called.
+func (b *boundedReader) bound(n int, exceeded error) (release func()) {
+	b.remaining, b.exceeded = n, exceeded
+	return func() { b.remaining = -1 }
 }
 
 // Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if h.remaining < 0 {
-		return h.r.Read(p)
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.remaining < 0 {
+		return b.r.Read(p)
 	}
-	if h.remaining == 0 {
-		return 0, errors.WithStack(ErrHeadTooLong)
+	if b.remaining == 0 {
+		return 0, errors.WithStack(b.exceeded)
 	}
-	n, err := h.r.Read(p[:min(len(p), h.remaining)])
-	h.remaining -= n
+	n, err := b.r.Read(p[:min(len(p), b.remaining)])
+	b.remaining -= n
 	return n, err
 }
 
 // newConn returns a Conn for an open connection.
 func newConn(conn net.Conn, key hostKey) *Conn {
-	in := &headReader{r: conn, remaining: -1}
+	in := &boundedReader{r: conn, remaining: -1}
 	return &Conn{Conn: conn, hostKey: key, opened: time.Now(), in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
 }
 
@@ -204,21 +214,25 @@
 		if !Framed(resp) {
 			break // The body ends only when the connection closes.
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes+1))
-		if err != nil {
-			return nil, errors.Wrap(err, "read response to another request")
-		}
-		if n > maxMismatchedBytes {
+		if err := c.discardBody(resp); errors.Is(err, errBodyTooLong) {
 			break
+		} else if err != nil {
+			return nil, errors.Wrap(err, "read response to another request")
 		}
 	}
 	return nil, errors.WithStack(ErrMismatched)
 }
 
+// discardBody reads the body of a response to another request to its end.
+func (c *Conn) discardBody(resp *http.Response) error {
+	defer c.in.bound(maxMismatchedBytes, errBodyTooLong)()
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // readHead returns the next response head, skipping interim (1xx) responses.
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
-	c.in.remaining = httpbounds.MaxHeadBytes // For the interim responses and the head together.
-	defer func() { c.in.remaining = -1 }()
+	defer c.in.bound(httpbounds.MaxHeadBytes, ErrHeadTooLong)() // For the interim responses and the head together.
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+func TestSmallChunksOfAnotherResponseOutrunItsBound(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	sent := make(chan int)
+	go func() {
+		n := 0
+		defer func() { sent <- n }()
+		if _, err := readRequest(server); err != nil {
+			return
+		}
+		n, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for block := bytes.Repeat([]byte("1\r\nx\r\n"), 700); ; {
+			written, err := server.Write(block)
+			if n += written; err != nil {
+				return
+			}
+		}
+	}()
+	_, err := newConn(client, hostKey{}).Send(context.Background(), request("a"), matches("a"))
+	client.Close()
+	if n := <-sent; !errors.Is(err, ErrMismatched) || n > maxMismatchedBytes+2*readBufferBytes {
+		t.Errorf("read %d bytes, want at most %d; error %v", n, maxMismatchedBytes, err)
+	}
+}
