Relay no stream with a gap, whatever a server leaves out

Events left out, or mixed in from another run, within one response were relayed at every VM.

Cause: what a stream's numbers look like was learned from that stream alone, by the VM that relayed it, and was used at one place only, the first event of a resumption.

Why it works: nothing can be missing between two consecutive numbers, so only such steps are relayed. Any other step ends the attempt, and the stream goes on at another server or is broken off, which callers may repeat. That needs no knowledge, so that a VM that has just started does as well as others. A server that began too late makes the VM ask the servers of that version for the last event once more for a minute; the first event behind it is then the next one, and resumptions need no second attempt. Numbers that don't increase within a response end the attempt too; a resumption may still begin with events that the caller has.

The protocol only says that numbers increase. Servers that leave numbers out as a rule aren't refused for long: once three in four of at least eight responses do so, also without the server that does so most, their steps are believed if the server has sent the event before the step itself. A minority of faulty servers doesn't turn the check off. The number with which streams begin is learned in the same way. VMs tell one another both, in a message of the domain each 5 s, and keep them in the row of the versions; earlier builds ignore the fields. Agreement of two servers on a step isn't believed: both may leave the same event out, and a hole can't be repaired while a stream that was refused can be taken up again.

A service that leaves numbers out has 16 streams cut at a VM with one server before it is known.

The lines of resumed streams have first_event and numbering; those of failed attempts last_event too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,7 +234,7 @@
 		TimeLeft:  t.timeLeft(),
 		Server:    a.candidate.Entry.ID,
 		Priority:  t.priority(),
-		LastEvent: t.lastEvent,
+		LastEvent: a.resumeAfter(),
 	}
 	if t.prompt != nil {
 		out.Salt = t.cacheScope()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -196,6 +196,8 @@
 		events.RejectStatusLines()
 	}
 	resumed := t.lastEvent >= 0
+	numbers := a.newSequence()
+	defer func() { a.recordSteps(numbers) }()
 	first, relayed := true, false
 	for {
 		event, err := events.Next()
@@ -224,14 +226,17 @@
 		}
 		a.inFlight.DataReceived()
 		a.recordBegun()
-		if event.ID >= 0 && event.ID <= t.lastEvent {
-			continue // The caller has received it.
-		}
 		if event.ID >= 0 {
-			if resumed && !relayed && t.numbering.skips(t.lastEvent, event.ID) {
-				return a.sentFailure(caller, "resume_declined", errors.Errorf("event %d follows %d in a resumed stream", event.ID, t.lastEvent))
+			if t.lastEvent < 0 && numbers.previous < 0 {
+				t.g.opts.Origins.RecordFirst(originOf(a.candidate.Entry), string(a.candidate.Entry.ID), event.ID)
+			}
+			isNew, err := numbers.next(t.lastEvent, event.ID)
+			if err != nil {
+				return a.outOfOrder(caller, numbers, err)
+			}
+			if !isNew {
+				continue // The caller has received it.
 			}
-			t.numbering.record(t.lastEvent, event.ID)
 		}
 		if f := a.beginAnswer(caller, resp); f != nil {
 			return f
@@ -241,6 +246,7 @@
 		}
 		if event.ID >= 0 {
 			t.lastEvent, relayed = event.ID, true
+			t.outcome.recordEvent(event.ID)
 		}
 	}
 }
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -51,8 +51,6 @@
 	// keepOnStop lets the call go on when the VM ends calls that have not begun.
 	keepOnStop func() bool
 	lastEvent  int64
-	// numbering is how the events of the stream are numbered, as far as this VM has seen them.
-	numbering numbering
 	// emptyResumptions counts the servers that ended the resumed stream without a further event.
 	emptyResumptions int
 	// pinned is the software version to which the stream is bound; nil before its first event.
@@ -83,12 +81,20 @@
 	refusal      *verdict.Error
 	// crashCause is the trait because of which the call was refused; 0 if it wasn't.
 	crashCause crashcause.Trait
+	// firstEvent is the number of the first event that was relayed plus 1; 0 before that.
+	firstEvent int64
 	// originSource tells from what the origin of a resumed stream is known.
 	originSource string
 	// evidence is what was known of the server when the request was written.
 	evidence evidence
 }
 
+func (o *outcome) recordEvent(number int64) {
+	if o.firstEvent == 0 {
+		o.firstEvent = number + 1
+	}
+}
+
 func (t *task) timeLeft() time.Duration { return t.deadline.Sub(t.g.opts.Now()) }
 
 func (t *task) waited() time.Duration { return t.g.opts.Now().Sub(t.call.Arrived) }
@@ -293,9 +299,9 @@
 	}
 	if t.call.LastEvent >= 0 {
 		fields = append(fields, zap.Int64("last_event", t.call.LastEvent), zap.String("resumes", fmt.Sprintf("%.64s", t.call.Resumes)),
-			zap.String("origin_source", t.outcome.originSource))
+			zap.String("origin_source", t.outcome.originSource), zap.Int64("first_event", t.outcome.firstEvent-1))
 		if t.pinned != nil {
-			fields = append(fields, zap.String("origin", t.pinned.Version))
+			fields = append(fields, zap.String("origin", t.pinned.Version), zap.Stringer("numbering", t.g.opts.Origins.Numbering(t.pinned.Origin)))
 		}
 	}
 	fields = append(fields, t.outcome.evidence.fields()...)
@@ -358,6 +364,9 @@
 		zap.Int64("server_started", c.Entry.Started),
 		zap.String("software", c.Entry.Software),
 		zap.Bool("begun", t.begun),
+		zap.Int64("last_event", t.lastEvent),
+		zap.Int64("first_event", t.outcome.firstEvent-1),
+		zap.Stringer("numbering", t.g.opts.Origins.Numbering(originOf(c.Entry))),
 		zap.Stringer("server_revision", c.Entry.Revision),
 		zap.Int("attempt", len(t.tried)),
 		zap.String("failure", f.code),
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -15,23 +15,6 @@
 // event before its end counts as the end of the stream. A server that is in trouble may do so too.
 const minEmptyResumptions = 2
 
-// numbering is how the events of a stream are numbered. Most servers number them one by one.
-type numbering struct{ regular, irregular bool }
-
-// record records the numbers of two events that followed one another.
-func (n *numbering) record(last, next int64) {
-	if last < 0 {
-		return
-	}
-	n.regular = n.regular || next == last+1
-	n.irregular = n.irregular || next != last+1
-}
-
-// skips reports whether events seem to be missing between two numbers.
-func (n *numbering) skips(last, next int64) bool {
-	return n.regular && !n.irregular && next > last+1
-}
-
 // checkStreamEnd returns a failure if the end of a server's event stream isn't the end of the
 // stream. relayed is set if it brought events that the caller didn't have.
 func (a *attempt) checkStreamEnd(caller context.Context, resp *http.Response, resumed, relayed bool) *failure {
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -39,6 +39,8 @@
 	// Written is when the row was written, by the store's monotonic clock.
 	Written  time.Duration          `json:"written"`
 	Versions []origin.VersionNotice `json:"versions"`
+	// Numberings tell how the versions number the events of streams.
+	Numberings []origin.NumberingNotice `json:"numberings,omitempty"`
 }
 
 // originAudiences are the audiences of notices in digests.
@@ -196,7 +198,11 @@
 			v.GoneFor += max(0, now-row.Written).Milliseconds()
 		}
 	}
-	if n.origins.RestoreVersions(row.Versions) {
+	for i := range row.Numberings {
+		row.Numberings[i].Age += max(0, now-row.Written).Milliseconds()
+	}
+	changed := n.origins.RestoreVersions(row.Versions)
+	if n.origins.RestoreNumberings(row.Numberings) || changed {
 		n.signal(n.versionsChanged)
 	}
 }
@@ -235,7 +241,7 @@
 	}
 	now, _ := n.storeClock.toStore(n.now())
 	check := platform.Check{Key: key}
-	stored := map[origin.VersionNotice]bool{}
+	var stored versionsRow
 	if len(rows) == 1 {
 		if !n.observeEra(rows[0].Era, "store") {
 			return errors.Errorf("the answer belongs to the earlier era %d", rows[0].Era)
@@ -243,14 +249,16 @@
 		check.Version, check.Era = rows[0].Version, rows[0].Era
 		if rows[0].Value != nil {
 			n.applyVersionsRow(rows[0], now)
-			stored = presenceOf(rows[0].Value)
+			if err := json.Unmarshal(rows[0].Value, &stored); err != nil {
+				stored = versionsRow{} // It is written anew.
+			}
 		}
 	}
-	versions := n.origins.Versions()
-	if coversVersions(stored, versions) {
+	versions, numberings := n.origins.Versions(), n.origins.Numberings()
+	if coversVersions(presenceOf(stored), versions) && origin.CoversNumberings(stored.Numberings, numberings) {
 		return nil
 	}
-	value, err := json.Marshal(versionsRow{Written: now, Versions: versions})
+	value, err := json.Marshal(versionsRow{Written: now, Versions: versions, Numberings: numberings})
 	if err != nil {
 		return errors.Wrap(err, "encode software versions")
 	}
@@ -261,20 +269,20 @@
 	for _, v := range versions {
 		texts = append(texts, v.String())
 	}
+	for _, v := range numberings {
+		texts = append(texts, fmt.Sprintf("%s=%s numbers events %v", v.Service, v.Version, v.Numbering))
+	}
 	slices.Sort(texts)
 	n.log.Info("versions_stored", zap.Strings("versions", texts))
 	return nil
 }
 
 // presenceOf returns the versions of a stored row, with GoneFor reduced to 0 or 1.
-func presenceOf(value []byte) map[origin.VersionNotice]bool {
-	var row versionsRow
+func presenceOf(row versionsRow) map[origin.VersionNotice]bool {
 	stored := map[origin.VersionNotice]bool{}
-	if json.Unmarshal(value, &row) == nil {
-		for _, v := range row.Versions {
-			v.GoneFor = min(1, v.GoneFor)
-			stored[v] = true
-		}
+	for _, v := range row.Versions {
+		v.GoneFor = min(1, v.GoneFor)
+		stored[v] = true
 	}
 	return stored
 }
--- a/internal/origin/notices.go
+++ b/internal/origin/notices.go
@@ -112,12 +112,14 @@
 }
 
 // Notices are what a VM sends to others. They list versions and streams of services with
-// several versions only.
+// several versions only, and how the streams of all services are numbered.
 type Notices struct {
 	// Complete is set if the sender knows the versions of the recent past.
 	Complete bool            `json:"c,omitempty"`
 	Versions []VersionNotice `json:"v,omitempty"`
 	Streams  []StreamsNotice `json:"o,omitempty"`
+	// Numberings are sent now and then.
+	Numberings []NumberingNotice `json:"n,omitempty"`
 }
 
 // VersionNotice is a version that has servers or had some in the recent past.
@@ -175,7 +177,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	t.expire(now)
-	n := &Notices{Complete: t.complete}
+	n := &Notices{Complete: t.complete, Numberings: t.numberingsFor(to, now)}
 	if len(t.mixed) == 0 {
 		t.queues = [audiences][]announcement{}
 		return n
@@ -209,7 +211,7 @@
 			all[s.origin] = append(all[s.origin], id)
 		}
 	}
-	n.Streams = packIDs(all)
+	n.Streams, n.Numberings = packIDs(all), t.allNumberings(t.now())
 	return n
 }
 
@@ -226,6 +228,7 @@
 	}
 	now := t.now()
 	changed := t.applyVersions(n.Versions, now)
+	changed = t.applyNumberings(n.Numberings, sameDomain, now) || changed
 	t.complete = t.complete || n.Complete
 	for _, group := range n.Streams {
 		for _, id := range group.streams() {
--- /dev/null
+++ b/internal/origin/numbering.go
@@ -0,0 +1,329 @@
+package origin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// minResponses is the number of responses that show a numbering; a single server takes twice as
+	// many.
+	minResponses = 8
+	// maxServerResponses is the number from which earlier responses count half.
+	maxServerResponses = 32
+	// maxNumberingServers bounds the servers of an origin whose responses are counted.
+	maxNumberingServers = 64
+	// maxNumberings bounds the numberings in a message.
+	maxNumberings = 16
+	// numberingInterval is how often the VMs of a failure domain announce a numbering that hasn't
+	// changed. A VM that hears it from another one doesn't repeat it.
+	numberingInterval = 5 * time.Second
+)
+
+// Numbering is how the servers of an origin number the events of their streams. Events are taken
+// for numbered one by one until most servers leave numbers out: a server that loses events does so
+// too.
+type Numbering struct {
+	// Irregular is set if the events aren't numbered one by one.
+	Irregular bool `json:"i,omitempty"`
+	// First is the number of a stream's first event plus 1; 0 if it isn't known.
+	First int64 `json:"f,omitempty"`
+	// Age is the time since the last response that showed it, in milliseconds.
+	Age int64 `json:"a,omitempty"`
+}
+
+// String formats the numbering for logs.
+func (n Numbering) String() string {
+	kind := "regular"
+	if n.Irregular {
+		kind = "irregular"
+	}
+	if n.First == 0 {
+		return kind
+	}
+	return fmt.Sprintf("%s from %d", kind, n.First-1)
+}
+
+// known returns the numbering without its age.
+func (n Numbering) known() Numbering {
+	n.Age = 0
+	return n
+}
+
+// NumberingNotice is the numbering of an origin's streams.
+type NumberingNotice struct {
+	Origin
+	Numbering
+}
+
+// serverNumbers counts the responses of a server.
+type serverNumbers struct {
+	// responses are those with several new events, irregular those of them that leave numbers out.
+	responses, irregular int
+	// first is the number with which most streams began. firstLead is by how many responses.
+	first     int64
+	firstLead int
+}
+
+func (s *serverNumbers) recordSteps(irregular bool) {
+	s.responses++
+	if irregular {
+		s.irregular++
+	}
+	if s.responses >= maxServerResponses {
+		s.responses, s.irregular = s.responses/2, s.irregular/2
+	}
+}
+
+func (s *serverNumbers) add(other *serverNumbers) {
+	s.responses += other.responses
+	s.irregular += other.irregular
+}
+
+// isIrregular reports whether at least minimum responses show an irregular numbering.
+func (s *serverNumbers) isIrregular(minimum int) bool {
+	return s.responses >= minimum && isMost(s.irregular, s.responses)
+}
+
+func (s *serverNumbers) recordFirst(first int64) {
+	switch {
+	case s.firstLead == 0:
+		s.first, s.firstLead = first, 1
+	case s.first == first:
+		s.firstLead = min(maxServerResponses, s.firstLead+1)
+	default:
+		s.firstLead--
+	}
+}
+
+// numbering is what is known of an origin's numbering.
+type numbering struct {
+	servers map[string]*serverNumbers
+	// steps is set once the servers' responses tell whether the events are numbered one by one.
+	steps bool
+	own   Numbering
+	ownAt time.Time
+	heard Numbering
+	// heardAt is when a response showed what other VMs report.
+	heardAt time.Time
+	// lateAt is when a server last went on with a stream too late.
+	lateAt time.Time
+	// repeatedAt is when the numbering was last announced to, or heard from, each audience.
+	repeatedAt [audiences]time.Time
+	announced  [audiences]Numbering
+}
+
+// value returns the numbering, and when a response last showed it. A VM that has seen enough
+// responses itself doesn't go by others.
+func (n *numbering) value() (Numbering, time.Time) {
+	v, at := n.own, n.ownAt
+	if !n.steps {
+		v.Irregular = n.heard.Irregular
+	}
+	if v.First == 0 {
+		v.First = n.heard.First
+	}
+	if n.heardAt.After(at) {
+		at = n.heardAt
+	}
+	return v, at
+}
+
+// conclude derives the numbering from the servers' responses. A single server doesn't prove an
+// irregular numbering unless no other one has responded.
+func (n *numbering) conclude() {
+	var all, worst serverNumbers
+	firsts, beginners := map[int64]int{}, 0
+	for _, s := range n.servers {
+		all.add(s)
+		if s.irregular >= worst.irregular {
+			worst = *s
+		}
+		if s.firstLead > 0 {
+			firsts[s.first] += s.firstLead
+			all.firstLead += s.firstLead
+			beginners++
+		}
+	}
+	others := serverNumbers{responses: all.responses - worst.responses, irregular: all.irregular - worst.irregular}
+	n.steps = all.responses >= minResponses
+	n.own.Irregular = all.isIrregular(minResponses) && others.isIrregular(minResponses/2)
+	if len(n.servers) == 1 {
+		n.own.Irregular = all.isIrregular(2 * minResponses)
+	}
+	n.own.First = 0
+	for first, lead := range firsts {
+		if beginners > 1 && lead >= minResponses || lead >= 2*minResponses {
+			if isMost(lead, all.firstLead) {
+				n.own.First = first + 1
+			}
+		}
+	}
+}
+
+// isMost reports whether a part is so large that the rest may be faulty.
+func isMost(part, all int) bool { return 4*part >= 3*all }
+
+func (t *Table) ensureNumbering(o Origin) *numbering {
+	n := t.numberings[o]
+	if n == nil {
+		n = &numbering{servers: map[string]*serverNumbers{}}
+		t.numberings[o] = n
+	}
+	return n
+}
+
+// recordNumbers records something of a server's response.
+func (t *Table) recordNumbers(o Origin, server string, record func(*serverNumbers)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.ensureNumbering(o)
+	before, _ := n.value()
+	s := n.servers[server]
+	if s == nil {
+		for other := range n.servers {
+			if len(n.servers) < maxNumberingServers {
+				break
+			}
+			delete(n.servers, other)
+		}
+		s = &serverNumbers{}
+		n.servers[server] = s
+	}
+	record(s)
+	n.conclude()
+	n.ownAt = t.now()
+	after, _ := n.value()
+	t.numberingChanged = t.numberingChanged || after.known() != before.known()
+}
+
+// RecordFirst records the number with which a server began a new stream.
+func (t *Table) RecordFirst(o Origin, server string, number int64) {
+	t.recordNumbers(o, server, func(s *serverNumbers) { s.recordFirst(number) })
+}
+
+// RecordSteps records whether a server's response left numbers out between two events.
+func (t *Table) RecordSteps(o Origin, server string, irregular bool) {
+	t.recordNumbers(o, server, func(s *serverNumbers) { s.recordSteps(irregular) })
+}
+
+// RecordLate records that a server went on with a stream too late, behind events that it left out.
+func (t *Table) RecordLate(o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ensureNumbering(o).lateAt = t.now()
+}
+
+// GoesOnLate reports whether servers of an origin may go on with streams too late: some did in the
+// recent past, or their numbers wouldn't tell.
+func (t *Table) GoesOnLate(o Origin) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.numberings[o]
+	if n == nil {
+		return false
+	}
+	v, _ := n.value()
+	return v.Irregular || !n.lateAt.IsZero() && t.now().Sub(n.lateAt) < Horizon
+}
+
+// Numbering returns how the events of an origin's streams are numbered.
+func (t *Table) Numbering(o Origin) Numbering {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := t.numberings[o]; n != nil {
+		v, _ := n.value()
+		return v.known()
+	}
+	return Numbering{}
+}
+
+// notice returns the numbering of an origin for other VMs and the store, and false if nothing is
+// known.
+func (n *numbering) notice(o Origin, now time.Time) (NumberingNotice, bool) {
+	v, at := n.value()
+	if v.known() == (Numbering{}) {
+		return NumberingNotice{}, false
+	}
+	v.Age = max(0, now.Sub(at).Milliseconds())
+	return NumberingNotice{Origin: o, Numbering: v}, true
+}
+
+// numberingsFor returns the numberings for the next message to an audience: those that have
+// changed, or that no VM has announced for some time.
+func (t *Table) numberingsFor(to Audience, now time.Time) []NumberingNotice {
+	if to == ActiveVMs {
+		return nil
+	}
+	var out []NumberingNotice
+	for o, n := range t.numberings {
+		notice, ok := n.notice(o, now)
+		changed := notice.known() != n.announced[to]
+		if !ok || !changed && now.Sub(n.repeatedAt[to]) < numberingInterval || len(out) == maxNumberings {
+			continue
+		}
+		n.announced[to], n.repeatedAt[to] = notice.known(), now
+		out = append(out, notice)
+	}
+	return out
+}
+
+// Numberings returns all known numberings, for the store.
+func (t *Table) Numberings() []NumberingNotice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.allNumberings(t.now())
+}
+
+func (t *Table) allNumberings(now time.Time) []NumberingNotice {
+	var out []NumberingNotice
+	for o, n := range t.numberings {
+		if notice, ok := n.notice(o, now); ok {
+			out = append(out, notice)
+		}
+	}
+	return out
+}
+
+// applyNumberings applies what other VMs know. The latest response counts.
+func (t *Table) applyNumberings(list []NumberingNotice, sameDomain bool, now time.Time) bool {
+	changed := false
+	for _, notice := range list {
+		at := now.Add(-time.Duration(max(0, notice.Age)) * time.Millisecond)
+		if t.versions[notice.Origin] == nil {
+			continue
+		}
+		n := t.ensureNumbering(notice.Origin)
+		before, _ := n.value()
+		if sameDomain && notice.known() == before.known() {
+			n.repeatedAt[Domain] = now
+		}
+		if !n.heardAt.IsZero() && at.Sub(n.heardAt) <= ageTolerance {
+			continue
+		}
+		n.heard, n.heardAt = notice.known(), at
+		after, _ := n.value()
+		changed = changed || after.known() != before.known()
+	}
+	return changed
+}
+
+// RestoreNumberings applies stored numberings.
+func (t *Table) RestoreNumberings(list []NumberingNotice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.applyNumberings(list, false, t.now())
+}
+
+// CoversNumberings reports whether stored numberings have all that this VM knows.
+func CoversNumberings(stored, known []NumberingNotice) bool {
+	for _, k := range known {
+		if !slices.ContainsFunc(stored, func(s NumberingNotice) bool {
+			return s.Origin == k.Origin && s.known() == k.known()
+		}) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/origin/numbering_test.go
@@ -0,0 +1,163 @@
+package origin
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var llmV1 = Origin{Service: "llm", Version: "v1"}
+
+// newNumberingTable returns a table that knows the version, and a function that advances its clock.
+func newNumberingTable() (*Table, func(time.Duration)) {
+	now := time.Unix(1000, 0)
+	t := NewTable(func() time.Time { return now })
+	t.Observe([]Origin{llmV1})
+	return t, func(d time.Duration) { now = now.Add(d) }
+}
+
+// record records responses of servers, of which irregular tells those that leave numbers out.
+func recordResponses(t *Table, n, servers int, irregular func(response, server int) bool) {
+	for i := range n {
+		t.RecordFirst(llmV1, fmt.Sprint(i%servers), 1)
+		t.RecordSteps(llmV1, fmt.Sprint(i%servers), irregular(i, i%servers))
+	}
+}
+
+func TestNumberingIsTakenForRegularWhileServersLoseEvents(t *testing.T) {
+	for name, test := range map[string]struct {
+		servers   int
+		irregular func(response, server int) bool
+		want      bool
+	}{
+		"sound servers":                        {3, func(int, int) bool { return false }, false},
+		"one of two servers is faulty":         {2, func(_, s int) bool { return s == 0 }, false},
+		"one of three servers is faulty":       {3, func(_, s int) bool { return s == 0 }, false},
+		"two of three servers are faulty":      {3, func(_, s int) bool { return s > 0 }, false},
+		"all servers lose events now and then": {3, func(i, _ int) bool { return i/3%2 == 0 }, false},
+		"numbers are left out as a rule":       {3, func(int, int) bool { return true }, true},
+		"few streams have no numbers left out": {3, func(i, _ int) bool { return i%10 != 0 }, true},
+		"the only server leaves numbers out":   {1, func(int, int) bool { return true }, true},
+	} {
+		table, _ := newNumberingTable()
+		recordResponses(table, 200, test.servers, test.irregular)
+		if got := table.Numbering(llmV1); got.Irregular != test.want || got.First != 2 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+func TestIrregularNumberingIsKnownAfterFewResponses(t *testing.T) {
+	table, _ := newNumberingTable()
+	recordResponses(table, 2*minResponses, 4, func(int, int) bool { return true })
+	if !table.Numbering(llmV1).Irregular {
+		t.Errorf("%v after %d responses", table.Numbering(llmV1), 2*minResponses)
+	}
+	recordResponses(table, 500, 4, func(int, int) bool { return false })
+	if table.Numbering(llmV1).Irregular {
+		t.Error("a numbering that has become regular is taken for irregular")
+	}
+}
+
+func TestFirstEventIsNotKnownIfStreamsBeginWithSeveralNumbers(t *testing.T) {
+	table, _ := newNumberingTable()
+	for i := range 100 {
+		table.RecordFirst(llmV1, fmt.Sprint(i%4), int64(i%4))
+	}
+	if got := table.Numbering(llmV1); got.First != 0 {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestNumberingIsKnownToOtherVMs(t *testing.T) {
+	from, passFrom := newNumberingTable()
+	recordResponses(from, 100, 3, func(int, int) bool { return true })
+	want := from.Numbering(llmV1)
+	for name, share := range map[string]func(to *Table){
+		"message to the domain":     func(to *Table) { to.Apply(from.Notices(Domain), true) },
+		"message to other domains":  func(to *Table) { to.Apply(from.Notices(OtherDomains), false) },
+		"all that another VM knows": func(to *Table) { to.Apply(from.Export(), false) },
+		"the platform's store":      func(to *Table) { to.RestoreNumberings(from.Numberings()) },
+		"a message of another's news": func(to *Table) {
+			between, _ := newNumberingTable()
+			between.Apply(from.Export(), true)
+			to.Apply(between.Notices(Domain), true)
+		},
+	} {
+		to, _ := newNumberingTable()
+		passFrom(numberingInterval)
+		share(to)
+		if got := to.Numbering(llmV1); got != want {
+			t.Errorf("%s: %v instead of %v", name, got, want)
+		}
+	}
+}
+
+func TestNumberingIsAnnouncedByFewVMs(t *testing.T) {
+	const vms, rounds = 80, 60
+	var tables []*Table
+	var pass []func(time.Duration)
+	for range vms {
+		table, advance := newNumberingTable()
+		recordResponses(table, 20, 3, func(int, int) bool { return false })
+		tables, pass = append(tables, table), append(pass, advance)
+	}
+	bytes := 0
+	for range rounds { // Of a second each.
+		for i, from := range tables {
+			n := from.Notices(Domain)
+			if n.Numberings == nil {
+				continue
+			}
+			data, err := json.Marshal(n.Numberings)
+			if err != nil {
+				t.Fatal(err)
+			}
+			bytes += len(data)
+			for j, to := range tables {
+				if j != i {
+					to.Apply(n, true)
+				}
+			}
+		}
+		for _, advance := range pass {
+			advance(time.Second)
+		}
+	}
+	if perSecond := bytes / rounds; perSecond > 200 {
+		t.Errorf("each VM receives %d bytes a second", perSecond)
+	}
+}
+
+func TestOwnResponsesOverruleReportedNumbering(t *testing.T) {
+	table, _ := newNumberingTable()
+	table.Apply(&Notices{Numberings: []NumberingNotice{{Origin: llmV1, Numbering: Numbering{Irregular: true}}}}, true)
+	if !table.Numbering(llmV1).Irregular {
+		t.Error("the report isn't applied")
+	}
+	recordResponses(table, 20, 2, func(int, int) bool { return false })
+	if table.Numbering(llmV1).Irregular {
+		t.Error("the report outweighs this VM's own responses")
+	}
+}
+
+func TestNumberingOfVersionWithoutServersIsForgotten(t *testing.T) {
+	table, pass := newNumberingTable()
+	recordResponses(table, 20, 2, func(int, int) bool { return false })
+	table.Observe(nil)
+	pass(2 * Horizon)
+	table.Observe(nil)
+	table.Apply(&Notices{Numberings: []NumberingNotice{{Origin: llmV1, Numbering: Numbering{First: 2}}}}, true)
+	if len(table.numberings) > 0 {
+		t.Errorf("%d numberings", len(table.numberings))
+	}
+}
+
+func TestServersWhoseNumbersCountAreBounded(t *testing.T) {
+	table, _ := newNumberingTable()
+	recordResponses(table, 3000, 600, func(int, int) bool { return false })
+	if n := len(table.numberings[llmV1].servers); n > maxNumberingServers {
+		t.Errorf("%d servers", n)
+	}
+}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -94,20 +94,24 @@
 	// complete is set once the versions of the recent past are known.
 	complete bool
 	// queues hold the streams to be announced to each audience.
-	queues [audiences][]announcement
+	queues     [audiences][]announcement
+	numberings map[Origin]*numbering
+	// numberingChanged is set if a numbering has changed since the last call of Observe.
+	numberingChanged bool
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, streams: map[StreamID]*stream{}, versions: map[Origin]*version{}, mixed: map[string]bool{}}
+	return &Table{now: now, streams: map[StreamID]*stream{}, versions: map[Origin]*version{}, mixed: map[string]bool{}, numberings: map[Origin]*numbering{}}
 }
 
-// Observe records which versions have servers now. It reports whether the versions have
-// changed.
+// Observe records which versions have servers now. It reports whether the versions or how they
+// number events have changed.
 func (t *Table) Observe(present []Origin) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, changed := t.now(), false
+	now, changed := t.now(), t.numberingChanged
+	t.numberingChanged = false
 	for _, o := range present {
 		v := t.ensureVersion(o, now)
 		changed = changed || !v.present
@@ -150,6 +154,7 @@
 	for o, v := range t.versions {
 		if !v.present && now.Sub(v.lastSeen) > Horizon {
 			delete(t.versions, o)
+			delete(t.numberings, o)
 			if t.count(o.Service) <= 1 {
 				delete(t.mixed, o.Service)
 			}
