Let servers' back-offs and leaves bind the VM that passes a tunnel on

A server sees the VM that opened the connection. Where a VM without a path to the servers sends through another one, the server's 503 with Retry-After was answered to the other VM, but only the requesting VM read it: the other VM went on with its own requests. The reverse held too: a VM in a back-off refused new tunnels, but those that were open, and idle in the requesting VM's pool, went on.

Evidence: two of three VMs cut off from all servers, one server that turns requests away for 0.3 s with Retry-After 2, arrivals counted at the server by the VM that opened the connection.

The VM that reads a response now tells the VM in between what it asks, as a notice in the tunnel, which keeps its order with the request's bytes and needs no further connection; it arrives also if the rest of the response stays unread or the server ends its connection. A VM checks each 0.1 s whether it may still send to the servers to which it passes tunnels on, and withdraws those to which it may not: a mark between two frames, after which the requesting VM sends no further request there. A response under way isn't touched. A refused tunnel is told apart from a server that accepts no connection, so it marks none unreachable, is no evidence of a crash and doesn't hide that a path is cut; up to three VMs are tried, then the server is left out for at most a second. Headers name what both sides understand; with an earlier build tunnels stay as they were.

TestLeavingServerGetsNoConnectionForAnotherVM asked connectForPeer, which checks no longer; it now asks the endpoint and wants the refusal's status.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -173,6 +173,9 @@
 	case t.g.model().TooOld(&selector.Candidate{Staleness: t.weightsStaleness(current, t.g.opts.Now())}):
 		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s became too old after it was chosen", a.candidate.Entry.ID)}
 	}
+	if a.conn.Withdrawn() {
+		return &failure{code: codeWithheld, err: errors.Errorf("the VM that passes the connection on may send server %s no further request", current.ID)}
+	}
 	a.candidate.Entry = current
 	if left := t.g.opts.RateLimits.Backoff(selector.KeyOf(current)).Left; left > 0 {
 		return &failure{code: codeServersBackOff, err: errors.Errorf("server %s asked for no requests for %v after it was chosen", current.ID, left), retryAfter: left}
@@ -212,6 +215,7 @@
 // unsentFailure returns the failure of an attempt whose request was not sent.
 func (a *attempt) unsentFailure(caller context.Context, err error) *failure {
 	f := &failure{code: "not_connected", err: err}
+	var withheld *hop.WithheldError
 	switch {
 	case caller.Err() != nil && a.t.g.ended.Err() != nil:
 		f.code = codeStopping
@@ -219,6 +223,9 @@
 		f.code, f.callerGone = "caller_gone", true
 	case errors.Is(err, hop.ErrConnectionLimit):
 		f.code = "connections_used_up"
+	case errors.As(err, &withheld):
+		f.code, f.retryAfter = codeWithheld, withheld.Left
+		a.recordWithheld(withheld)
 	default:
 		a.result = selector.Unreachable
 		a.t.g.opts.Servers.DoubtRun(selector.KeyOf(a.candidate.Entry))
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
 	"papayaspan.dev/papayaspan/internal/selector"
@@ -124,6 +125,24 @@
 	}
 }
 
+const (
+	// codeWithheld is the code of an attempt at a server that the VMs which pass connections on may
+	// send no requests.
+	codeWithheld = "server_withheld"
+	// maxWithheldTime bounds the time for which the server isn't tried again: this VM may reach it by
+	// itself soon, and another VM may reach it before.
+	maxWithheldTime = time.Second
+)
+
+// recordWithheld keeps this VM from trying the server again at once.
+func (a *attempt) recordWithheld(withheld *hop.WithheldError) {
+	wait := min(withheld.Left, maxWithheldTime)
+	if wait <= 0 {
+		wait = maxWithheldTime // It leaves, and this VM learns that soon.
+	}
+	a.t.g.opts.RateLimits.RecordBackoff(selector.KeyOf(a.candidate.Entry), wait)
+}
+
 // backedOffError refuses a request because all servers want no requests of this VM. Callers retry
 // when the first server takes requests again, spread so that they don't all come at once.
 func (t *task) backedOffError(backedOff []selector.Candidate) *verdict.Error {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,10 +54,12 @@
 }
 
 // probe opens a connection to a server for the next request to use and reports whether
-// the server accepts connections. A server at its connection limit counts as accepting.
+// the server accepts connections. A server at its connection limit counts as accepting, as does one
+// that another VM may send no requests.
 func (g *Gateway) probe(e *fleet.Entry, connectionLimit int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := g.opts.Pool.Open(ctx, string(e.ID), e.Address, connectionLimit)
-	return err == nil || errors.Is(err, hop.ErrConnectionLimit)
+	var withheld *hop.WithheldError
+	return err == nil || errors.Is(err, hop.ErrConnectionLimit) || errors.As(err, &withheld)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,6 +28,7 @@
 	a.recordRateLimit(head)
 	a.recordLeaving(head)
 	a.recordBackoff(resp, head)
+	a.tellOpener(head)
 	if head.WeightsVersion > 0 && t.call.Model != "" {
 		t.g.opts.Directory.SetWeights(a.candidate.Entry.ID, a.candidate.Entry.Started, t.call.Model, head.WeightsVersion, t.g.opts.Now())
 	}
@@ -72,6 +73,14 @@
 	t.g.opts.NotifyPeers()
 }
 
+// tellOpener tells the VM that opened the connection, if that is another one, what the server asks of
+// it.
+func (a *attempt) tellOpener(head Head) {
+	if asked := (hop.Asked{Backoff: head.Backoff, Leaves: head.Leaving}); asked != (hop.Asked{}) && !head.Misdirected {
+		a.conn.Tell(asked)
+	}
+}
+
 // declinedFailure returns the failure of a request that the server guarantees not to
 // have run.
 func (a *attempt) declinedFailure(resp *http.Response, head Head) *failure {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -285,7 +285,7 @@
 // finished is called when a response has been read completely. It reports whether the
 // connection may be reused.
 func (c *Conn) finished(resp *http.Response) bool {
-	c.notReusable = !Framed(resp) || resp.Close || c.br.Buffered() > 0 || !c.bodyWritten()
+	c.notReusable = !Framed(resp) || resp.Close || c.br.Buffered() > 0 || !c.bodyWritten() || c.Withdrawn()
 	return !c.notReusable
 }
 
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -89,6 +89,10 @@
 		return nil, errors.WithStack(ErrConnectionLimit)
 	}
 	conn, err := p.dial(ctx, key.owner, key.addr)
+	if withheld := (*WithheldError)(nil); errors.As(err, &withheld) {
+		p.unreserve(key)
+		return nil, err
+	}
 	if err != nil {
 		p.unreserve(key)
 		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", key.addr, err)
@@ -102,6 +106,10 @@
 		if c == nil {
 			return nil
 		}
+		if c.Withdrawn() {
+			p.Discard(c)
+			continue
+		}
 		now := p.now()
 		c.idleFor = now.Sub(c.idleSince)
 		if p.mayReuse(c.idleFor, now) && c.usable(now) {
--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -1,12 +1,11 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -144,8 +143,12 @@
 	v := newTestVM(t, store)
 	v.loadServers()
 	v.directory.MarkDrained("x", 1, v.clock)
-	if conn, err := v.connectForPeer(context.Background(), tunnel.Target{ID: "x", Started: 1}); err == nil || !strings.Contains(err.Error(), "leaves") {
-		t.Errorf("connection %v, error %v", conn, err)
+	r := httptest.NewRequest("GET", tunnel.Endpoint+"?server=x&started=1", nil)
+	r.Header.Set("Upgrade", "papayaspan-tunnel")
+	w := httptest.NewRecorder()
+	v.tunnels.ServeHTTP(w, r)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d", w.Code)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -277,7 +277,7 @@
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
 	n.path = n.newServerPath()
 	n.pool = hop.NewPoolWithDial(n.dialServer)
-	n.tunnels = tunnel.NewHandler(opts.Log, n.connectForPeer)
+	n.tunnels = tunnel.NewHandler(tunnel.HandlerOptions{Log: opts.Log, Connect: n.connectForPeer, Withheld: n.withheldFromPeers, Asked: n.serverAsked})
 	n.metrics.GetOrRegister("servers_backing_off", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BackoffCount()) }))
 	n.metrics.GetOrRegister("brittle_servers", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BrittleCount()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
@@ -382,6 +382,7 @@
 	n.goLoop(func() { n.persistVersions(ctx) })
 	n.goLoop(func() { n.storeOrigins(ctx) })
 	n.goLoop(func() { n.path.Run(ctx) })
+	n.goLoop(func() { n.tunnels.Run(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -50,13 +50,32 @@
 	if e == nil || e.Started != target.Started {
 		return nil, errors.Errorf("no server %s has started at %d", target.ID, target.Started)
 	}
-	if !e.Usable() {
-		return nil, errors.Errorf("server %s leaves", target.ID) // The other VM doesn't know it yet.
+	return hop.Dial(ctx, e.Address)
+}
+
+// withheldFromPeers returns an error if other VMs must send a server no requests through this one.
+func (n *Node) withheldFromPeers(target tunnel.Target) error {
+	e := n.directory.View().Server(backend.ID(target.ID))
+	if e == nil || e.Started != target.Started {
+		return errors.Errorf("no server %s has started at %d", target.ID, target.Started)
 	}
-	if !n.limits.Backoff(selector.KeyOf(e)).Allows(0) {
-		return nil, errors.Errorf("server %s wants no requests of this VM for a time", target.ID)
+	if !e.Usable() { // The other VM doesn't know it yet.
+		return errors.Wrapf(&hop.WithheldError{}, "server %s leaves", target.ID)
+	}
+	if left := n.limits.Backoff(selector.KeyOf(e)).Left; left > 0 {
+		return errors.Wrapf(&hop.WithheldError{Left: left}, "server %s wants no requests of this VM for a time", target.ID)
+	}
+	return nil
+}
+
+// serverAsked applies what a server asks of this VM in a response to another VM.
+func (n *Node) serverAsked(target tunnel.Target, asked hop.Asked) {
+	if asked.Leaves && n.directory.MarkDrained(backend.ID(target.ID), target.Started, n.now()) != nil {
+		n.notifyAll()
+	}
+	if asked.Backoff > 0 {
+		n.limits.RecordBackoff(selector.ServerKey{ID: backend.ID(target.ID), Started: target.Started}, asked.Backoff)
 	}
-	return hop.Dial(ctx, e.Address)
 }
 
 // tunnelPeers returns the addresses of VMs that are expected to reach a server: one of each
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -25,35 +25,41 @@
 
 // Conn returns the state of a connection. It doesn't wait for a read in progress.
 func Conn(c net.Conn) State {
+	state, _ := Bytes(c, make([]byte, 1))
+	return state
+}
+
+// Bytes returns the state of a connection, and how many of the bytes that a read would return first it
+// has copied to b. It doesn't wait for a read in progress.
+func Bytes(c net.Conn, b []byte) (State, int) {
 	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // A TLS connection.
 		c = wrapped.NetConn()
 	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return Unknown
+		return Unknown, 0
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return Unknown
+		return Unknown, 0
 	}
-	state := Unknown
+	state, copied := Unknown, 0
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EAGAIN || err == unix.EWOULDBLOCK:
 			state = Quiet
 		case err == unix.EINTR:
 		case err == nil && n > 0:
-			state = Data
+			state, copied = Data, n
 		default:
 			state = Ended
 		}
 	})
 	if err != nil {
-		return Ended // The connection is closed.
+		return Ended, 0 // The connection is closed.
 	}
-	return state
+	return state, copied
 }
 
 type connKey struct{}
--- a/internal/tunnel/frame.go
+++ b/internal/tunnel/frame.go
@@ -47,6 +47,8 @@
 	// head holds the bytes read so far of the next frame's length.
 	head  []byte
 	ended bool
+	// withdrawn is set once the other VM wants no further request on the tunnel.
+	withdrawn bool
 }
 
 func newFramedConn(c net.Conn) *framedConn { return &framedConn{Conn: c} }
@@ -79,8 +81,13 @@
 			return err
 		}
 	}
-	c.remaining = int(binary.BigEndian.Uint16(c.head))
-	c.head, c.ended = nil, c.remaining == 0
+	length := int(binary.BigEndian.Uint16(c.head))
+	c.head = nil
+	if length == noticeMark {
+		c.withdrawn = true
+		return nil
+	}
+	c.remaining, c.ended = length, length == 0
 	return nil
 }
 
--- a/internal/tunnel/path.go
+++ b/internal/tunnel/path.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/hop"
 )
 
 const (
@@ -86,9 +87,13 @@
 	return conn, err
 }
 
-// ReachableByPeers reports whether a server accepts connections from another VM.
+// ReachableByPeers reports whether a server accepts connections from another VM. A server that one of
+// them may send no requests counts as such: it has responded.
 func (p *Path) ReachableByPeers(ctx context.Context, target Target) bool {
 	conn, err := p.tunnel(ctx, target, true)
+	if withheld := (*hop.WithheldError)(nil); errors.As(err, &withheld) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
@@ -99,9 +104,11 @@
 var errNoPeer = errors.New("no other VM reaches the servers")
 
 // tunnel opens a connection through another VM. If that VM doesn't reach the server, others are
-// tried only if insist is set: the server is down, unless that VM's path is cut too.
+// tried only if insist is set: the server is down, unless that VM's path is cut too. The error is a
+// *hop.WithheldError if one of them may send the server no requests and none has opened a connection.
 func (p *Path) tunnel(ctx context.Context, target Target, insist bool) (net.Conn, error) {
 	err := errors.WithStack(errNoPeer)
+	var withheld, refusal *hop.WithheldError
 	for i, peer := range p.opts.Peers(target) {
 		if i == maxPeers {
 			break
@@ -113,6 +120,12 @@
 		if errors.Is(err, ErrNoServer) && !insist {
 			return nil, err
 		}
+		if errors.As(err, &refusal) && (withheld == nil || refusal.Left < withheld.Left) {
+			withheld = refusal
+		}
+	}
+	if withheld != nil {
+		return nil, withheld
 	}
 	return nil, err
 }
@@ -157,9 +170,14 @@
 		return false
 	}
 	for _, s := range servers {
-		through := func(ctx context.Context, _ string) (net.Conn, error) { return p.tunnel(ctx, s.Target, true) }
-		if p.responds(ctx, s, through) {
-			return true
+		var withheld *hop.WithheldError
+		through := func(ctx context.Context, _ string) (net.Conn, error) {
+			conn, err := p.tunnel(ctx, s.Target, true)
+			errors.As(err, &withheld)
+			return conn, err
+		}
+		if p.responds(ctx, s, through) || withheld != nil && withheld.Left > 0 {
+			return true // A server that wants no requests of another VM has responded to it.
 		}
 	}
 	return false
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -6,6 +6,10 @@
 // request and judges the response as on a direct connection. A tunnel is requested from the VM's
 // port for its peers with an HTTP upgrade; the other VM connects directly, never through a third one,
 // and only to servers that it knows.
+//
+// A server sees the VM that opened the connection, and asks that VM to send it nothing for a time or
+// says to it that it leaves. The requesting VM, which reads the response, tells the other VM so; and a
+// VM that may send a server nothing withdraws its tunnels to it.
 package tunnel
 
 import (
@@ -13,9 +17,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -23,6 +29,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/logging"
 )
@@ -38,6 +45,9 @@
 	maxTunnels = 1000
 	// maxHeadBytes bounds the head of the response to a request for a tunnel.
 	maxHeadBytes = 4 << 10
+	// withdrawInterval is the interval of the checks whether tunnels must be withdrawn. Servers bear
+	// requests for half a second after they have asked for none.
+	withdrawInterval = 100 * time.Millisecond
 )
 
 // ErrNoServer means that the other VM can't connect to the server either.
@@ -60,55 +70,120 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to VM %s", peer)
 	}
-	framed, err := handshake(ctx, conn, target)
-	if err != nil {
+	accepted, err := handshake(ctx, conn, target)
+	switch {
+	case err != nil:
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "tunnel through VM %s", peer)
-	}
-	if framed {
+	case accepted.Get(framingHeader) != framing:
+		return unframedConn{conn}, nil
+	case accepted.Get(noticesHeader) != notices:
 		return newFramedConn(conn), nil
 	}
-	return unframedConn{conn}, nil
+	return &noticeConn{framedConn: newFramedConn(conn)}, nil
 }
 
-// handshake requests a tunnel and reports whether the other VM frames the server's bytes.
-func handshake(ctx context.Context, conn net.Conn, target Target) (framed bool, err error) {
+// handshake requests a tunnel and returns the header of the response, which names what the other VM
+// understands.
+func handshake(ctx context.Context, conn net.Conn, target Target) (http.Header, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	defer stop()
 	query := url.Values{"server": {target.ID}, "started": {strconv.FormatInt(target.Started, 10)}}
-	if _, err := fmt.Fprintf(conn, "GET %s?%s HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: %s\r\n%s: %s\r\n\r\n",
-		Endpoint, query.Encode(), protocol, framingHeader, framing); err != nil {
-		return false, err
+	if _, err := fmt.Fprintf(conn, "GET %s?%s HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: %s\r\n%s: %s\r\n%s: %s\r\n\r\n",
+		Endpoint, query.Encode(), protocol, framingHeader, framing, noticesHeader, notices); err != nil {
+		return nil, err
 	}
 	in := bufio.NewReader(io.LimitReader(conn, maxHeadBytes))
 	resp, err := http.ReadResponse(in, nil)
 	switch {
 	case err != nil:
-		return false, err
+		return nil, err
 	case resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusNotFound:
-		return false, errors.WithStack(ErrNoServer)
+		return nil, errors.WithStack(ErrNoServer)
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(withheldHeader) != "":
+		return nil, withheldError(resp.Header)
 	case resp.StatusCode != http.StatusSwitchingProtocols || in.Buffered() > 0:
-		return false, errors.Errorf("status %d and %d bytes in response to a request for a tunnel", resp.StatusCode, in.Buffered())
+		return nil, errors.Errorf("status %d and %d bytes in response to a request for a tunnel", resp.StatusCode, in.Buffered())
 	case !stop():
-		return false, ctx.Err()
+		return nil, ctx.Err()
+	}
+	return resp.Header, nil
+}
+
+func withheldError(header http.Header) error {
+	ms, err := strconv.ParseUint(header.Get(withheldHeader), 10, 32)
+	if err != nil {
+		return errors.Wrapf(err, "header %s", withheldHeader)
 	}
-	return resp.Header.Get(framingHeader) == framing, nil
+	return &hop.WithheldError{Left: time.Duration(ms) * time.Millisecond}
+}
+
+// HandlerOptions are the dependencies of a Handler.
+type HandlerOptions struct {
+	Log *zap.Logger
+	// Connect opens a connection to a server that this VM knows, unless Withheld returns an error.
+	Connect func(ctx context.Context, target Target) (net.Conn, error)
+	// Withheld returns an error if this VM may send a server no requests: a *hop.WithheldError if
+	// others may.
+	Withheld func(target Target) error
+	// Asked is called with what a server asks of this VM in a response to another VM.
+	Asked func(target Target, asked hop.Asked)
 }
 
 // Handler serves requests for tunnels.
 type Handler struct {
-	log *zap.Logger
-	// connect opens a connection to a server that this VM knows.
-	connect func(ctx context.Context, target Target) (net.Conn, error)
+	opts HandlerOptions
+	// opened signals that a tunnel was opened.
+	opened chan struct{}
 
-	mu     sync.Mutex
-	closed bool
-	open   map[net.Conn]bool
+	mu       sync.Mutex
+	closed   bool
+	open     map[net.Conn]bool
+	passages map[*passage]bool
 }
 
 // NewHandler returns a handler without open tunnels.
-func NewHandler(log *zap.Logger, connect func(ctx context.Context, target Target) (net.Conn, error)) *Handler {
-	return &Handler{log: log, connect: connect, open: map[net.Conn]bool{}}
+func NewHandler(opts HandlerOptions) *Handler {
+	return &Handler{opts: opts, opened: make(chan struct{}, 1), open: map[net.Conn]bool{}, passages: map[*passage]bool{}}
+}
+
+// Run withdraws tunnels to servers that this VM may send no requests, until ctx ends.
+func (h *Handler) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if h.withdraw() == 0 {
+			select {
+			case <-ctx.Done():
+			case <-h.opened:
+			}
+		}
+		clock.Sleep(ctx, withdrawInterval)
+	}
+}
+
+// withdraw withdraws tunnels to servers that this VM may send no requests. It returns the number of
+// tunnels that may have to be withdrawn later.
+func (h *Handler) withdraw() (remaining int) {
+	h.mu.Lock()
+	passages := slices.Collect(maps.Keys(h.passages))
+	h.mu.Unlock()
+	withheld := map[Target]error{}
+	for _, p := range passages {
+		err, known := withheld[p.target]
+		if !known {
+			err = h.opts.Withheld(p.target)
+			withheld[p.target] = err
+		}
+		switch {
+		case p.withdrawn.Load():
+		case err == nil:
+			remaining++
+		default:
+			h.opts.Log.Info("tunnel_withdrawn", zap.String("server", p.target.ID), zap.Int64("server_started", p.target.Started),
+				zap.Stringer("peer", p.client.RemoteAddr()), logging.Error(err))
+			p.withdraw()
+		}
+	}
+	return remaining
 }
 
 // ServeHTTP implements http.Handler.
@@ -121,55 +196,82 @@
 	target := Target{ID: r.URL.Query().Get("server"), Started: started}
 	server, err := h.connect(r.Context(), target)
 	if err != nil {
-		h.log.Info("tunnel_refused", zap.String("server", target.ID), zap.String("peer", r.RemoteAddr), logging.Error(err))
+		h.opts.Log.Info("tunnel_refused", zap.String("server", target.ID), zap.String("peer", r.RemoteAddr), logging.Error(err))
+		if withheld := (*hop.WithheldError)(nil); errors.As(err, &withheld) {
+			w.Header().Set(withheldHeader, strconv.FormatInt(withheld.Left.Milliseconds(), 10))
+			http.Error(w, "this VM may send the server no requests now", http.StatusServiceUnavailable)
+			return
+		}
 		http.Error(w, "the server accepts no connection", http.StatusBadGateway)
 		return
 	}
 	client, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		_ = server.Close()
-		h.log.Warn("tunnel_not_opened", logging.Error(err))
+		h.opts.Log.Warn("tunnel_not_opened", logging.Error(err))
 		return
 	}
-	if !h.track(client, server) {
+	framed := r.Header.Get(framingHeader) == framing
+	p := &passage{
+		target: target, client: client, server: server, fromClient: buffered.Reader,
+		framed: framed, notices: framed && r.Header.Get(noticesHeader) == notices,
+	}
+	if !h.track(p) {
 		return
 	}
-	defer h.forget(client, server)
+	defer h.forget(p)
 	if err := hop.LimitSilence(client); err != nil {
-		h.log.Info("tunnel_not_limited", logging.Error(err))
+		h.opts.Log.Info("tunnel_not_limited", logging.Error(err))
 	}
-	framed, extra := r.Header.Get(framingHeader) == framing, ""
-	if framed {
+	extra := ""
+	if p.framed {
 		extra = framingHeader + ": " + framing + "\r\n"
 	}
+	if p.notices {
+		extra += noticesHeader + ": " + notices + "\r\n"
+	}
 	if _, err := fmt.Fprintf(client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n%s\r\n", protocol, extra); err != nil {
 		return
 	}
-	pass(client, buffered.Reader, server, framed)
+	h.admit(p)
+	p.pass(func(asked hop.Asked) {
+		h.opts.Log.Info("server_asked_through_tunnel", zap.String("server", target.ID), zap.Int64("server_started", target.Started),
+			zap.String("peer", r.RemoteAddr), zap.Duration("backoff", asked.Backoff), zap.Bool("leaves", asked.Leaves))
+		h.opts.Asked(target, asked)
+		h.withdraw()
+	})
+}
+
+// connect opens a connection to a server for another VM.
+func (h *Handler) connect(ctx context.Context, target Target) (net.Conn, error) {
+	if err := h.opts.Withheld(target); err != nil {
+		return nil, err
+	}
+	return h.opts.Connect(ctx, target)
 }
 
 // pass passes bytes on in both directions until either side closes its connection, and closes
 // the other one then: the end of a response and a caller that leaves must be noticed at once.
-func pass(client net.Conn, fromClient io.Reader, server net.Conn, framed bool) {
+func (p *passage) pass(noticed func(hop.Asked)) {
 	var directions sync.WaitGroup
 	directions.Add(2)
 	go func() {
 		defer directions.Done()
-		_, _ = io.Copy(server, fromClient) // An error ends the tunnel like the end of the stream.
-		_ = server.Close()
+		_ = p.copyToServer(noticed) // An error ends the tunnel like the end of the stream.
+		_ = p.server.Close()
 	}()
 	go func() {
 		defer directions.Done()
-		var err error
-		if framed {
-			err = copyFramed(client, server)
-		} else {
-			_, err = io.Copy(client, server)
+		err := p.copyToClient()
+		_ = p.server.Close()
+		if p.notices && (err == nil || p.clientGone.Load()) {
+			p.endAfterNotices()
+			return
 		}
 		if err != nil {
-			reset(client)
+			reset(p.client)
 		}
-		_ = client.Close()
+		_ = p.client.Close()
 	}()
 	directions.Wait()
 }
@@ -181,28 +283,44 @@
 	}
 }
 
-func (h *Handler) track(conns ...net.Conn) bool {
+// track records a tunnel's connections, or closes them if there are too many.
+func (h *Handler) track(p *passage) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || len(h.open) >= 2*maxTunnels {
-		for _, c := range conns {
+	full := h.closed || len(h.open) >= 2*maxTunnels
+	for _, c := range []net.Conn{p.client, p.server} {
+		if full {
 			_ = c.Close()
+			continue
 		}
-		return false
-	}
-	for _, c := range conns {
 		h.open[c] = true
 	}
-	return true
+	return !full
+}
+
+// admit records that a tunnel is open, so that it may be withdrawn. VMs of earlier builds don't
+// understand that.
+func (h *Handler) admit(p *passage) {
+	if !p.notices {
+		return
+	}
+	h.mu.Lock()
+	h.passages[p] = true
+	h.mu.Unlock()
+	select {
+	case h.opened <- struct{}{}:
+	default:
+	}
 }
 
-func (h *Handler) forget(conns ...net.Conn) {
+func (h *Handler) forget(p *passage) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range []net.Conn{p.client, p.server} {
 		_ = c.Close()
 		delete(h.open, c)
 	}
+	delete(h.passages, p)
 }
 
 // Close ends all tunnels.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -39,11 +39,16 @@
 
 // startPeer starts the endpoint of a VM that knows testTarget at an address.
 func startPeer(t *testing.T, server string) (peer string, h *Handler) {
-	h = NewHandler(zap.NewNop(), func(ctx context.Context, target Target) (net.Conn, error) {
-		if target != testTarget {
-			return nil, errors.Errorf("server %v is not known", target)
-		}
-		return hop.Dial(ctx, server)
+	h = NewHandler(HandlerOptions{
+		Log:      zap.NewNop(),
+		Withheld: func(Target) error { return nil },
+		Asked:    func(Target, hop.Asked) {},
+		Connect: func(ctx context.Context, target Target) (net.Conn, error) {
+			if target != testTarget {
+				return nil, errors.Errorf("server %v is not known", target)
+			}
+			return hop.Dial(ctx, server)
+		},
 	})
 	s := loopback.Serve(t, h)
 	return strings.TrimPrefix(s.URL, "http://"), h
