Begin the retry budget of a VM that starts again without its reserve

Servers got more repeats than the rule on the retry budget allows when VMs were killed and started in series: each start gave a VM its whole reserve anew, a half of the slack by the number of VMs, although the process before it had spent it within the same window.

A budget now begins at 0 unless the deployment starts for the first time, so that all VMs together spend at most their reserves, half of the slack, beyond what requests earn, however often they start.

--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -73,6 +73,11 @@
 	return &RetryBudget{ratio: ratio, reserve: reserve, balance: reserve}
 }
 
+// NewEmptyRetryBudget returns a budget with an initial balance of 0.
+func NewEmptyRetryBudget(ratio, reserve float64) *RetryBudget {
+	return &RetryBudget{ratio: ratio, reserve: reserve}
+}
+
 // SetReserve changes the maximum balance. A balance above it is reduced to it.
 func (b *RetryBudget) SetReserve(reserve float64) {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// RetryRatio and RetrySlack bound the repeated sends to a service by all VMs
 	// together: a share of the requests for it, and a number beyond that.
 	RetryRatio, RetrySlack float64
+	// FirstStart is set if the deployment starts for the first time.
+	FirstStart bool
 	// Now is the boot-time clock.
 	Now func() time.Time
 }
@@ -172,12 +174,18 @@
 	return m
 }
 
-// retryBudget returns the retry budget of a service.
+// retryBudget returns the retry budget of a service. That of a VM that has started again, or that was
+// added, begins without its reserve: the process before it may have spent that just now, and all VMs
+// together must keep within the slack however often they start.
 func (g *Gateway) retryBudget(service string) *dispatch.RetryBudget {
 	if b, ok := g.retryBudgets.Load(service); ok {
 		return b.(*dispatch.RetryBudget)
 	}
-	b, _ := g.retryBudgets.LoadOrStore(service, dispatch.NewRetryBudget(g.opts.RetryRatio, g.retryShare()))
+	newBudget := dispatch.NewEmptyRetryBudget
+	if g.opts.FirstStart {
+		newBudget = dispatch.NewRetryBudget
+	}
+	b, _ := g.retryBudgets.LoadOrStore(service, newBudget(g.opts.RetryRatio, g.retryShare()))
 	return b.(*dispatch.RetryBudget)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -310,6 +310,7 @@
 		ReachableByPeers: n.reachableByPeers,
 		RetryRatio:       opts.Bounds.RetryRatio,
 		RetrySlack:       opts.Bounds.RetrySlack,
+		FirstStart:       opts.FirstStart,
 		Now:              n.now,
 	})
 	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
