--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 		RateLimits: ratelimit.NewTable("vm", time.Now), CrashCauses: crashcause.NewTable(time.Now, func(crashcause.Change) {}), StoreContents: selector.NewStoreIndex(time.Now),
 		Origins: origin.NewTable(time.Now), ServersCurrent: func() bool { return true }, ServersProvedAt: time.Now, OriginMissed: func() {},
 		ReachableByPeers: func(*fleet.Entry) bool { return false },
-		Model:            selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
+		Model:            selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, FirstStart: true, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
 		Version:  1,
