Take streams for numbered from 0 or 1 until most begin otherwise

Cause: where streams begin had to be learned of eight responses before it was used, while a step between events is taken for a gap at once.

Why it works: a stream that begins with another number than 0 or 1 is believed only once most of at least eight new streams begin with it, or none of the numbers is that of most. That is the presumption that holds for steps, so that a VM needs no knowledge. A service whose streams begin with other numbers has eight of them refused or cut in addition. A single server shows its numbering by as many responses as several, which keeps the bound of TestStreamsOfServiceThatLeavesNumbersOutAreRefused: 16 streams are cut as before, eight for the number with which they begin and eight for their steps.

The test of sequences said that a stream of unknown numbering may begin with event 2. That was the fault; it now has to be refused, and 0 to be relayed. TestFirstEventIsNotKnownIfStreamsBeginWithSeveralNumbers is a case of TestStreamsThatBeginOtherwiseAreTakenForIncomplete, which also covers servers that lose a third of their first events.

--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -25,7 +25,7 @@
 //
 // Nothing is missing between two consecutive numbers. Other steps are believed only of servers
 // that usually leave numbers out, and only if the server itself has sent the event before: it may go
-// on too late.
+// on too late. So are streams that begin with other numbers than usual.
 func (s *sequence) next(last, number int64) (isNew bool, err error) {
 	previous := s.previous
 	s.previous = number
@@ -43,8 +43,8 @@
 	case number == last+1:
 		return true, nil
 	case last < 0:
-		if first := s.numbering.First - 1; first >= 0 && number > first {
-			return false, errors.Errorf("the stream begins with event %d instead of %d", number, first)
+		if s.numbering.BeginsBefore(number) {
+			return false, errors.Errorf("the stream begins with event %d", number)
 		}
 		return true, nil
 	case s.numbering.Irregular && previous == last:
--- a/internal/gateway/sequence_test.go
+++ b/internal/gateway/sequence_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestEventsThatAreMissingOrOfAnotherRunAreRelayed(t *testing.T) {
-	regular, irregular := origin.Numbering{First: 2}, origin.Numbering{Irregular: true}
+	regular, irregular := origin.Numbering{First: 2}, origin.Numbering{Irregular: true, First: 6}
 	for name, test := range map[string]struct {
 		numbering origin.Numbering
 		last      int64
@@ -24,7 +24,9 @@
 	}{
 		"a new stream":                            {regular, -1, []int64{1, 2, 3}, []int64{1, 2, 3}, false},
 		"the first event is missing":              {regular, -1, []int64{2, 3}, nil, true},
-		"an unknown first event":                  {origin.Numbering{}, -1, []int64{2, 3}, []int64{2, 3}, false},
+		"an unknown first event":                  {origin.Numbering{}, -1, []int64{0, 1}, []int64{0, 1}, false},
+		"an unknown first event is missing":       {origin.Numbering{}, -1, []int64{2, 3}, nil, true},
+		"streams begin with several numbers":      {origin.Numbering{First: -1}, -1, []int64{7, 8}, []int64{7, 8}, false},
 		"an event is missing":                     {regular, -1, []int64{1, 2, 4}, []int64{1, 2}, true},
 		"an event comes twice":                    {regular, -1, []int64{1, 2, 2}, []int64{1, 2}, true},
 		"numbers go back":                         {regular, -1, []int64{1, 2, 3, 1, 2, 3, 4}, []int64{1, 2, 3}, true},
--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -7,11 +7,14 @@
 )
 
 const (
-	// minResponses is the number of responses that show a numbering; a single server takes twice as
-	// many.
+	// minResponses is the number of responses that show a numbering.
 	minResponses = 8
 	// maxServerResponses is the number from which earlier responses count half.
 	maxServerResponses = 32
+	// maxFirsts bounds the numbers with which a server's streams begin that are counted.
+	maxFirsts = 4
+	// usualFirst is the largest number with which streams usually begin.
+	usualFirst = 1
 	// maxNumberingServers bounds the servers of an origin whose responses are counted.
 	maxNumberingServers = 64
 	// maxNumberings bounds the numberings in a message.
@@ -22,12 +25,13 @@
 )
 
 // Numbering is how the servers of an origin number the events of their streams. Events are taken
-// for numbered one by one until most servers leave numbers out: a server that loses events does so
-// too.
+// for numbered one by one, from 0 or 1, until most responses show another numbering: servers that lose
+// events leave numbers out too.
 type Numbering struct {
 	// Irregular is set if the events aren't numbered one by one.
 	Irregular bool `json:"i,omitempty"`
-	// First is the number of a stream's first event plus 1; 0 if it isn't known.
+	// First is the number of a stream's first event plus 1; 0 if it isn't known, and -1 if streams
+	// begin with several numbers.
 	First int64 `json:"f,omitempty"`
 	// Age is the time since the last response that showed it, in milliseconds.
 	Age int64 `json:"a,omitempty"`
@@ -39,12 +43,29 @@
 	if n.Irregular {
 		kind = "irregular"
 	}
-	if n.First == 0 {
+	switch n.First {
+	case 0:
 		return kind
+	case anyFirst:
+		return kind + " from any number"
 	}
 	return fmt.Sprintf("%s from %d", kind, n.First-1)
 }
 
+// anyFirst is First if streams begin with several numbers.
+const anyFirst = -1
+
+// BeginsBefore reports whether events are missing if a stream begins with a number.
+func (n Numbering) BeginsBefore(number int64) bool {
+	switch n.First {
+	case 0:
+		return number > usualFirst
+	case anyFirst:
+		return false
+	}
+	return number > n.First-1
+}
+
 // known returns the numbering without its age.
 func (n Numbering) known() Numbering {
 	n.Age = 0
@@ -61,9 +82,9 @@
 type serverNumbers struct {
 	// responses are those with several new events, irregular those of them that leave numbers out.
 	responses, irregular int
-	// first is the number with which most streams began. firstLead is by how many responses.
-	first     int64
-	firstLead int
+	// begins counts the new streams, firsts the numbers with which they began.
+	begins int
+	firsts map[int64]int
 }
 
 func (s *serverNumbers) recordSteps(irregular bool) {
@@ -79,6 +100,7 @@
 func (s *serverNumbers) add(other *serverNumbers) {
 	s.responses += other.responses
 	s.irregular += other.irregular
+	s.begins += other.begins
 }
 
 // isIrregular reports whether at least minimum responses show an irregular numbering.
@@ -87,13 +109,21 @@
 }
 
 func (s *serverNumbers) recordFirst(first int64) {
-	switch {
-	case s.firstLead == 0:
-		s.first, s.firstLead = first, 1
-	case s.first == first:
-		s.firstLead = min(maxServerResponses, s.firstLead+1)
-	default:
-		s.firstLead--
+	if s.firsts == nil {
+		s.firsts = map[int64]int{}
+	}
+	s.begins++
+	if s.firsts[first] > 0 || len(s.firsts) < maxFirsts {
+		s.firsts[first]++
+	}
+	if s.begins < maxServerResponses {
+		return
+	}
+	s.begins /= 2
+	for number, n := range s.firsts {
+		if s.firsts[number] = n / 2; n < 2 {
+			delete(s.firsts, number)
+		}
 	}
 }
 
@@ -134,30 +164,27 @@
 // irregular numbering unless no other one has responded.
 func (n *numbering) conclude() {
 	var all, worst serverNumbers
-	firsts, beginners := map[int64]int{}, 0
+	firsts := map[int64]int{}
 	for _, s := range n.servers {
 		all.add(s)
 		if s.irregular >= worst.irregular {
 			worst = *s
 		}
-		if s.firstLead > 0 {
-			firsts[s.first] += s.firstLead
-			all.firstLead += s.firstLead
-			beginners++
+		for number, count := range s.firsts {
+			firsts[number] += count
 		}
 	}
 	others := serverNumbers{responses: all.responses - worst.responses, irregular: all.irregular - worst.irregular}
 	n.steps = all.responses >= minResponses
-	n.own.Irregular = all.isIrregular(minResponses) && others.isIrregular(minResponses/2)
-	if len(n.servers) == 1 {
-		n.own.Irregular = all.isIrregular(2 * minResponses)
-	}
+	n.own.Irregular = all.isIrregular(minResponses) && (len(n.servers) == 1 || others.isIrregular(minResponses/2))
 	n.own.First = 0
-	for first, lead := range firsts {
-		if beginners > 1 && lead >= minResponses || lead >= 2*minResponses {
-			if isMost(lead, all.firstLead) {
-				n.own.First = first + 1
-			}
+	if all.begins < minResponses {
+		return
+	}
+	n.own.First = anyFirst
+	for number, count := range firsts {
+		if 2*count > all.begins {
+			n.own.First = number + 1
 		}
 	}
 }
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -60,13 +60,31 @@
 	}
 }
 
-func TestFirstEventIsNotKnownIfStreamsBeginWithSeveralNumbers(t *testing.T) {
-	table, _ := newNumberingTable()
-	for i := range 100 {
-		table.RecordFirst(llmV1, fmt.Sprint(i%4), int64(i%4))
-	}
-	if got := table.Numbering(llmV1); got.First != 0 {
-		t.Errorf("%v", got)
+func TestStreamsThatBeginOtherwiseAreTakenForIncomplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		servers int
+		first   func(i int) int64
+		// missing are first events before which events are missing, sound those that may begin a stream.
+		missing, sound int64
+	}{
+		"nothing known":                      {0, nil, 2, 1},
+		"streams begin with 0":               {3, func(int) int64 { return 0 }, 1, 0},
+		"a third lack their first event":     {3, func(i int) int64 { return 1 + int64(i%3/2) }, 2, 1},
+		"a server loses all first events":    {3, func(i int) int64 { return 1 + int64(i%3/2) }, 2, 1},
+		"streams begin with 5":               {3, func(int) int64 { return 5 }, 6, 5},
+		"streams of one server begin with 5": {1, func(int) int64 { return 5 }, 6, 5},
+		"streams begin with any number":      {3, func(i int) int64 { return int64(1000 + i) }, -1, 5000},
+	} {
+		table, _ := newNumberingTable()
+		if test.first != nil {
+			for i := range 100 {
+				table.RecordFirst(llmV1, fmt.Sprint(i%test.servers), test.first(i))
+			}
+		}
+		got := table.Numbering(llmV1)
+		if test.missing >= 0 && !got.BeginsBefore(test.missing) || got.BeginsBefore(test.sound) {
+			t.Errorf("%s: %v", name, got)
+		}
 	}
 }
 
