Use no run that may be the one which said that it leaves

A server that starts again under its ID may say in its answers that it leaves before its new row is known.

Cause: the leave is recorded for the run that this VM's directory shows, as an answer doesn't name its run. The row of the run that answered then counted as that of a later one, and was used.

Why it works: the connection's age proves no run here. The directory shows the run before as going on until the new row comes, late or not. So a run whose row a VM sees after such an answer, or between a request and that answer, is undecided there. The VM asks the server in a health check, whose answer bears the header as all answers do, and uses the run if it doesn't leave. Other VMs, which passed nothing on, aren't affected. It costs one health check a VM and restart under the same ID after a leave.

TestRunThatSaidItLeavesStaysDrained wanted the next run to be used as soon as its row came, which is this fault. It now wants it unused until the server has shown that it stays, and used then.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -51,6 +51,12 @@
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
 	// shows the drain.
 	drainOverwritten bool
+	// saidLeaving is set if a response of the server stated to this VM that it leaves. The
+	// response may be of a later run than the one whose row was known.
+	saidLeaving bool
+	// undecidedRun is the start time of a run that may have sent that response, or noRun. It
+	// isn't used until the server shows that it doesn't leave.
+	undecidedRun int64
 	// holdUntil is the end of the grace period of a server without a row; zero for a server
 	// with a row.
 	holdUntil time.Time
@@ -184,7 +190,7 @@
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun}
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, undecidedRun: noRun}
 		d.records[id] = r
 	}
 	return r
@@ -238,6 +244,8 @@
 		next = *r.Entry
 	case e.Started == r.drainedRun:
 		next.State, r.drainOverwritten = Draining, true
+	case r.mayHaveSaidLeaving(e.Started):
+		next.State, r.undecidedRun = Draining, e.Started
 	}
 	next.Revision, next.Hold, next.DrainOverwritten = e.Revision, 0, false
 	if r.Same(&next) && (laterEra || now.Sub(r.weightsSeenAt) < seenWeightsAge) {
@@ -309,7 +317,7 @@
 			changed = append(changed, d.end(r, r.Revision, 0, now))
 		}
 		if r.withheldRow != nil && !now.Before(r.withheldUntil) {
-			if r.drainedRun == r.withheldRow.Started {
+			if started := r.withheldRow.Started; r.drainedRun == started || r.undecidedRun == started {
 				r.withheldRow.State = Draining
 			}
 			r.Entry, r.withheldRow, r.confirmedRun, r.goneAt = r.withheldRow, nil, r.withheldRow.Started, time.Time{}
@@ -330,6 +338,9 @@
 	for _, r := range d.records {
 		e := *r.Entry
 		e.DrainOverwritten = r.drainOverwritten
+		if r.undecided() {
+			e.State = Ready // The doubt is this VM's own.
+		}
 		if r.withheldRow != nil {
 			e = *r.withheldRow
 			e.Wait = max(1, r.withheldUntil.Sub(now))
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -115,5 +115,14 @@
 // Usable reports whether the server may get new requests.
 func (e *Entry) Usable() bool { return !e.Gone && e.State == Ready }
 
+// RunID identifies a run of a server.
+type RunID struct {
+	ID      backend.ID
+	Started int64
+}
+
+// Run returns the entry's run.
+func (e *Entry) Run() RunID { return RunID{ID: e.ID, Started: e.Started} }
+
 // Same reports whether two entries belong to the same run of a server.
 func (e *Entry) Same(o *Entry) bool { return e.ID == o.ID && e.Started == o.Started }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -185,6 +185,10 @@
 			t.Errorf("another VM uses the leaving run %d", started)
 		}
 		apply(d, now, ready("x", 9, 4))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("the run after the leaving run %d is used before it showed that it doesn't leave", started)
+		}
+		d.DecideRun(d.UndecidedRuns()[0], false)
 		if len(d.View().Service("s")) != 1 {
 			t.Errorf("the run after the leaving run %d isn't used", started)
 		}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -153,11 +153,80 @@
 	return changed
 }
 
-// MarkDrained records that a run of a server is draining, as its own responses state, whatever its
-// row says now or later. It returns the entry if that changes the known state. The runs that follow
-// aren't affected.
+// MarkDrained records that a run of a server is draining, as a response to this VM states, whatever
+// its row says now or later. It returns the entry if that changes the known state.
+//
+// The response may be of a later run, whose row isn't known yet. Runs that become known later, or
+// meanwhile, are therefore undecided until DecideRun is called.
 func (d *Directory) MarkDrained(id backend.ID, started int64, now time.Time) *Entry {
-	return d.ApplyUnusableRun(UnusableRun{ID: id, Started: started}, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.ensureRecord(id, now)
+	r.saidLeaving = true
+	changed := d.markDrained(r, started)
+	if r.Started > started && !r.Gone && r.State == Ready && r.drainedRun != r.Started {
+		next := *r.Entry
+		next.State = Draining
+		r.Entry, r.undecidedRun, changed = &next, r.Started, &next
+	}
+	if changed != nil {
+		d.publish()
+	}
+	return changed
+}
+
+// mayHaveSaidLeaving reports whether a response that stated that the server leaves may be of a run.
+func (r *record) mayHaveSaidLeaving(started int64) bool {
+	return started == r.undecidedRun || r.saidLeaving && started > r.Started
+}
+
+// undecided reports whether the server's run isn't used because it may have stated that it leaves.
+func (r *record) undecided() bool {
+	return !r.Gone && r.Started == r.undecidedRun && r.drainedRun < r.Started
+}
+
+// UndecidedRuns returns the runs that may have stated in a response that they leave, although
+// their rows say that they are ready.
+func (d *Directory) UndecidedRuns() []*Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*Entry
+	for _, r := range d.records {
+		if r.undecided() {
+			list = append(list, r.Entry)
+		}
+	}
+	return list
+}
+
+// Undecided reports whether the run of an entry is undecided.
+func (d *Directory) Undecided(e *Entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.records[e.ID]
+	return r != nil && r.undecided() && r.Same(e)
+}
+
+// DecideRun records whether an undecided run leaves, as the server has stated since its row became
+// known. It returns the entry if that changes the known state.
+func (d *Directory) DecideRun(e *Entry, leaves bool) *Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.records[e.ID]
+	if r == nil || !r.undecided() || !r.Same(e) {
+		return nil
+	}
+	r.undecidedRun = noRun
+	if leaves {
+		r.drainedRun, r.drainOverwritten = r.Started, true
+		return nil
+	}
+	r.saidLeaving = false
+	next := *r.Entry
+	next.State = Ready
+	r.Entry = &next
+	d.publish()
+	return &next
 }
 
 // markDrained records that a run is draining although its row may say that it is ready, and
--- /dev/null
+++ b/internal/fleet/leaves_test.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRunThatSaidThatItLeavesIsUsedOnceItsRowIsKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, lateRow := range map[string]func(*Directory){
+		"a row after that of the earlier run": func(d *Directory) { apply(d, now, ready("x", 9, 2)) },
+		"a row after the earlier run's removal": func(d *Directory) {
+			apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true})
+			apply(d, now, ready("x", 9, 3))
+		},
+		"a listing": func(d *Directory) {
+			d.Apply(Update{UpTo: at(4), Whole: true, Entries: []Entry{ready("x", 9, 4)}}, now)
+		},
+	} {
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", 5, 1))
+		d.MarkDrained("x", 5, now)
+		lateRow(d)
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the run that said that it leaves is used", name)
+		}
+		apply(d, now, ready("x", 9, 5)) // A heartbeat.
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the run is used after another row", name)
+		}
+	}
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 9, 1))
+	d.MarkDrained("x", 5, now) // The row came between the request and its response.
+	if len(d.View().Service("s")) != 0 {
+		t.Error("a row before the response: the run that may have said that it leaves is used")
+	}
+}
+
+// The first row came from another writer, or an earlier build of the server.
+func TestRunWithoutStartThatSaidThatItLeavesIsUsedWithNextRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 0, 1))
+	d.MarkDrained("x", 0, now)
+	apply(d, now, ready("x", 9, 2))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the run is used with a row that states its start")
+	}
+}
+
+func TestRunDecidedToStayIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 5, 1))
+	d.MarkDrained("x", 5, now)
+	apply(d, now, ready("x", 9, 2))
+	undecided := d.UndecidedRuns()
+	if len(undecided) != 1 || undecided[0].Started != 9 {
+		t.Fatalf("undecided runs %v", undecided)
+	}
+	if u := d.Export(at(0), now); u.Entries[0].State != Ready {
+		t.Error("other VMs learn of this VM's doubt as of the run's drain")
+	}
+	d.DecideRun(undecided[0], false)
+	apply(d, now, ready("x", 9, 3), ready("x", 12, 4))
+	if len(d.View().Service("s")) != 1 || len(d.UndecidedRuns()) != 0 {
+		t.Error("runs after the one that leaves aren't used")
+	}
+	d.MarkDrained("x", 12, now)
+	apply(d, now, ready("x", 15, 5))
+	d.DecideRun(d.UndecidedRuns()[0], true)
+	apply(d, now, ready("x", 15, 6))
+	if len(d.View().Service("s")) != 0 || len(d.UndecidedRuns()) != 0 {
+		t.Error("a run that said that it leaves is used or still undecided")
+	}
+	apply(d, now, ready("x", 20, 7))
+	if len(d.UndecidedRuns()) != 1 {
+		t.Error("the run after one that leaves isn't undecided")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,13 +91,16 @@
 	Weights map[string]uint64
 }
 
-// Engines sends orders to engines.
+// Engines sends orders to engines, and asks servers for their state.
 type Engines interface {
 	// Load orders an engine that has accepted the given number of orders so far to load new
 	// weights. No byte is written after the deadline.
 	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, orders uint64, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
 	// Report requests an engine's state on a connection that is opened by dial.
 	Report(ctx context.Context, e *fleet.Entry, dial tunnel.DialFunc) (EngineReport, error)
+	// Leaving requests a server's health check and reports whether the server leaves. It returns
+	// an error if the response shows neither.
+	Leaving(ctx context.Context, e *fleet.Entry, path string, dial tunnel.DialFunc) (bool, error)
 }
 
 // Options configure a Node.
@@ -188,7 +191,11 @@
 	// rereadMembers requests another read of the members' table: to obtain stored naming times,
 	// or because the store was restored from an older copy.
 	rereadMembers chan struct{}
-	eras          eraState
+	// runsUndecided signals that servers may have to be asked whether they leave.
+	runsUndecided chan struct{}
+	// askedRuns holds the runs whose servers are being asked.
+	askedRuns sync.Map
+	eras      eraState
 	// firstPeerSeen is closed once the state of another VM was received, or once the members
 	// show that there is none.
 	firstPeerSeen chan struct{}
@@ -264,6 +271,7 @@
 		convictionsChanged: make(chan struct{}, 1),
 		versionsChanged:    make(chan struct{}, 1),
 		originMissed:       make(chan struct{}, 1),
+		runsUndecided:      make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		catalogFetches:     newFetches(),
@@ -383,6 +391,7 @@
 	n.goLoop(func() { n.storeOrigins(ctx) })
 	n.goLoop(func() { n.path.Run(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
+	n.goLoop(func() { n.decideRuns(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
 		zap.Uint64("incarnation", uint64(n.opts.VM.Incarnation)),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -156,6 +156,7 @@
 		}
 		n.observeVersions()
 	}
+	n.signalUndecidedRuns()
 	view := n.directory.View()
 	n.logRecovery()
 	n.watchIsolation()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -136,6 +136,7 @@
 		r.serversRead = r.serversRead || u.Whole
 		r.serversMissing, r.serversWithheld = r.serversMissing+missing, r.serversWithheld+withheld
 	})
+	n.signalUndecidedRuns()
 	n.observeVersions()
 	n.servers.RemoveAbsent(n.directory.View())
 	n.limits.Prune(n.directory.View())
