Remember drained runs after their rows are gone for a minute

A server that leaves, and whose row is gone for over 60 s and then written again as ready, got requests again, although the VM had acknowledged its leave (DRAIN): rows lapse in an outage of the store, or are removed while the server still ends its work.

Cause: with the tombstone of a removed server, the directory also forgot which of its runs drains. The tombstone is kept for 60 s, for VMs that lag.

Why it works: a record with a drained run is kept for an hour after the removal. Servers that state no start time are forgotten as before: their next run couldn't be told from the drained one, and would get no requests. TestNextRunAfterItsServerWasGoneForLongIsNotUsed checks that the next run is used, and that nothing is kept for good. Not run with real processes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,6 +24,10 @@
 // VMs lag by a few seconds; a VM that lags by more receives the list of all servers instead.
 const tombstoneAge = 60 * time.Second
 
+// drainedRunAge is how long a run that is known to drain is remembered after its removal: it may
+// still live, and write its row again, while it ends its work or reaches no store.
+const drainedRunAge = time.Hour
+
 // View is an immutable list of the servers.
 type View struct {
 	byService map[string][]*Entry
@@ -381,7 +385,11 @@
 
 func (d *Directory) forget(now time.Time) {
 	for id, r := range d.records {
-		if r.Gone && r.withheldRow == nil && now.Sub(r.goneAt) > tombstoneAge {
+		age := tombstoneAge
+		if r.drainedRun > 0 {
+			age = drainedRunAge // Runs of servers that state no start time can't be told apart.
+		}
+		if r.Gone && r.withheldRow == nil && now.Sub(r.goneAt) > age {
 			d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
 			delete(d.records, id)
 		}
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -79,3 +79,47 @@
 		t.Error("the run after one that leaves isn't undecided")
 	}
 }
+
+func TestRunThatLeavesIsUsedAgainAfterItsRowWasGoneForLong(t *testing.T) {
+	for name, leave := range map[string]func(*Directory, time.Time){
+		"it said so in a response": func(d *Directory, now time.Time) { d.MarkDrained("x", 5, now) },
+		"its row said so": func(d *Directory, now time.Time) {
+			draining := ready("x", 5, 2)
+			draining.State = Draining
+			apply(d, now, draining)
+		},
+		"another VM said so": func(d *Directory, now time.Time) {
+			d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5}, now)
+		},
+	} {
+		now := time.Unix(1000, 0)
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", 5, 1))
+		leave(d, now)
+		apply(d, now, Entry{ID: "x", Revision: at(3), Gone: true})
+		now = now.Add(2 * tombstoneAge)
+		apply(d, now, ready("y", 5, 4))
+		apply(d, now, ready("x", 5, 5))
+		if e := d.View().Server("x"); e == nil || e.Usable() {
+			t.Errorf("%s: it is used again, or not known: %v", name, e)
+		}
+	}
+}
+
+func TestNextRunAfterItsServerWasGoneForLongIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	draining := ready("x", 5, 1)
+	draining.State = Draining
+	apply(d, now, draining)
+	apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true})
+	apply(d, now.Add(2*tombstoneAge), ready("x", 9, 3))
+	if len(d.View().Service("s")) != 1 {
+		t.Error("the run after one that left isn't used")
+	}
+	apply(d, now.Add(2*tombstoneAge), Entry{ID: "x", Revision: at(4), Gone: true})
+	apply(d, now.Add(2*tombstoneAge+2*drainedRunAge), ready("y", 5, 5))
+	if len(d.records) != 1 {
+		t.Errorf("%d servers are remembered, want only the present one", len(d.records))
+	}
+}
