Withhold a server from other VMs only if it accepts connections

Callers of a VM without a path to the servers could get a stream or an answer without a length that was cut off as whole (ORDER, MIXED), where the other VMs withhold the server that fell over: a refused tunnel to a withheld server counts as proof that the server accepts connections, and the check of such a response's end goes by that.

Why it works: the VM that is asked opens the connection and closes it before it answers that it withholds the server. If the server accepts none, the tunnel is refused as to a server that is down. A connection alone is no request.

--- a/internal/tunnel/notice_test.go
+++ b/internal/tunnel/notice_test.go
@@ -173,3 +173,23 @@
 		t.Errorf("the tunnel ends with %v", err)
 	}
 }
+
+func TestWithheldServerThatFellOverCountsAsAcceptingConnections(t *testing.T) {
+	l := loopback.Listen(t)
+	p := startNoticePeer(t, l.Addr().String())
+	p.withheld.Store(&hop.WithheldError{Left: time.Second})
+	openOne := func() error {
+		conn, err := Open(context.Background(), hop.Dial, p.address, testTarget)
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	}
+	if err := openOne(); !errors.As(err, new(*hop.WithheldError)) {
+		t.Errorf("while it lives: %v", err)
+	}
+	l.Close()
+	if err := openOne(); !errors.Is(err, ErrNoServer) {
+		t.Errorf("once its process has ended: %v", err)
+	}
+}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -121,7 +121,7 @@
 // HandlerOptions are the dependencies of a Handler.
 type HandlerOptions struct {
 	Log *zap.Logger
-	// Connect opens a connection to a server that this VM knows, unless Withheld returns an error.
+	// Connect opens a connection to a server that this VM knows.
 	Connect func(ctx context.Context, target Target) (net.Conn, error)
 	// Withheld returns an error if this VM may send a server no requests: a *hop.WithheldError if
 	// others may.
@@ -242,12 +242,19 @@
 	})
 }
 
-// connect opens a connection to a server for another VM.
+// connect opens a connection to a server for another VM. It returns a *hop.WithheldError only if the
+// server accepts connections: the other VM takes it for proof of that.
 func (h *Handler) connect(ctx context.Context, target Target) (net.Conn, error) {
-	if err := h.opts.Withheld(target); err != nil {
-		return nil, err
+	withheld := h.opts.Withheld(target)
+	if withheld != nil && !errors.As(withheld, new(*hop.WithheldError)) {
+		return nil, withheld
+	}
+	server, err := h.opts.Connect(ctx, target)
+	if err != nil || withheld == nil {
+		return server, err
 	}
-	return h.opts.Connect(ctx, target)
+	_ = server.Close()
+	return nil, withheld
 }
 
 // pass passes bytes on in both directions until either side closes its connection, and closes
