Judge numberings by almost all begins, and by steps

Found by the review of the check for gaps, in trials of its own on internal/origin:

- sound streams refused for good: where 60 percent of a version's new streams begin with 0 and the others with 1, 99 percent of the others were refused;
- the check turned off: if half of the new streams lack their first event, 778 of 995 such streams were relayed; if one event in 33 of streams of 60 is lost, eight responses made the numbering irregular, and gaps were relayed from then on;
- numberings of versions that have no servers any more were kept for good, as a long stream that ends recorded them anew.

Cause: the number with which streams begin was that of a mere majority, and evidence of irregular numbers was counted by response, however many steps of it are regular.

Why it works: 0 and 1 may both begin a stream unless almost all streams (nine in ten) begin with one number; any number may only once three in four begin with neither. A numbering is irregular only if one step in 16 leaves numbers out, too. A VM that has seen enough begins doesn't go by what others report, as for steps. A server that loses more than one first event in ten of streams that begin with 0 isn't noticed: then 1 may be the first one.

TestStreamsThatBeginOtherwiseAreTakenForIncomplete has the three shares as further cases; TestRareLossesTurnCheckForGapsOff and TestStreamsThatOutlastTheirVersionLeaveNumberings are new. They pass, as do the packages origin and gateway.

--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -15,9 +15,9 @@
 	numbering origin.Numbering
 	// previous is the number of the response's previous event; -1 before the first one.
 	previous int64
-	// steps is set once two events that the caller needs have followed one another, and irregular
-	// if numbers were left out between them.
-	steps, irregular bool
+	// steps counts the events that followed one that the caller has, and skips those of them before
+	// which numbers were left out.
+	steps, skips int
 }
 
 // next checks the number of the response's next event, where last is that of the last one that the
@@ -36,8 +36,10 @@
 		return false, nil
 	}
 	if previous >= 0 && previous == last {
-		s.steps = true
-		s.irregular = s.irregular || number != last+1
+		s.steps++
+		if number != last+1 {
+			s.skips++
+		}
 	}
 	switch {
 	case number == last+1:
@@ -64,7 +66,7 @@
 
 // outOfOrder returns the failure of a response whose next event doesn't follow the last one.
 func (a *attempt) outOfOrder(caller context.Context, s *sequence, err error) *failure {
-	if a.t.lastEvent >= 0 && !s.steps {
+	if a.t.lastEvent >= 0 && s.steps == 0 {
 		a.t.g.opts.Origins.RecordLate(originOf(a.candidate.Entry))
 	}
 	return a.sentFailure(caller, "out_of_order", err)
@@ -72,8 +74,8 @@
 
 // recordSteps records how the server numbers events, once its response has ended.
 func (a *attempt) recordSteps(s *sequence) {
-	if s.steps {
-		a.t.g.opts.Origins.RecordSteps(originOf(a.candidate.Entry), string(a.candidate.Entry.ID), s.irregular)
+	if s.steps > 0 {
+		a.t.g.opts.Origins.RecordSteps(originOf(a.candidate.Entry), string(a.candidate.Entry.ID), s.steps, s.skips)
 	}
 }
 
--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -15,6 +15,9 @@
 	maxFirsts = 4
 	// usualFirst is the largest number with which streams usually begin.
 	usualFirst = 1
+	// minIrregularSteps is the share of the steps that leave numbers out, as one in so many, from which
+	// a numbering is irregular. Servers that lose events now and then stay below it.
+	minIrregularSteps = 16
 	// maxNumberingServers bounds the servers of an origin whose responses are counted.
 	maxNumberingServers = 64
 	// maxNumberings bounds the numberings in a message.
@@ -30,8 +33,8 @@
 type Numbering struct {
 	// Irregular is set if the events aren't numbered one by one.
 	Irregular bool `json:"i,omitempty"`
-	// First is the number of a stream's first event plus 1; 0 if it isn't known, and -1 if streams
-	// begin with several numbers.
+	// First is the number with which almost all streams begin, plus 1; 0 if that isn't known, and -1
+	// if most begin with numbers above 1, but not with the same one.
 	First int64 `json:"f,omitempty"`
 	// Age is the time since the last response that showed it, in milliseconds.
 	Age int64 `json:"a,omitempty"`
@@ -52,7 +55,7 @@
 	return fmt.Sprintf("%s from %d", kind, n.First-1)
 }
 
-// anyFirst is First if streams begin with several numbers.
+// anyFirst is First if streams may begin with any number.
 const anyFirst = -1
 
 // BeginsBefore reports whether events are missing if a stream begins with a number.
@@ -82,30 +85,38 @@
 type serverNumbers struct {
 	// responses are those with several new events, irregular those of them that leave numbers out.
 	responses, irregular int
-	// begins counts the new streams, firsts the numbers with which they began.
-	begins int
-	firsts map[int64]int
+	// steps are those between two events of these responses, skips those of them that leave numbers
+	// out.
+	steps, skips int
+	// begins counts the new streams, late those of them that began with an unusual number, and firsts
+	// the numbers with which they began.
+	begins, late int
+	firsts       map[int64]int
 }
 
-func (s *serverNumbers) recordSteps(irregular bool) {
+func (s *serverNumbers) recordSteps(steps, skips int) {
 	s.responses++
-	if irregular {
+	if skips > 0 {
 		s.irregular++
 	}
+	s.steps, s.skips = s.steps+steps, s.skips+skips
 	if s.responses >= maxServerResponses {
-		s.responses, s.irregular = s.responses/2, s.irregular/2
+		s.responses, s.irregular, s.steps, s.skips = s.responses/2, s.irregular/2, s.steps/2, s.skips/2
 	}
 }
 
 func (s *serverNumbers) add(other *serverNumbers) {
 	s.responses += other.responses
 	s.irregular += other.irregular
+	s.steps += other.steps
+	s.skips += other.skips
 	s.begins += other.begins
+	s.late += other.late
 }
 
 // isIrregular reports whether at least minimum responses show an irregular numbering.
 func (s *serverNumbers) isIrregular(minimum int) bool {
-	return s.responses >= minimum && isMost(s.irregular, s.responses)
+	return s.responses >= minimum && isMost(s.irregular, s.responses) && minIrregularSteps*s.skips >= s.steps
 }
 
 func (s *serverNumbers) recordFirst(first int64) {
@@ -113,13 +124,16 @@
 		s.firsts = map[int64]int{}
 	}
 	s.begins++
+	if first > usualFirst {
+		s.late++
+	}
 	if s.firsts[first] > 0 || len(s.firsts) < maxFirsts {
 		s.firsts[first]++
 	}
 	if s.begins < maxServerResponses {
 		return
 	}
-	s.begins /= 2
+	s.begins, s.late = s.begins/2, s.late/2
 	for number, n := range s.firsts {
 		if s.firsts[number] = n / 2; n < 2 {
 			delete(s.firsts, number)
@@ -130,11 +144,12 @@
 // numbering is what is known of an origin's numbering.
 type numbering struct {
 	servers map[string]*serverNumbers
-	// steps is set once the servers' responses tell whether the events are numbered one by one.
-	steps bool
-	own   Numbering
-	ownAt time.Time
-	heard Numbering
+	// steps is set once the servers' responses tell whether the events are numbered one by one, and
+	// begins once they tell with which number streams begin.
+	steps, begins bool
+	own           Numbering
+	ownAt         time.Time
+	heard         Numbering
 	// heardAt is when a response showed what other VMs report.
 	heardAt time.Time
 	// lateAt is when a server last went on with a stream too late.
@@ -151,7 +166,7 @@
 	if !n.steps {
 		v.Irregular = n.heard.Irregular
 	}
-	if v.First == 0 {
+	if !n.begins {
 		v.First = n.heard.First
 	}
 	if n.heardAt.After(at) {
@@ -174,16 +189,21 @@
 			firsts[number] += count
 		}
 	}
-	others := serverNumbers{responses: all.responses - worst.responses, irregular: all.irregular - worst.irregular}
-	n.steps = all.responses >= minResponses
+	others := serverNumbers{
+		responses: all.responses - worst.responses, irregular: all.irregular - worst.irregular,
+		steps: all.steps - worst.steps, skips: all.skips - worst.skips,
+	}
+	n.steps, n.begins = all.responses >= minResponses, all.begins >= minResponses
 	n.own.Irregular = all.isIrregular(minResponses) && (len(n.servers) == 1 || others.isIrregular(minResponses/2))
 	n.own.First = 0
-	if all.begins < minResponses {
+	if !n.begins {
 		return
 	}
-	n.own.First = anyFirst
+	if isMost(all.late, all.begins) {
+		n.own.First = anyFirst
+	}
 	for number, count := range firsts {
-		if 2*count > all.begins {
+		if isAlmostAll(count, all.begins) {
 			n.own.First = number + 1
 		}
 	}
@@ -192,6 +212,9 @@
 // isMost reports whether a part is so large that the rest may be faulty.
 func isMost(part, all int) bool { return 4*part >= 3*all }
 
+// isAlmostAll reports whether a part is so large that the rest is faulty.
+func isAlmostAll(part, all int) bool { return 10*part >= 9*all }
+
 func (t *Table) ensureNumbering(o Origin) *numbering {
 	n := t.numberings[o]
 	if n == nil {
@@ -201,10 +224,14 @@
 	return n
 }
 
-// recordNumbers records something of a server's response.
+// recordNumbers records something of a server's response, unless its version has had no servers for
+// long.
 func (t *Table) recordNumbers(o Origin, server string, record func(*serverNumbers)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.versions[o] == nil {
+		return
+	}
 	n := t.ensureNumbering(o)
 	before, _ := n.value()
 	s := n.servers[server]
@@ -230,16 +257,19 @@
 	t.recordNumbers(o, server, func(s *serverNumbers) { s.recordFirst(number) })
 }
 
-// RecordSteps records whether a server's response left numbers out between two events.
-func (t *Table) RecordSteps(o Origin, server string, irregular bool) {
-	t.recordNumbers(o, server, func(s *serverNumbers) { s.recordSteps(irregular) })
+// RecordSteps records the number of steps between the events of a server's response, and how many of
+// them left numbers out.
+func (t *Table) RecordSteps(o Origin, server string, steps, skips int) {
+	t.recordNumbers(o, server, func(s *serverNumbers) { s.recordSteps(steps, skips) })
 }
 
 // RecordLate records that a server went on with a stream too late, behind events that it left out.
 func (t *Table) RecordLate(o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.ensureNumbering(o).lateAt = t.now()
+	if t.versions[o] != nil {
+		t.ensureNumbering(o).lateAt = t.now()
+	}
 }
 
 // GoesOnLate reports whether servers of an origin may go on with streams too late: some did in the
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -21,7 +21,11 @@
 func recordResponses(t *Table, n, servers int, irregular func(response, server int) bool) {
 	for i := range n {
 		t.RecordFirst(llmV1, fmt.Sprint(i%servers), 1)
-		t.RecordSteps(llmV1, fmt.Sprint(i%servers), irregular(i, i%servers))
+		skips := 0
+		if irregular(i, i%servers) {
+			skips = 1
+		}
+		t.RecordSteps(llmV1, fmt.Sprint(i%servers), 10, skips)
 	}
 }
 
@@ -70,6 +74,9 @@
 		"nothing known":                      {0, nil, 2, 1},
 		"streams begin with 0":               {3, func(int) int64 { return 0 }, 1, 0},
 		"a third lack their first event":     {3, func(i int) int64 { return 1 + int64(i%3/2) }, 2, 1},
+		"most lack their first event":        {3, func(i int) int64 { return 1 + int64(min(1, i%5/2)) }, 2, 1},
+		"streams begin with 0 or 1":          {3, func(i int) int64 { return int64(i % 5 / 3) }, 2, 1},
+		"most streams begin with 0":          {3, func(i int) int64 { return int64(i % 5 / 4) }, 2, 1},
 		"a server loses all first events":    {3, func(i int) int64 { return 1 + int64(i%3/2) }, 2, 1},
 		"streams begin with 5":               {3, func(int) int64 { return 5 }, 6, 5},
 		"streams of one server begin with 5": {1, func(int) int64 { return 5 }, 6, 5},
@@ -179,3 +186,32 @@
 		t.Errorf("%d servers", n)
 	}
 }
+
+// Streams of 60 events; all servers lose one event in 33.
+func TestRareLossesTurnCheckForGapsOff(t *testing.T) {
+	table, _ := newNumberingTable()
+	for i := range 500 {
+		table.RecordSteps(llmV1, fmt.Sprint(i%4), 60, 2)
+		if got := table.Numbering(llmV1); got.Irregular {
+			t.Fatalf("%v after %d responses", got, i+1)
+		}
+	}
+}
+
+func TestStreamsThatOutlastTheirVersionLeaveNumberings(t *testing.T) {
+	table, pass := newNumberingTable()
+	for i := range 100 {
+		o := Origin{Service: "llm", Version: fmt.Sprint(i)}
+		table.Observe([]Origin{o})
+		pass(2 * Horizon)
+		table.Observe(nil)
+		pass(2 * Horizon)
+		table.Observe(nil)
+		table.RecordFirst(o, "x", 1)
+		table.RecordSteps(o, "x", 10, 0)
+		table.RecordLate(o)
+	}
+	if n := len(table.numberings); n > 0 {
+		t.Errorf("%d numberings of versions without servers", n)
+	}
+}
