Give a service that is added later its retry reserve

Cause: a budget began without its reserve whenever the deployment had started before, however long ago the process before had ended.

Why it works: what that process spent is out of the window in which the rule counts once this one has run for a window (budget_window_s, read from the settings; without it nothing changes).

TestServiceAddedLongAfterStartHasNoRetryReserve failed before and passes; it also checks that the reserve isn't given earlier.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// RetryRatio and RetrySlack bound the repeated sends to a service by all VMs
 	// together: a share of the requests for it, and a number beyond that.
 	RetryRatio, RetrySlack float64
+	// RetryWindow is the time in which these sends are counted; zero if it isn't known.
+	RetryWindow time.Duration
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Now is the boot-time clock.
@@ -80,6 +82,7 @@
 	ended        context.Context
 	endCalls     context.CancelFunc
 	retryBudgets sync.Map // of *dispatch.RetryBudget by service
+	started      time.Time
 	// probedServers holds the key (selector.ServerKey) of each server that
 	// probeUntilReachable probes; crashChecks holds the pending *crashCheck of each
 	// such key.
@@ -95,7 +98,7 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	ended, endCalls := context.WithCancel(context.Background())
-	g := &Gateway{opts: opts, ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
+	g := &Gateway{opts: opts, started: opts.Now(), ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
 	g.SetMembers(1, 1)
 	g.withheld.Store(&map[string]bool{})
 	return g
@@ -174,15 +177,16 @@
 	return m
 }
 
-// retryBudget returns the retry budget of a service. That of a VM that has started again, or that was
-// added, begins without its reserve: the process before it may have spent that just now, and all VMs
-// together must keep within the slack however often they start.
+// retryBudget returns the retry budget of a service. It begins without its reserve while the process
+// before may have spent that within the same window: all VMs together must keep within the slack however
+// often they start.
 func (g *Gateway) retryBudget(service string) *dispatch.RetryBudget {
 	if b, ok := g.retryBudgets.Load(service); ok {
 		return b.(*dispatch.RetryBudget)
 	}
 	newBudget := dispatch.NewEmptyRetryBudget
-	if g.opts.FirstStart {
+	window := g.opts.RetryWindow
+	if g.opts.FirstStart || window > 0 && g.opts.Now().Sub(g.started) >= window {
 		newBudget = dispatch.NewRetryBudget
 	}
 	b, _ := g.retryBudgets.LoadOrStore(service, newBudget(g.opts.RetryRatio, g.retryShare()))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -276,6 +276,20 @@
 	}
 }
 
+func TestServiceAddedLongAfterStartHasNoRetryReserve(t *testing.T) {
+	g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
+	started := time.Now()
+	now := started
+	g.opts.FirstStart, g.opts.RetryWindow, g.started, g.opts.Now = false, 10*time.Second, started, func() time.Time { return now }
+	if g.retryBudget("early").Spend() {
+		t.Error("the reserve of the process before may be spent again")
+	}
+	now = started.Add(g.opts.RetryWindow)
+	if !g.retryBudget("added").Spend() {
+		t.Error("no reserve although the process before ended a window ago")
+	}
+}
+
 // The repeated sends of all VMs together stay within the slack, however many VMs take
 // calls.
 func TestRetrySlackIsShared(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,6 +135,8 @@
 	Quota quota.Settings
 	// RetryRatio and RetrySlack bound the retries to a service by all VMs together.
 	RetryRatio, RetrySlack float64
+	// RetryWindow is the time in which these retries are counted; zero if it isn't known.
+	RetryWindow time.Duration
 	// Lease is how long the lease holder may send orders after a renewal.
 	Lease time.Duration
 	// FencingEnforced is set if engines reject older fencing tokens.
@@ -318,6 +320,7 @@
 		ReachableByPeers: n.reachableByPeers,
 		RetryRatio:       opts.Bounds.RetryRatio,
 		RetrySlack:       opts.Bounds.RetrySlack,
+		RetryWindow:      opts.Bounds.RetryWindow,
 		FirstStart:       opts.FirstStart,
 		Now:              n.now,
 	})
