Let the server of a test accept connections

TestLeavingServerGetsNoConnectionForAnotherVM had a server without a listener and wanted 503, which since means that the server accepts connections. It has one now, and also wants 502 once it is closed: neither opens a tunnel.

--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -13,6 +13,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/tunnel"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -138,17 +139,25 @@
 }
 
 func TestLeavingServerGetsNoConnectionForAnotherVM(t *testing.T) {
-	store := newServerStore()
-	store.write("x", fleet.Ready, 1)
-	v := newTestVM(t, store)
-	v.loadServers()
+	v := newTestVM(t, newServerStore())
+	l := loopback.Listen(t)
+	v.directory.Apply(fleet.Update{UpTo: platform.Revision{Version: 2}, Whole: true, Entries: []fleet.Entry{{
+		ID: "x", Service: "s", Address: l.Addr().String(), Slots: 4, State: fleet.Ready, Started: 1, Revision: platform.Revision{Version: 2},
+	}}}, v.clock)
 	v.directory.MarkDrained("x", 1, v.clock)
-	r := httptest.NewRequest("GET", tunnel.Endpoint+"?server=x&started=1", nil)
-	r.Header.Set("Upgrade", "papayaspan-tunnel")
-	w := httptest.NewRecorder()
-	v.tunnels.ServeHTTP(w, r)
-	if w.Code != http.StatusServiceUnavailable {
-		t.Errorf("status %d", w.Code)
+	request := func() int {
+		r := httptest.NewRequest("GET", tunnel.Endpoint+"?server=x&started=1", nil)
+		r.Header.Set("Upgrade", "papayaspan-tunnel")
+		w := httptest.NewRecorder()
+		v.tunnels.ServeHTTP(w, r)
+		return w.Code
+	}
+	if status := request(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d while the server lives", status)
+	}
+	l.Close()
+	if status := request(); status != http.StatusBadGateway {
+		t.Errorf("status %d once the server accepts no connection", status)
 	}
 }
 
