Poll loading engines by the fastest load, not by the mean

Cause: an engine that has acknowledged an order was first polled after 0.9 of the mean load time, and that mean is measured by the polls. After slow loads the mean could only fall by a few percent a load, and each place of the roll-out stayed taken until the poll.

Why it works: the first poll follows the fastest load, which can't grow; an engine that takes longer is polled at a quarter of the time since its order, as before. The schedule moves into the planner, where it can be tested.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -21,14 +20,6 @@
 const (
 	// planInterval is the time between two roll-out plans.
 	planInterval = 100 * time.Millisecond
-	// firstReportShare is the fraction of the usual load time after which an engine that
-	// accepted an order is first polled; firstReportDelay is used before a load time is known.
-	firstReportShare = 0.9
-	firstReportDelay = 200 * time.Millisecond
-	// reportInterval is the least time between two polls of an engine; reportShare is the same
-	// as a fraction of the time since the order.
-	reportInterval = 150 * time.Millisecond
-	reportShare    = 0.25
 	// planLogInterval is the least time between two log lines about a roll-out.
 	planLogInterval = 1 * time.Second
 	// reportTimeout bounds one poll.
@@ -40,7 +31,7 @@
 func (n *Node) issueOrders(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	issuer := &orderIssuer{n: n, loading: map[backend.ID]loadWatch{}}
+	issuer := &orderIssuer{n: n}
 	var nextStep time.Time
 	for {
 		select {
@@ -117,24 +108,18 @@
 
 // orderIssuer plans and sends the orders of a lease holder.
 type orderIssuer struct {
-	n *Node
-	// loading holds the engines that are loading weights.
-	loading map[backend.ID]loadWatch
-	active  bool
+	n      *Node
+	active bool
 	// lastLogged is when a line about the roll-out was last logged.
 	lastLogged time.Time
 }
 
-// loadWatch records since when an engine has been loading, and when it is polled next.
-type loadWatch struct{ since, due time.Time }
-
 func (issuer *orderIssuer) reset() {
 	if !issuer.active {
 		return
 	}
 	issuer.active = false
 	issuer.n.planner.Reset()
-	clear(issuer.loading)
 	issuer.n.setReserved(nil)
 }
 
@@ -154,9 +139,10 @@
 			issuer.sendOrder(ctx, e, o, term)
 		}
 	}
-	maps.DeleteFunc(issuer.loading, func(id backend.ID, _ loadWatch) bool { return !slices.Contains(plan.Loading, id) })
-	for _, id := range plan.Loading {
-		issuer.pollEngine(ctx, view.Server(id))
+	for _, id := range plan.Polls {
+		if e := view.Server(id); e != nil {
+			go n.readEngine(ctx, e)
+		}
 	}
 }
 
@@ -242,26 +228,6 @@
 	}()
 }
 
-// pollEngine reads the state of an engine that is loading, if that is due.
-func (issuer *orderIssuer) pollEngine(ctx context.Context, e *fleet.Entry) {
-	if e == nil {
-		return
-	}
-	now := issuer.n.now()
-	w, known := issuer.loading[e.ID]
-	if loadTime, measured := issuer.n.planner.LoadTime(); !known {
-		w = loadWatch{since: now, due: now.Add(firstReportDelay)}
-		if measured {
-			w.due = now.Add(time.Duration(firstReportShare * float64(loadTime)))
-		}
-	}
-	if !now.Before(w.due) {
-		w.due = now.Add(max(reportInterval, time.Duration(reportShare*float64(now.Sub(w.since)))))
-		go issuer.n.readEngine(ctx, e)
-	}
-	issuer.loading[e.ID] = w
-}
-
 // readEngine requests an engine's state and records its weights. It returns false if this run
 // of the engine doesn't answer.
 func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) (EngineReport, bool) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -59,6 +59,18 @@
 // rest is reserved for retries.
 const rolloutBoundShare = 0.9
 
+const (
+	// firstPollShare is the share of the fastest load after which an engine that has acknowledged an
+	// order is first polled; firstPollDelay is used before a load was measured. A share of the mean
+	// would delay the polls that the mean is measured from.
+	firstPollShare = 0.9
+	firstPollDelay = 200 * time.Millisecond
+	// pollInterval is the least time between two polls of an engine; pollShare is the same as a
+	// share of the time since its order.
+	pollInterval = 150 * time.Millisecond
+	pollShare    = 0.25
+)
+
 // slowdownFactor is the ratio of the mean to the fastest load time above which concurrent
 // loads count as slowing each other. Then a higher limit doesn't end the roll-out sooner.
 const slowdownFactor = 1.25
@@ -91,8 +103,9 @@
 	// Reserved lists the engines that get no new requests.
 	Reserved []backend.ID
 	Orders   []Order
-	// Loading lists the engines whose load is in progress.
-	Loading []backend.ID
+	// Loading lists the engines whose load is in progress, Polls those of them whose state must be
+	// read now.
+	Loading, Polls []backend.ID
 	// Lacking is the number of engines that lack the wanted version, Unanswered the number
 	// of these that are unresponsive, and MaxLoading the number that may load at once.
 	Lacking, Unanswered, MaxLoading int
@@ -111,6 +124,8 @@
 	// sent, and accepted whether the engine acknowledged it.
 	reserved, sent time.Time
 	accepted       bool
+	// pollDue is when the engine is polled next; zero before the order was acknowledged.
+	pollDue time.Time
 }
 
 // Planner keeps the state between plans. It is safe for concurrent use.
@@ -162,6 +177,9 @@
 		plan.Reserved = append(plan.Reserved, id)
 		if l.accepted {
 			plan.Loading = append(plan.Loading, id)
+			if p.pollDue(l, now) {
+				plan.Polls = append(plan.Polls, id)
+			}
 		}
 		if p.orderDue(l, e, now) && (!l.sent.IsZero() || loading < p.maxLoading) {
 			if l.sent.IsZero() {
@@ -338,6 +356,21 @@
 	return e.Running == 0 || now.Sub(l.reserved) >= p.drainWait()
 }
 
+// pollDue reports whether an engine that loads must be polled now, and schedules the next poll.
+func (p *Planner) pollDue(l *load, now time.Time) bool {
+	if l.pollDue.IsZero() {
+		l.pollDue = l.sent.Add(firstPollDelay)
+		if p.measured {
+			l.pollDue = l.sent.Add(time.Duration(firstPollShare * float64(p.fastest)))
+		}
+	}
+	if now.Before(l.pollDue) {
+		return false
+	}
+	l.pollDue = now.Add(max(pollInterval, time.Duration(pollShare*float64(now.Sub(l.sent)))))
+	return true
+}
+
 // Sent records that an order is being sent.
 func (p *Planner) Sent(o Order, now time.Time) {
 	p.mu.Lock()
@@ -369,13 +402,6 @@
 	p.unresponsive[o.Engine] = unresponsiveRun{started: o.Started, until: now.Add(p.settings.RetryAfter)}
 }
 
-// LoadTime returns the mean duration of a load, and whether a load was measured.
-func (p *Planner) LoadTime() (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loadTime, p.measured
-}
-
 // Reset drops all loads. It is called when another VM takes over sending orders.
 func (p *Planner) Reset() {
 	p.mu.Lock()
