Let engines that finish their runs hold no place in a roll-out

Cause: an engine that has acknowledged an order first ends its runs, seconds on a slow engine, and counted as loading all the while. The limit on loads at once is there because loads slow one another, which an engine that only runs doesn't do.

Why it works: a place counts only from the end of the runs; the number of engines out of service stays bounded by MaxLoadingShare.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -170,8 +170,8 @@
 	p.dropFinished(byID, now)
 	plan := Plan{LoadTime: p.loadTime}
 	p.setMaxLoading(engines, &plan, now)
-	p.reserve(engines, now)
-	loading := p.countSent()
+	p.reserve(engines, byID, now)
+	loading := p.countLoading(byID)
 	for _, id := range p.byReservation() {
 		l, e := p.loads[id], byID[id]
 		plan.Reserved = append(plan.Reserved, id)
@@ -285,21 +285,26 @@
 // freeReservations returns how many more engines may be taken out of service now. A load that
 // will end within the drain time isn't counted any more, so that the next engine has drained
 // by then.
-func (p *Planner) freeReservations(now time.Time) int {
+func (p *Planner) freeReservations(byID map[backend.ID]*Engine, now time.Time) int {
 	free := p.maxLoading
-	for _, l := range p.loads {
-		if !l.accepted || now.Sub(l.sent) < p.loadTime-p.drainWait() {
+	for id, l := range p.loads {
+		if !l.finishesRuns(byID[id]) && (!l.accepted || now.Sub(l.sent) < p.loadTime-p.drainWait()) {
 			free--
 		}
 	}
-	return free
+	most := max(p.maxLoading, int(p.settings.MaxLoadingShare*float64(len(byID))))
+	return min(free, most-len(p.loads))
 }
 
-// countSent returns the number of reserved engines to which an order was sent.
-func (p *Planner) countSent() int {
+// finishesRuns reports whether an engine that has acknowledged its order still runs requests. It
+// loads after them and slows no other load until then.
+func (l *load) finishesRuns(e *Engine) bool { return l.accepted && e.Running > 0 }
+
+// countLoading returns the number of engines that may be loading: those to which an order was sent.
+func (p *Planner) countLoading(byID map[backend.ID]*Engine) int {
 	n := 0
-	for _, l := range p.loads {
-		if !l.sent.IsZero() {
+	for id, l := range p.loads {
+		if !l.sent.IsZero() && !l.finishesRuns(byID[id]) {
 			n++
 		}
 	}
@@ -309,7 +314,7 @@
 // reserve takes the next engines out of service: first those with the oldest weights, then
 // those of the failure domain with the fewest engines on the wanted weights, so that each
 // domain soon has some, then those with the fewest running requests.
-func (p *Planner) reserve(engines []Engine, now time.Time) {
+func (p *Planner) reserve(engines []Engine, byID map[backend.ID]*Engine, now time.Time) {
 	current := map[string]int{}
 	for i := range engines {
 		e := &engines[i]
@@ -317,7 +322,7 @@
 			current[e.FailureDomain]++
 		}
 	}
-	for free := p.freeReservations(now); free > 0; free-- {
+	for free := p.freeReservations(byID, now); free > 0; free-- {
 		var best *Engine
 		for i := range engines {
 			e := &engines[i]
