--- a/internal/tunnel/notice_test.go
+++ b/internal/tunnel/notice_test.go
@@ -193,3 +193,37 @@
 		t.Errorf("once its process has ended: %v", err)
 	}
 }
+
+// The race detector finds a refusal that is written while the check reads it.
+func TestRefusalThatOutlastsCheckOfPathRaces(t *testing.T) {
+	peer := strings.TrimPrefix(loopback.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(checkTimeout - time.Millisecond)
+		w.Header().Set(withheldHeader, "2000")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})).URL, "http://")
+	p := NewPath(Options{
+		Dial:    hop.Dial,
+		Peers:   func(Target) []string { return []string{peer} },
+		Servers: func() []Server { return []Server{{Target: testTarget, Address: "127.0.0.1:1"}} },
+		Responds: func(ctx context.Context, s Server, dial DialFunc) bool {
+			connected := make(chan bool, 1)
+			go func() { // As a transport, which goes on after the check has ended.
+				conn, err := dial(context.WithoutCancel(ctx), s.Address)
+				if err == nil {
+					conn.Close()
+				}
+				connected <- err == nil
+			}()
+			select {
+			case ok := <-connected:
+				return ok
+			case <-ctx.Done():
+				return false
+			}
+		},
+	})
+	for range 20 {
+		p.isCut(context.Background())
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/tunnel/path.go
+++ b/internal/tunnel/path.go
@@ -170,13 +170,15 @@
 		return false
 	}
 	for _, s := range servers {
-		var withheld *hop.WithheldError
+		var withheld atomic.Bool // The attempt to connect may outlast the check.
 		through := func(ctx context.Context, _ string) (net.Conn, error) {
 			conn, err := p.tunnel(ctx, s.Target, true)
-			errors.As(err, &withheld)
+			if refusal := (*hop.WithheldError)(nil); errors.As(err, &refusal) && refusal.Left > 0 {
+				withheld.Store(true)
+			}
 			return conn, err
 		}
-		if p.responds(ctx, s, through) || withheld != nil && withheld.Left > 0 {
+		if p.responds(ctx, s, through) || withheld.Load() {
 			return true // A server that wants no requests of another VM has responded to it.
 		}
 	}
