Leave an event out that a server sends twice in a row

The event's number doesn't go back and nothing is missing. Only numbers that go back end the response now, as they show another run.

The case in TestEventsThatAreMissingOrOfAnotherRunAreRelayed wanted the stream cut behind the repeat; it now wants the rest of the stream without the repeat, so that callers get each event once.

--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -29,7 +29,7 @@
 func (s *sequence) next(last, number int64) (isNew bool, err error) {
 	previous := s.previous
 	s.previous = number
-	if previous >= 0 && number <= previous {
+	if number < previous {
 		return false, errors.Errorf("event %d follows %d", number, previous)
 	}
 	if number <= last {
