Remember drained runs without the records of their servers

Cause: the whole record was kept for the hour, whose start time says which runs count as earlier ones.

Only the start of the drained run is kept beside the records now, and compared for equality.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -28,6 +28,12 @@
 // still live, and write its row again, while it ends its work or reaches no store.
 const drainedRunAge = time.Hour
 
+// drainedRun is a run that is known to drain, and until when that is remembered.
+type drainedRun struct {
+	started int64
+	until   time.Time
+}
+
 // View is an immutable list of the servers.
 type View struct {
 	byService map[string][]*Entry
@@ -101,13 +107,15 @@
 	// forgottenUpTo is the revision up to which tombstones may have been deleted.
 	forgottenUpTo platform.Revision
 	rowTTL        time.Duration
-	view          atomic.Pointer[View]
+	// drainedRuns holds the drained runs of servers whose removal is forgotten.
+	drainedRuns map[backend.ID]drainedRun
+	view        atomic.Pointer[View]
 }
 
 // NewDirectory returns an empty directory. The store deletes the row of a server within
 // rowTTL after its last announcement.
 func NewDirectory(rowTTL time.Duration) *Directory {
-	d := &Directory{records: map[backend.ID]*record{}, rowTTL: rowTTL}
+	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, rowTTL: rowTTL}
 	d.publish()
 	return d
 }
@@ -195,6 +203,9 @@
 	r := d.records[id]
 	if r == nil {
 		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, undecidedRun: noRun}
+		if run, ok := d.drainedRuns[id]; ok {
+			r.drainedRun = run.started
+		}
 		d.records[id] = r
 	}
 	return r
@@ -385,15 +396,16 @@
 
 func (d *Directory) forget(now time.Time) {
 	for id, r := range d.records {
-		age := tombstoneAge
-		if r.drainedRun > 0 {
-			age = drainedRunAge // Runs of servers that state no start time can't be told apart.
+		if !r.Gone || r.withheldRow != nil || now.Sub(r.goneAt) <= tombstoneAge {
+			continue
 		}
-		if r.Gone && r.withheldRow == nil && now.Sub(r.goneAt) > age {
-			d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
-			delete(d.records, id)
+		if r.drainedRun > 0 { // Runs of servers that state no start time can't be told apart.
+			d.drainedRuns[id] = drainedRun{started: r.drainedRun, until: r.goneAt.Add(drainedRunAge)}
 		}
+		d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
+		delete(d.records, id)
 	}
+	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, run drainedRun) bool { return now.After(run.until) })
 }
 
 func (d *Directory) publish() {
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -119,7 +119,26 @@
 	}
 	apply(d, now.Add(2*tombstoneAge), Entry{ID: "x", Revision: at(4), Gone: true})
 	apply(d, now.Add(2*tombstoneAge+2*drainedRunAge), ready("y", 5, 5))
-	if len(d.records) != 1 {
-		t.Errorf("%d servers are remembered, want only the present one", len(d.records))
+	if len(d.records) != 1 || len(d.drainedRuns) > 0 {
+		t.Errorf("%d servers and %d drained runs are remembered, want only the present server", len(d.records), len(d.drainedRuns))
+	}
+}
+
+// The server's clock was set back.
+func TestRunWithEarlierStartThanDrainedOneIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	draining := ready("x", 9, 1)
+	draining.State = Draining
+	apply(d, now, draining)
+	apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true})
+	now = now.Add(2 * tombstoneAge)
+	apply(d, now, ready("y", 5, 3))
+	if u := d.Export(at(0), now); len(u.Entries) != 1 {
+		t.Errorf("a VM that lags gets %d entries, want that of the present server", len(u.Entries))
+	}
+	apply(d, now, ready("x", 5, 4))
+	if len(d.View().Service("s")) != 2 {
+		t.Error("the run isn't used")
 	}
 }
