--- a/internal/node/next_runs.go
+++ b/internal/node/next_runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +13,10 @@
 )
 
 const (
-	// A health check waits for a slot, as requests do.
-	healthTimeout = 1 * time.Second
+	// healthTimeout bounds a health check, which waits for a slot as requests do.
+	healthTimeout = 5 * time.Second
+	// healthSpread is the period over which the first checks of several VMs are spread.
+	healthSpread = 300 * time.Millisecond
 	// minHealthPause and maxHealthPause bound the pause after a health check that shows nothing.
 	minHealthPause = 100 * time.Millisecond
 	maxHealthPause = 1500 * time.Millisecond
@@ -45,6 +48,7 @@
 	defer n.askedRuns.Delete(e.Run())
 	began := n.now()
 	n.log.Info("server_run_undecided", zap.String("server", string(e.ID)), zap.Int64("server_started", e.Started), zap.Stringer("revision", e.Revision))
+	clock.Sleep(ctx, rand.N(healthSpread))
 	for pause := minHealthPause; n.directory.Undecided(e) && ctx.Err() == nil; pause = min(2*pause, maxHealthPause) {
 		leaves, err := n.askLeaving(ctx, e)
 		if err == nil {
