Don't repeat a numbering that the failure domain has just heard

A VM that learned a numbering from another VM of its domain announced it once more, as it was new there, so that each VM of a domain sent it to all others. A message of a VM reaches its whole domain, and one that is lost is followed by another after 5 s. A VM passes such news on after that interval, which TestNumberingIsKnownToOtherVMs now lets pass.

--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -323,15 +323,14 @@
 		}
 		n := t.ensureNumbering(notice.Origin)
 		before, _ := n.value()
-		if sameDomain && notice.known() == before.known() {
-			n.repeatedAt[Domain] = now
+		if n.heardAt.IsZero() || at.Sub(n.heardAt) > ageTolerance {
+			n.heard, n.heardAt = notice.known(), at
 		}
-		if !n.heardAt.IsZero() && at.Sub(n.heardAt) <= ageTolerance {
-			continue
-		}
-		n.heard, n.heardAt = notice.known(), at
 		after, _ := n.value()
 		changed = changed || after.known() != before.known()
+		if sameDomain && notice.known() == after.known() {
+			n.announced[Domain], n.repeatedAt[Domain] = notice.known(), now // The others know it too.
+		}
 	}
 	return changed
 }
