Don't tell others of a numbering that a single server shows

A VM that had eight responses of one faulty server took its version for one that leaves numbers out, told its failure domain and stored it; each VM with fewer responses of its own, so each one that starts, relayed gaps and streams without their first event (found by the review; its relay passed 1, 2, 4 on as complete).

Cause: what one server alone shows counted for all VMs.

It counts at that VM alone now. A service that has one server and leaves numbers out is learned by each VM for itself. TestNumberingOfSingleFaultyServerSpreads failed before in both forms ("irregular from 2") and passes.

--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -300,6 +300,9 @@
 // known.
 func (n *numbering) notice(o Origin, now time.Time) (NumberingNotice, bool) {
 	v, at := n.value()
+	if len(n.servers) == 1 { // That server may be faulty.
+		v, at = n.heard, n.heardAt
+	}
 	if v.known() == (Numbering{}) {
 		return NumberingNotice{}, false
 	}
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -218,3 +218,21 @@
 		t.Errorf("%d numberings of versions without servers", n)
 	}
 }
+
+func TestNumberingOfSingleFaultyServerSpreads(t *testing.T) {
+	from, _ := newNumberingTable()
+	for range 3 * minResponses {
+		from.RecordFirst(llmV1, "faulty", 2)
+		from.RecordSteps(llmV1, "faulty", 5, 1)
+	}
+	for name, share := range map[string]func(to *Table){
+		"message to the domain": func(to *Table) { to.Apply(from.Notices(Domain), true) },
+		"the platform's store":  func(to *Table) { to.RestoreNumberings(from.Numberings()) },
+	} {
+		to, _ := newNumberingTable()
+		share(to)
+		if got := to.Numbering(llmV1); got != (Numbering{}) {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
