Log what tells apart which run said that it leaves

It now has the age of the connection, whether it had been idle, the age of the run's last own proof (its report), and the run and state that the directory shows when the answer comes.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,8 +68,7 @@
 		return
 	}
 	t.g.meters.leaves.Inc(1)
-	t.g.opts.Log.Info("server_says_leaving", zap.String("request_id", t.call.ID), zap.String("server", string(e.ID)),
-		zap.Int64("server_started", e.Started), zap.Stringer("server_revision", e.Revision))
+	t.g.opts.Log.Info("server_says_leaving", append(a.answeringRun(), zap.String("request_id", t.call.ID), zap.String("server", string(e.ID)))...)
 	t.g.opts.NotifyPeers()
 }
 
@@ -81,6 +80,24 @@
 	}
 }
 
+// answeringRun returns, for logs, the run to which the server's response is attributed, the one that
+// the directory shows now, and how old the connection is and the run's last own proof: a connection
+// that is younger than the proof may lead to a later run.
+func (a *attempt) answeringRun() []zap.Field {
+	g, e := a.t.g, a.candidate.Entry
+	fields := []zap.Field{
+		zap.Int64("server_started", e.Started), zap.Stringer("server_revision", e.Revision),
+		zap.Duration("connection_age", a.conn.Age()), zap.Bool("connection_reused", a.conn.Reused),
+	}
+	if provedAt, doubted := g.opts.Servers.RunProof(selector.KeyOf(e)); !provedAt.IsZero() {
+		fields = append(fields, zap.Duration("run_proof_age", g.opts.Now().Sub(provedAt)), zap.Bool("run_doubted", doubted))
+	}
+	if known := g.opts.Directory.View().Server(e.ID); known != nil {
+		fields = append(fields, zap.Int64("known_started", known.Started), zap.Stringer("known_revision", known.Revision), zap.String("known_state", string(known.State)))
+	}
+	return fields
+}
+
 // declinedFailure returns the failure of a request that the server guarantees not to
 // have run.
 func (a *attempt) declinedFailure(resp *http.Response, head Head) *failure {
