Send no call that waited to a service's server that has left meanwhile

On the own path a call on a route of a plain service could go to a server that had left, or was removed from the configuration, while the call's body was read, it waited for admission or for a server, or was tried again.

Cause: the servers were taken from the configuration at the call's arrival. Found by reading; engines are picked from the present configuration.

Why it works: the picker reads the configuration in force at each pick. The route's list of servers stays that of the call.

No run with real processes.

--- a/internal/router/prefixbalancer.go
+++ b/internal/router/prefixbalancer.go
@@ -76,7 +76,7 @@
 }
 
 // Service implements Balancer.
-func (b *PrefixBalancer) Service(view *config.View, route config.Route) dispatch.Picker {
+func (b *PrefixBalancer) Service(view func() *config.View, route config.Route) dispatch.Picker {
 	return b.services.Service(view, route)
 }
 
--- a/internal/router/roundrobin.go
+++ b/internal/router/roundrobin.go
@@ -20,32 +20,36 @@
 
 // Engine implements Balancer.
 func (b *RoundRobin) Engine(p Prompt) dispatch.Picker {
-	return roundRobinPicker{balancer: b, servers: p.View.Engines(p.Model)}
+	servers := p.View.Engines(p.Model)
+	return roundRobinPicker{balancer: b, servers: func() []backend.Server { return servers }}
 }
 
 // Service implements Balancer.
-func (b *RoundRobin) Service(view *config.View, route config.Route) dispatch.Picker {
-	var servers []backend.Server
-	for _, id := range route.Servers {
-		if s, ok := view.Servers[id]; ok {
-			servers = append(servers, s)
+func (b *RoundRobin) Service(view func() *config.View, route config.Route) dispatch.Picker {
+	return roundRobinPicker{balancer: b, servers: func() []backend.Server {
+		var servers []backend.Server
+		current := view()
+		for _, id := range route.Servers {
+			if s, ok := current.Servers[id]; ok {
+				servers = append(servers, s)
+			}
 		}
-	}
-	return roundRobinPicker{balancer: b, servers: servers}
+		return servers
+	}}
 }
 
 type roundRobinPicker struct {
 	balancer *RoundRobin
-	servers  []backend.Server
+	servers  func() []backend.Server
 }
 
 // Pick implements dispatch.Picker. A server that was tried before is picked
 // only if there is no other: it may have recovered meanwhile.
 func (p roundRobinPicker) Pick(_ context.Context, _ dispatch.Request, a dispatch.Attempt) (backend.Server, error) {
-	start := p.balancer.next.Add(1)
+	start, servers := p.balancer.next.Add(1), p.servers()
 	var fallback *backend.Server
-	for i := range p.servers {
-		s := p.servers[(start+uint64(i))%uint64(len(p.servers))]
+	for i := range servers {
+		s := servers[(start+uint64(i))%uint64(len(servers))]
 		switch {
 		case s.Leaving:
 		case !a.HasTried(s.ID):
--- a/internal/router/routes.go
+++ b/internal/router/routes.go
@@ -42,7 +42,7 @@
 		r.refuse(w, id, refusal)
 		return
 	}
-	c := routeCall{id: id, view: view, route: route, caller: identity, body: body, grant: noopGrant{}}
+	c := routeCall{id: id, route: route, caller: identity, body: body, grant: noopGrant{}}
 	if identity != nil && !r.admitRoute(w, req, &c) {
 		return
 	}
@@ -52,7 +52,6 @@
 // routeCall is the state of one call to a plain service.
 type routeCall struct {
 	id     string
-	view   *config.View
 	route  config.Route
 	caller *caller
 	body   []byte
@@ -125,7 +124,7 @@
 	defer cancel()
 	// The path was checked before admission.
 	path, _ := dispatch.SanitizePath(req.URL, bearer(req))
-	picker := r.withGuards(r.opts.Balancer.Service(c.view, c.route), c.account(), req.Method+" "+path, c.body)
+	picker := r.withGuards(r.opts.Balancer.Service(r.View, c.route), c.account(), req.Method+" "+path, c.body)
 	out, err := r.opts.Dispatcher.Do(ctx, dispatch.Request{
 		ID:         c.id,
 		Account:    c.account(),
--- a/internal/router/steps.go
+++ b/internal/router/steps.go
@@ -58,8 +58,9 @@
 type Balancer interface {
 	// Engine returns the picker for one model request.
 	Engine(p Prompt) dispatch.Picker
-	// Service returns the picker for one call of a route.
-	Service(view *config.View, route config.Route) dispatch.Picker
+	// Service returns the picker for one call of a route. view returns the configuration in force:
+	// a call may wait, and servers leave meanwhile.
+	Service(view func() *config.View, route config.Route) dispatch.Picker
 }
 
 // VMDirectory lists the VMs that callers may use.
