Believe a server that says it leaves after a run that drained later

Cause: the remembered start of the drained run counted as the record's own, and leaves of earlier starts are ignored there. It is compared for equality alone now. TestRunWithEarlierStartThanDrainedOneIsNotUsed has the case: the run was used before, and isn't now.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -58,6 +58,9 @@
 	// draining run never becomes ready again, but an earlier write of its own may reach
 	// the store late.
 	drainedRun int64
+	// formerDrainedRun is the one that was known when an earlier record of the server was forgotten, or
+	// noRun. Later runs may have earlier start times.
+	formerDrainedRun int64
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
 	// shows the drain.
 	drainOverwritten bool
@@ -202,9 +205,9 @@
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, undecidedRun: noRun}
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, formerDrainedRun: noRun, undecidedRun: noRun}
 		if run, ok := d.drainedRuns[id]; ok {
-			r.drainedRun = run.started
+			r.formerDrainedRun = run.started
 		}
 		d.records[id] = r
 	}
@@ -257,8 +260,8 @@
 		}
 	case older:
 		next = *r.Entry
-	case e.Started == r.drainedRun:
-		next.State, r.drainOverwritten = Draining, true
+	case r.drains(e.Started):
+		next.State, r.drainedRun, r.drainOverwritten = Draining, e.Started, true
 	case r.mayHaveSaidLeaving(e.Started):
 		next.State, r.undecidedRun = Draining, e.Started
 	}
@@ -332,7 +335,7 @@
 			changed = append(changed, d.end(r, r.Revision, 0, now))
 		}
 		if r.withheldRow != nil && !now.Before(r.withheldUntil) {
-			if started := r.withheldRow.Started; r.drainedRun == started || r.undecidedRun == started {
+			if started := r.withheldRow.Started; r.drains(started) || r.undecidedRun == started {
 				r.withheldRow.State = Draining
 			}
 			r.Entry, r.withheldRow, r.confirmedRun, r.goneAt = r.withheldRow, nil, r.withheldRow.Started, time.Time{}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -50,7 +50,7 @@
 // withholdTime returns for how long a row must not be used because its run is known to have
 // ended and the row may come from an older copy of the store; 0 if it may be used.
 func (d *Directory) withholdTime(r *record, e *Entry, now time.Time) time.Duration {
-	if !r.Gone || e.State != Ready || r.Started != e.Started || r.drainedRun == e.Started || r.confirmedRun == e.Started {
+	if !r.Gone || e.State != Ready || r.Started != e.Started || r.drains(e.Started) || r.confirmedRun == e.Started {
 		return 0
 	}
 	switch {
@@ -83,7 +83,7 @@
 // withholdRun stops the use of a run for a time within which its row expires unless the
 // server still renews it. It returns the entry if that changes the known state.
 func (d *Directory) withholdRun(r *record, run int64, wait time.Duration, now time.Time) *Entry {
-	if wait <= 0 || r.confirmedRun == run || r.drainedRun == run || r.withheldRow != nil {
+	if wait <= 0 || r.confirmedRun == run || r.drains(run) || r.withheldRow != nil {
 		return nil
 	}
 	if r.Gone {
@@ -175,6 +175,11 @@
 	return changed
 }
 
+// drains reports whether a run is known to drain.
+func (r *record) drains(started int64) bool {
+	return started != noRun && (started == r.drainedRun || started == r.formerDrainedRun)
+}
+
 // mayHaveSaidLeaving reports whether a response that stated that the server leaves may be of a run.
 func (r *record) mayHaveSaidLeaving(started int64) bool {
 	return started == r.undecidedRun || r.saidLeaving && started > r.Started
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -141,4 +141,8 @@
 	if len(d.View().Service("s")) != 2 {
 		t.Error("the run isn't used")
 	}
+	d.MarkDrained("x", 5, now)
+	if len(d.View().Service("s")) != 1 {
+		t.Error("the run is used although it said that it leaves")
+	}
 }
