Let one faulty server not prove where streams begin

Unusual begins now need what irregular steps need: four or more streams of the other servers that show the same. TestNumberingOfFaultyServerBesideHardlyUsedOneSpreads passes; the review's test showed "regular from 2" before.

--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -114,6 +114,22 @@
 	s.late += other.late
 }
 
+// without returns the counts without those of one of the servers.
+func (s serverNumbers) without(one *serverNumbers) *serverNumbers {
+	s.responses -= one.responses
+	s.irregular -= one.irregular
+	s.steps -= one.steps
+	s.skips -= one.skips
+	s.begins -= one.begins
+	s.late -= one.late
+	return &s
+}
+
+// beginsLate reports whether at least minimum streams show that most begin with unusual numbers.
+func (s *serverNumbers) beginsLate(minimum int) bool {
+	return s.begins >= minimum && isMost(s.late, s.begins)
+}
+
 // isIrregular reports whether at least minimum responses show an irregular numbering.
 func (s *serverNumbers) isIrregular(minimum int) bool {
 	return s.responses >= minimum && isMost(s.irregular, s.responses) && minIrregularSteps*s.skips >= s.steps
@@ -175,35 +191,36 @@
 	return v, at
 }
 
-// conclude derives the numbering from the servers' responses. A single server doesn't prove an
-// irregular numbering unless no other one has responded.
+// conclude derives the numbering from the servers' responses. A single server proves neither an
+// irregular numbering nor that streams begin with unusual numbers, unless no other one has responded.
 func (n *numbering) conclude() {
-	var all, worst serverNumbers
+	var all, skipping, late serverNumbers
 	firsts := map[int64]int{}
 	for _, s := range n.servers {
 		all.add(s)
-		if s.irregular >= worst.irregular {
-			worst = *s
+		if s.irregular >= skipping.irregular {
+			skipping = *s
+		}
+		if s.late >= late.late {
+			late = *s
 		}
 		for number, count := range s.firsts {
 			firsts[number] += count
 		}
 	}
-	others := serverNumbers{
-		responses: all.responses - worst.responses, irregular: all.irregular - worst.irregular,
-		steps: all.steps - worst.steps, skips: all.skips - worst.skips,
-	}
+	alone := len(n.servers) == 1
 	n.steps, n.begins = all.responses >= minResponses, all.begins >= minResponses
-	n.own.Irregular = all.isIrregular(minResponses) && (len(n.servers) == 1 || others.isIrregular(minResponses/2))
+	n.own.Irregular = all.isIrregular(minResponses) && (alone || all.without(&skipping).isIrregular(minResponses/2))
 	n.own.First = 0
 	if !n.begins {
 		return
 	}
-	if isMost(all.late, all.begins) {
+	lateIsUsual := all.beginsLate(minResponses) && (alone || all.without(&late).beginsLate(minResponses/2))
+	if lateIsUsual {
 		n.own.First = anyFirst
 	}
 	for number, count := range firsts {
-		if isAlmostAll(count, all.begins) {
+		if isAlmostAll(count, all.begins) && (number <= usualFirst || lateIsUsual) {
 			n.own.First = number + 1
 		}
 	}
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -220,11 +220,23 @@
 }
 
 func TestNumberingOfSingleFaultyServerSpreads(t *testing.T) {
+	testNumberingOfFaultyServer(t, 0)
+}
+
+func TestNumberingOfFaultyServerBesideHardlyUsedOneSpreads(t *testing.T) {
+	testNumberingOfFaultyServer(t, 1)
+}
+
+func testNumberingOfFaultyServer(t *testing.T, sound int) {
 	from, _ := newNumberingTable()
 	for range 3 * minResponses {
 		from.RecordFirst(llmV1, "faulty", 2)
 		from.RecordSteps(llmV1, "faulty", 5, 1)
 	}
+	for range sound {
+		from.RecordFirst(llmV1, "sound", 1)
+		from.RecordSteps(llmV1, "sound", 5, 0)
+	}
 	for name, share := range map[string]func(to *Table){
 		"message to the domain": func(to *Table) { to.Apply(from.Notices(Domain), true) },
 		"the platform's store":  func(to *Table) { to.RestoreNumberings(from.Numberings()) },
