--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 		RateLimits: ratelimit.NewTable("vm", time.Now), CrashCauses: crashcause.NewTable(time.Now, func(crashcause.Change) {}), StoreContents: selector.NewStoreIndex(time.Now),
 		Origins: origin.NewTable(time.Now), ServersCurrent: func() bool { return true }, ServersProvedAt: time.Now, OriginMissed: func() {},
 		ReachableByPeers: func(*fleet.Entry) bool { return false },
-		Model:            selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
+		Model:            selector.CostModel{PrefillRate: 50_000}, RetrySlack: 180, FirstStart: true, NotifyPeers: func() {}, DirectoryAge: func() time.Duration { return 0 }, Now: time.Now,
 	})
 	g.Publish(catalog.Snapshot{
 		Version:  1,
@@ -276,6 +276,20 @@
 	}
 }
 
+func TestServiceAddedLongAfterStartHasNoRetryReserve(t *testing.T) {
+	g, _ := newTestGateway(t, func(http.ResponseWriter, *http.Request) {})
+	started := time.Now()
+	now := started
+	g.opts.FirstStart, g.opts.RetryWindow, g.started, g.opts.Now = false, 10*time.Second, started, func() time.Time { return now }
+	if g.retryBudget("early").Spend() {
+		t.Error("the reserve of the process before may be spent again")
+	}
+	now = started.Add(g.opts.RetryWindow)
+	if !g.retryBudget("added").Spend() {
+		t.Error("no reserve although the process before ended a window ago")
+	}
+}
+
 // The repeated sends of all VMs together stay within the slack, however many VMs take
 // calls.
 func TestRetrySlackIsShared(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,13 +91,16 @@
 	Weights map[string]uint64
 }
 
-// Engines sends orders to engines.
+// Engines sends orders to engines, and asks servers for their state.
 type Engines interface {
 	// Load orders an engine that has accepted the given number of orders so far to load new
 	// weights. No byte is written after the deadline.
 	Load(ctx context.Context, e *fleet.Entry, o rollout.Order, orders uint64, holder lease.Holder, f lease.Fencing, deadline time.Time) (OrderResult, error)
 	// Report requests an engine's state on a connection that is opened by dial.
 	Report(ctx context.Context, e *fleet.Entry, dial tunnel.DialFunc) (EngineReport, error)
+	// Leaving requests a server's health check and reports whether the server leaves. It returns
+	// an error if the response shows neither.
+	Leaving(ctx context.Context, e *fleet.Entry, path string, dial tunnel.DialFunc) (bool, error)
 }
 
 // Options configure a Node.
@@ -132,6 +135,8 @@
 	Quota quota.Settings
 	// RetryRatio and RetrySlack bound the retries to a service by all VMs together.
 	RetryRatio, RetrySlack float64
+	// RetryWindow is the time in which these retries are counted; zero if it isn't known.
+	RetryWindow time.Duration
 	// Lease is how long the lease holder may send orders after a renewal.
 	Lease time.Duration
 	// FencingEnforced is set if engines reject older fencing tokens.
@@ -188,7 +193,11 @@
 	// rereadMembers requests another read of the members' table: to obtain stored naming times,
 	// or because the store was restored from an older copy.
 	rereadMembers chan struct{}
-	eras          eraState
+	// runsUndecided signals that servers may have to be asked whether they leave.
+	runsUndecided chan struct{}
+	// askedRuns holds the runs whose servers are being asked.
+	askedRuns sync.Map
+	eras      eraState
 	// firstPeerSeen is closed once the state of another VM was received, or once the members
 	// show that there is none.
 	firstPeerSeen chan struct{}
@@ -264,6 +273,7 @@
 		convictionsChanged: make(chan struct{}, 1),
 		versionsChanged:    make(chan struct{}, 1),
 		originMissed:       make(chan struct{}, 1),
+		runsUndecided:      make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		catalogFetches:     newFetches(),
@@ -277,7 +287,7 @@
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
 	n.path = n.newServerPath()
 	n.pool = hop.NewPoolWithDial(n.dialServer)
-	n.tunnels = tunnel.NewHandler(opts.Log, n.connectForPeer)
+	n.tunnels = tunnel.NewHandler(tunnel.HandlerOptions{Log: opts.Log, Connect: n.connectForPeer, Withheld: n.withheldFromPeers, Asked: n.serverAsked})
 	n.metrics.GetOrRegister("servers_backing_off", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BackoffCount()) }))
 	n.metrics.GetOrRegister("brittle_servers", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BrittleCount()) }))
 	n.servers = selector.NewTable(opts.Bounds.ReuseWindow, n.now)
@@ -310,6 +320,8 @@
 		ReachableByPeers: n.reachableByPeers,
 		RetryRatio:       opts.Bounds.RetryRatio,
 		RetrySlack:       opts.Bounds.RetrySlack,
+		RetryWindow:      opts.Bounds.RetryWindow,
+		FirstStart:       opts.FirstStart,
 		Now:              n.now,
 	})
 	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
@@ -382,7 +394,9 @@
 	n.goLoop(func() { n.persistVersions(ctx) })
 	n.goLoop(func() { n.storeOrigins(ctx) })
 	n.goLoop(func() { n.path.Run(ctx) })
+	n.goLoop(func() { n.tunnels.Run(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
+	n.goLoop(func() { n.decideRuns(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
 		zap.Uint64("incarnation", uint64(n.opts.VM.Incarnation)),
