--- a/internal/gateway/sequence_test.go
+++ b/internal/gateway/sequence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand"
 	"net/http"
 	"slices"
 	"testing"
@@ -126,3 +127,32 @@
 func (askedDialect) Matches(*Call, *http.Response) bool { return true }
 
 func (askedDialect) Head(id backend.ID, r *http.Response) Head { return signedDialect{}.Head(id, r) }
+
+// Whatever numbers a server sends, those that reach the caller follow one another, or the server that
+// leaves numbers out as a rule has sent the one before.
+func TestRelayedNumbersDoNotFollowOneAnother(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	for range 200_000 {
+		numbering := origin.Numbering{Irregular: rng.Intn(2) == 0, First: int64(rng.Intn(4) - 1)}
+		s := &sequence{numbering: numbering, previous: -1}
+		begin := int64(rng.Intn(6) - 1)
+		last, previous, sent := begin, int64(-1), []int64{}
+		for number := int64(rng.Intn(6)); len(sent) < 8; number += int64(rng.Intn(4) - rng.Intn(2)) {
+			if number < 0 {
+				break
+			}
+			sent = append(sent, number)
+			isNew, err := s.next(last, number)
+			if err != nil {
+				break
+			}
+			sound := number == last+1 || last < 0 && !numbering.BeginsBefore(number) || numbering.Irregular && previous == last
+			if isNew && !sound || !isNew && number > last || number <= previous {
+				t.Fatalf("numbering %v, the caller has %d, the server sends %v: new %v", numbering, begin, sent, isNew)
+			}
+			if previous = number; isNew {
+				last = number
+			}
+		}
+	}
+}
