--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,6 +24,16 @@
 // VMs lag by a few seconds; a VM that lags by more receives the list of all servers instead.
 const tombstoneAge = 60 * time.Second
 
+// drainedRunAge is how long a run that is known to drain is remembered after its removal: it may
+// still live, and write its row again, while it ends its work or reaches no store.
+const drainedRunAge = time.Hour
+
+// drainedRun is a run that is known to drain, and until when that is remembered.
+type drainedRun struct {
+	started int64
+	until   time.Time
+}
+
 // View is an immutable list of the servers.
 type View struct {
 	byService map[string][]*Entry
@@ -48,9 +58,18 @@
 	// draining run never becomes ready again, but an earlier write of its own may reach
 	// the store late.
 	drainedRun int64
+	// formerDrainedRun is the one that was known when an earlier record of the server was forgotten, or
+	// noRun. Later runs may have earlier start times.
+	formerDrainedRun int64
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
 	// shows the drain.
 	drainOverwritten bool
+	// saidLeaving is set if a response of the server stated to this VM that it leaves. The
+	// response may be of a later run than the one whose row was known.
+	saidLeaving bool
+	// undecidedRun is the start time of a run that may have sent that response, or noRun. It
+	// isn't used until the server shows that it doesn't leave.
+	undecidedRun int64
 	// holdUntil is the end of the grace period of a server without a row; zero for a server
 	// with a row.
 	holdUntil time.Time
@@ -91,13 +110,15 @@
 	// forgottenUpTo is the revision up to which tombstones may have been deleted.
 	forgottenUpTo platform.Revision
 	rowTTL        time.Duration
-	view          atomic.Pointer[View]
+	// drainedRuns holds the drained runs of servers whose removal is forgotten.
+	drainedRuns map[backend.ID]drainedRun
+	view        atomic.Pointer[View]
 }
 
 // NewDirectory returns an empty directory. The store deletes the row of a server within
 // rowTTL after its last announcement.
 func NewDirectory(rowTTL time.Duration) *Directory {
-	d := &Directory{records: map[backend.ID]*record{}, rowTTL: rowTTL}
+	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, rowTTL: rowTTL}
 	d.publish()
 	return d
 }
@@ -184,7 +205,10 @@
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun}
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, formerDrainedRun: noRun, undecidedRun: noRun}
+		if run, ok := d.drainedRuns[id]; ok {
+			r.formerDrainedRun = run.started
+		}
 		d.records[id] = r
 	}
 	return r
@@ -236,8 +260,10 @@
 		}
 	case older:
 		next = *r.Entry
-	case e.Started == r.drainedRun:
-		next.State, r.drainOverwritten = Draining, true
+	case r.drains(e.Started):
+		next.State, r.drainedRun, r.drainOverwritten = Draining, e.Started, true
+	case r.mayHaveSaidLeaving(e.Started):
+		next.State, r.undecidedRun = Draining, e.Started
 	}
 	next.Revision, next.Hold, next.DrainOverwritten = e.Revision, 0, false
 	if r.Same(&next) && (laterEra || now.Sub(r.weightsSeenAt) < seenWeightsAge) {
@@ -309,7 +335,7 @@
 			changed = append(changed, d.end(r, r.Revision, 0, now))
 		}
 		if r.withheldRow != nil && !now.Before(r.withheldUntil) {
-			if r.drainedRun == r.withheldRow.Started {
+			if started := r.withheldRow.Started; r.drains(started) || r.undecidedRun == started {
 				r.withheldRow.State = Draining
 			}
 			r.Entry, r.withheldRow, r.confirmedRun, r.goneAt = r.withheldRow, nil, r.withheldRow.Started, time.Time{}
@@ -330,6 +356,9 @@
 	for _, r := range d.records {
 		e := *r.Entry
 		e.DrainOverwritten = r.drainOverwritten
+		if r.undecided() {
+			e.State = Ready // The doubt is this VM's own.
+		}
 		if r.withheldRow != nil {
 			e = *r.withheldRow
 			e.Wait = max(1, r.withheldUntil.Sub(now))
@@ -370,11 +399,16 @@
 
 func (d *Directory) forget(now time.Time) {
 	for id, r := range d.records {
-		if r.Gone && r.withheldRow == nil && now.Sub(r.goneAt) > tombstoneAge {
-			d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
-			delete(d.records, id)
+		if !r.Gone || r.withheldRow != nil || now.Sub(r.goneAt) <= tombstoneAge {
+			continue
+		}
+		if r.drainedRun > 0 { // Runs of servers that state no start time can't be told apart.
+			d.drainedRuns[id] = drainedRun{started: r.drainedRun, until: r.goneAt.Add(drainedRunAge)}
 		}
+		d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
+		delete(d.records, id)
 	}
+	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, run drainedRun) bool { return now.After(run.until) })
 }
 
 func (d *Directory) publish() {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -59,6 +59,18 @@
 // rest is reserved for retries.
 const rolloutBoundShare = 0.9
 
+const (
+	// firstPollShare is the share of the fastest load after which an engine that has acknowledged an
+	// order is first polled; firstPollDelay is used before a load was measured. A share of the mean
+	// would delay the polls that the mean is measured from.
+	firstPollShare = 0.9
+	firstPollDelay = 200 * time.Millisecond
+	// pollInterval is the least time between two polls of an engine; pollShare is the same as a
+	// share of the time since its order.
+	pollInterval = 150 * time.Millisecond
+	pollShare    = 0.25
+)
+
 // slowdownFactor is the ratio of the mean to the fastest load time above which concurrent
 // loads count as slowing each other. Then a higher limit doesn't end the roll-out sooner.
 const slowdownFactor = 1.25
@@ -91,8 +103,9 @@
 	// Reserved lists the engines that get no new requests.
 	Reserved []backend.ID
 	Orders   []Order
-	// Loading lists the engines whose load is in progress.
-	Loading []backend.ID
+	// Loading lists the engines whose load is in progress, Polls those of them whose state must be
+	// read now.
+	Loading, Polls []backend.ID
 	// Lacking is the number of engines that lack the wanted version, Unanswered the number
 	// of these that are unresponsive, and MaxLoading the number that may load at once.
 	Lacking, Unanswered, MaxLoading int
@@ -111,6 +124,8 @@
 	// sent, and accepted whether the engine acknowledged it.
 	reserved, sent time.Time
 	accepted       bool
+	// pollDue is when the engine is polled next; zero before the order was acknowledged.
+	pollDue time.Time
 }
 
 // Planner keeps the state between plans. It is safe for concurrent use.
@@ -155,13 +170,16 @@
 	p.dropFinished(byID, now)
 	plan := Plan{LoadTime: p.loadTime}
 	p.setMaxLoading(engines, &plan, now)
-	p.reserve(engines, now)
-	loading := p.countSent()
+	p.reserve(engines, byID, now)
+	loading := p.countLoading(byID)
 	for _, id := range p.byReservation() {
 		l, e := p.loads[id], byID[id]
 		plan.Reserved = append(plan.Reserved, id)
 		if l.accepted {
 			plan.Loading = append(plan.Loading, id)
+			if p.pollDue(l, now) {
+				plan.Polls = append(plan.Polls, id)
+			}
 		}
 		if p.orderDue(l, e, now) && (!l.sent.IsZero() || loading < p.maxLoading) {
 			if l.sent.IsZero() {
@@ -267,21 +285,26 @@
 // freeReservations returns how many more engines may be taken out of service now. A load that
 // will end within the drain time isn't counted any more, so that the next engine has drained
 // by then.
-func (p *Planner) freeReservations(now time.Time) int {
+func (p *Planner) freeReservations(byID map[backend.ID]*Engine, now time.Time) int {
 	free := p.maxLoading
-	for _, l := range p.loads {
-		if !l.accepted || now.Sub(l.sent) < p.loadTime-p.drainWait() {
+	for id, l := range p.loads {
+		if !l.finishesRuns(byID[id]) && (!l.accepted || now.Sub(l.sent) < p.loadTime-p.drainWait()) {
 			free--
 		}
 	}
-	return free
+	most := max(p.maxLoading, int(p.settings.MaxLoadingShare*float64(len(byID))))
+	return min(free, most-len(p.loads))
 }
 
-// countSent returns the number of reserved engines to which an order was sent.
-func (p *Planner) countSent() int {
+// finishesRuns reports whether an engine that has acknowledged its order still runs requests. It
+// loads after them and slows no other load until then.
+func (l *load) finishesRuns(e *Engine) bool { return l.accepted && e.Running > 0 }
+
+// countLoading returns the number of engines that may be loading: those to which an order was sent.
+func (p *Planner) countLoading(byID map[backend.ID]*Engine) int {
 	n := 0
-	for _, l := range p.loads {
-		if !l.sent.IsZero() {
+	for id, l := range p.loads {
+		if !l.sent.IsZero() && !l.finishesRuns(byID[id]) {
 			n++
 		}
 	}
@@ -291,7 +314,7 @@
 // reserve takes the next engines out of service: first those with the oldest weights, then
 // those of the failure domain with the fewest engines on the wanted weights, so that each
 // domain soon has some, then those with the fewest running requests.
-func (p *Planner) reserve(engines []Engine, now time.Time) {
+func (p *Planner) reserve(engines []Engine, byID map[backend.ID]*Engine, now time.Time) {
 	current := map[string]int{}
 	for i := range engines {
 		e := &engines[i]
@@ -299,7 +322,7 @@
 			current[e.FailureDomain]++
 		}
 	}
-	for free := p.freeReservations(now); free > 0; free-- {
+	for free := p.freeReservations(byID, now); free > 0; free-- {
 		var best *Engine
 		for i := range engines {
 			e := &engines[i]
@@ -338,6 +361,21 @@
 	return e.Running == 0 || now.Sub(l.reserved) >= p.drainWait()
 }
 
+// pollDue reports whether an engine that loads must be polled now, and schedules the next poll.
+func (p *Planner) pollDue(l *load, now time.Time) bool {
+	if l.pollDue.IsZero() {
+		l.pollDue = l.sent.Add(firstPollDelay)
+		if p.measured {
+			l.pollDue = l.sent.Add(time.Duration(firstPollShare * float64(p.fastest)))
+		}
+	}
+	if now.Before(l.pollDue) {
+		return false
+	}
+	l.pollDue = now.Add(max(pollInterval, time.Duration(pollShare*float64(now.Sub(l.sent)))))
+	return true
+}
+
 // Sent records that an order is being sent.
 func (p *Planner) Sent(o Order, now time.Time) {
 	p.mu.Lock()
@@ -369,13 +407,6 @@
 	p.unresponsive[o.Engine] = unresponsiveRun{started: o.Started, until: now.Add(p.settings.RetryAfter)}
 }
 
-// LoadTime returns the mean duration of a load, and whether a load was measured.
-func (p *Planner) LoadTime() (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loadTime, p.measured
-}
-
 // Reset drops all loads. It is called when another VM takes over sending orders.
 func (p *Planner) Reset() {
 	p.mu.Lock()
