Don't let one faulty server turn the check of numbers off beside idle ones

Cause: a server counted as the only one as long as no other one had responded. It now is the only one if the directory has no other server of the version.

TestServerThatLosesEventsAloneTurnsCheckOffBesideIdleOnes showed "irregular from 2" before. A version with one server is unchanged.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -54,14 +55,12 @@
 
 // observeVersions records the software versions of the known servers.
 func (n *Node) observeVersions() {
-	seen := map[origin.Origin]bool{}
-	var present []origin.Origin
+	servers := map[origin.Origin]int{}
 	for _, e := range n.directory.View().All() {
-		if o := (origin.Origin{Service: e.Service, Version: e.Software}); !seen[o] {
-			seen[o] = true
-			present = append(present, o)
-		}
+		servers[origin.Origin{Service: e.Service, Version: e.Software}]++
 	}
+	present := slices.Collect(maps.Keys(servers))
+	n.origins.SetServers(servers)
 	if n.origins.Observe(present) {
 		n.signal(n.versionsChanged)
 	}
--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -192,8 +192,8 @@
 }
 
 // conclude derives the numbering from the servers' responses. A single server proves neither an
-// irregular numbering nor that streams begin with unusual numbers, unless no other one has responded.
-func (n *numbering) conclude() {
+// irregular numbering nor that streams begin with unusual numbers, unless the version has no other one.
+func (n *numbering) conclude(servers int) {
 	var all, skipping, late serverNumbers
 	firsts := map[int64]int{}
 	for _, s := range n.servers {
@@ -208,7 +208,7 @@
 			firsts[number] += count
 		}
 	}
-	alone := len(n.servers) == 1
+	alone := len(n.servers) == 1 && servers <= 1
 	n.steps, n.begins = all.responses >= minResponses, all.begins >= minResponses
 	n.own.Irregular = all.isIrregular(minResponses) && (alone || all.without(&skipping).isIrregular(minResponses/2))
 	n.own.First = 0
@@ -263,7 +263,7 @@
 		n.servers[server] = s
 	}
 	record(s)
-	n.conclude()
+	n.conclude(t.servers[o])
 	n.ownAt = t.now()
 	after, _ := n.value()
 	t.numberingChanged = t.numberingChanged || after.known() != before.known()
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -248,3 +248,15 @@
 		}
 	}
 }
+
+func TestServerThatLosesEventsAloneTurnsCheckOffBesideIdleOnes(t *testing.T) {
+	table, _ := newNumberingTable()
+	table.SetServers(map[Origin]int{llmV1: 3})
+	for range 3 * minResponses {
+		table.RecordFirst(llmV1, "faulty", 2)
+		table.RecordSteps(llmV1, "faulty", 5, 1)
+	}
+	if got := table.Numbering(llmV1); got.Irregular || !got.BeginsBefore(2) {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -96,6 +96,8 @@
 	// queues hold the streams to be announced to each audience.
 	queues     [audiences][]announcement
 	numberings map[Origin]*numbering
+	// servers is the number of servers of each version in the directory.
+	servers map[Origin]int
 	// numberingChanged is set if a numbering has changed since the last call of Observe.
 	numberingChanged bool
 }
@@ -126,6 +128,13 @@
 	return changed
 }
 
+// SetServers records how many servers each version has.
+func (t *Table) SetServers(count map[Origin]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.servers = count
+}
+
 func (t *Table) ensureVersion(o Origin, now time.Time) *version {
 	v := t.versions[o]
 	if v == nil {
