--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -192,7 +192,8 @@
 }
 
 // conclude derives the numbering from the servers' responses. A single server proves neither an
-// irregular numbering nor that streams begin with unusual numbers, unless the version has no other one.
+// irregular numbering nor that streams begin with unusual numbers, unless the version has no other one;
+// then others' reports decide.
 func (n *numbering) conclude(servers int) {
 	var all, skipping, late serverNumbers
 	firsts := map[int64]int{}
@@ -209,13 +210,16 @@
 		}
 	}
 	alone := len(n.servers) == 1 && servers <= 1
-	n.steps, n.begins = all.responses >= minResponses, all.begins >= minResponses
-	n.own.Irregular = all.isIrregular(minResponses) && (alone || all.without(&skipping).isIrregular(minResponses/2))
+	irregular := all.isIrregular(minResponses)
+	n.own.Irregular = irregular && (alone || all.without(&skipping).isIrregular(minResponses/2))
+	n.steps = all.responses >= minResponses && n.own.Irregular == irregular
+	lateBegins := all.beginsLate(minResponses)
+	lateIsUsual := lateBegins && (alone || all.without(&late).beginsLate(minResponses/2))
+	n.begins = all.begins >= minResponses && lateIsUsual == lateBegins
 	n.own.First = 0
 	if !n.begins {
 		return
 	}
-	lateIsUsual := all.beginsLate(minResponses) && (alone || all.without(&late).beginsLate(minResponses/2))
 	if lateIsUsual {
 		n.own.First = anyFirst
 	}
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -260,3 +260,17 @@
 		t.Errorf("%v", got)
 	}
 }
+
+func TestReportIsIgnoredByVMThatUsesOneOfSeveralServers(t *testing.T) {
+	table, _ := newNumberingTable()
+	table.SetServers(map[Origin]int{llmV1: 3})
+	for range 3 * minResponses {
+		table.RecordFirst(llmV1, "x", 10)
+		table.RecordSteps(llmV1, "x", 5, 5)
+	}
+	reported := Numbering{Irregular: true, First: 11}
+	table.Apply(&Notices{Numberings: []NumberingNotice{{Origin: llmV1, Numbering: reported}}}, true)
+	if got := table.Numbering(llmV1); got != reported {
+		t.Errorf("%v instead of %v", got, reported)
+	}
+}
