--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -146,3 +146,41 @@
 		t.Error("the run is used although it said that it leaves")
 	}
 }
+
+// An outage may have removed the row; the server counts as present for a time.
+func TestLeaveSaidWithoutRowIsUndoneByRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, next := range map[string]int64{"the same run": 5, "a later run": 9} {
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", 5, 1))
+		apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true, Hold: 2 * time.Second})
+		if len(d.View().Service("s")) != 1 {
+			t.Fatal("the server isn't used without a row")
+		}
+		d.MarkDrained("x", 5, now)
+		if len(d.View().Service("s")) != 0 {
+			t.Error("the server is used although it said that it leaves")
+		}
+		apply(d, now, ready("x", next, 3))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("the server is used again with a row of %s", name)
+		}
+	}
+}
+
+func TestLeaveSaidAfterRemovalIsUndoneByRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 5, 1))
+	apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true})
+	d.MarkDrained("x", 5, now) // The response to a request that was sent before.
+	apply(d, now, ready("x", 5, 3))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the server is used again")
+	}
+	d.MarkDrained("y", 5, now) // Its row isn't known any more.
+	apply(d, now, ready("y", 5, 4), ready("y", 9, 5))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("a server whose row wasn't known is used")
+	}
+}
