--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -249,7 +249,7 @@
 		if rows[0].Value != nil {
 			n.applyVersionsRow(rows[0], now)
 			if err := json.Unmarshal(rows[0].Value, &stored); err != nil {
-				stored = versionsRow{} // It is written anew.
+				stored = versionsRow{} // It is overwritten.
 			}
 		}
 	}
--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -23,7 +23,7 @@
 	// maxNumberings bounds the numberings in a message.
 	maxNumberings = 16
 	// numberingInterval is how often the VMs of a failure domain announce a numbering that hasn't
-	// changed. A VM that hears it from another one doesn't repeat it.
+	// changed. A VM to which another one reports it doesn't repeat it.
 	numberingInterval = 5 * time.Second
 )
 
@@ -165,12 +165,12 @@
 	steps, begins bool
 	own           Numbering
 	ownAt         time.Time
-	heard         Numbering
-	// heardAt is when a response showed what other VMs report.
-	heardAt time.Time
+	reported      Numbering
+	// reportedAt is when a response showed what other VMs report.
+	reportedAt time.Time
 	// lateAt is when a server last went on with a stream too late.
 	lateAt time.Time
-	// repeatedAt is when the numbering was last announced to, or heard from, each audience.
+	// repeatedAt is when the numbering was last announced to, or reported by, each audience.
 	repeatedAt [audiences]time.Time
 	announced  [audiences]Numbering
 }
@@ -180,13 +180,13 @@
 func (n *numbering) value() (Numbering, time.Time) {
 	v, at := n.own, n.ownAt
 	if !n.steps {
-		v.Irregular = n.heard.Irregular
+		v.Irregular = n.reported.Irregular
 	}
 	if !n.begins {
-		v.First = n.heard.First
+		v.First = n.reported.First
 	}
-	if n.heardAt.After(at) {
-		at = n.heardAt
+	if n.reportedAt.After(at) {
+		at = n.reportedAt
 	}
 	return v, at
 }
@@ -322,7 +322,7 @@
 func (n *numbering) notice(o Origin, now time.Time) (NumberingNotice, bool) {
 	v, at := n.value()
 	if len(n.servers) == 1 { // That server may be faulty.
-		v, at = n.heard, n.heardAt
+		v, at = n.reported, n.reportedAt
 	}
 	if v.known() == (Numbering{}) {
 		return NumberingNotice{}, false
@@ -377,8 +377,8 @@
 		}
 		n := t.ensureNumbering(notice.Origin)
 		before, _ := n.value()
-		if n.heardAt.IsZero() || at.Sub(n.heardAt) > ageTolerance {
-			n.heard, n.heardAt = notice.known(), at
+		if n.reportedAt.IsZero() || at.Sub(n.reportedAt) > ageTolerance {
+			n.reported, n.reportedAt = notice.known(), at
 		}
 		after, _ := n.value()
 		changed = changed || after.known() != before.known()
