Reserve the ports of test VMs until they listen on them

Earlier TestRouterWithoutStoreServesAndUpdates failed once in the same way, "listen on 127.90.4.1:42505: bind: address already in use".

Cause: the tests of scenario and internal/daemon listened on port 0, closed the listener and later gave the port to the router. Meanwhile the kernel may assign it again: to the next of the VM's three addresses, which then are the same, or to an outgoing connection from the VM's address. The log of the failed run wasn't kept, so for that run the cause is inferred.

Fix: loopback.ReservePort binds a socket that never listens. The platform package's tests use ports below the kernel's range and aren't concerned.

A VM that doesn't listen in time now fails with the end of its log.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -17,6 +17,7 @@
 	"papayaspan.dev/papayaspan/internal/daemon"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/standin/local"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/ticket"
 )
 
@@ -84,15 +85,15 @@
 	f.restart(m)
 }
 
-// freeAddress returns an unused address of the VM.
+// freeAddress returns an address of the VM that is reserved for the duration of the test.
 func (f *fleet) freeAddress(m *member) string {
 	f.t.Helper()
-	l, err := net.Listen("tcp", m.ip+":0")
+	address, release, err := loopback.ReservePort(m.ip)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	f.t.Cleanup(release)
+	return address
 }
 
 // restart starts the router of a VM at its previous addresses.
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -23,6 +23,7 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/settings"
 	"papayaspan.dev/papayaspan/internal/standin/local"
+	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/standin/platformserver"
 )
 
@@ -30,6 +31,7 @@
 	operatorKey  = "operator-secret"
 	startTimeout = 15 * time.Second
 	callTimeout  = 20 * time.Second
+	logTail      = 2000 // bytes
 )
 
 type deploymentKey struct{}
@@ -46,6 +48,8 @@
 	engineURLs  []string
 	vms         map[string]*vmProcess
 	octet       int
+	// releasePorts ends the reservations of the VMs' ports.
+	releasePorts []func()
 	// background maps the names of background requests and floods to their results.
 	background map[string]chan error
 }
@@ -82,6 +86,12 @@
 	return l.buf.String()
 }
 
+// tail returns the last bytes of the log.
+func (l *logBuffer) tail(bytes int) string {
+	s := l.String()
+	return s[max(0, len(s)-bytes):]
+}
+
 // deploymentCount numbers the deployments, so that each has its own loopback addresses.
 var deploymentCount struct {
 	sync.Mutex
@@ -104,6 +114,9 @@
 		_ = d.standins.Wait()
 	}
 	d.net.close()
+	for _, release := range d.releasePorts {
+		release()
+	}
 	if testing.Verbose() {
 		for _, v := range d.vms {
 			_ = os.WriteFile(filepath.Join(os.TempDir(), "scenario-"+filepath.Base(d.dir)+"-"+v.name+".log"), []byte(v.log.String()), 0o600)
@@ -151,15 +164,6 @@
 	return host
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // addVM prepares a VM: its addresses, proxied links and settings file.
 func (d *deployment) addVM(name string) (*vmProcess, error) {
 	d.mu.Lock()
@@ -168,10 +172,12 @@
 	d.vms[name] = v
 	d.mu.Unlock()
 	for _, addr := range []*string{&v.caller, &v.peer, &v.admin} {
+		var release func()
 		var err error
-		if *addr, err = freePort(v.ip); err != nil {
+		if *addr, release, err = loopback.ReservePort(v.ip); err != nil {
 			return nil, err
 		}
+		d.releasePorts = append(d.releasePorts, release)
 	}
 	peer, err := d.net.forward("127.0.0.1:0", v.peer, name, d.vmByIP)
 	if err != nil {
@@ -220,13 +226,14 @@
 		_ = c.Wait()
 		close(exited)
 	}(v.cmd, v.exited)
-	return until(startTimeout, func() error {
+	err := until(startTimeout, func() error {
 		c, err := net.Dial("tcp", v.admin)
 		if err == nil {
 			_ = c.Close()
 		}
 		return err
 	})
+	return errors.Wrapf(err, "%s doesn't listen; its log ends with\n%s\n", name, v.log.tail(logTail))
 }
 
 func (v *vmProcess) signal(s syscall.Signal) error { return v.cmd.Process.Signal(s) }
