Explain requests by the back-offs and leaves that servers asked for

What operators saw: papayaspan explain printed only the last line of a request that was refused with servers_back_off, and for one that avoided or lost a server nothing of that server's leave. The lines that say so, server_backs_off and server_says_leaving, carry the id of the request whose response stated it, often many seconds before, and explain left out lines of other requests and older than its window.

Now it prints the back-offs of the request's own VM that hold at some time between its arrival and its end: all of them if the request was refused for back-offs, else those of the servers that it was sent to, also if they became known through a tunnel; and that one of its servers said that it leaves, by whichever VM.

Both new tests failed before.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -34,8 +34,10 @@
 	return `papayaspan explain -id ID [-window 3s] [-skew 1s] LOG...
   Reads one log file for each VM and prints, in the order of time, the decisions on
   the request, what its VM learnt meanwhile, and what all VMs learnt of the servers
-  that it was sent to. For a request that was refused because others like it crash
-  servers, it prints the crashes and the convictions too, however old they are.
+  that it was sent to. However old they are, it prints the back-offs and leaves of these
+  servers that held then. For a request that was refused because others like it crash
+  servers, it prints the crashes and the convictions, and for one that was refused because
+  all servers back off, all back-offs that held at its VM.
 `
 }
 func (c *explain) SetFlags(f *flag.FlagSet) {
@@ -127,9 +129,12 @@
 	if len(requestLines) == 0 {
 		return nil
 	}
-	from, to := requestStart(requestLines, id).Add(-window), requestLines[0].at
+	start, to := requestStart(requestLines, id), requestLines[0].at
+	from := start.Add(-window)
 	vms, servers, causes := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	refusedForBackoffs := false
 	for _, l := range requestLines {
+		refusedForBackoffs = refusedForBackoffs || l.fields["reason"] == "servers_back_off"
 		if cause := l.fields["crash_cause"]; cause != "" {
 			causes[cause] = true
 		}
@@ -147,7 +152,11 @@
 		if l.fields["request_id"] == id {
 			return false
 		}
-		if concernsCrashCause(l, causes) {
+		ofServer := servers[l.fields["server"]]
+		switch {
+		case concernsCrashCause(l, causes),
+			vms[l.vm] && (ofServer || refusedForBackoffs) && backsOffDuring(l, start, to),
+			ofServer && saysLeaving(l) && !l.at.After(to):
 			return false
 		}
 		margin := skew
@@ -174,6 +183,27 @@
 	return false
 }
 
+// backsOffDuring reports whether a line states a back-off of a server that holds within an interval.
+// The server may have asked for it in a response to another VM's request over a connection of this VM.
+func backsOffDuring(l logLine, from, to time.Time) bool {
+	var left string
+	switch l.fields["event"] {
+	case "server_backs_off":
+		left = l.fields["left"]
+	case "server_asked_through_tunnel":
+		left = l.fields["backoff"]
+	}
+	d, err := time.ParseDuration(left + "s")
+	return err == nil && !l.at.After(to) && l.at.Add(d).After(from)
+}
+
+// saysLeaving reports whether a line states that a server has said that it leaves, which holds until
+// its next start.
+func saysLeaving(l logLine) bool {
+	return l.fields["event"] == "server_says_leaving" ||
+		l.fields["event"] == "server_asked_through_tunnel" && l.fields["leaves"] == "true"
+}
+
 // explainsOutcome reports whether a line that belongs to no request may explain the
 // outcome of the request: an event of one of its servers or, on its own VM, an
 // event of the store, the configuration or the VM.
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -59,6 +59,68 @@
 	}
 }
 
+// explainRequest returns what explain prints for the request r1 on the logs, by VM.
+func explainRequest(t *testing.T, logs map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	args := []string{"explain", "-id", "r1"}
+	for vm, text := range logs {
+		path := filepath.Join(dir, vm+".log")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		args = append(args, path)
+	}
+	var out, errs bytes.Buffer
+	if code := Run(context.Background(), args, &out, &errs); code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	return out.String()
+}
+
+func TestExplainShowsTheBackoffsBehindARefusal(t *testing.T) {
+	const (
+		own = `time=2026-01-01T00:00:01.000000000Z level=info event=server_backs_off request_id=r0 server=i-1 asked=20 left=20
+time=2026-01-01T00:00:02.000000000Z level=info event=server_backs_off request_id=r0 server=i-2 asked=5 left=5
+time=2026-01-01T00:00:03.000000000Z level=info event=server_asked_through_tunnel server=i-3 backoff=12 leaves=false
+time=2026-01-01T00:00:10.000000000Z level=info event=request_done request_id=r1 status=503 total=0.0 reason=servers_back_off
+time=2026-01-01T00:00:11.000000000Z level=info event=server_backs_off request_id=r2 server=i-2 asked=5 left=5
+`
+		other = `time=2026-01-01T00:00:09.000000000Z level=info event=server_backs_off request_id=r9 server=i-4 asked=9 left=9
+`
+	)
+	want := `  -9.000s vm-a event=server_backs_off request_id=r0 server=i-1 asked=20 left=20
+  -7.000s vm-a event=server_asked_through_tunnel server=i-3 backoff=12 leaves=false
+  +0.000s vm-a event=request_done request_id=r1 status=503 total=0.0 reason=servers_back_off
+`
+	if got := explainRequest(t, map[string]string{"vm-a": own, "vm-b": other}); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
+	}
+}
+
+func TestExplainShowsThatServersOfTheRequestLeaveOrBackOff(t *testing.T) {
+	const (
+		own = `time=2026-01-01T00:00:01.000000000Z level=info event=server_backs_off request_id=r0 server=i-1 asked=20 left=20
+time=2026-01-01T00:00:02.000000000Z level=info event=server_backs_off request_id=r0 server=i-9 asked=20 left=20
+time=2026-01-01T00:00:10.000000000Z level=warn event=attempt_failed request_id=r1 server=i-2 failure=server_left sent=false
+time=2026-01-01T00:00:10.100000000Z level=info event=request_done request_id=r1 server=i-1 status=200 total=0.2
+`
+		other = `time=2026-01-01T00:00:03.000000000Z level=info event=server_says_leaving request_id=r8 server=i-2 server_started=7
+time=2026-01-01T00:00:04.000000000Z level=info event=server_says_leaving request_id=r8 server=i-9 server_started=7
+time=2026-01-01T00:00:05.000000000Z level=info event=server_backs_off request_id=r8 server=i-1 asked=20 left=20
+time=2026-01-01T00:01:05.000000000Z level=info event=server_says_leaving request_id=r8 server=i-1 server_started=7
+`
+	)
+	want := `  -8.900s vm-a event=server_backs_off request_id=r0 server=i-1 asked=20 left=20
+  -6.900s vm-b event=server_says_leaving request_id=r8 server=i-2 server_started=7
+  +0.100s vm-a event=attempt_failed request_id=r1 server=i-2 failure=server_left sent=false
+  +0.200s vm-a event=request_done request_id=r1 server=i-1 status=200 total=0.2
+`
+	if got := explainRequest(t, map[string]string{"vm-a": own, "vm-b": other}); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
+	}
+}
+
 func TestExplainShowsTheCrashesBehindARefusal(t *testing.T) {
 	const log = `time=2026-01-01T00:00:01.000000000Z level=warn event=server_crashed server=i-1 contents=c1 parts=aa,bb
 time=2026-01-01T00:00:01.000000000Z level=warn event=server_crashed server=i-2 contents=c2 parts=cc
@@ -66,19 +128,11 @@
 time=2026-01-01T00:00:02.000000000Z level=warn event=crash_cause_found crash_cause=dd kind=part crashed=i-1
 time=2026-01-01T01:00:00.000000000Z level=info event=request_done request_id=r1 status=503 total=0.0 reason=crashes_servers crash_cause=bb
 `
-	path := filepath.Join(t.TempDir(), "vm-a.log")
-	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	var out, errs bytes.Buffer
-	if code := Run(context.Background(), []string{"explain", "-id", "r1", path}, &out, &errs); code != ExitOK {
-		t.Fatalf("exit code %d: %s", code, errs.String())
-	}
 	want := `-3599.000s vm-a event=server_crashed server=i-1 contents=c1 parts=aa,bb
 -3598.000s vm-a event=crash_cause_found crash_cause=bb kind=part crashed=i-1
   +0.000s vm-a event=request_done request_id=r1 status=503 total=0.0 reason=crashes_servers crash_cause=bb
 `
-	if out.String() != want {
-		t.Errorf("printed\n%s\nwant\n%s", out.String(), want)
+	if got := explainRequest(t, map[string]string{"vm-a": log}); got != want {
+		t.Errorf("printed\n%s\nwant\n%s", got, want)
 	}
 }
