Check a cut path through several VMs at once

A VM that reaches no server asks others whether they do, one after the other and those of its own failure domain first. Where connections hang, a VM of that domain that is cut off too accepts the request and nothing comes back: the check waited for that VM until its time was over, asked no other one, and the VM didn't count as cut off. With a whole domain cut off, each of its VMs asked another one of them, again and again.

TestPathIsCutIfServersRespondThroughSomeOtherVM fails before ("cut false" with two VMs that are cut off before a sound one) and passes.

--- a/internal/tunnel/path.go
+++ b/internal/tunnel/path.go
@@ -27,6 +27,8 @@
 	minCheckInterval = 400 * time.Millisecond
 	// checkTimeout bounds the check of one server.
 	checkTimeout = 300 * time.Millisecond
+	// checkedPeers is the number of VMs through which a check tries a server.
+	checkedPeers = 6
 	// maxPeers is the number of VMs that a connection is tried through.
 	maxPeers = 3
 )
@@ -163,28 +165,44 @@
 	p.opts.Changed(cut)
 }
 
-// isCut reports whether servers that don't respond to this VM respond through another one.
+// isCut reports whether servers that don't respond to this VM respond through another one. It tries
+// several VMs at once: the paths of those in the same failure domain may be cut too.
 func (p *Path) isCut(ctx context.Context) bool {
 	servers, reached := p.reachedDirectly(ctx)
 	if reached {
 		return false
 	}
+	var responses []<-chan bool
 	for _, s := range servers {
-		var withheld atomic.Bool // The attempt to connect may outlast the check.
-		through := func(ctx context.Context, _ string) (net.Conn, error) {
-			conn, err := p.tunnel(ctx, s.Target, true)
-			if refusal := (*hop.WithheldError)(nil); errors.As(err, &refusal) && refusal.Left > 0 {
-				withheld.Store(true)
-			}
-			return conn, err
+		peers := p.opts.Peers(s.Target)
+		for _, peer := range peers[:min(len(peers), checkedPeers)] {
+			responses = append(responses, p.respondsThrough(ctx, s, peer))
 		}
-		if p.responds(ctx, s, through) || withheld.Load() {
-			return true // A server that wants no requests of another VM has responded to it.
+	}
+	for _, response := range responses {
+		if <-response {
+			return true
 		}
 	}
 	return false
 }
 
+// respondsThrough sends whether a server responds through another VM. One that wants no requests of that
+// VM has responded to it.
+func (p *Path) respondsThrough(ctx context.Context, s Server, peer string) <-chan bool {
+	var withheld atomic.Bool // The attempt to connect may outlast the check.
+	through := func(ctx context.Context, _ string) (net.Conn, error) {
+		conn, err := Open(ctx, p.opts.Dial, peer, s.Target)
+		if refusal := (*hop.WithheldError)(nil); errors.As(err, &refusal) && refusal.Left > 0 {
+			withheld.Store(true)
+		}
+		return conn, err
+	}
+	response := make(chan bool, 1)
+	go func() { response <- p.responds(ctx, s, through) || withheld.Load() }()
+	return response
+}
+
 // reachedDirectly tries some servers at once. It returns them, and whether one of them responds to
 // this VM.
 func (p *Path) reachedDirectly(ctx context.Context) ([]Server, bool) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -306,6 +307,36 @@
 	}
 }
 
+// The VMs of a failure domain may all be cut off, and none of them may know it yet.
+func TestPathIsCutIfServersRespondThroughSomeOtherVM(t *testing.T) {
+	silent := acceptConns(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	echo := acceptConns(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	cutOff, _ := startPeer(t, silent)
+	alsoCutOff, _ := startPeer(t, silent)
+	sound, _ := startPeer(t, echo)
+	for _, peers := range [][]string{{cutOff, alsoCutOff, sound}, {sound, cutOff, alsoCutOff}, {cutOff, alsoCutOff}} {
+		p := NewPath(Options{
+			Dial:    hop.Dial,
+			Peers:   func(Target) []string { return peers },
+			Servers: func() []Server { return []Server{{Target: testTarget, Address: silent}} },
+			Responds: func(ctx context.Context, s Server, dial DialFunc) bool {
+				c, err := dial(ctx, s.Address)
+				if err != nil {
+					return false
+				}
+				defer c.Close()
+				defer context.AfterFunc(ctx, func() { c.Close() })()
+				_, _ = io.WriteString(c, "x")
+				_, err = io.ReadFull(c, make([]byte, 1))
+				return err == nil
+			},
+		})
+		if cut := p.isCut(t.Context()); cut != slices.Contains(peers, sound) {
+			t.Errorf("VMs %v, of which %s reaches the servers: cut %v", peers, sound, cut)
+		}
+	}
+}
+
 func TestPathIsRestoredAfterSeveralSuccessfulChecks(t *testing.T) {
 	m := newPathModel(t)
 	m.through.Store(true)
