Notice a cut path with one request at a time

A VM suspects its path to the servers once two servers or more are silent to it, or accept no connections. One that gets a request at a time waits for one server only: with its connections hanging it never suspected anything, and each of its callers waited for the deadline. At two VMs with one caller each, 0 of 2 requests were served from three seconds after the cut, of each kind (504).

--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -142,14 +142,18 @@
 		return false
 	}
 	if len(e.Weights) > 0 {
-		_, err := n.opts.Engines.Report(ctx, e, dial)
-		return err == nil
+		if _, err := n.opts.Engines.Report(ctx, e, dial); err != nil {
+			return false
+		}
+		n.servers.RecordHeard()
+		return true
 	}
 	conn, err := dial(ctx, e.Address)
 	if err != nil {
 		return false
 	}
 	_ = conn.Close()
+	n.servers.RecordHeard()
 	return true
 }
 
@@ -183,7 +187,7 @@
 // them, and logs when that begins and ends.
 func (n *Node) watchIsolation() {
 	isolated, pending, silent := n.servers.Isolated()
-	if isolated || n.servers.DownCount() > n.maxDownServers() {
+	if isolated || n.servers.Unheard() || n.servers.DownCount() > n.maxDownServers() {
 		n.path.Suspect()
 	}
 	if isolated == n.isolated {
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -2,6 +2,57 @@
 
 import "time"
 
+// unheardLimit is the time without data from any server after which this VM may be partitioned from
+// all of them. Sound servers may be silent for a second or so.
+const unheardLimit = time.Second
+
+// Unheard reports whether responses have been due for unheardLimit and no server has sent anything
+// meanwhile. Unlike Isolated it finds a partition also if this VM has one request at a time.
+func (t *Table) Unheard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var since time.Time
+	if now.Sub(t.unansweredAt) < unheardLimit {
+		since = t.unansweredSince
+	}
+	for _, s := range t.servers {
+		if s.running > 0 && (since.IsZero() || s.responseDueFrom.Before(since)) {
+			since = s.responseDueFrom
+		}
+	}
+	if since.IsZero() {
+		return false
+	}
+	if since.Before(t.heardAt) {
+		since = t.heardAt
+	}
+	return now.Sub(since) >= unheardLimit
+}
+
+// RecordHeard records that a server sent data outside of a request.
+func (t *Table) RecordHeard() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heardAt = t.now()
+}
+
+// noteUnanswered records the end of a request that got no data. The time for which its response was due
+// counts together with that of the requests that follow soon.
+func (t *Table) noteUnanswered(r *InFlight, now time.Time) {
+	since := r.dueFrom
+	if since.Before(t.heardAt) {
+		since = t.heardAt
+	}
+	if !since.Before(now) {
+		return
+	}
+	if now.Sub(t.unansweredAt) >= unheardLimit || t.unansweredSince.Before(t.heardAt) || since.Before(t.unansweredSince) {
+		t.unansweredSince = since
+	}
+	t.unansweredAt = now
+}
+
 // Isolated reports whether this VM is likely partitioned from the servers. pending is the number
 // of servers that have requests of this VM in flight or accept no connections from it, and silent
 // the number of those that are silent.
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -91,7 +91,10 @@
 	// senders is the number of VMs that send requests to the servers.
 	senders int
 	speed   prefillSpeed
-	now     func() time.Time
+	// heardAt is when a server last sent anything to this VM. unansweredSince is when a response was due
+	// to the first of the requests that ended without one since then, unansweredAt when the last ended.
+	heardAt, unansweredSince, unansweredAt time.Time
+	now                                    func() time.Time
 }
 
 // NewTable returns an empty table. Reuse is the time within which a shared part of a
@@ -231,9 +234,13 @@
 
 // InFlight is a request that was sent to a server and has not ended.
 type InFlight struct {
-	table         *Table
-	key           ServerKey
-	sent          time.Time
+	table *Table
+	key   ServerKey
+	sent  time.Time
+	// dueFrom is when the request is expected to be answered.
+	dueFrom time.Time
+	// answered is set once data of the response arrived.
+	answered      bool
 	prefillTokens float64
 	// tokensAhead is the number of prompt tokens queued at the server before this request.
 	tokensAhead float64
@@ -275,6 +282,7 @@
 			})
 		}
 	}
+	r.dueFrom = dueFrom
 	if s.running == 1 {
 		s.responseDueFrom = dueFrom
 	}
@@ -287,6 +295,7 @@
 	defer r.table.mu.Unlock()
 	s := r.table.server(r.key)
 	s.lastReceived, s.downSince = r.table.now(), time.Time{}
+	r.table.heardAt, r.answered = s.lastReceived, true
 	took := r.table.now().Sub(r.sent)
 	if r.prompt != nil && r.prefilling {
 		s.cache.markPrefilled(r.prompt, r.table.now())
@@ -338,6 +347,9 @@
 		s.cache.dropUnfinished(r.prompt, r.table.now())
 	}
 	r.endPrefill(s)
+	if !r.answered {
+		r.table.noteUnanswered(r, r.table.now())
+	}
 	s.decay(r.table.now())
 	switch outcome {
 	case Succeeded:
@@ -389,6 +401,7 @@
 	defer r.table.mu.Unlock()
 	s := r.table.server(r.key)
 	s.lastReceived, s.downSince = r.table.now(), time.Time{}
+	r.table.heardAt, r.answered = s.lastReceived, true
 }
 
 // SilentFor returns how long the server has sent nothing to any request of this VM,
