--- a/internal/node/path.go
+++ b/internal/node/path.go
@@ -50,6 +50,9 @@
 	if e == nil || e.Started != target.Started {
 		return nil, errors.Errorf("no server %s has started at %d", target.ID, target.Started)
 	}
+	if !n.servers.HeardRecently() {
+		n.path.Suspect() // This VM may be cut off too.
+	}
 	return hop.Dial(ctx, e.Address)
 }
 
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -30,6 +30,13 @@
 	return now.Sub(since) >= unheardLimit
 }
 
+// HeardRecently reports whether a server has sent data within unheardLimit.
+func (t *Table) HeardRecently() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now().Sub(t.heardAt) < unheardLimit
+}
+
 // RecordHeard records that a server sent data outside of a request.
 func (t *Table) RecordHeard() {
 	t.mu.Lock()
