Heed a second report of how a version numbers events

What callers saw: where engines leave numbers out as a rule, a VM that other VMs had told so still cut their streams until it had seen some itself: 4 of 10 streams at each of two VMs.

Hypotheses: the message was lost; the VM didn't know the version yet; a later report was ignored. The engines' runs show that no other VM knew the numbering 1 s after the first VM did, in all failed runs alike, and all did after a restart, from the store. So not single messages were lost.

Cause: a VM learns where streams begin and which numbers they leave out one after the other, often within milliseconds, and announces each change once, then every 5 s. Receivers ignored a report whose response was less than 2 s younger than that of the report before, as ages can't order such reports. If the begin became known first, the rest came with the repetition, 5 s later.

Fix: of two reports of about the same time what each of them knows counts. The other direction, a numbering that turns out to be regular, waits for the repetition as before; a VM's own responses overrule reports as before.

--- a/internal/origin/numbering.go
+++ b/internal/origin/numbering.go
@@ -75,6 +75,15 @@
 	return n
 }
 
+// complete adds what another report of about the same time knows: which of them is later can't be told,
+// and what streams show becomes known one after the other.
+func (n *Numbering) complete(other Numbering) {
+	n.Irregular = n.Irregular || other.Irregular
+	if n.First == 0 {
+		n.First = other.First
+	}
+}
+
 // NumberingNotice is the numbering of an origin's streams.
 type NumberingNotice struct {
 	Origin
@@ -377,8 +386,11 @@
 		}
 		n := t.ensureNumbering(notice.Origin)
 		before, _ := n.value()
-		if n.reportedAt.IsZero() || at.Sub(n.reportedAt) > ageTolerance {
+		switch age := at.Sub(n.reportedAt); {
+		case n.reportedAt.IsZero() || age > ageTolerance:
 			n.reported, n.reportedAt = notice.known(), at
+		case age >= -ageTolerance:
+			n.reported.complete(notice.Numbering)
 		}
 		after, _ := n.value()
 		changed = changed || after.known() != before.known()
--- a/internal/origin/numbering_test.go
+++ b/internal/origin/numbering_test.go
@@ -120,6 +120,34 @@
 	}
 }
 
+// Where streams begin and which numbers they leave out may become known within a moment, in either
+// order.
+func TestSecondReportOfNumberingIsNotIgnored(t *testing.T) {
+	begins := func(table *Table) {
+		for i := range 2 * minResponses {
+			table.RecordFirst(llmV1, fmt.Sprint(i%3), 10)
+		}
+	}
+	steps := func(table *Table) {
+		for i := range 2 * minResponses {
+			table.RecordSteps(llmV1, fmt.Sprint(i%3), 9, 9)
+		}
+	}
+	for name, parts := range map[string][]func(*Table){"begins first": {begins, steps}, "steps first": {steps, begins}} {
+		from, advance := newNumberingTable()
+		to, advanceTo := newNumberingTable()
+		for _, part := range parts {
+			part(from)
+			to.Apply(from.Notices(Domain), true)
+			advance(50 * time.Millisecond)
+			advanceTo(50 * time.Millisecond)
+		}
+		if got, want := to.Numbering(llmV1), from.Numbering(llmV1); got != want || !want.Irregular || want.First != 11 {
+			t.Errorf("%s: reported as %v, known as %v", name, want, got)
+		}
+	}
+}
+
 func TestNumberingIsAnnouncedByFewVMs(t *testing.T) {
 	const vms, rounds = 80, 60
 	var tables []*Table
