Check a server at its connection limit before a response counts as whole

The response had no length and ended with its connection when the server fell over. The VM then checks whether the server still accepts a connection, but it had as many to it as it may have, four with 24 VMs, and a server at its limit counted as accepting: the first response that ended so looked whole, and one that ended 9 ms later, when connections had been given back, was found to be cut. Evidence of crashes asks the same question.

At the limit one more connection is opened now and closed at once. The one whose end is in question is gone from the server by then.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,12 +54,16 @@
 }
 
 // probe opens a connection to a server for the next request to use and reports whether
-// the server accepts connections. A server at its connection limit counts as accepting, as does one
-// that another VM may send no requests.
+// the server accepts connections. At its connection limit one more is opened for a moment: the
+// server may have fallen over while all were in use. A server that another VM may send no requests
+// counts as accepting.
 func (g *Gateway) probe(e *fleet.Entry, connectionLimit int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := g.opts.Pool.Open(ctx, string(e.ID), e.Address, connectionLimit)
+	if errors.Is(err, hop.ErrConnectionLimit) {
+		err = g.opts.Pool.Check(ctx, string(e.ID), e.Address)
+	}
 	var withheld *hop.WithheldError
-	return err == nil || errors.Is(err, hop.ErrConnectionLimit) || errors.As(err, &withheld)
+	return err == nil || errors.As(err, &withheld)
 }
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -84,6 +84,16 @@
 	return nil
 }
 
+// Check reports whether a server accepts a connection besides those that count.
+func (p *Pool) Check(ctx context.Context, owner, addr string) error {
+	conn, err := p.dial(ctx, owner, addr)
+	if err != nil {
+		return err
+	}
+	_ = conn.Close()
+	return nil
+}
+
 func (p *Pool) open(ctx context.Context, key hostKey, limit int) (*Conn, error) {
 	if !p.reserve(key, limit) {
 		return nil, errors.WithStack(ErrConnectionLimit)
