Withhold a run that ended in an earlier era after a row of the run before it

What callers saw, in the model: requests to a server run that the VM had seen end, after the store came back from an older copy.

Cause: a row is withheld for as long as it may come from the copy if its run ended in an earlier era. The era of the end was taken from the entry's revision, and a row of the run before it, which the copy still shows, raises that: a late write of the ended run was then used at once. Trace: x2 starts run 1 and run 2, and run 2 is removed (0.3), which VM 1 reads; the copy lacks the last two writes; VM 1 lists run 1 at 1.1; run 2's write is repeated at 1.2, and VM 1 uses run 2.

Change: the era of the end itself counts.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -416,3 +416,46 @@
 		}
 	}
 }
+
+// restore returns the first listing of an era, which shows some entries.
+func restore(era platform.Era, upTo platform.Version, entries ...Entry) Update {
+	for i := range entries {
+		entries[i].Revision.Era = era
+	}
+	return Update{UpTo: platform.Revision{Era: era, Version: upTo}, Whole: true, Entries: entries}
+}
+
+func TestEndedRunIsWithheldInEveryLaterEra(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, play := range map[string]func(d *Directory, now time.Time) time.Time{
+		"a copy shows the run before it": func(d *Directory, now time.Time) time.Time {
+			d.Apply(restore(1, 1, ready("x", 3, 1)), now)
+			late := ready("x", 5, 2)
+			late.Revision.Era = 1
+			apply(d, now, late)
+			return now
+		},
+		"another VM tells of a confirmed run's end": func(d *Directory, now time.Time) time.Time {
+			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
+			now = now.Add(testRowTTL)
+			d.Expire(now)
+			d.Apply(restore(2, 1, ready("x", 5, 1)), now)
+			d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5, Wait: testRowTTL, Era: 2, Ended: platform.Revision{Era: 1, Version: 2}}, now)
+			return now
+		},
+	} {
+		d := NewDirectory(testRowTTL)
+		apply(d, start, ready("x", 5, 1))
+		apply(d, start, Entry{ID: "x", Revision: at(2), Gone: true})
+		now := play(d, start)
+		for _, after := range []time.Duration{0, testRowTTL - time.Millisecond} {
+			d.Expire(now.Add(after))
+			if len(d.View().Service("s")) != 0 {
+				t.Errorf("%s: the run is used %v after the era began", name, after)
+			}
+		}
+		if d.Expire(now.Add(testRowTTL)); len(d.View().Service("s")) != 1 {
+			t.Errorf("%s: the run isn't used once its row outlived the copy", name)
+		}
+	}
+}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -60,7 +60,7 @@
 		return r.withheldUntil.Sub(now)
 	case e.Wait > 0:
 		return e.Wait
-	case r.Revision.Era < e.Revision.Era && r.Started != 0:
+	case r.endedAt.Era < e.Revision.Era && r.Started != 0:
 		return d.remainingCopyTTL(now)
 	}
 	return 0
