Let the directory's model withhold a run whose later end a VM was told of

The model says "VM 2, which knows revision 0.1, doesn't use x0 of revision 0.1", and is wrong there.

The check is replaced by one that is as strict: a VM may leave a server unused for this reason only while a doubt that it was told holds, and only if it knows no row of the run from after the end that the doubt states, neither one of the same era nor one that has outlived a later era. That a stated end is true is checked where it is told.

--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -33,10 +33,25 @@
 	knownDrained map[string]bool
 	knownEnded   map[string]platform.Era
 	usedRuns     map[backend.ID]int64
+	// doubts holds the doubts that other VMs told, and rowsSeen the newest version at which the VM
+	// knew a row of a run, by era.
+	doubts   []toldDoubt
+	rowsSeen map[seenRun]platform.Version
+}
+
+// toldDoubt is a doubt of a run that another VM told, which holds until a time.
+type toldDoubt struct {
+	UnusableRun
+	until time.Time
+}
+
+type seenRun struct {
+	run string
+	era platform.Era
 }
 
 func newModelVM() *modelVM {
-	return &modelVM{Directory: NewDirectory(testRowTTL), knownDrained: map[string]bool{}, knownEnded: map[string]platform.Era{}, usedRuns: map[backend.ID]int64{}}
+	return &modelVM{Directory: NewDirectory(testRowTTL), knownDrained: map[string]bool{}, knownEnded: map[string]platform.Era{}, usedRuns: map[backend.ID]int64{}, rowsSeen: map[seenRun]platform.Version{}}
 }
 
 // withholdsRow reports whether the VM withholds a server's row, within the time in which a
@@ -46,6 +61,21 @@
 	return r != nil && r.withheldRow != nil && now.Sub(v.eraSince) < testRowTTL
 }
 
+// toldOfEnd reports whether the VM was told of an end of a row's run, after which it knows no row of
+// that run: neither one of the same era, nor one that has outlived a later era.
+func (v *modelVM) toldOfEnd(row Entry, now time.Time) bool {
+	return slices.ContainsFunc(v.doubts, func(doubt toldDoubt) bool {
+		era := doubt.Ended.Era
+		switch {
+		case doubt.ID != row.ID || doubt.Started != row.Started || !now.Before(doubt.until):
+			return false
+		case v.rowsSeen[seenRun{runOf(row.ID, row.Started), era}] > doubt.Ended.Version:
+			return false
+		}
+		return row.Revision.Era <= era || now.Sub(v.eraSince) < testRowTTL
+	})
+}
+
 // fleetModel simulates a store, VMs that receive its rows directly or from each other, and a
 // clock.
 type fleetModel struct {
@@ -264,6 +294,7 @@
 			m.falseReport = fmt.Sprintf("a VM tells that run %d of %s had no row at %v", l.Started, l.ID, l.Ended)
 		}
 		to.ApplyUnusableRun(l, m.now)
+		to.doubts = append(to.doubts, toldDoubt{l, m.now.Add(l.Wait)})
 		if l.Wait == 0 {
 			to.knownDrained[runOf(l.ID, l.Started)] = true
 		}
@@ -297,6 +328,9 @@
 			e := v.View().Server(id)
 			used := e != nil && e.Usable()
 			run := runOf(id, row.Started)
+			if seen := (seenRun{run, row.Revision.Era}); ready {
+				v.rowsSeen[seen] = max(v.rowsSeen[seen], row.Revision.Version)
+			}
 			withinRowTTL := m.now.Sub(m.restoredAt) < testRowTTL
 			switch {
 			case used && !ready && !(present && m.ended[run] && e.Started > row.Started):
@@ -306,7 +340,7 @@
 				return fmt.Sprintf("VM %d uses %s again, which it knew to be draining", n, id)
 			case used && withinRowTTL && v.reusesEndedRun(e, known.Era):
 				return fmt.Sprintf("VM %d uses run %d of %s again, which it had seen end", n, e.Started, id)
-			case ready && !used && !m.lateWrite[run] && !m.ended[run] && !v.knownDrained[run] && !(known.Era > 0 && m.drained[run]) && !v.withholdsRow(id, m.now):
+			case ready && !used && !m.lateWrite[run] && !m.ended[run] && !v.knownDrained[run] && !(known.Era > 0 && m.drained[run]) && !v.withholdsRow(id, m.now) && !v.toldOfEnd(row, m.now):
 				return fmt.Sprintf("VM %d, which knows revision %v, doesn't use %s of revision %v", n, v.Known(), id, row.Revision)
 			}
 			m.recordObservation(v, id, known.Era, present, e)
@@ -386,6 +420,18 @@
 	}
 }
 
+// A VM that is told that a run had no row in an era later than those it knows can't tell that the
+// server still lives.
+func TestRunThatHadNoRowInLaterEraMayBeWithheld(t *testing.T) {
+	m := newFleetModel()
+	if fault := runSteps(m, []int{1149, 1272, 916, 312, 1247, 1448, 742, 913, 287}); fault != "" {
+		t.Error(fault)
+	}
+	if len(m.vms[2].View().Service("s")) != 0 {
+		t.Error("VM 2 uses a run that VM 1 has seen end later")
+	}
+}
+
 // runSteps performs steps up to the first fault and describes it; it is empty if there is
 // none.
 func runSteps(m *fleetModel, steps []int) string {
