Keep the era of a run's end when other removals follow

What callers saw, in the model: requests to a run that the VM had seen end.

Cause: an end was taken to be of the newest era in which the server had no row. After a removal of another run's row in the era that a copy began, a late write of the ended run was one of the same era, and used at once. Trace: x2 starts run 1 and run 2; run 2 is removed, which VM 1 reads; the copy lacks the last two writes; VM 1 lists run 1; run 1's row is removed (1.2); run 2's write is repeated (1.3), and VM 1 uses it.

Change: the era in which an end became known is kept apart from the newest revision without a row, which a listing without the run now raises too.

The new case of TestEndedRunIsWithheldInEveryLaterEra fails before and passes; go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -88,6 +88,8 @@
 	// endedAt is the newest revision at which the run is known to have had no row, by this VM or by
 	// the one whose doubt it took over; zero if neither knows.
 	endedAt platform.Revision
+	// endedEra is the era in which the end became known. A row of a later era may be from before it.
+	endedEra platform.Era
 	// row is the revision of the newest row of the run, and rowBefore that of its newest row in an
 	// earlier era; both are zero if there was none. The entry's revision may be that of a row of
 	// another run, or of the run's removal.
@@ -316,7 +318,7 @@
 	if !changed {
 		return nil
 	}
-	r.goneAt = now
+	r.goneAt, r.endedEra = now, next.Revision.Era
 	return &next
 }
 
@@ -328,7 +330,7 @@
 			continue
 		}
 		if r.Gone {
-			r.withheldRow = nil
+			r.withheldRow, r.endedAt = nil, platform.Later(r.endedAt, u.UpTo)
 			continue
 		}
 		ended = append(ended, d.end(r, u.UpTo, u.Hold, now))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -415,6 +415,14 @@
 			t.Errorf("era %d: tells %v, want an end at %v", era+1, runs, at(9))
 		}
 	}
+	unlisted := platform.Revision{Era: 3, Version: 4}
+	d.Apply(restore(3, 4), now)
+	late := ready("x", 5, 6)
+	late.Revision.Era = 3
+	apply(d, now, late)
+	if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Ended != unlisted {
+		t.Errorf("tells %v, want an end at %v", runs, unlisted)
+	}
 }
 
 // restore returns the first listing of an era, which shows some entries.
@@ -435,6 +443,13 @@
 			apply(d, now, late)
 			return now
 		},
+		"the row of the run before it is removed": func(d *Directory, now time.Time) time.Time {
+			d.Apply(restore(1, 1, ready("x", 3, 1)), now)
+			late := ready("x", 5, 3)
+			late.Revision.Era = 1
+			apply(d, now, Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: 2}, Gone: true}, late)
+			return now
+		},
 		"another VM tells of a confirmed run's end": func(d *Directory, now time.Time) time.Time {
 			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
 			now = now.Add(testRowTTL)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -60,7 +60,7 @@
 		return r.withheldUntil.Sub(now)
 	case e.Wait > 0:
 		return e.Wait
-	case r.endedAt.Era < e.Revision.Era && r.Started != 0:
+	case r.endedEra < e.Revision.Era && r.Started != 0:
 		return d.remainingCopyTTL(now)
 	}
 	return 0
@@ -115,7 +115,8 @@
 		if r.Started == 0 {
 			next := *r.Entry
 			next.Started = run.Started
-			r.Entry, r.endedAt, r.withheldEra, r.withheldUntil = &next, run.Ended, run.Era, now.Add(run.Wait)
+			r.Entry, r.endedAt, r.endedEra = &next, run.Ended, run.Ended.Era
+			r.withheldEra, r.withheldUntil = run.Era, now.Add(run.Wait)
 		}
 		return nil
 	}
@@ -125,7 +126,7 @@
 	row := *r.Entry
 	r.goneAt, r.holdUntil = now, time.Time{}
 	changed := r.withholdRow(&row, run.Wait, now)
-	r.endedAt, r.withheldEra = run.Ended, run.Era
+	r.endedAt, r.endedEra, r.withheldEra = run.Ended, run.Ended.Era, run.Era
 	return changed
 }
 
