Remember the ends of runs without the records of their servers

What callers saw, in the model: requests to a run that the VM had seen end, after the store came back from an older copy.

Cause: a record is forgotten a minute after its server's removal, and with it which run ended. A row of that run in a later era was then that of a server never seen, and used at once. Drained runs were remembered already, for an hour.

Change: ends are remembered as drained runs are, and hold for a row of that very run; other runs, whose start times may be earlier, are used as before.

Result: TestForgottenEndOfRunHoldsInLaterEra and the new case of TestEndedRunIsWithheldInEveryLaterEra fail without the recall and pass with it; that ends are forgotten after an hour is checked with the drained runs. go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,8 +24,8 @@
 // VMs lag by a few seconds; a VM that lags by more receives the list of all servers instead.
 const tombstoneAge = 60 * time.Second
 
-// drainedRunAge is how long a run that is known to drain is remembered after its removal: it may
-// still live, and write its row again, while it ends its work or reaches no store.
+// drainedRunAge is how long a run that is known to drain, or to have ended, is remembered after its
+// removal: it may still live, and write its row again, while it ends its work or reaches no store.
 const drainedRunAge = time.Hour
 
 // drainedRun is a run that is known to drain, and until when that is remembered.
@@ -34,6 +34,14 @@
 	until   time.Time
 }
 
+// endedRun is a run that is known to have ended, by a record that was forgotten.
+type endedRun struct {
+	started int64
+	at      platform.Revision
+	era     platform.Era
+	until   time.Time
+}
+
 // View is an immutable list of the servers.
 type View struct {
 	byService map[string][]*Entry
@@ -61,6 +69,8 @@
 	// formerDrainedRun is the one that was known when an earlier record of the server was forgotten, or
 	// noRun. Later runs may have earlier start times.
 	formerDrainedRun int64
+	// formerEndedRun is the run of that earlier record, or nil.
+	formerEndedRun *endedRun
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
 	// shows the drain.
 	drainOverwritten bool
@@ -124,13 +134,15 @@
 	rowTTL        time.Duration
 	// drainedRuns holds the drained runs of servers whose removal is forgotten.
 	drainedRuns map[backend.ID]drainedRun
-	view        atomic.Pointer[View]
+	// endedRuns holds the latest runs of these servers.
+	endedRuns map[backend.ID]endedRun
+	view      atomic.Pointer[View]
 }
 
 // NewDirectory returns an empty directory. The store deletes the row of a server within
 // rowTTL after its last announcement.
 func NewDirectory(rowTTL time.Duration) *Directory {
-	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, rowTTL: rowTTL}
+	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, endedRuns: map[backend.ID]endedRun{}, rowTTL: rowTTL}
 	d.publish()
 	return d
 }
@@ -231,6 +243,9 @@
 		if run, ok := d.drainedRuns[id]; ok {
 			r.formerDrainedRun = run.started
 		}
+		if run, ok := d.endedRuns[id]; ok {
+			r.formerEndedRun = &run
+		}
 		d.records[id] = r
 	}
 	return r
@@ -245,6 +260,7 @@
 		r.withheldRow = nil
 		return d.end(r, e.Revision, e.Hold, now)
 	}
+	r.recallEnd(e.Started)
 	if wait := d.withholdTime(r, e, now); wait > 0 {
 		r.noteRow(e.Started, e.rowRevision())
 		return r.withholdRow(e, wait, now)
@@ -434,10 +450,14 @@
 		if r.drainedRun > 0 { // Runs of servers that state no start time can't be told apart.
 			d.drainedRuns[id] = drainedRun{started: r.drainedRun, until: r.goneAt.Add(drainedRunAge)}
 		}
+		if r.Started > 0 {
+			d.endedRuns[id] = endedRun{started: r.Started, at: r.endedAt, era: r.endedEra, until: r.goneAt.Add(drainedRunAge)}
+		}
 		d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
 		delete(d.records, id)
 	}
 	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, run drainedRun) bool { return now.After(run.until) })
+	maps.DeleteFunc(d.endedRuns, func(_ backend.ID, run endedRun) bool { return now.After(run.until) })
 }
 
 func (d *Directory) publish() {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -450,6 +450,15 @@
 			apply(d, now, Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: 2}, Gone: true}, late)
 			return now
 		},
+		"its record was forgotten": func(d *Directory, now time.Time) time.Time {
+			now = now.Add(2 * tombstoneAge)
+			apply(d, now, ready("y", 5, 3))
+			if len(d.records) != 1 {
+				t.Fatal("the record isn't forgotten")
+			}
+			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
+			return now
+		},
 		"another VM tells of a confirmed run's end": func(d *Directory, now time.Time) time.Time {
 			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
 			now = now.Add(testRowTTL)
@@ -465,11 +474,12 @@
 		now := play(d, start)
 		for _, after := range []time.Duration{0, testRowTTL - time.Millisecond} {
 			d.Expire(now.Add(after))
-			if len(d.View().Service("s")) != 0 {
+			if e := d.View().Server("x"); e != nil && e.Usable() {
 				t.Errorf("%s: the run is used %v after the era began", name, after)
 			}
 		}
-		if d.Expire(now.Add(testRowTTL)); len(d.View().Service("s")) != 1 {
+		d.Expire(now.Add(testRowTTL))
+		if e := d.View().Server("x"); e == nil || !e.Usable() {
 			t.Errorf("%s: the run isn't used once its row outlived the copy", name)
 		}
 	}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -66,6 +66,15 @@
 	return 0
 }
 
+// recallEnd restores what an earlier record of the server knew of a run's end.
+func (r *record) recallEnd(started int64) {
+	if run := r.formerEndedRun; run != nil && r.Gone && r.Started == 0 && run.started == started {
+		next := *r.Entry
+		next.Started = started
+		r.Entry, r.endedAt, r.endedEra, r.formerEndedRun = &next, run.at, run.era, nil
+	}
+}
+
 // noteRow records a row of a run, which is the server's present one or becomes it.
 func (r *record) noteRow(started int64, revision platform.Revision) {
 	switch {
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -119,8 +119,8 @@
 	}
 	apply(d, now.Add(2*tombstoneAge), Entry{ID: "x", Revision: at(4), Gone: true})
 	apply(d, now.Add(2*tombstoneAge+2*drainedRunAge), ready("y", 5, 5))
-	if len(d.records) != 1 || len(d.drainedRuns) > 0 {
-		t.Errorf("%d servers and %d drained runs are remembered, want only the present server", len(d.records), len(d.drainedRuns))
+	if len(d.records) != 1 || len(d.drainedRuns) > 0 || len(d.endedRuns) > 0 {
+		t.Errorf("%d servers, %d drained and %d ended runs are remembered, want only the present server", len(d.records), len(d.drainedRuns), len(d.endedRuns))
 	}
 }
 
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -450,6 +450,13 @@
 	}
 }
 
+// A VM forgets a run that it believes to have ended, and an era begins with a write of it.
+func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
+	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // runSteps performs steps up to the first fault and describes it; it is empty if there is
 // none.
 func runSteps(m *fleetModel, steps []int) string {
