Bound a fetched row's wait by how long this VM knows the store's era

What callers saw, in the model: "VM 0, which knows revision 3.1, doesn't use x2 of revision 3.1": less capacity for up to a row's lifetime after a store that came back from an older copy.

--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -59,7 +59,7 @@
 	case r.withheldRow != nil || r.withheldUntil.After(now):
 		return r.withheldUntil.Sub(now)
 	case e.Wait > 0:
-		return e.Wait
+		return min(e.Wait, d.remainingCopyTTL(now)) // This VM may have known the era for longer.
 	case r.endedEra < e.Revision.Era && r.Started != 0:
 		return d.remainingCopyTTL(now)
 	}
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -450,6 +450,13 @@
 	}
 }
 
+// A VM that reads an era late passes a row with its wait on to one that has known the era for longer.
+func TestFetchedWaitDoesNotOutlastOwnKnowledge(t *testing.T) {
+	if fault := runSteps(newFleetModel(), []int{767, 914, 873, 1068, 1291, 1444, 109, 1354, 1465, 499, 929}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
