Confirm a run only until it ends or is doubted again

What callers saw: none measured; found by reading and shown by a test. After two returns of the store from older copies, a VM would have sent requests to a run that it had seen end.

Cause: a run whose row outlived its wait counts as confirmed, and confirmed runs aren't withheld. That held for as long as the server's record: if the run ended then, and an older copy showed its row again, it was used at once. A confirmed run that was withheld for a later end that another VM saw was used with its next row, even one from before that end.

Change: the confirmation ends with the run, and when the run is withheld again.

Result: the new cases of TestEndedRunIsWithheldInEveryLaterEra and TestTakenOverDoubtFollowsLaterKnowledge fail without the two resets (each run as a mutation) and pass with them; go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -104,7 +104,8 @@
 	// earlier era; both are zero if there was none. The entry's revision may be that of a row of
 	// another run, or of the run's removal.
 	row, rowBefore platform.Revision
-	// confirmedRun is the start time of a run whose row still existed after that time.
+	// confirmedRun is the start time of a run whose row still existed after that time, unless it was
+	// doubted or ended since.
 	confirmedRun int64
 }
 
@@ -334,7 +335,7 @@
 	if !changed {
 		return nil
 	}
-	r.goneAt, r.endedEra = now, next.Revision.Era
+	r.goneAt, r.endedEra, r.confirmedRun = now, next.Revision.Era, 0
 	return &next
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -398,6 +398,10 @@
 	if len(d.View().Service("s")) != 0 {
 		t.Error("a later end isn't waited for")
 	}
+	apply(d, now, ready("x", 5, 7))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the run is used with a row from before its later end")
+	}
 }
 
 // Another VM may have read a row between the end that a VM saw and the last revision that it read.
@@ -459,6 +463,17 @@
 			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
 			return now
 		},
+		"it ended again after it was confirmed": func(d *Directory, now time.Time) time.Time {
+			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
+			now = now.Add(testRowTTL)
+			if d.Expire(now); len(d.View().Service("s")) != 1 {
+				t.Fatal("a run whose row outlived the copy isn't used")
+			}
+			apply(d, now, Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: 2}, Gone: true})
+			now = now.Add(time.Second)
+			d.Apply(restore(2, 1, ready("x", 5, 1)), now)
+			return now
+		},
 		"another VM tells of a confirmed run's end": func(d *Directory, now time.Time) time.Time {
 			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
 			now = now.Add(testRowTTL)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -104,7 +104,7 @@
 	withheld, next := *e, *r.Entry
 	withheld.Wait = 0
 	next.Revision, next.Gone = e.Revision, true
-	r.Entry, r.withheldRow, r.withheldUntil = &next, &withheld, now.Add(wait)
+	r.Entry, r.withheldRow, r.withheldUntil, r.confirmedRun = &next, &withheld, now.Add(wait), 0
 	if !first {
 		return nil
 	}
