Count a withheld row's wait by the era that the row is of

What callers saw: none measured; found by reading and shown by tests. A run that a VM had seen end could get requests if the store came back from an older copy twice within a row's lifetime; after one return a living server could be out of use for up to that time.

Cause: a wait, once begun, ended at its time whichever era the row was of. A row of the era after may have been copied once more, and then outlives the wait that was counted from the era before: it was used after as little as 1 s of 6.

Change: a row of a later era than the wait's begins it anew. A row of an earlier one is judged as the doubt itself is.

The model's clock moves by 20 s only, so the property can't see a wait that is partly over.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -404,6 +404,36 @@
 	}
 }
 
+// The same for a VM that didn't know the run, by which rows it reads before the wait is over.
+func TestDoubtOfUnknownRunIsJudgedByItsRow(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		row   platform.Revision
+		ended platform.Revision
+		used  bool
+	}{
+		{"before the end", platform.Revision{Era: 1, Version: 4}, platform.Revision{Era: 1, Version: 9}, false},
+		{"after the end", platform.Revision{Era: 1, Version: 4}, platform.Revision{Era: 1, Version: 3}, true},
+		{"in an era after that of the end, known for longer than a row lasts", platform.Revision{Era: 1, Version: 4}, at(3), true},
+		{"the end isn't stated", platform.Revision{Era: 1, Version: 4}, platform.Revision{}, false},
+	} {
+		now := time.Unix(1000, 0)
+		d := NewDirectory(testRowTTL)
+		d.Apply(restore(1, 1), now)
+		now = now.Add(testRowTTL)
+		d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5, Wait: testRowTTL, Era: 2, Ended: c.ended}, now)
+		e := ready("x", 5, 1)
+		e.Revision = c.row
+		apply(d, now, e)
+		if used := len(d.View().Service("s")) == 1; used != c.used {
+			t.Errorf("%s: in use %v", c.name, used)
+		}
+		if runs := d.UnusableRuns(now); !c.used && (len(runs) != 1 || runs[0].Era != 2 || runs[0].Ended != c.ended) {
+			t.Errorf("%s: passes on %v", c.name, runs)
+		}
+	}
+}
+
 // Another VM may have read a row between the end that a VM saw and the last revision that it read.
 func TestDoubtNamesNewestRevisionWithoutRow(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -415,8 +445,8 @@
 		copied := ready("x", 5, 1)
 		copied.Revision.Era = era + 1
 		d.Apply(Update{UpTo: copied.Revision, Whole: true, Entries: []Entry{copied}}, now)
-		if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Ended != at(9) {
-			t.Errorf("era %d: tells %v, want an end at %v", era+1, runs, at(9))
+		if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Ended != at(9) || runs[0].Era != era+1 {
+			t.Errorf("era %d: tells %v, want an end at %v and this era", era+1, runs, at(9))
 		}
 	}
 	unlisted := platform.Revision{Era: 3, Version: 4}
@@ -474,6 +504,20 @@
 			d.Apply(restore(2, 1, ready("x", 5, 1)), now)
 			return now
 		},
+		"another era begins during the wait": func(d *Directory, now time.Time) time.Time {
+			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
+			now = now.Add(testRowTTL - time.Second)
+			d.Apply(restore(2, 1, ready("x", 5, 1)), now)
+			return now
+		},
+		"another era begins during the wait of a doubt of an earlier one": func(d *Directory, now time.Time) time.Time {
+			delete(d.records, "x") // This VM doesn't know of the end.
+			d.Apply(restore(1, 1), now)
+			d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5, Wait: time.Second, Era: 1, Ended: at(2)}, now)
+			now = now.Add(time.Second / 2)
+			d.Apply(restore(2, 1, ready("x", 5, 1)), now)
+			return now
+		},
 		"another VM tells of a confirmed run's end": func(d *Directory, now time.Time) time.Time {
 			d.Apply(restore(1, 1, ready("x", 5, 1)), now)
 			now = now.Add(testRowTTL)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -53,15 +53,23 @@
 	if !r.Gone || e.State != Ready || r.Started != e.Started || r.drains(e.Started) || r.confirmedRun == e.Started {
 		return 0
 	}
+	remaining := d.remainingCopyTTL(now)
 	switch {
-	case r.withheldRow != nil && e.Revision.Era < r.withheldEra && writtenAfter(e.Revision, r.endedAt):
-		return 0
 	case r.withheldRow != nil || r.withheldUntil.After(now):
-		return r.withheldUntil.Sub(now)
+		wait := r.withheldUntil.Sub(now)
+		switch {
+		case r.withheldEra < e.Revision.Era:
+			return max(wait, remaining) // The row may be copied once more.
+		case r.withheldEra > e.Revision.Era && writtenAfter(e.Revision, r.endedAt):
+			return 0
+		case r.withheldEra > e.Revision.Era && !r.endedAt.IsZero() && r.endedAt.Era < e.Revision.Era:
+			return min(wait, remaining) // This VM may have seen for longer that the row outlives the copy.
+		}
+		return wait
 	case e.Wait > 0:
-		return min(e.Wait, d.remainingCopyTTL(now)) // This VM may have known the era for longer.
+		return min(e.Wait, remaining) // This VM may have known the era for longer.
 	case r.endedEra < e.Revision.Era && r.Started != 0:
-		return d.remainingCopyTTL(now)
+		return remaining
 	}
 	return 0
 }
@@ -98,7 +106,7 @@
 // states the wait unless a row was withheld already.
 func (r *record) withholdRow(e *Entry, wait time.Duration, now time.Time) *Entry {
 	first := r.withheldRow == nil
-	if first {
+	if first && !r.withheldUntil.After(now) || r.withheldEra < e.Revision.Era {
 		r.withheldEra = e.Revision.Era
 	}
 	withheld, next := *e, *r.Entry
