Withhold fetched rows at VMs that don't know the run's end

What callers saw: none measured; found by reading and shown by a test. A VM that starts, or that lags, fetches its state from another VM after the store came back from an older copy, and sent requests to a run that the other VM withholds, until the other VM's next digest.

Cause: a fetched row states its wait, but only VMs that had seen the run's end heeded it. The wait also stayed with the entry in use and was passed on when it was over.

Change: a fetched row that is withheld elsewhere counts as a doubt that was told in a digest: it states the doubt's era and end, and is judged by the same rule. Rows of earlier builds state the wait only; the doubt is then one of the row's era. Earlier builds ignore the fields.

Result: TestFetchedWithheldRowIsNotUsed and TestFetchedWaitIsJudgedByRowsAfterTheEnd fail before (the first in all cases but that of a known end) and pass; conditions run as mutations. The model checks waits that are fetched as it does those that are told. go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -279,6 +279,11 @@
 	if e.Hold > 0 {
 		return d.end(r, e.Revision, e.Hold, now)
 	}
+	if e.Wait > 0 {
+		if withheld := d.withholdRun(r, d.boundDoubt(r, e.doubt(), now), now); withheld != nil {
+			return withheld
+		}
+	}
 	return &next
 }
 
@@ -309,6 +314,7 @@
 		next.State, r.undecidedRun = Draining, e.Started
 	}
 	next.Revision, next.Hold, next.DrainOverwritten = e.Revision, 0, false
+	next.Wait, next.DoubtedEra, next.Ended = 0, 0, platform.Revision{}
 	if r.Same(&next) && (laterEra || now.Sub(r.weightsSeenAt) < seenWeightsAge) {
 		next.Weights = mergeWeights(r.Weights, next.Weights)
 	}
@@ -407,7 +413,7 @@
 		}
 		if r.withheldRow != nil {
 			e = *r.withheldRow
-			e.Wait = max(1, r.withheldUntil.Sub(now))
+			e.Wait, e.DoubtedEra, e.Ended = max(1, r.withheldUntil.Sub(now)), r.withheldEra, r.endedAt
 		}
 		if u.Whole && e.Gone || !u.Whole && !r.Revision.After(after) {
 			continue
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -57,6 +57,10 @@
 	// was restored from an older copy. The run is not used for this time, within which
 	// the row expires unless the server still renews it.
 	Wait time.Duration `json:"wait,omitempty"`
+	// DoubtedEra and Ended are the era and the end of the doubt for which Wait is set, as in
+	// UnusableRun.
+	DoubtedEra platform.Era      `json:"doubted_era,omitempty"`
+	Ended      platform.Revision `json:"ended,omitzero"`
 	// DrainOverwritten is set if the run is draining although its row says Ready again.
 	DrainOverwritten bool `json:"undone,omitempty"`
 }
@@ -123,6 +127,15 @@
 	return e.Row
 }
 
+// doubt returns the doubt of a run for which Wait is set.
+func (e *Entry) doubt() UnusableRun {
+	era := e.DoubtedEra
+	if era == 0 {
+		era = e.Revision.Era // Earlier builds don't state it.
+	}
+	return UnusableRun{ID: e.ID, Started: e.Started, Wait: e.Wait, Era: era, Ended: e.Ended}
+}
+
 // Usable reports whether the server may get new requests.
 func (e *Entry) Usable() bool { return !e.Gone && e.State == Ready }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -543,3 +543,63 @@
 		}
 	}
 }
+
+// A VM may fetch its state from one that saw a run end, before it hears of any doubt.
+func TestFetchedWithheldRowIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 5, 1))
+	apply(d, now, Entry{ID: "x", Revision: at(2), Gone: true})
+	d.Apply(restore(1, 1, ready("x", 5, 1)), now)
+	now = now.Add(time.Second)
+	for name, known := range map[string][]Entry{
+		"nothing is known":                      nil,
+		"an earlier run is known":               {ready("x", 3, 1)},
+		"an earlier run is known to have ended": {ready("x", 3, 1), {ID: "x", Revision: at(2), Gone: true}},
+		"the end is known":                      {ready("x", 5, 1), {ID: "x", Revision: at(2), Gone: true}},
+	} {
+		other := NewDirectory(testRowTTL)
+		apply(other, now, known...)
+		other.Apply(d.Export(other.Known(), now), now)
+		if e := other.View().Server("x"); e != nil && e.Started == 5 && e.Usable() {
+			t.Errorf("%s: the run is used", name)
+		}
+		if runs := other.UnusableRuns(now); len(runs) != 1 || runs[0] != d.UnusableRuns(now)[0] {
+			t.Errorf("%s: tells %v, want what the other VM tells", name, runs)
+		}
+		other.Expire(now.Add(testRowTTL - time.Second))
+		if e := other.View().Server("x"); e == nil || e.Started != 5 || !e.Usable() {
+			t.Errorf("%s: the run isn't used once its row outlived the copy", name)
+		}
+		if e := other.Export(platform.Revision{}, now).Entries[0]; e.Wait != 0 || !e.Ended.IsZero() || e.DoubtedEra != 0 {
+			t.Errorf("%s: tells a wait that is over: %+v", name, e)
+		}
+	}
+}
+
+func TestFetchedWaitIsJudgedByRowsAfterTheEnd(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fetched := ready("x", 5, 1)
+	fetched.Wait, fetched.DoubtedEra, fetched.Ended = testRowTTL, 1, at(7)
+	for version, used := range map[int]bool{6: false, 8: true} {
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", 5, version))
+		d.Apply(restore(1, 9, fetched), now)
+		if (len(d.View().Service("s")) == 1) != used {
+			t.Errorf("a row of version %d before: in use %v", version, !used)
+		}
+		if e := d.Export(platform.Revision{}, now).Entries[0]; used && e.Wait != 0 {
+			t.Errorf("tells the wait of a run that is in use: %+v", e)
+		}
+	}
+	d := NewDirectory(testRowTTL)
+	d.Apply(restore(1, 9), now)
+	late := fetched
+	late.DoubtedEra, late.Ended = 0, platform.Revision{} // Earlier builds don't state them.
+	late.Revision = platform.Revision{Era: 1, Version: 10}
+	now = now.Add(testRowTTL - time.Second)
+	apply(d, now, late)
+	if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Wait != time.Second {
+		t.Errorf("an earlier build's wait: %v, want the rest of a row's lifetime in this era", runs)
+	}
+}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -110,7 +110,7 @@
 		r.withheldEra = e.Revision.Era
 	}
 	withheld, next := *e, *r.Entry
-	withheld.Wait = 0
+	withheld.Wait, withheld.DoubtedEra, withheld.Ended = 0, 0, platform.Revision{}
 	next.Revision, next.Gone = e.Revision, true
 	r.Entry, r.withheldRow, r.withheldUntil, r.confirmedRun = &next, &withheld, now.Add(wait), 0
 	if !first {
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -183,9 +183,22 @@
 			u.Entries[i].Revision.Era = 0
 		}
 	}
+	for _, e := range u.Entries {
+		if e.Wait > 0 {
+			m.tell(v, e.doubt())
+		}
+	}
 	v.Apply(u, m.now)
 }
 
+// tell records that a VM is told of a doubt, and whether the doubt is true.
+func (m *fleetModel) tell(v *modelVM, doubt UnusableRun) {
+	if !m.hadNoRow(doubt) && m.falseReport == "" {
+		m.falseReport = fmt.Sprintf("a VM tells that run %d of %s had no row at %v", doubt.Started, doubt.ID, doubt.Ended)
+	}
+	v.doubts = append(v.doubts, toldDoubt{doubt, m.now.Add(doubt.Wait)})
+}
+
 // readFeed delivers the rest of the feed to a VM, or a listing if its position is of an
 // earlier era.
 func (m *fleetModel) readFeed(v *modelVM) {
@@ -290,11 +303,10 @@
 // sendUnusableRuns sends the runs that a VM must not use to another VM.
 func (m *fleetModel) sendUnusableRuns(from, to *modelVM) {
 	for _, l := range from.UnusableRuns(m.now) {
-		if l.Wait > 0 && !m.hadNoRow(l) && m.falseReport == "" {
-			m.falseReport = fmt.Sprintf("a VM tells that run %d of %s had no row at %v", l.Started, l.ID, l.Ended)
+		if l.Wait > 0 {
+			m.tell(to, l)
 		}
 		to.ApplyUnusableRun(l, m.now)
-		to.doubts = append(to.doubts, toldDoubt{l, m.now.Add(l.Wait)})
 		if l.Wait == 0 {
 			to.knownDrained[runOf(l.ID, l.Started)] = true
 		}
