Heed drains and doubts that are fetched with rows known already

What callers saw, in the model: requests to a run that drains, though another VM had told so with its state, until that VM's next digest.

Cause: a fetched entry of no newer revision was dropped whole, and so was an update that ends before the known revision. But an entry also states what its VM knows beyond the row: that the run drains although its row says that it is ready again, or that it saw it end. These hold whatever row this VM knows.

Change: they are heeded in any update, as those in digests are; rows are ordered as before. An entry states that its drain was overwritten only if it is the drain of its own run.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -175,8 +175,8 @@
 	return d.newest
 }
 
-// Apply merges an update and returns the entries that changed the known state. An update
-// that ends before the known revision is ignored, because it may list servers that have
+// Apply merges an update and returns the entries that changed the known state. The rows of an
+// update that ends before the known revision are ignored, because it may list servers that have
 // been removed since. From an update of an earlier era only drains and removals are taken.
 func (d *Directory) Apply(u Update, now time.Time) []*Entry {
 	d.mu.Lock()
@@ -186,7 +186,8 @@
 	case u.UpTo.Era < d.known.Era:
 		changed = d.applyEarlierEra(u, now)
 	case u.UpTo.Before(d.known) || u.UpTo.Era > d.known.Era && !u.Whole:
-		return nil // Changes made after a restore don't include the restored rows.
+		// Changes made after a restore don't include the restored rows.
+		changed = d.applyReports(u, now)
 	default:
 		changed = d.applyCurrent(u, now)
 	}
@@ -255,7 +256,7 @@
 func (d *Directory) applyEntry(e *Entry, now time.Time) *Entry {
 	r := d.ensureRecord(e.ID, now)
 	if !e.Revision.After(r.Revision) {
-		return nil
+		return d.applyReport(r, e, now)
 	}
 	if e.Gone {
 		r.withheldRow = nil
@@ -279,10 +280,8 @@
 	if e.Hold > 0 {
 		return d.end(r, e.Revision, e.Hold, now)
 	}
-	if e.Wait > 0 {
-		if withheld := d.withholdRun(r, d.boundDoubt(r, e.doubt(), now), now); withheld != nil {
-			return withheld
-		}
+	if withheld := d.applyReport(r, e, now); withheld != nil {
+		return withheld
 	}
 	return &next
 }
@@ -404,7 +403,7 @@
 	u := Update{After: after, UpTo: d.known, Whole: after.Before(d.forgottenUpTo), Entries: []Entry{}}
 	for _, r := range d.records {
 		e := *r.Entry
-		e.DrainOverwritten = r.drainOverwritten
+		e.DrainOverwritten = r.drainOverwritten && r.drainedRun == r.Started
 		if e.Row = r.row; e.Row == e.Revision {
 			e.Row = platform.Revision{}
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -603,3 +603,47 @@
 		t.Errorf("an earlier build's wait: %v, want the rest of a row's lifetime in this era", runs)
 	}
 }
+
+// What another VM knows of a run beyond its row holds for a VM that knows the row already, or rows
+// from after it.
+func TestFetchedReportHoldsForKnownRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	drained := ready("x", 5, 1)
+	drained.State, drained.DrainOverwritten = Draining, true
+	doubted := ready("x", 5, 1)
+	doubted.Wait, doubted.DoubtedEra, doubted.Ended = testRowTTL, 2, at(9)
+	list := func(upTo int, e Entry) Update { return Update{UpTo: at(upTo), Whole: true, Entries: []Entry{e}} }
+	for _, c := range []struct {
+		name    string
+		known   []Update
+		fetched Update
+	}{
+		{"a drain, of the same revision", []Update{list(1, ready("x", 5, 1))}, list(1, drained)},
+		{"a drain, before the known revision", []Update{list(4, ready("x", 5, 3))}, list(1, drained)},
+		{"a drain, before the last revision known of the era before", []Update{list(4, ready("x", 5, 3)), restore(2, 1, ready("x", 5, 1))}, list(1, drained)},
+		{"a drain, after the last revision known of the era before", []Update{list(4, ready("x", 5, 3)), restore(2, 1, ready("x", 5, 1))}, list(6, drained)},
+		{"a doubt, of the same revision", []Update{list(1, ready("x", 5, 1))}, list(1, doubted)},
+		{"a doubt, before the known revision", []Update{list(4, ready("x", 5, 3))}, list(1, doubted)},
+	} {
+		d := NewDirectory(testRowTTL)
+		for _, u := range c.known {
+			d.Apply(u, now)
+		}
+		known := d.Known()
+		changed := d.Apply(c.fetched, now)
+		if len(changed) != 1 || changed[0].Usable() || len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: changes %v, and %d servers are used", c.name, changed, len(d.View().Service("s")))
+		}
+		if d.Known() != known {
+			t.Errorf("%s: the known revision changed to %v", c.name, d.Known())
+		}
+		if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Started != 5 {
+			t.Errorf("%s: tells %v", c.name, runs)
+		}
+	}
+	d := NewDirectory(testRowTTL)
+	d.Apply(list(4, ready("x", 9, 3)), now)
+	if d.Apply(list(1, drained), now); len(d.View().Service("s")) != 1 {
+		t.Error("a later run isn't used")
+	}
+}
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -11,13 +11,19 @@
 // known when the present era began.
 func (d *Directory) applyEarlierEra(u Update, now time.Time) []*Entry {
 	if !u.UpTo.After(d.knownBefore) {
-		return nil
+		return d.applyReports(u, now)
 	}
 	var changed []*Entry
 	for i := range u.Entries {
 		e := &u.Entries[i]
 		r := d.records[e.ID]
-		if r == nil || !e.Revision.After(d.knownBefore) {
+		if r == nil {
+			continue
+		}
+		if changedEntry := d.applyReport(r, e, now); changedEntry != nil {
+			changed = append(changed, changedEntry)
+		}
+		if !e.Revision.After(d.knownBefore) {
 			continue
 		}
 		run := e.Started
@@ -41,6 +47,34 @@
 	return changed
 }
 
+// applyReports applies what an update whose rows aren't used says of runs beyond their rows.
+func (d *Directory) applyReports(u Update, now time.Time) []*Entry {
+	var changed []*Entry
+	for i := range u.Entries {
+		e := &u.Entries[i]
+		if r := d.records[e.ID]; r != nil {
+			if changedEntry := d.applyReport(r, e, now); changedEntry != nil {
+				changed = append(changed, changedEntry)
+			}
+		}
+	}
+	return changed
+}
+
+// applyReport applies what another VM's entry says of its run beyond the row, which may be known
+// here, and returns the entry if that changes the known state.
+func (d *Directory) applyReport(r *record, e *Entry, now time.Time) *Entry {
+	switch {
+	case e.Gone:
+		return nil
+	case e.DrainOverwritten && e.State == Draining:
+		return d.markDrained(r, e.Started)
+	case e.Wait > 0:
+		return d.withholdRun(r, d.boundDoubt(r, e.doubt(), now), now)
+	}
+	return nil
+}
+
 // remainingCopyTTL returns for how long a row may still come from the copy with which the
 // present era began, without announcements of its server since.
 func (d *Directory) remainingCopyTTL(now time.Time) time.Duration {
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -96,7 +96,7 @@
 	// minCopyRows is the number of rows that every copy contains: a copy is only some
 	// seconds old.
 	minCopyRows int
-	// falseReport describes the first report of an unusable run that wasn't true.
+	// falseReport describes a report of an unusable run that wasn't true.
 	falseReport string
 	// noEras makes VMs order rows by version alone.
 	noEras bool
@@ -184,19 +184,30 @@
 		}
 	}
 	for _, e := range u.Entries {
-		if e.Wait > 0 {
+		switch {
+		case e.Wait > 0:
 			m.tell(v, e.doubt())
+		case e.DrainOverwritten && !e.Gone && e.State == Draining:
+			m.tell(v, UnusableRun{ID: e.ID, Started: e.Started})
 		}
 	}
 	v.Apply(u, m.now)
 }
 
-// tell records that a VM is told of a doubt, and whether the doubt is true.
-func (m *fleetModel) tell(v *modelVM, doubt UnusableRun) {
-	if !m.hadNoRow(doubt) && m.falseReport == "" {
-		m.falseReport = fmt.Sprintf("a VM tells that run %d of %s had no row at %v", doubt.Started, doubt.ID, doubt.Ended)
+// tell records that another VM tells a VM of an unusable run, and whether that is true.
+func (m *fleetModel) tell(v *modelVM, told UnusableRun) {
+	run := runOf(told.ID, told.Started)
+	switch {
+	case told.Wait == 0:
+		v.knownDrained[run] = true
+		if !m.drained[run] && !m.noEras {
+			m.falseReport = fmt.Sprintf("a VM tells that run %d of %s drains", told.Started, told.ID)
+		}
+		return
+	case !m.hadNoRow(told):
+		m.falseReport = fmt.Sprintf("a VM tells that run %d of %s had no row at %v", told.Started, told.ID, told.Ended)
 	}
-	v.doubts = append(v.doubts, toldDoubt{doubt, m.now.Add(doubt.Wait)})
+	v.doubts = append(v.doubts, toldDoubt{told, m.now.Add(told.Wait)})
 }
 
 // readFeed delivers the rest of the feed to a VM, or a listing if its position is of an
@@ -303,13 +314,8 @@
 // sendUnusableRuns sends the runs that a VM must not use to another VM.
 func (m *fleetModel) sendUnusableRuns(from, to *modelVM) {
 	for _, l := range from.UnusableRuns(m.now) {
-		if l.Wait > 0 {
-			m.tell(to, l)
-		}
 		to.ApplyUnusableRun(l, m.now)
-		if l.Wait == 0 {
-			to.knownDrained[runOf(l.ID, l.Started)] = true
-		}
+		m.tell(to, l)
 	}
 }
 
@@ -469,6 +475,24 @@
 	}
 }
 
+// A VM that was told of a drain passes it on with its state, of an earlier revision than the drain.
+func TestDrainIsKnownByFetchBeforeItsRow(t *testing.T) {
+	m := newFleetModel()
+	if fault := runSteps(m, []int{23, 1285, 382, 425, 524, 1072, 1278, 278, 941}); fault != "" {
+		t.Error(fault)
+	}
+	if len(m.vms[1].View().Service("s")) != 0 {
+		t.Error("VM 1 uses a run that drains, as VM 2 tells")
+	}
+}
+
+// A run is confirmed by a VM that misses its end, and an era begins with a write of it.
+func TestRunThatEndedAfterItWasConfirmedIsWithheld(t *testing.T) {
+	if fault := runSteps(newFleetModel(), []int{12, 136, 813, 925, 899, 1072, 376, 517, 692, 1313, 595, 161, 330, 1133, 1452, 115}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
