--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -647,3 +647,24 @@
 		t.Error("a later run isn't used")
 	}
 }
+
+// A late drain of an earlier run stops the use of a later one until its next row.
+func TestOverwrittenDrainIsThatOfItsOwnRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	late := ready("x", 3, 3)
+	late.State = Draining
+	d, lagging := NewDirectory(testRowTTL), NewDirectory(testRowTTL)
+	for _, d := range []*Directory{d, lagging} {
+		apply(d, now, ready("x", 5, 1))
+		d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5}, now)
+		apply(d, now, ready("x", 9, 2), late)
+	}
+	apply(d, now, ready("x", 9, 4))
+	if len(d.View().Service("s")) != 1 {
+		t.Fatal("the later run isn't used with its next row")
+	}
+	d.Apply(lagging.Export(platform.Revision{}, now), now)
+	if len(d.View().Service("s")) != 1 {
+		t.Error("the drain of another run is taken for that of the later one")
+	}
+}
