Let the directory's model replace an end by a later one, and check what VMs are told

Trace: VM 2 uses run 1; it reads era 1 up to 1.0, without the run, and then its row of 1.1, from after that end, and uses it. 20 s later it reads era 2 up to 2.0, again without it, and its row of 2.1. A server whose row two copies lacked writes it again in the same way, and in each era the row is from after the end that the VM saw. The model judged the row of era 2 by the end in era 1, which the use in between had disproved.

A use that the checks allow now ends the model's memory of the end before; the next end that the VM sees counts. As a check in its place, stricter than all before: a run whose end a VM was just told, by a digest or a fetch, isn't used unless the VM knows better: by a row from after that end, by an era after it that the row outlived, or because it has waited for that end.

--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -37,6 +37,9 @@
 	// knew a row of a run, by era.
 	doubts   []toldDoubt
 	rowsSeen map[seenRun]platform.Version
+	// outlived holds the last era in which the VM used a run when the era was known there for longer
+	// than a row lasts.
+	outlived map[string]platform.Era
 }
 
 // toldDoubt is a doubt of a run that another VM told, which holds until a time.
@@ -51,7 +54,7 @@
 }
 
 func newModelVM() *modelVM {
-	return &modelVM{Directory: NewDirectory(testRowTTL), knownDrained: map[string]bool{}, knownEnded: map[string]platform.Era{}, usedRuns: map[backend.ID]int64{}, rowsSeen: map[seenRun]platform.Version{}}
+	return &modelVM{Directory: NewDirectory(testRowTTL), knownDrained: map[string]bool{}, knownEnded: map[string]platform.Era{}, usedRuns: map[backend.ID]int64{}, rowsSeen: map[seenRun]platform.Version{}, outlived: map[string]platform.Era{}}
 }
 
 // withholdsRow reports whether the VM withholds a server's row, within the time in which a
@@ -64,18 +67,33 @@
 // toldOfEnd reports whether the VM was told of an end of a row's run, after which it knows no row of
 // that run: neither one of the same era, nor one that has outlived a later era.
 func (v *modelVM) toldOfEnd(row Entry, now time.Time) bool {
+	run := runOf(row.ID, row.Started)
 	return slices.ContainsFunc(v.doubts, func(doubt toldDoubt) bool {
 		era := doubt.Ended.Era
 		switch {
 		case doubt.ID != row.ID || doubt.Started != row.Started || !now.Before(doubt.until):
 			return false
-		case v.rowsSeen[seenRun{runOf(row.ID, row.Started), era}] > doubt.Ended.Version:
+		case v.rowsSeen[seenRun{run, era}] > doubt.Ended.Version || v.outlived[run] > era:
 			return false
 		}
 		return row.Revision.Era <= era || now.Sub(v.eraSince) < testRowTTL
 	})
 }
 
+// waitedForEnd reports whether the VM has waited for the last end of a row's run that it was told.
+func (v *modelVM) waitedForEnd(row Entry, now time.Time) bool {
+	var told, waited platform.Revision
+	for _, doubt := range v.doubts {
+		if doubt.ID != row.ID || doubt.Started != row.Started {
+			continue
+		}
+		if told = platform.Later(told, doubt.Ended); !now.Before(doubt.until) {
+			waited = platform.Later(waited, doubt.Ended)
+		}
+	}
+	return waited == told
+}
+
 // fleetModel simulates a store, VMs that receive its rows directly or from each other, and a
 // clock.
 type fleetModel struct {
@@ -386,6 +404,8 @@
 				return fmt.Sprintf("VM %d uses %s, which was not ready at revision %v (VM knows revision %v)", n, id, row.Revision, v.Known())
 			case used && v.knownDrained[runOf(id, e.Started)]:
 				return fmt.Sprintf("VM %d uses %s again, which it knew to be draining", n, id)
+			case used && !m.shortPauses && e.Started == row.Started && v.toldOfEnd(row, m.now) && !v.waitedForEnd(row, m.now):
+				return fmt.Sprintf("VM %d uses run %d of %s, of whose end it was just told", n, e.Started, id)
 			case used && withinRowTTL && v.reusesEndedRun(e, known.Era):
 				return fmt.Sprintf("VM %d uses run %d of %s again, which it had seen end", n, e.Started, id)
 			case ready && !used && !m.lateWrite[run] && !m.ended[run] && !v.knownDrained[run] && !(known.Era > 0 && m.drained[run]) && !v.withholdsRow(id, m.now) && !v.toldOfEnd(row, m.now):
@@ -402,7 +422,12 @@
 	v.usedRuns[id] = 0
 	switch {
 	case e != nil && e.Usable():
+		// Its next end counts, not the one before.
 		v.usedRuns[id] = e.Started
+		delete(v.knownEnded, runOf(id, e.Started))
+		if m.now.Sub(v.eraSince) >= testRowTTL {
+			v.outlived[runOf(id, e.Started)] = era
+		}
 	case e != nil:
 		v.knownDrained[runOf(id, e.Started)] = true
 	case !present:
@@ -532,6 +557,13 @@
 	}
 }
 
+// A VM may use a run with rows from after its end in each of two eras.
+func TestEndSeenAfterUseReplacesTheOneBefore(t *testing.T) {
+	if fault := runSteps(newFleetModel(), []int{1158, 917, 1209, 700, 879, 1470, 1255, 1307, 316, 951, 231, 115, 340, 1284}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
