Keep a doubt of a run until its row arrives

What callers saw, in the model: requests to a run that another VM had just told to have ended, until that VM's next digest.

Cause: a VM dropped a doubt of a run whose row it didn't know, if it knew an earlier run of the server, in use or ended, or had itself seen that run end; it kept one only for servers that it didn't know at all. When the row arrived, the run was used.

Change: the doubt is kept with the server's record, and judged when the run's row arrives, by what the VM knows then.

Result: TestDoubtIsKeptUntilRowOfRun fails without each of the conditions (run as mutations) and passes with them; go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -104,6 +104,9 @@
 	// earlier era; both are zero if there was none. The entry's revision may be that of a row of
 	// another run, or of the run's removal.
 	row, rowBefore platform.Revision
+	// toldDoubt is a doubt that another VM told of a run that has no row here yet, or nil.
+	toldDoubt *UnusableRun
+	toldUntil time.Time
 	// confirmedRun is the start time of a run whose row still existed after that time, unless it was
 	// doubted or ended since.
 	confirmedRun int64
@@ -283,6 +286,9 @@
 	if withheld := d.applyReport(r, e, now); withheld != nil {
 		return withheld
 	}
+	if withheld := d.recallDoubt(r, now); withheld != nil {
+		return withheld
+	}
 	return &next
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -434,6 +434,50 @@
 	}
 }
 
+// A VM may hear of a doubt before it knows the run's row.
+func TestDoubtIsKeptUntilRowOfRun(t *testing.T) {
+	row := func(started int64, version platform.Version) Entry {
+		e := ready("x", started, 1)
+		e.Revision = platform.Revision{Era: 1, Version: version}
+		return e
+	}
+	removed := Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: 4}, Gone: true}
+	for name, known := range map[string][]Entry{
+		"an earlier run is in use": {row(3, 3)},
+		"an earlier run has ended": {row(3, 3), removed},
+		"the run itself has ended": {row(5, 3), removed},
+		"the run was never known":  {},
+	} {
+		now := time.Unix(1000, 0)
+		d := NewDirectory(testRowTTL)
+		d.Apply(restore(1, 2), now)
+		apply(d, now, known...)
+		for _, wait := range []time.Duration{testRowTTL, testRowTTL - time.Second} {
+			d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5, Wait: wait, Era: 1, Ended: at(9)}, now)
+		}
+		now = now.Add(time.Second)
+		apply(d, now, row(5, 6))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the doubted run is used", name)
+		}
+		if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0].Wait != testRowTTL-time.Second || runs[0].Ended != at(9) {
+			t.Errorf("%s: passes on %v", name, runs)
+		}
+		apply(d, now, row(7, 7))
+		if len(d.View().Service("s")) != 1 {
+			t.Errorf("%s: the run after it isn't used", name)
+		}
+	}
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 3, 3))
+	d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 5, Wait: testRowTTL, Era: 1, Ended: at(5)}, now)
+	apply(d, now, ready("x", 5, 6))
+	if len(d.View().Service("s")) != 1 {
+		t.Error("the run isn't used with a row from after its end")
+	}
+}
+
 // Another VM may have read a row between the end that a VM saw and the last revision that it read.
 func TestDoubtNamesNewestRevisionWithoutRow(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -220,6 +220,7 @@
 	r := d.ensureRecord(run.ID, now)
 	var changed *Entry
 	if run.Wait > 0 {
+		r.keepDoubt(run, now)
 		changed = d.withholdRun(r, d.boundDoubt(r, run, now), now)
 	} else {
 		changed = d.markDrained(r, run.Started)
@@ -230,6 +231,26 @@
 	return changed
 }
 
+// keepDoubt keeps another VM's doubt of a run that has no row here until its row arrives.
+func (r *record) keepDoubt(run UnusableRun, now time.Time) {
+	if until := now.Add(run.Wait); r.Started > 0 && (r.Started < run.Started || r.Started == run.Started && r.Gone) {
+		if r.toldDoubt == nil || r.toldDoubt.Started < run.Started || r.toldUntil.Before(until) {
+			r.toldDoubt, r.toldUntil = &run, until
+		}
+	}
+}
+
+// recallDoubt applies the doubt that was kept of a run whose row has arrived, and returns the entry
+// if that changes the known state.
+func (d *Directory) recallDoubt(r *record, now time.Time) *Entry {
+	if r.toldDoubt == nil || r.toldDoubt.Started != r.Started {
+		return nil
+	}
+	run := *r.toldDoubt
+	run.Wait, r.toldDoubt = r.toldUntil.Sub(now), nil
+	return d.withholdRun(r, d.boundDoubt(r, run, now), now)
+}
+
 // boundDoubt shortens another VM's doubt of a run by what this VM knows of the run.
 func (d *Directory) boundDoubt(r *record, run UnusableRun, now time.Time) UnusableRun {
 	hasRow := !r.Gone && r.Started == run.Started && r.holdUntil.IsZero() && !run.Ended.IsZero()
