Remember every run that drains, not only the latest

What callers saw, in the model: requests to a run that the VM had been told drains.

Cause: only the latest drained run of a server was known. A drain of a later run replaced one of an earlier run, and drains of earlier runs than the latest were dropped, told or read. A late row of the earlier run, from a VM that lags, was then used.

Change: the drained runs before the latest are remembered too, up to 8 for each server, and with the latest one when the server's record is forgotten. The present run, if it drains, counts as the latest, so that other VMs are told of it as before.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -28,9 +28,12 @@
 // removal: it may still live, and write its row again, while it ends its work or reaches no store.
 const drainedRunAge = time.Hour
 
-// drainedRun is a run that is known to drain, and until when that is remembered.
-type drainedRun struct {
-	started int64
+// maxFormerDrainedRuns bounds the drained runs of a server that are remembered besides the latest.
+const maxFormerDrainedRuns = 8
+
+// drainedRuns are runs of a server that are known to drain, and until when that is remembered.
+type drainedRuns struct {
+	started []int64
 	until   time.Time
 }
 
@@ -66,9 +69,9 @@
 	// draining run never becomes ready again, but an earlier write of its own may reach
 	// the store late.
 	drainedRun int64
-	// formerDrainedRun is the one that was known when an earlier record of the server was forgotten, or
-	// noRun. Later runs may have earlier start times.
-	formerDrainedRun int64
+	// formerDrainedRuns holds the ones before, and the one that was known when an earlier record of the
+	// server was forgotten. Later runs may have earlier start times.
+	formerDrainedRuns []int64
 	// formerEndedRun is the run of that earlier record, or nil.
 	formerEndedRun *endedRun
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
@@ -137,7 +140,7 @@
 	forgottenUpTo platform.Revision
 	rowTTL        time.Duration
 	// drainedRuns holds the drained runs of servers whose removal is forgotten.
-	drainedRuns map[backend.ID]drainedRun
+	drainedRuns map[backend.ID]drainedRuns
 	// endedRuns holds the latest runs of these servers.
 	endedRuns map[backend.ID]endedRun
 	view      atomic.Pointer[View]
@@ -146,7 +149,7 @@
 // NewDirectory returns an empty directory. The store deletes the row of a server within
 // rowTTL after its last announcement.
 func NewDirectory(rowTTL time.Duration) *Directory {
-	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, endedRuns: map[backend.ID]endedRun{}, rowTTL: rowTTL}
+	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRuns{}, endedRuns: map[backend.ID]endedRun{}, rowTTL: rowTTL}
 	d.publish()
 	return d
 }
@@ -244,10 +247,8 @@
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, formerDrainedRun: noRun, undecidedRun: noRun}
-		if run, ok := d.drainedRuns[id]; ok {
-			r.formerDrainedRun = run.started
-		}
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, undecidedRun: noRun}
+		r.formerDrainedRuns = d.drainedRuns[id].started
 		if run, ok := d.endedRuns[id]; ok {
 			r.formerEndedRun = &run
 		}
@@ -304,9 +305,7 @@
 	case older && laterEra:
 		next = *r.Entry
 	case e.State == Draining:
-		if e.Started >= r.drainedRun {
-			r.drainedRun, r.drainOverwritten = e.Started, e.DrainOverwritten
-		}
+		r.setDrainedRun(e.Started, e.DrainOverwritten, false)
 		if older && !r.Gone {
 			next = *r.Entry
 			next.State = Draining
@@ -314,7 +313,8 @@
 	case older:
 		next = *r.Entry
 	case r.drains(e.Started):
-		next.State, r.drainedRun, r.drainOverwritten = Draining, e.Started, true
+		next.State = Draining
+		r.setDrainedRun(e.Started, true, true)
 	case r.mayHaveSaidLeaving(e.Started):
 		next.State, r.undecidedRun = Draining, e.Started
 	}
@@ -460,7 +460,7 @@
 			continue
 		}
 		if r.drainedRun > 0 { // Runs of servers that state no start time can't be told apart.
-			d.drainedRuns[id] = drainedRun{started: r.drainedRun, until: r.goneAt.Add(drainedRunAge)}
+			d.drainedRuns[id] = drainedRuns{started: append(r.formerDrainedRuns, r.drainedRun), until: r.goneAt.Add(drainedRunAge)}
 		}
 		if r.Started > 0 {
 			d.endedRuns[id] = endedRun{started: r.Started, at: r.endedAt, era: r.endedEra, until: r.goneAt.Add(drainedRunAge)}
@@ -468,7 +468,7 @@
 		d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
 		delete(d.records, id)
 	}
-	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, run drainedRun) bool { return now.After(run.until) })
+	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, runs drainedRuns) bool { return now.After(runs.until) })
 	maps.DeleteFunc(d.endedRuns, func(_ backend.ID, run endedRun) bool { return now.After(run.until) })
 }
 
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -288,7 +289,21 @@
 
 // drains reports whether a run is known to drain.
 func (r *record) drains(started int64) bool {
-	return started != noRun && (started == r.drainedRun || started == r.formerDrainedRun)
+	return started != noRun && (started == r.drainedRun || slices.Contains(r.formerDrainedRuns, started))
+}
+
+// setDrainedRun records a run that is known to drain. It counts as the latest one if it is the
+// server's present run.
+func (r *record) setDrainedRun(started int64, overwritten, present bool) {
+	former := started
+	if present || started >= r.drainedRun {
+		former, r.drainedRun, r.drainOverwritten = r.drainedRun, started, overwritten
+	}
+	if former == noRun || r.drains(former) {
+		return
+	}
+	first := max(0, len(r.formerDrainedRuns)-maxFormerDrainedRuns+1)
+	r.formerDrainedRuns = append(r.formerDrainedRuns[first:], former)
 }
 
 // mayHaveSaidLeaving reports whether a response that stated that the server leaves may be of a run.
@@ -334,7 +349,7 @@
 	}
 	r.undecidedRun = noRun
 	if leaves {
-		r.drainedRun, r.drainOverwritten = r.Started, true
+		r.setDrainedRun(r.Started, true, true)
 		return nil
 	}
 	r.saidLeaving = false
@@ -348,10 +363,10 @@
 // markDrained records that a run is draining although its row may say that it is ready, and
 // returns the entry if that changes the known state.
 func (d *Directory) markDrained(r *record, started int64) *Entry {
-	if r.Started > started || r.drainedRun >= started {
+	if r.Started > started || r.drains(started) {
 		return nil
 	}
-	r.drainedRun, r.drainOverwritten = started, true
+	r.setDrainedRun(started, true, !r.Gone && r.Started == started)
 	if r.Gone || r.Started != started || r.State == Draining {
 		return nil
 	}
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -184,3 +184,61 @@
 		t.Error("a server whose row wasn't known is used")
 	}
 }
+
+// A VM may hear of the drains of two runs in any order, and before their rows.
+func TestEarlierRunThatDrainsIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	draining := ready("x", 5, 2)
+	draining.State = Draining
+	tell := func(started int64) func(*Directory) {
+		return func(d *Directory) { d.ApplyUnusableRun(UnusableRun{ID: "x", Started: started}, now) }
+	}
+	for name, steps := range map[string][]func(*Directory){
+		"told before the later run's":       {tell(5), tell(9)},
+		"told after the later run's":        {tell(9), tell(5)},
+		"told while the run is in use":      {tell(9), func(d *Directory) { apply(d, now, ready("x", 5, 1)) }, tell(5)},
+		"read after the later run's":        {tell(9), func(d *Directory) { apply(d, now, draining) }},
+		"told before many of later runs":    {tell(5), tell(7), tell(8), tell(9), tell(10), tell(11)},
+		"told twice before the later one's": {tell(5), tell(5), tell(9), tell(9)},
+	} {
+		d := NewDirectory(testRowTTL)
+		for _, step := range steps {
+			step(d)
+		}
+		apply(d, now, ready("x", 5, 3))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the run is used", name)
+		}
+		if runs := d.UnusableRuns(now); len(runs) != 1 || runs[0] != (UnusableRun{ID: "x", Started: 5}) {
+			t.Errorf("%s: tells %v", name, runs)
+		}
+		if r := d.records["x"]; len(r.formerDrainedRuns) > maxFormerDrainedRuns {
+			t.Errorf("%s: %d drained runs are remembered", name, len(r.formerDrainedRuns))
+		}
+	}
+	inUse := NewDirectory(testRowTTL)
+	tell(9)(inUse)
+	apply(inUse, now, ready("x", 5, 1))
+	tell(5)(inUse)
+	if runs := inUse.UnusableRuns(now); len(runs) != 1 || runs[0].Started != 5 {
+		t.Errorf("tells %v of a run that was in use", runs)
+	}
+	for _, started := range []int64{5, 9} {
+		d := NewDirectory(testRowTTL)
+		tell(9)(d)
+		tell(5)(d)
+		apply(d, now, ready("x", 3, 1), Entry{ID: "x", Revision: at(2), Gone: true})
+		later := now.Add(2 * tombstoneAge)
+		apply(d, later, ready("y", 5, 3))
+		if apply(d, later, ready("x", started, 4)); len(d.View().Service("s")) != 1 {
+			t.Errorf("run %d is used after its record was forgotten", started)
+		}
+	}
+	d := NewDirectory(testRowTTL)
+	for run := range int64(100) {
+		tell(run + 1)(d)
+	}
+	if n := len(d.records["x"].formerDrainedRuns); n != maxFormerDrainedRuns {
+		t.Errorf("%d drained runs are remembered, want %d", n, maxFormerDrainedRuns)
+	}
+}
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -564,6 +564,13 @@
 	}
 }
 
+// A VM is told of two runs that drain before it reads a row of either.
+func TestEarlierDrainedRunIsRememberedToo(t *testing.T) {
+	if fault := runSteps(newShortPauseModel(), []int{776, 1181, 95, 1259, 137, 671, 779, 425, 908, 83, 160, 293, 1328, 230}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
