Judge a fetched row's wait by the run's own row

What callers would see: requests to a run that had left, until its earlier run's row goes too.

Cause: withholdTime compared the entry's revision with the end that another VM told. The revision may be that of a row of another run, and the run's own row may be from before that end. A VM that was told that run 2 had no row at 38, and fetched run 2 with the row 30 and the revision 46 of a late write of run 1, used it at once. Likewise a row of an earlier era than its entry's revision doesn't show that the run outlived the present copy.

Fix: the comparisons with the told end take the revision of the run's own row. Where a later era renews the wait or follows an end that this VM saw, the entry's revision still counts: that can only withhold for longer.

Evidence: TestFetchedRowFromBeforeToldEndIsNotUsed and TestFetchedRowOfEarlierEraThanItsRevisionIsNotUsed fail before and pass now; go test -race ./internal/fleet passes.

--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -88,16 +88,16 @@
 	if !r.Gone || e.State != Ready || r.Started != e.Started || r.drains(e.Started) || r.confirmedRun == e.Started {
 		return 0
 	}
-	remaining := d.remainingCopyTTL(now)
+	remaining, row := d.remainingCopyTTL(now), e.rowRevision()
 	switch {
 	case r.withheldRow != nil || r.withheldUntil.After(now):
 		wait := r.withheldUntil.Sub(now)
 		switch {
 		case r.withheldEra < e.Revision.Era:
 			return max(wait, remaining) // The row may be copied once more.
-		case r.withheldEra > e.Revision.Era && writtenAfter(e.Revision, r.endedAt):
+		case r.withheldEra > row.Era && writtenAfter(row, r.endedAt):
 			return 0
-		case r.withheldEra > e.Revision.Era && !r.endedAt.IsZero() && r.endedAt.Era < e.Revision.Era:
+		case r.withheldEra > row.Era && !r.endedAt.IsZero() && r.endedAt.Era < row.Era && row.Era == e.Revision.Era:
 			return min(wait, remaining) // This VM may have seen for longer that the row outlives the copy.
 		}
 		return wait
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"papayaspan.dev/papayaspan/internal/platform"
 )
 
 func TestRunThatSaidThatItLeavesIsUsedOnceItsRowIsKnown(t *testing.T) {
@@ -242,3 +244,47 @@
 		t.Errorf("%d drained runs are remembered, want %d", n, maxFormerDrainedRuns)
 	}
 }
+
+// An entry's revision may be that of a row of an earlier run. The row of its own run may be from
+// before the end that another VM told of.
+func TestFetchedRowFromBeforeToldEndIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	// This VM missed the removal of run 2 at 38, and lists a late write of run 1.
+	lagging := NewDirectory(testRowTTL)
+	apply(lagging, now, ready("x", 2, 30))
+	lagging.Apply(Update{UpTo: at(46), Whole: true, Entries: []Entry{ready("x", 1, 46)}}, now)
+	for _, withOwnRow := range []bool{false, true} {
+		d := NewDirectory(testRowTTL)
+		d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 2, Wait: testRowTTL, Era: 2, Ended: at(38)}, now)
+		u := lagging.Export(d.Known(), now)
+		if len(u.Entries) != 1 || u.Entries[0].Revision != at(46) || u.Entries[0].Row != at(30) {
+			t.Fatalf("exported %+v", u.Entries)
+		}
+		if withOwnRow {
+			u.Entries[0].Row, u.Entries[0].Revision = platform.Revision{}, u.Entries[0].Row
+		}
+		d.Apply(u, now)
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("own row stated as revision: %v: the run is used, whose only row (30) is from before its end (38)", withOwnRow)
+		}
+	}
+}
+
+// The era of an entry's revision may be later than that of its own run's row.
+func TestFetchedRowOfEarlierEraThanItsRevisionIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, row := range map[string]platform.Revision{
+		"before the end":             at(30),
+		"copied from before the end": {Era: 1, Version: 30},
+	} {
+		d := NewDirectory(testRowTTL)
+		d.Apply(restore(2, 39), now.Add(-2*testRowTTL))
+		d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 2, Wait: testRowTTL, Era: 3, Ended: at(38)}, now)
+		e := ready("x", 2, 46)
+		e.Revision.Era, e.Row = 2, row
+		apply(d, now, e)
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the run is used at once", name)
+		}
+	}
+}
