Wait for the later end of a run whose row is withheld

What callers would see: requests to a run that had left, until the next digest says so again.

Cause: a doubt that came while a row was withheld was dropped, told, fetched or kept from before the row. A VM that waited 1 s for an end of 0.38, and was told to wait 6 s for one of 1.40, used the run after 1 s. Only a run whose wait was over was doubted anew.

Fix: a doubt of a later end than the one waited for is kept: the longer of the two waits counts, and the later end is told to others. It is bounded by the rows of the withheld run as that of a run in use. A row that is withheld on arrival is judged by the fetched and the kept doubt as well.

Evidence: TestDoubtOfLaterEndDuringWaitProlongsIt fails before in the cases told, fetched and kept, and in what it tells; it passes now, and go test -race ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -269,7 +269,10 @@
 	r.recallEnd(e.Started)
 	if wait := d.withholdTime(r, e, now); wait > 0 {
 		r.noteRow(e.Started, e.rowRevision())
-		return r.withholdRow(e, wait, now)
+		changed := r.withholdRow(e, wait, now)
+		d.applyReport(r, e, now)
+		d.recallDoubt(r, now)
+		return changed
 	}
 	r.withheldRow = nil
 	next := r.merge(e, now)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -160,7 +160,11 @@
 // server still renews it. It returns the entry if that changes the known state.
 func (d *Directory) withholdRun(r *record, run UnusableRun, now time.Time) *Entry {
 	confirmed := r.confirmedRun == run.Started && !run.Ended.After(r.endedAt)
-	if run.Wait <= 0 || confirmed || r.drains(run.Started) || r.withheldRow != nil {
+	if run.Wait <= 0 || confirmed || r.drains(run.Started) {
+		return nil
+	}
+	if r.withheldRow != nil {
+		r.prolongWait(run, now)
 		return nil
 	}
 	if r.Gone {
@@ -182,6 +186,18 @@
 	return changed
 }
 
+// prolongWait applies a doubt of the run whose row is withheld, if it is of a later end than the one
+// waited for.
+func (r *record) prolongWait(run UnusableRun, now time.Time) {
+	if r.withheldRow.Started != run.Started || !run.Ended.After(r.endedAt) {
+		return
+	}
+	r.endedAt, r.endedEra = run.Ended, max(r.endedEra, run.Ended.Era)
+	if until := now.Add(run.Wait); until.After(r.withheldUntil) {
+		r.withheldUntil, r.withheldEra = until, max(r.withheldEra, run.Era)
+	}
+}
+
 // UnusableRun is a run of a server that must not be used although its row says that it is ready.
 type UnusableRun struct {
 	ID      backend.ID `json:"i"`
@@ -254,7 +270,7 @@
 
 // boundDoubt shortens another VM's doubt of a run by what this VM knows of the run.
 func (d *Directory) boundDoubt(r *record, run UnusableRun, now time.Time) UnusableRun {
-	hasRow := !r.Gone && r.Started == run.Started && r.holdUntil.IsZero() && !run.Ended.IsZero()
+	hasRow := (!r.Gone || r.withheldRow != nil) && r.Started == run.Started && r.holdUntil.IsZero() && !run.Ended.IsZero()
 	switch {
 	case hasRow && (writtenAfter(r.row, run.Ended) || writtenAfter(r.rowBefore, run.Ended)):
 		run.Wait = 0
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -288,3 +288,54 @@
 		}
 	}
 }
+
+func TestDoubtOfLaterEndDuringWaitProlongsIt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	first := UnusableRun{ID: "x", Started: 2, Wait: time.Second, Era: 1, Ended: at(38)}
+	second := UnusableRun{ID: "x", Started: 2, Wait: testRowTTL, Era: 2, Ended: platform.Revision{Era: 1, Version: 40}}
+	other := second
+	other.Started = 1
+	shorter, earlier := second, second
+	shorter.Wait, earlier.Ended = time.Second/2, at(37)
+	fetched := ready("x", 2, 30)
+	fetched.Wait, fetched.DoubtedEra, fetched.Ended = second.Wait, second.Era, second.Ended
+	tell := func(d *Directory, run UnusableRun) { d.ApplyUnusableRun(run, start) }
+	for name, c := range map[string]struct {
+		play func(d *Directory)
+		wait time.Duration
+	}{
+		"told twice": {func(d *Directory) { tell(d, first); tell(d, second) }, testRowTTL},
+		"fetched":    {func(d *Directory) { tell(d, first); apply(d, start, fetched) }, testRowTTL},
+		"kept while the run had no row": {func(d *Directory) {
+			apply(d, start, Entry{ID: "x", Revision: at(35), Gone: true})
+			d.Apply(restore(1, 29), start.Add(time.Second-testRowTTL))
+			tell(d, second)
+			copied := ready("x", 2, 30)
+			copied.Revision.Era = 1
+			apply(d, start, copied)
+		}, testRowTTL},
+		"of a shorter wait":  {func(d *Directory) { tell(d, first); tell(d, shorter) }, time.Second},
+		"of an earlier end":  {func(d *Directory) { tell(d, first); tell(d, earlier) }, time.Second},
+		"of an earlier run":  {func(d *Directory) { tell(d, first); tell(d, other) }, time.Second},
+		"no doubt but first": {func(d *Directory) { tell(d, first) }, time.Second},
+	} {
+		d := NewDirectory(testRowTTL)
+		apply(d, start, ready("x", 2, 30))
+		c.play(d)
+		d.Expire(start.Add(c.wait - time.Millisecond))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("%s: the run is used before the end of its wait of %v", name, c.wait)
+		}
+		d.Expire(start.Add(c.wait))
+		if len(d.View().Service("s")) != 1 {
+			t.Errorf("%s: the run isn't used after its wait of %v", name, c.wait)
+		}
+	}
+	d := NewDirectory(testRowTTL)
+	apply(d, start, ready("x", 2, 30))
+	tell(d, first)
+	tell(d, second)
+	if runs := d.UnusableRuns(start); len(runs) != 1 || runs[0] != second {
+		t.Errorf("tells %v, want %v", runs, second)
+	}
+}
