Recall the end of a forgotten run whatever run is doubted since

What callers would see: requests, for up to a row's lifetime, to a run that the VM had seen leave.

Cause: once the record of a server is forgotten, the end of its run was recalled only by a record that names no run. Another VM's doubt of an earlier run names that one; the forgotten run's row in a later era was then used at once.

Fix: the end is recalled as well if the record is of an earlier run that is gone, and the wait of that run ends with it. A record of a later run leaves the row out as before.

Evidence: TestForgottenEndOfRunHoldsAfterDoubtOfOtherRun fails before with the doubt of run 4 and passes now; go test -race ./internal/fleet passes.

--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -111,10 +111,11 @@
 
 // recallEnd restores what an earlier record of the server knew of a run's end.
 func (r *record) recallEnd(started int64) {
-	if run := r.formerEndedRun; run != nil && r.Gone && r.Started == 0 && run.started == started {
+	if run := r.formerEndedRun; run != nil && r.Gone && r.Started < started && run.started == started {
 		next := *r.Entry
 		next.Started = started
 		r.Entry, r.endedAt, r.endedEra, r.formerEndedRun = &next, run.at, run.era, nil
+		r.withheldRow, r.withheldEra, r.withheldUntil = nil, 0, time.Time{}
 	}
 }
 
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -339,3 +339,24 @@
 		t.Errorf("tells %v, want %v", runs, second)
 	}
 }
+
+// The record of a server is forgotten, and another VM doubts another run.
+func TestForgottenEndOfRunHoldsAfterDoubtOfOtherRun(t *testing.T) {
+	for _, other := range []int64{4, 6} {
+		now := time.Unix(1000, 0)
+		d := NewDirectory(testRowTTL)
+		apply(d, now, ready("x", 5, 30))
+		apply(d, now, Entry{ID: "x", Revision: at(31), Gone: true})
+		now = now.Add(2 * tombstoneAge)
+		apply(d, now, ready("y", 1, 32))
+		d.ApplyUnusableRun(UnusableRun{ID: "x", Started: other, Wait: testRowTTL / 2, Era: 1, Ended: at(40)}, now)
+		d.Apply(restore(1, 33, ready("x", 5, 33)), now)
+		d.Expire(now.Add(testRowTTL - time.Millisecond))
+		if len(d.View().Service("s")) != 0 {
+			t.Errorf("doubt of run %d: run 5, seen to end, is used in a later era", other)
+		}
+		if d.Expire(now.Add(testRowTTL)); other < 5 && len(d.View().Service("s")) != 1 {
+			t.Errorf("doubt of run %d: run 5 isn't used once its row outlived the copy", other)
+		}
+	}
+}
