End an ended run's wait with the run

What callers would see: up to 6 s without a living server whose row lapsed within a new era and that announced itself again.

Cause: the end of a withheld row's wait was kept when a later run of the server took its place. That run, whose row lapsed and came again within the same era, waited for the end of the earlier run's wait.

Fix: the wait ends when the row of another run becomes the server's present one. A wait of that run itself is judged after that.

Evidence: TestWaitOfEarlierRunDoesNotDelayLaterOne fails before and passes now, and still asks that the later run is withheld in an era that began after its end; go test -race ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -276,6 +276,9 @@
 	}
 	r.withheldRow = nil
 	next := r.merge(e, now)
+	if next.Started != r.Started {
+		r.withheldUntil, r.withheldEra = time.Time{}, 0
+	}
 	if e.Started == next.Started && e.Hold == 0 {
 		r.noteRow(e.Started, e.rowRevision())
 	}
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -360,3 +360,36 @@
 		}
 	}
 }
+
+// A server's row lapses within a new era, and the server announces itself again.
+func TestWaitOfEarlierRunDoesNotDelayLaterOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 1, 30))
+	apply(d, now, Entry{ID: "x", Revision: at(31), Gone: true})
+	if d.Apply(restore(1, 30, ready("x", 1, 30)), now); len(d.View().Service("s")) != 0 {
+		t.Fatal("the ended run is used")
+	}
+	later := func(v int) Entry {
+		e := ready("x", 2, v)
+		e.Revision.Era = 1
+		return e
+	}
+	removed := func(v int) Entry {
+		return Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: platform.Version(v)}, Gone: true}
+	}
+	apply(d, now, removed(31))
+	if apply(d, now, later(32)); len(d.View().Service("s")) != 1 {
+		t.Fatal("the later run isn't used")
+	}
+	apply(d, now, removed(33))
+	if apply(d, now, later(34)); len(d.View().Service("s")) != 1 {
+		t.Error("the later run waits for the end of the earlier one's wait")
+	}
+	apply(d, now, removed(35))
+	d.Apply(restore(2, 34, later(34)), now)
+	d.Expire(now.Add(testRowTTL - time.Millisecond))
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the later run is used in an era that began after its end")
+	}
+}
