Test lapses within a new era and rows of other runs beside a doubt

Two mutations of the directory that no test noticed: a living run whose row lapses and comes again within one era is withheld (endedEra <= the row's era), and a row of another run of the server contradicts a doubt (noteRow keeps rowBefore of an earlier run).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -712,3 +712,28 @@
 		t.Error("the drain of another run is taken for that of the later one")
 	}
 }
+
+// A server's row lapses within a new era, and the server announces itself again.
+func TestRunAnnouncedAgainWithinNewEraIsUsedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	d.Apply(restore(1, 30, ready("x", 1, 30)), now)
+	apply(d, now, Entry{ID: "x", Revision: platform.Revision{Era: 1, Version: 31}, Gone: true})
+	again := ready("x", 1, 32)
+	again.Revision.Era = 1
+	apply(d, now.Add(time.Second), again)
+	if len(d.View().Service("s")) != 1 {
+		t.Error("the run isn't used")
+	}
+}
+
+func TestRowOfOtherRunDoesNotContradictDoubt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory(testRowTTL)
+	apply(d, now, ready("x", 1, 40))
+	d.Apply(restore(1, 41, ready("x", 2, 41)), now)
+	d.ApplyUnusableRun(UnusableRun{ID: "x", Started: 2, Wait: testRowTTL, Era: 2, Ended: at(38)}, now)
+	if len(d.View().Service("s")) != 0 {
+		t.Error("the run is used")
+	}
+}
