Leave an ended run out if a fetched state has no row since

What callers would see: requests to a run that this VM itself had seen leave, until its earlier run's row goes too.

Cause: run 2 has the row 30 and is removed at 38; another VM misses that, and lists a late write of run 1 at 46. It goes on with run 2 and passes it on with the revision 46 and the row 30. A VM that saw the removal took that for an announcement of run 2: in the same era it used the run at once, in a later one after a row's lifetime.

Fix: if a run is gone, and the fetched row of it is from no later than its end, only the revision is taken. The run is used again with its next row.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -267,6 +267,12 @@
 		return d.end(r, e.Revision, e.Hold, now)
 	}
 	r.recallEnd(e.Started)
+	if r.endedSince(e) {
+		next := *r.Entry
+		next.Revision = e.Revision
+		r.Entry = &next
+		return nil
+	}
 	if wait := d.withholdTime(r, e, now); wait > 0 {
 		r.noteRow(e.Started, e.rowRevision())
 		changed := r.withholdRow(e, wait, now)
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -119,6 +119,12 @@
 	}
 }
 
+// endedSince reports whether the run of an entry is known to have had no row since the one that the
+// entry is of. The entry's revision is that of a row of another run.
+func (r *record) endedSince(e *Entry) bool {
+	return r.Gone && r.withheldRow == nil && e.State == Ready && r.Started == e.Started && !e.Row.IsZero() && !e.Row.After(r.endedAt)
+}
+
 // noteRow records a row of a run, which is the server's present one or becomes it.
 func (r *record) noteRow(started int64, revision platform.Revision) {
 	switch {
--- a/internal/fleet/leaves_test.go
+++ b/internal/fleet/leaves_test.go
@@ -393,3 +393,33 @@
 		t.Error("the later run is used in an era that began after its end")
 	}
 }
+
+// A VM that missed a run's end passes the run on with the revision of another run's row.
+func TestFetchedRowFromBeforeSeenEndIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, listing := range map[string]Update{
+		"of the same era": {UpTo: at(46), Whole: true, Entries: []Entry{ready("x", 1, 46)}},
+		"of a later era":  restore(1, 46, ready("x", 1, 46)),
+	} {
+		lagging, d := NewDirectory(testRowTTL), NewDirectory(testRowTTL)
+		apply(lagging, now, ready("x", 2, 30))
+		lagging.Apply(listing, now)
+		apply(d, now, ready("x", 2, 30), Entry{ID: "x", Revision: at(38), Gone: true})
+		d.Apply(lagging.Export(d.Known(), now), now)
+		for _, after := range []time.Duration{0, testRowTTL} {
+			d.Expire(now.Add(after))
+			if len(d.View().Service("s")) != 0 {
+				t.Errorf("a listing %s: the run is used %v after the fetch", name, after)
+			}
+		}
+		if d.Known() != listing.UpTo {
+			t.Errorf("a listing %s: the known revision is %v", name, d.Known())
+		}
+		again := ready("x", 2, 47)
+		again.Revision.Era = listing.UpTo.Era
+		apply(d, now.Add(testRowTTL), again)
+		if len(d.View().Service("s")) != 1 {
+			t.Errorf("a listing %s: the run isn't used when it announces itself again", name)
+		}
+	}
+}
