Heed fetched drains and doubts of servers that aren't known

What callers saw, in the model: requests to a run that drains, as a late response of another VM had said.

Change: they are kept for unknown servers too, as those in digests are.

Result: TestDrainOfUnknownServerIsKept fails before and passes; go test ./internal/fleet passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -260,7 +260,7 @@
 func (d *Directory) applyEntry(e *Entry, now time.Time) *Entry {
 	r := d.ensureRecord(e.ID, now)
 	if !e.Revision.After(r.Revision) {
-		return d.applyReport(r, e, now)
+		return d.applyReport(e, now)
 	}
 	if e.Gone {
 		r.withheldRow = nil
@@ -284,7 +284,7 @@
 	if e.Hold > 0 {
 		return d.end(r, e.Revision, e.Hold, now)
 	}
-	if withheld := d.applyReport(r, e, now); withheld != nil {
+	if withheld := d.applyReport(e, now); withheld != nil {
 		return withheld
 	}
 	if withheld := d.recallDoubt(r, now); withheld != nil {
--- a/internal/fleet/leaves.go
+++ b/internal/fleet/leaves.go
@@ -17,14 +17,11 @@
 	var changed []*Entry
 	for i := range u.Entries {
 		e := &u.Entries[i]
-		r := d.records[e.ID]
-		if r == nil {
-			continue
-		}
-		if changedEntry := d.applyReport(r, e, now); changedEntry != nil {
+		if changedEntry := d.applyReport(e, now); changedEntry != nil {
 			changed = append(changed, changedEntry)
 		}
-		if !e.Revision.After(d.knownBefore) {
+		r := d.records[e.ID]
+		if r == nil || !e.Revision.After(d.knownBefore) {
 			continue
 		}
 		run := e.Started
@@ -52,26 +49,23 @@
 func (d *Directory) applyReports(u Update, now time.Time) []*Entry {
 	var changed []*Entry
 	for i := range u.Entries {
-		e := &u.Entries[i]
-		if r := d.records[e.ID]; r != nil {
-			if changedEntry := d.applyReport(r, e, now); changedEntry != nil {
-				changed = append(changed, changedEntry)
-			}
+		if changedEntry := d.applyReport(&u.Entries[i], now); changedEntry != nil {
+			changed = append(changed, changedEntry)
 		}
 	}
 	return changed
 }
 
 // applyReport applies what another VM's entry says of its run beyond the row, which may be known
-// here, and returns the entry if that changes the known state.
-func (d *Directory) applyReport(r *record, e *Entry, now time.Time) *Entry {
+// here or not, and returns the entry if that changes the known state.
+func (d *Directory) applyReport(e *Entry, now time.Time) *Entry {
 	switch {
 	case e.Gone:
 		return nil
 	case e.DrainOverwritten && e.State == Draining:
-		return d.markDrained(r, e.Started)
+		return d.markDrained(d.ensureRecord(e.ID, now), e.Started)
 	case e.Wait > 0:
-		return d.withholdRun(r, d.boundDoubt(r, e.doubt(), now), now)
+		return d.applyDoubt(d.ensureRecord(e.ID, now), e.doubt(), now)
 	}
 	return nil
 }
@@ -221,8 +215,7 @@
 	r := d.ensureRecord(run.ID, now)
 	var changed *Entry
 	if run.Wait > 0 {
-		r.keepDoubt(run, now)
-		changed = d.withholdRun(r, d.boundDoubt(r, run, now), now)
+		changed = d.applyDoubt(r, run, now)
 	} else {
 		changed = d.markDrained(r, run.Started)
 	}
@@ -232,6 +225,13 @@
 	return changed
 }
 
+// applyDoubt applies another VM's doubt of a run, now or when its row arrives, and returns the entry
+// if that changes the known state.
+func (d *Directory) applyDoubt(r *record, run UnusableRun, now time.Time) *Entry {
+	r.keepDoubt(run, now)
+	return d.withholdRun(r, d.boundDoubt(r, run, now), now)
+}
+
 // keepDoubt keeps another VM's doubt of a run that has no row here until its row arrives.
 func (r *record) keepDoubt(run UnusableRun, now time.Time) {
 	if until := now.Add(run.Wait); r.Started > 0 && (r.Started < run.Started || r.Started == run.Started && r.Gone) {
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -114,7 +114,7 @@
 	// minCopyRows is the number of rows that every copy contains: a copy is only some
 	// seconds old.
 	minCopyRows int
-	// falseReport describes a report of an unusable run that wasn't true.
+	// falseReport describes a report of an unusable run that wasn't true, or a fault within a step.
 	falseReport string
 	// shortPauses makes the clock move by less than a row lasts, and writtenAt holds when each row
 	// was written, or copied by a restore.
@@ -312,6 +312,9 @@
 	case 8:
 		for _, u := range v.delayed {
 			m.deliver(v, u)
+			if fault := m.fault(); fault != "" {
+				m.falseReport = fault
+			}
 		}
 		v.delayed = nil
 		if m.shortPauses {
@@ -582,6 +585,20 @@
 	}
 }
 
+// A VM that doesn't know a server gets two late responses: that a run of it drains, and a copy's row.
+func TestDrainOfUnknownServerIsKept(t *testing.T) {
+	if fault := runSteps(newShortPauseModel(), []int{394, 805, 859, 404, 864, 571, 451, 525, 1456, 133, 966, 1355}); fault != "" {
+		t.Error(fault)
+	}
+}
+
+// A VM gets two late responses, by the first of which it uses a run again.
+func TestUsesWithinStepAreSeen(t *testing.T) {
+	if fault := runSteps(newShortPauseModel(), []int{12, 512, 1440, 520, 735, 914, 583, 1194, 1440, 527, 960, 222}); fault != "" {
+		t.Error(fault)
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
