--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -276,7 +276,7 @@
 	if wait := d.withholdTime(r, e, now); wait > 0 {
 		r.noteRow(e.Started, e.rowRevision())
 		changed := r.withholdRow(e, wait, now)
-		d.applyReport(r, e, now)
+		d.applyReport(e, now)
 		d.recallDoubt(r, now)
 		return changed
 	}
