Keep two histories in which a doubt came before its run's row

A VM knew run 1 of a server, was told that run 2 had no row at 0.3, and read run 2's row with the copy of era 1. They came from weighted random events; the test also asks that the run isn't in use.

--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -599,6 +599,25 @@
 	}
 }
 
+// VMs are told that they must not use a run before its row comes with a copy.
+func TestDoubtOfRunThatIsNotKnownHolds(t *testing.T) {
+	for _, c := range []struct {
+		steps []int
+		vm    int
+	}{
+		{[]int{764, 529, 1157, 1193, 112, 312, 120, 1419, 115}, 2},
+		{[]int{760, 502, 7, 457, 117, 1060, 739, 524, 1034, 511}, 2},
+	} {
+		m := newFleetModel()
+		if fault := runSteps(m, c.steps); fault != "" {
+			t.Errorf("%v: %s", c.steps, fault)
+		}
+		if len(m.vms[c.vm].View().Service("s")) != 0 {
+			t.Errorf("%v: VM %d uses a run that has ended, as it was told", c.steps, c.vm)
+		}
+	}
+}
+
 // A VM forgets a run that it believes to have ended, and an era begins with a write of it.
 func TestForgottenEndOfRunHoldsInLaterEra(t *testing.T) {
 	if fault := runSteps(newFleetModel(), []int{1138, 1249, 1448, 1291, 204, 241, 227, 992, 240, 709, 73, 168, 1072, 327, 897}); fault != "" {
