--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,13 +24,24 @@
 // VMs lag by a few seconds; a VM that lags by more receives the list of all servers instead.
 const tombstoneAge = 60 * time.Second
 
-// drainedRunAge is how long a run that is known to drain is remembered after its removal: it may
-// still live, and write its row again, while it ends its work or reaches no store.
+// drainedRunAge is how long a run that is known to drain, or to have ended, is remembered after its
+// removal: it may still live, and write its row again, while it ends its work or reaches no store.
 const drainedRunAge = time.Hour
 
-// drainedRun is a run that is known to drain, and until when that is remembered.
-type drainedRun struct {
+// maxFormerDrainedRuns bounds the drained runs of a server that are remembered besides the latest.
+const maxFormerDrainedRuns = 8
+
+// drainedRuns are runs of a server that are known to drain, and until when that is remembered.
+type drainedRuns struct {
+	started []int64
+	until   time.Time
+}
+
+// endedRun is a run that is known to have ended, by a record that was forgotten.
+type endedRun struct {
 	started int64
+	at      platform.Revision
+	era     platform.Era
 	until   time.Time
 }
 
@@ -58,9 +69,11 @@
 	// draining run never becomes ready again, but an earlier write of its own may reach
 	// the store late.
 	drainedRun int64
-	// formerDrainedRun is the one that was known when an earlier record of the server was forgotten, or
-	// noRun. Later runs may have earlier start times.
-	formerDrainedRun int64
+	// formerDrainedRuns holds the ones before, and the one that was known when an earlier record of the
+	// server was forgotten. Later runs may have earlier start times.
+	formerDrainedRuns []int64
+	// formerEndedRun is the run of that earlier record, or nil.
+	formerEndedRun *endedRun
 	// drainOverwritten is set if that run's row says Ready again, so that the store no longer
 	// shows the drain.
 	drainOverwritten bool
@@ -82,7 +95,23 @@
 	// arrives earlier is withheld too.
 	withheldRow   *Entry
 	withheldUntil time.Time
-	// confirmedRun is the start time of a run whose row still existed after that time.
+	// withheldEra is the era whose copy the withheld row may come from; 0 if another VM doubts the
+	// run and its build doesn't state that.
+	withheldEra platform.Era
+	// endedAt is the newest revision at which the run is known to have had no row, by this VM or by
+	// the one whose doubt it took over; zero if neither knows.
+	endedAt platform.Revision
+	// endedEra is the era in which the end became known. A row of a later era may be from before it.
+	endedEra platform.Era
+	// row is the revision of the newest row of the run, and rowBefore that of its newest row in an
+	// earlier era; both are zero if there was none. The entry's revision may be that of a row of
+	// another run, or of the run's removal.
+	row, rowBefore platform.Revision
+	// toldDoubt is a doubt that another VM told of a run that has no row here yet, or nil.
+	toldDoubt *UnusableRun
+	toldUntil time.Time
+	// confirmedRun is the start time of a run whose row still existed after that time, unless it was
+	// doubted or ended since.
 	confirmedRun int64
 }
 
@@ -111,14 +140,16 @@
 	forgottenUpTo platform.Revision
 	rowTTL        time.Duration
 	// drainedRuns holds the drained runs of servers whose removal is forgotten.
-	drainedRuns map[backend.ID]drainedRun
-	view        atomic.Pointer[View]
+	drainedRuns map[backend.ID]drainedRuns
+	// endedRuns holds the latest runs of these servers.
+	endedRuns map[backend.ID]endedRun
+	view      atomic.Pointer[View]
 }
 
 // NewDirectory returns an empty directory. The store deletes the row of a server within
 // rowTTL after its last announcement.
 func NewDirectory(rowTTL time.Duration) *Directory {
-	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRun{}, rowTTL: rowTTL}
+	d := &Directory{records: map[backend.ID]*record{}, drainedRuns: map[backend.ID]drainedRuns{}, endedRuns: map[backend.ID]endedRun{}, rowTTL: rowTTL}
 	d.publish()
 	return d
 }
@@ -150,8 +181,8 @@
 	return d.newest
 }
 
-// Apply merges an update and returns the entries that changed the known state. An update
-// that ends before the known revision is ignored, because it may list servers that have
+// Apply merges an update and returns the entries that changed the known state. The rows of an
+// update that ends before the known revision are ignored, because it may list servers that have
 // been removed since. From an update of an earlier era only drains and removals are taken.
 func (d *Directory) Apply(u Update, now time.Time) []*Entry {
 	d.mu.Lock()
@@ -161,7 +192,8 @@
 	case u.UpTo.Era < d.known.Era:
 		changed = d.applyEarlierEra(u, now)
 	case u.UpTo.Before(d.known) || u.UpTo.Era > d.known.Era && !u.Whole:
-		return nil // Changes made after a restore don't include the restored rows.
+		// Changes made after a restore don't include the restored rows.
+		changed = d.applyReports(u, now)
 	default:
 		changed = d.applyCurrent(u, now)
 	}
@@ -175,7 +207,7 @@
 // applyCurrent merges an update of the present era or of a later one.
 func (d *Directory) applyCurrent(u Update, now time.Time) []*Entry {
 	if u.UpTo.Era > d.known.Era {
-		d.knownBefore, d.eraSince = d.known, now
+		d.beginEra(now)
 	}
 	var changed []*Entry
 	listed := map[backend.ID]bool{}
@@ -202,12 +234,23 @@
 	return changed
 }
 
+// beginEra prepares for the first update of a later era.
+func (d *Directory) beginEra(now time.Time) {
+	d.knownBefore, d.eraSince = d.known, now
+	for _, r := range d.records {
+		if r.Gone && r.withheldRow == nil {
+			r.endedAt = platform.Later(r.endedAt, d.known)
+		}
+	}
+}
+
 func (d *Directory) ensureRecord(id backend.ID, now time.Time) *record {
 	r := d.records[id]
 	if r == nil {
-		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, formerDrainedRun: noRun, undecidedRun: noRun}
-		if run, ok := d.drainedRuns[id]; ok {
-			r.formerDrainedRun = run.started
+		r = &record{Entry: &Entry{ID: id, Gone: true}, goneAt: now, drainedRun: noRun, undecidedRun: noRun}
+		r.formerDrainedRuns = d.drainedRuns[id].started
+		if run, ok := d.endedRuns[id]; ok {
+			r.formerEndedRun = &run
 		}
 		d.records[id] = r
 	}
@@ -217,17 +260,34 @@
 func (d *Directory) applyEntry(e *Entry, now time.Time) *Entry {
 	r := d.ensureRecord(e.ID, now)
 	if !e.Revision.After(r.Revision) {
-		return nil
+		return d.applyReport(e, now)
 	}
 	if e.Gone {
 		r.withheldRow = nil
 		return d.end(r, e.Revision, e.Hold, now)
 	}
+	r.recallEnd(e.Started)
+	if r.endedSince(e) {
+		next := *r.Entry
+		next.Revision = e.Revision
+		r.Entry = &next
+		return nil
+	}
 	if wait := d.withholdTime(r, e, now); wait > 0 {
-		return r.withholdRow(e, wait, now)
+		r.noteRow(e.Started, e.rowRevision())
+		changed := r.withholdRow(e, wait, now)
+		d.applyReport(e, now)
+		d.recallDoubt(r, now)
+		return changed
 	}
 	r.withheldRow = nil
 	next := r.merge(e, now)
+	if next.Started != r.Started {
+		r.withheldUntil, r.withheldEra = time.Time{}, 0
+	}
+	if e.Started == next.Started && e.Hold == 0 {
+		r.noteRow(e.Started, e.rowRevision())
+	}
 	r.Entry = &next
 	if next.Gone {
 		return nil
@@ -236,6 +296,12 @@
 	if e.Hold > 0 {
 		return d.end(r, e.Revision, e.Hold, now)
 	}
+	if withheld := d.applyReport(e, now); withheld != nil {
+		return withheld
+	}
+	if withheld := d.recallDoubt(r, now); withheld != nil {
+		return withheld
+	}
 	return &next
 }
 
@@ -251,9 +317,7 @@
 	case older && laterEra:
 		next = *r.Entry
 	case e.State == Draining:
-		if e.Started >= r.drainedRun {
-			r.drainedRun, r.drainOverwritten = e.Started, e.DrainOverwritten
-		}
+		r.setDrainedRun(e.Started, e.DrainOverwritten, false)
 		if older && !r.Gone {
 			next = *r.Entry
 			next.State = Draining
@@ -261,11 +325,13 @@
 	case older:
 		next = *r.Entry
 	case r.drains(e.Started):
-		next.State, r.drainedRun, r.drainOverwritten = Draining, e.Started, true
+		next.State = Draining
+		r.setDrainedRun(e.Started, true, true)
 	case r.mayHaveSaidLeaving(e.Started):
 		next.State, r.undecidedRun = Draining, e.Started
 	}
 	next.Revision, next.Hold, next.DrainOverwritten = e.Revision, 0, false
+	next.Wait, next.DoubtedEra, next.Ended = 0, 0, platform.Revision{}
 	if r.Same(&next) && (laterEra || now.Sub(r.weightsSeenAt) < seenWeightsAge) {
 		next.Weights = mergeWeights(r.Weights, next.Weights)
 	}
@@ -288,11 +354,11 @@
 		return &reported
 	}
 	next.Gone = true
-	r.Entry, r.holdUntil = &next, time.Time{}
+	r.Entry, r.holdUntil, r.endedAt = &next, time.Time{}, platform.Later(r.endedAt, next.Revision)
 	if !changed {
 		return nil
 	}
-	r.goneAt = now
+	r.goneAt, r.endedEra, r.confirmedRun = now, next.Revision.Era, 0
 	return &next
 }
 
@@ -304,7 +370,7 @@
 			continue
 		}
 		if r.Gone {
-			r.withheldRow = nil
+			r.withheldRow, r.endedAt = nil, platform.Later(r.endedAt, u.UpTo)
 			continue
 		}
 		ended = append(ended, d.end(r, u.UpTo, u.Hold, now))
@@ -355,13 +421,16 @@
 	u := Update{After: after, UpTo: d.known, Whole: after.Before(d.forgottenUpTo), Entries: []Entry{}}
 	for _, r := range d.records {
 		e := *r.Entry
-		e.DrainOverwritten = r.drainOverwritten
+		e.DrainOverwritten = r.drainOverwritten && r.drainedRun == r.Started
+		if e.Row = r.row; e.Row == e.Revision {
+			e.Row = platform.Revision{}
+		}
 		if r.undecided() {
 			e.State = Ready // The doubt is this VM's own.
 		}
 		if r.withheldRow != nil {
 			e = *r.withheldRow
-			e.Wait = max(1, r.withheldUntil.Sub(now))
+			e.Wait, e.DoubtedEra, e.Ended = max(1, r.withheldUntil.Sub(now)), r.withheldEra, r.endedAt
 		}
 		if u.Whole && e.Gone || !u.Whole && !r.Revision.After(after) {
 			continue
@@ -403,12 +472,16 @@
 			continue
 		}
 		if r.drainedRun > 0 { // Runs of servers that state no start time can't be told apart.
-			d.drainedRuns[id] = drainedRun{started: r.drainedRun, until: r.goneAt.Add(drainedRunAge)}
+			d.drainedRuns[id] = drainedRuns{started: append(r.formerDrainedRuns, r.drainedRun), until: r.goneAt.Add(drainedRunAge)}
+		}
+		if r.Started > 0 {
+			d.endedRuns[id] = endedRun{started: r.Started, at: r.endedAt, era: r.endedEra, until: r.goneAt.Add(drainedRunAge)}
 		}
 		d.forgottenUpTo = platform.Later(d.forgottenUpTo, r.Revision)
 		delete(d.records, id)
 	}
-	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, run drainedRun) bool { return now.After(run.until) })
+	maps.DeleteFunc(d.drainedRuns, func(_ backend.ID, runs drainedRuns) bool { return now.After(runs.until) })
+	maps.DeleteFunc(d.endedRuns, func(_ backend.ID, run endedRun) bool { return now.After(run.until) })
 }
 
 func (d *Directory) publish() {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -45,6 +45,9 @@
 	Weights map[string]uint64 `json:"weights,omitempty"`
 	// Revision is the revision of the store's row.
 	Revision platform.Revision `json:"revision"`
+	// Row is the revision of the run's own newest row if it isn't Revision, as where the row is
+	// one of another run.
+	Row platform.Revision `json:"row,omitzero"`
 	// Gone is set once the server has been removed.
 	Gone bool `json:"gone,omitempty"`
 	// Hold is set if the row is gone, possibly because of a store outage: a known server
@@ -54,6 +57,10 @@
 	// was restored from an older copy. The run is not used for this time, within which
 	// the row expires unless the server still renews it.
 	Wait time.Duration `json:"wait,omitempty"`
+	// DoubtedEra and Ended are the era and the end of the doubt for which Wait is set, as in
+	// UnusableRun.
+	DoubtedEra platform.Era      `json:"doubted_era,omitempty"`
+	Ended      platform.Revision `json:"ended,omitzero"`
 	// DrainOverwritten is set if the run is draining although its row says Ready again.
 	DrainOverwritten bool `json:"undone,omitempty"`
 }
@@ -112,6 +119,23 @@
 	return strings.Join(parts, ",")
 }
 
+// rowRevision returns the revision of the run's own newest row.
+func (e *Entry) rowRevision() platform.Revision {
+	if e.Row.IsZero() {
+		return e.Revision
+	}
+	return e.Row
+}
+
+// doubt returns the doubt of a run for which Wait is set.
+func (e *Entry) doubt() UnusableRun {
+	era := e.DoubtedEra
+	if era == 0 {
+		era = e.Revision.Era // Earlier builds don't state it.
+	}
+	return UnusableRun{ID: e.ID, Started: e.Started, Wait: e.Wait, Era: era, Ended: e.Ended}
+}
+
 // Usable reports whether the server may get new requests.
 func (e *Entry) Usable() bool { return !e.Gone && e.State == Ready }
 
