Resume roll-outs at once when the VM that sends orders changes

Hypotheses: (1) the next VM learns late that the lease is free; (2) it waits for a lease although no order makes it; (3) its plan starts anew and loses time. Processes with a store and 24 engines, whose leading VM gets SIGTERM or is killed, tell them apart. So (2) is the cause, and (1) adds to it. (3) was not seen.

Cause: a new holder publishes its own claim as soon as it has the lease. ordersAllowedFrom then no longer sees the claim of the holder before, so the rule for a known last order was dead and each new holder waited for a whole lease. With a VM restarted each second or so no order is sent at all. Besides, a VM that leaves gave the lease up only at its next renewal, up to a third of a lease later, the others looked each sixth of a lease, and a claim was sent up to a digest's interval after a renewal; if the holder was killed in between, the others watched the row for a lease.

Fix: the spacing is needed between orders to the same engine. The lease's row lists the engines that may have been ordered within the last lease. A holder orders none that isn't listed, whichever of its writes were applied, so the list holds for a killed holder too; the next one orders all others at once. The claim of a holder that resigned says so; only then its last order is final. An order is recorded under the lock that resigning takes. Leaving and resignations wake the loop. Engines that the list names hold places in the next plan until they are polled.

Beside earlier builds: their rows have no list, so all engines wait for a lease as before; they ignore the list, and wait for a lease themselves.

TestLeaseHolderWithoutOrdersIsSucceededImmediately is replaced by a stricter one of the same name: it asked for the wait of a VM, and now for that of each engine, after kills and earlier builds too; an order may arrive half a second after it is recorded, so the wait after one is longer by that.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -71,6 +71,8 @@
 	OrderAge time.Duration `json:"o"`
 	// Age is the time since the holder made the claim.
 	Age time.Duration `json:"a"`
+	// Resigned is set if the holder has given the term up and sends no order after this claim.
+	Resigned bool `json:"res,omitempty"`
 }
 
 // Digest is the state that a VM sends to the other VMs of its domain.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -23,6 +23,10 @@
 	now     func() time.Time
 	watcher *Watcher
 	term    atomic.Pointer[Term]
+	// note returns the note to write; nil for none.
+	note func(replaced Row) string
+	// replaced is the row that the present term has replaced.
+	replaced Row
 }
 
 // NewKeeper returns a Keeper for a resource that uses the monotonic clock.
@@ -44,6 +48,14 @@
 	return k
 }
 
+// SetNote sets the function that returns the note for each write of the row, given the row that the
+// write replaces. It must be called before the first step.
+func (k *Keeper) SetNote(note func(replaced Row) string) { k.note = note }
+
+// Replaced returns the row that the present term has replaced. It must not be called concurrently
+// with Step.
+func (k *Keeper) Replaced() Row { return k.replaced }
+
 // Term returns the term as last known. The caller checks Valid before each
 // action. Term is safe for concurrent use.
 func (k *Keeper) Term() Term { return *k.term.Load() }
@@ -107,6 +119,10 @@
 	if !ok {
 		return nil
 	}
+	observed, term := k.watcher.observed, k.watcher.Term()
+	if k.note != nil {
+		a.Next.Note = k.note(observed)
+	}
 	sent := k.now()
 	k.watcher.RecordSent(a)
 	err = k.commit(ctx, a)
@@ -115,6 +131,9 @@
 	}
 	if err == nil {
 		k.watcher.RecordCommitted(a, sent, k.now())
+		if term.Fencing != a.Next.Fencing && !term.Valid(sent, 0) {
+			k.replaced = observed
+		}
 	}
 	return err
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -43,6 +43,9 @@
 	TTL time.Duration `json:"ttl"`
 	// Era is the era of the store when the row was written.
 	Era platform.Era `json:"era,omitempty"`
+	// Note is the holder's statement about its actions, for the next holder. It is empty if the
+	// holder makes none, as earlier builds don't.
+	Note string `json:"note,omitempty"`
 }
 
 // Row is a lease row as it was read.
@@ -56,6 +59,13 @@
 // inCurrentEra reports whether the row was written in the era in which it was read.
 func (r Row) inCurrentEra() bool { return r.Record.Era == r.Era }
 
+// Current reports whether the row was written in the era in which it was read. Otherwise it is from
+// an older copy of the store, and others may have held the lease since.
+func (r Row) Current() bool { return r.inCurrentEra() }
+
+// NeverHeld reports whether nobody has held the lease yet.
+func (r Row) NeverHeld() bool { return r.inCurrentEra() && r.Record.Fencing == 0 }
+
 // eraShift leaves room for 2^32 changes of holder within an era.
 const eraShift = 32
 
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -19,6 +19,8 @@
 	// time at which an earlier holder may have sent one; zero if the report doesn't contain
 	// it.
 	lastOrder time.Time
+	// resigned is set if the holder gave the term up: it has sent no order after lastOrder.
+	resigned bool
 	// own is set if this VM is the holder that made the report.
 	own bool
 }
@@ -28,9 +30,9 @@
 
 // publishClaim stores a report about this VM's own term. No other VM has sent orders since the
 // term began.
-func (n *Node) publishClaim(c lease.Claim, term lease.Term) {
+func (n *Node) publishClaim(c lease.Claim, term lease.Term, resigned bool) {
 	last := laterOf(n.lastOrderTime(), laterOf(term.Since, term.From))
-	n.claim.Store(&claim{lease: c, reportedAt: n.now(), lastOrder: last, own: true})
+	n.claim.Store(&claim{lease: c, reportedAt: n.now(), lastOrder: last, resigned: resigned, own: true})
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -67,6 +69,7 @@
 		Remaining: max(0, c.lease.Until.Sub(now)),
 		OrderAge:  -1,
 		Age:       now.Sub(c.reportedAt),
+		Resigned:  c.resigned,
 	}
 	if !c.lastOrder.IsZero() {
 		out.OrderAge = now.Sub(c.lastOrder)
@@ -83,32 +86,48 @@
 	next := &claim{
 		lease:      lease.Claim{Fencing: lease.Fencing(g.Fencing), Renewals: g.Renewals, Until: now.Add(g.Remaining)},
 		reportedAt: now.Add(-g.Age),
+		resigned:   g.Resigned,
 	}
 	if g.OrderAge >= 0 {
 		next.lastOrder = now.Add(-g.OrderAge)
 	}
 	old := n.claim.Load()
 	if old != nil && (old.own && old.lease.Fencing >= next.lease.Fencing || old.lease.Fencing > next.lease.Fencing ||
-		old.lease.Fencing == next.lease.Fencing && !next.reportedAt.After(old.reportedAt)) {
+		old.lease.Fencing == next.lease.Fencing && (old.resigned || !next.reportedAt.After(old.reportedAt))) {
 		return
 	}
-	n.claim.CompareAndSwap(old, next) // If another claim was stored concurrently, the next digest repeats this one.
+	// If another claim was stored concurrently, the next digest repeats this one.
+	if n.claim.CompareAndSwap(old, next) && next.resigned {
+		n.signal(n.leaseDue)
+	}
 }
 
-// ordersAllowedFrom returns the time from which this VM may send orders in a term that began at
-// since. Where engines don't check fencing tokens, at least one lease duration must separate
-// the orders of two holders; if the previous holder's last order is not known, it is assumed to
-// be as late as possible.
-func (n *Node) ordersAllowedFrom(since time.Time) time.Time {
+// earlierOrdersEnd returns from when this VM, whose term has replaced a row, may order the engines that
+// earlier holders may have ordered.
+func (n *Node) earlierOrdersEnd(replaced lease.Row, term lease.Term) time.Time {
 	c := n.claim.Load()
-	switch {
-	case c != nil && !c.own && n.now().Sub(c.reportedAt) < claimMaxAge && !c.lastOrder.IsZero():
-		return c.lastOrder.Add(n.opts.Bounds.Lease)
-	case n.opts.Bounds.FencingEnforced:
-		return since
-	default:
-		return since.Add(n.opts.Bounds.Lease)
+	if c != nil && c.resigned && c.lease.Fencing == replaced.Record.Fencing && replaced.Current() {
+		return c.lastOrder.Add(n.handover.orderSpacing())
+	}
+	if n.opts.FirstStart && replaced.Version == 0 {
+		return laterOf(term.Since, term.From) // Nobody has held the lease since the deployment started.
+	}
+	// The holder may have sent an order right before its term ended.
+	return laterOf(term.Since, term.From).Add(n.opts.Bounds.Lease)
+}
+
+// beginTerm begins a term, right after it was acquired. The term before may continue in it, in a
+// later era of the store.
+func (n *Node) beginTerm(before, term lease.Term) {
+	if n.handover == nil {
+		return
+	}
+	if before.Fencing != 0 && term.Since.Equal(before.Since) {
+		n.handover.extend(term.Fencing)
+		return
 	}
+	replaced := n.keeper.Replaced()
+	n.inherited = n.handover.begin(replaced, term.Fencing, n.earlierOrdersEnd(replaced, term))
 }
 
 // resign gives up the lease so that another VM can acquire it immediately.
@@ -117,8 +136,10 @@
 	if term.Fencing == 0 {
 		return
 	}
+	n.orderMu.Lock()
 	c := n.keeper.Resign()
-	n.publishClaim(c, term)
+	n.publishClaim(c, term, true)
+	n.orderMu.Unlock()
 	n.log.Info("order_lease_resigned", zap.String("reason", reason), zap.Uint64("fencing", uint64(c.Fencing)), zap.Uint64("renewals", c.Renewals))
 	n.notifyAll()
 }
--- a/internal/node/claim_test.go
+++ b/internal/node/claim_test.go
@@ -1,36 +1,112 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/lease"
 )
 
 // Where engines don't check fencing tokens, at least one lease duration must separate the
-// orders of two holders. A holder that has lost the store and sent no order is succeeded
-// immediately.
+// orders of two holders to an engine. The next holder orders all other engines immediately, and
+// these, too, if a holder that has resigned sent no order.
 func TestLeaseHolderWithoutOrdersIsSucceededImmediately(t *testing.T) {
-	const term = 10 * time.Second
 	store := newServerStore()
 	for _, c := range []struct {
-		name    string
-		ordered time.Duration // Age of the last order; 0 for no order.
-		wait    time.Duration
+		name     string
+		note     string
+		resigned bool
+		term     time.Duration // Age of the term.
+		ordered  time.Duration // Age of the last order; 0 for no order.
+		// listed and other are the waits for an engine that the row lists and for one that it doesn't.
+		listed, other time.Duration
 	}{
-		{"no order", 0, 0},
-		{"old order", 5 * time.Second, 0},
-		{"recent order", time.Second, 2 * time.Second},
+		{"no order", `{"engines":["e"]}`, true, 10 * time.Second, 0, 0, 0},
+		{"no order in a new term", `{"engines":["e"]}`, true, 3 * time.Second, 0, 500 * time.Millisecond, 0},
+		{"old order", `{"engines":["e"]}`, true, 10 * time.Second, 5 * time.Second, 0, 0},
+		{"recent order", `{"engines":["e"]}`, true, 10 * time.Second, time.Second, 2500 * time.Millisecond, 0},
+		{"killed", `{"engines":["e"]}`, false, 10 * time.Second, 5 * time.Second, 3 * time.Second, 0},
+		{"earlier build", "", false, 10 * time.Second, 5 * time.Second, 3 * time.Second, 3 * time.Second},
+		{"holder after an earlier build", `{"engines":["e"],"all":true}`, false, 10 * time.Second, 5 * time.Second, 3 * time.Second, 3 * time.Second},
 	} {
 		holder, next := newTestVM(t, store), newTestVM(t, store)
 		if c.ordered > 0 {
 			at := holder.clock.Add(-c.ordered)
 			holder.lastOrder.Store(&at)
 		}
-		holder.publishClaim(lease.Claim{Fencing: 3, Until: holder.clock}, lease.Term{Fencing: 3, Since: holder.clock.Add(-term)})
+		holder.publishClaim(lease.Claim{Fencing: 3, Until: holder.clock}, lease.Term{Fencing: 3, Since: holder.clock.Add(-c.term)}, c.resigned)
 		next.receiveClaim(holder.recentClaim())
-		if got := max(0, next.ordersAllowedFrom(next.clock).Sub(next.clock)); got != c.wait {
-			t.Errorf("%s: the next holder sends orders after %v, want %v", c.name, got, c.wait)
+		row := lease.Row{Record: lease.Record{Fencing: 3, Note: c.note}}
+		now := next.clock
+		next.handover.begin(row, 4, next.earlierOrdersEnd(row, lease.Term{Fencing: 4, Since: now, From: now}))
+		for id, want := range map[backend.ID]time.Duration{"e": c.listed, "other": c.other} {
+			wait := time.Duration(0)
+			for next.handover.blocked(id, now.Add(wait)) {
+				wait += 100 * time.Millisecond
+			}
+			if wait != want {
+				t.Errorf("%s: the next holder orders %s after %v, want %v", c.name, id, wait, want)
+			}
 		}
 	}
 }
+
+// A holder orders only engines that its row lists, whichever of its writes were applied.
+func TestOrdersAreListedBeforeTheyAreSent(t *testing.T) {
+	h := newHandover(3 * time.Second)
+	now := time.Unix(1000, 0)
+	var row lease.Row
+	write := func(applied bool, ids ...backend.ID) {
+		h.reserve(ids)
+		note := h.note(row, now)
+		h.recordWrite(applied)
+		if applied {
+			row.Record.Note = note
+		}
+	}
+	wantAdmitted := func(ids ...backend.ID) {
+		t.Helper()
+		for _, id := range []backend.ID{"a", "b", "c"} {
+			if got := h.admit(id, now); got != slices.Contains(ids, id) {
+				t.Errorf("order to %s admitted: %v", id, got)
+			}
+		}
+	}
+	h.begin(row, 1, now)
+	row.Record.Fencing = 1
+	wantAdmitted()
+	write(true, "a", "b")
+	wantAdmitted("a", "b")
+	// An order holds its place in the list until the next holder need not know of it.
+	now = now.Add(3 * time.Second)
+	write(true, "c")
+	wantAdmitted("a", "b", "c")
+	now = now.Add(10 * time.Second)
+	write(false, "b") // Its outcome isn't known.
+	wantAdmitted("b")
+	write(true, "c")
+	wantAdmitted("b", "c")
+}
+
+// If it isn't known which engines an earlier holder has ordered, the next holders learn that, too.
+func TestUnknownOrdersAreHandedOn(t *testing.T) {
+	h := newHandover(3 * time.Second)
+	now := time.Unix(1000, 0)
+	row := lease.Row{Record: lease.Record{Fencing: 7}} // Of an earlier build.
+	wantAll := func(want bool) {
+		t.Helper()
+		row.Record.Note = h.note(row, now)
+		if got := readNote(row).All; got != want {
+			t.Errorf("%v after the start: the note is %s", now.Sub(time.Unix(1000, 0)), row.Record.Note)
+		}
+	}
+	wantAll(true)
+	h.begin(lease.Row{Record: lease.Record{Fencing: 7}}, 8, now.Add(3*time.Second))
+	row.Record.Fencing = 8
+	now = now.Add(2 * time.Second)
+	wantAll(true)
+	now = now.Add(time.Second)
+	wantAll(false)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,15 @@
 	calls steer.Meter
 	// claim is the newest known report about the order lease's term.
 	claim atomic.Pointer[claim]
+	// leaseDue signals that the order lease has to be given up, or that another VM has given it up.
+	leaseDue chan struct{}
+	// handover is nil where engines check fencing tokens.
+	handover *handover
+	// inherited are the engines that may carry out orders of the earlier holder when a term begins; used
+	// by issueOrders only.
+	inherited []backend.ID
+	// orderMu is held to record an order while the term permits it, and to resign.
+	orderMu sync.Mutex
 
 	mu       sync.Mutex
 	reserved []backend.ID
@@ -274,6 +283,7 @@
 		versionsChanged:    make(chan struct{}, 1),
 		originMissed:       make(chan struct{}, 1),
 		runsUndecided:      make(chan struct{}, 1),
+		leaseDue:           make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		catalogFetches:     newFetches(),
@@ -324,10 +334,20 @@
 		FirstStart:       opts.FirstStart,
 		Now:              n.now,
 	})
-	n.keeper = lease.NewKeeperWithClock(opts.Table, "orders", n.holder(), opts.Bounds.Lease, n.now)
+	n.competeForOrders()
 	return n, n.listen()
 }
 
+// competeForOrders sets up the competition for the order lease.
+func (n *Node) competeForOrders() {
+	now := func() time.Time { return n.now() }
+	n.keeper = lease.NewKeeperWithClock(n.opts.Table, "orders", n.holder(), n.opts.Bounds.Lease, now)
+	if !n.opts.Bounds.FencingEnforced {
+		n.handover = newHandover(n.opts.Bounds.Lease)
+		n.keeper.SetNote(func(replaced lease.Row) string { return n.handover.note(replaced, n.now()) })
+	}
+}
+
 func rolloutSettings(b Bounds) rollout.Settings {
 	s := rollout.DefaultSettings()
 	s.VersionBound = b.VersionBound
@@ -417,6 +437,7 @@
 // Leave removes the VM from the addresses given to callers. It still serves requests.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
+	n.signal(n.leaseDue)
 	n.log.Info("leave_started", zap.String("vm", string(n.opts.VM.ID)))
 	n.notifyAll()
 }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -32,17 +32,20 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	issuer := &orderIssuer{n: n}
-	var nextStep time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			n.releaseLease()
 			return
+		case <-n.leaseDue:
+			issuer.nextStep = time.Time{}
+			if n.keeper.Term().Fencing == 0 {
+				continue // The ticks of the VMs differ, so that most read the row after one of them has taken it.
+			}
 		case <-ticker.C:
 		}
-		now := n.now()
-		if !now.Before(nextStep) {
-			nextStep = now.Add(n.leaseStep(ctx))
+		if !n.now().Before(issuer.nextStep) {
+			issuer.renew(ctx)
 		}
 		term := n.keeper.Term()
 		if !term.Valid(n.now(), order.MaxSend) {
@@ -56,7 +59,8 @@
 // leaseStep acquires or renews the lease if that is due, and returns the delay before the next
 // step.
 func (n *Node) leaseStep(ctx context.Context) time.Duration {
-	held := n.keeper.Term().Fencing
+	before := n.keeper.Term()
+	held := before.Fencing
 	stranded := n.path.Cut() && n.peerFollows()
 	if held != 0 && (n.Leaving() || stranded) {
 		reason := "leaving"
@@ -67,12 +71,14 @@
 		return n.opts.Bounds.Lease
 	}
 	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
-		return n.opts.Bounds.Lease / 6
+		return n.takeoverPause()
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
 		n.keeper.RecordClaim(c.lease)
 	}
-	if err := n.keeper.Step(ctx); err != nil {
+	err := n.keeper.Step(ctx)
+	n.handover.recordWrite(err == nil)
+	if err != nil {
 		n.log.Info("order_lease_step_failed", zap.Uint64("fencing", uint64(held)), logging.Error(err))
 		if n.peerFollows() {
 			n.resign("store lost")
@@ -81,17 +87,33 @@
 	}
 	n.observeEra(n.keeper.Era(), "store")
 	term := n.keeper.Term()
-	if term.Fencing != 0 {
-		n.publishClaim(n.keeper.Claim(), term)
+	if term.Fencing == 0 {
+		return n.takeoverPause()
+	}
+	if term.Fencing != held {
+		n.beginTerm(before, term)
 	}
+	n.publishClaim(n.keeper.Claim(), term, false)
+	n.notifyAll() // If this VM is killed, the others need its last claim to take the lease over in time.
 	if term.Fencing != held {
 		n.log.Info("order_lease", zap.Uint64("fencing", uint64(term.Fencing)), zap.Uint64("before", uint64(held)),
 			zap.Duration("valid_for", max(0, term.Until.Sub(n.now()))))
-		n.notifyAll()
 	}
 	return n.opts.Bounds.Lease / 3
 }
 
+// takeoverPause returns the delay before the next attempt to take the lease over: not later than the
+// end of the holder's term, if that is known.
+func (n *Node) takeoverPause() time.Duration {
+	pause := n.opts.Bounds.Lease / 6
+	if c := n.claim.Load(); c != nil && !c.own {
+		if left := c.lease.Until.Sub(n.now()); left > 0 {
+			pause = min(pause, left)
+		}
+	}
+	return pause
+}
+
 // hasEngines reports whether any server has loadable weights. The lease is acquired even before
 // weights are named, because the first orders of a term may have to wait.
 func (n *Node) hasEngines() bool {
@@ -110,10 +132,19 @@
 type orderIssuer struct {
 	n      *Node
 	active bool
+	// nextStep is when the lease is next acquired or renewed.
+	nextStep time.Time
+	// listFrom is when the row may be written again to list engines, after that has failed.
+	listFrom time.Time
 	// lastLogged is when a line about the roll-out was last logged.
 	lastLogged time.Time
 }
 
+// renew acquires or renews the lease.
+func (issuer *orderIssuer) renew(ctx context.Context) {
+	issuer.nextStep = issuer.n.now().Add(issuer.n.leaseStep(ctx))
+}
+
 func (issuer *orderIssuer) reset() {
 	if !issuer.active {
 		return
@@ -125,23 +156,34 @@
 
 func (issuer *orderIssuer) step(ctx context.Context, term lease.Term) {
 	n := issuer.n
-	if n.now().Before(n.ordersAllowedFrom(term.Since)) {
-		return
-	}
-	issuer.active = true
 	view := n.directory.View()
-	plan := n.planner.Plan(n.rolloutEngines(view), n.now())
+	engines := n.rolloutEngines(view)
+	if !issuer.active {
+		issuer.active = true
+		n.planner.Adopt(engines, n.inherited, n.now())
+		n.inherited = nil
+	}
+	plan := n.planner.Plan(engines, n.now())
 	n.setReserved(plan.Reserved)
 	issuer.logPlan(&plan)
+	if !n.handover.reserve(plan.Reserved) && !n.now().Before(issuer.listFrom) {
+		issuer.renew(ctx)
+		if term = n.keeper.Term(); !term.Valid(n.now(), order.MaxSend) {
+			return
+		}
+		if !n.handover.reserve(plan.Reserved) {
+			issuer.listFrom = issuer.nextStep
+		}
+	}
 	for _, o := range plan.Orders {
-		if e := view.Server(o.Engine); e != nil && e.Started == o.Started {
+		if e := view.Server(o.Engine); e != nil && e.Started == o.Started && n.handover.lists(o.Engine) {
 			n.planner.Sent(o, n.now())
 			issuer.sendOrder(ctx, e, o, term)
 		}
 	}
 	for _, id := range plan.Polls {
 		if e := view.Server(id); e != nil {
-			go n.readEngine(ctx, e)
+			go n.pollEngine(ctx, e)
 		}
 	}
 }
@@ -169,7 +211,7 @@
 			out = append(out, rollout.Engine{
 				ID: e.ID, Started: e.Started, FailureDomain: e.FailureDomain,
 				Model: model, Held: held, Wanted: max(held, n.goals.Wanted(model)), Behind: n.goals.Behind(model, held, n.now()),
-				Running: n.servers.RequestCount(selector.KeyOf(e)),
+				Running: n.servers.RequestCount(selector.KeyOf(e)), Blocked: n.handover.blocked(e.ID, n.now()),
 			})
 		}
 	}
@@ -194,7 +236,6 @@
 // stays valid for the duration of a send; it is checked again right before the send.
 func (issuer *orderIssuer) sendOrder(ctx context.Context, e *fleet.Entry, o rollout.Order, term lease.Term) {
 	n := issuer.n
-	n.recordOrder()
 	go func() {
 		report, ok := n.readEngine(ctx, e)
 		if !ok {
@@ -209,10 +250,9 @@
 			return
 		}
 		now := n.now()
-		if !n.keeper.Term().Valid(now, order.MaxSend) {
+		if !n.admitOrder(o.Engine, now) {
 			return
 		}
-		n.recordOrder()
 		// The deadline uses the monotonic clock, which sockets require.
 		result, err := n.opts.Engines.Load(ctx, e, o, report.AcceptedOrders, n.holder(), term.Fencing, time.Now().Add(order.MaxSend/2))
 		n.log.Info("order_sent",
@@ -228,6 +268,23 @@
 	}()
 }
 
+// admitOrder reports whether this VM may send an order to an engine now, and records it.
+func (n *Node) admitOrder(id backend.ID, now time.Time) bool {
+	n.orderMu.Lock()
+	defer n.orderMu.Unlock()
+	if !n.keeper.Term().Valid(now, order.MaxSend) || !n.handover.admit(id, now) {
+		return false
+	}
+	n.recordOrder()
+	return true
+}
+
+// pollEngine reads the state of an engine that loads.
+func (n *Node) pollEngine(ctx context.Context, e *fleet.Entry) {
+	report, ok := n.readEngine(ctx, e)
+	n.planner.Polled(e.ID, e.Started, ok && report.Busy)
+}
+
 // readEngine requests an engine's state and records its weights. It returns false if this run
 // of the engine doesn't answer.
 func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) (EngineReport, bool) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -88,6 +88,8 @@
 	Behind time.Duration
 	// Running is the number of requests that it runs.
 	Running int
+	// Blocked is set while no order may be sent to it.
+	Blocked bool
 }
 
 // Order is an order to an engine to load a version.
@@ -126,6 +128,9 @@
 	accepted       bool
 	// pollDue is when the engine is polled next; zero before the order was acknowledged.
 	pollDue time.Time
+	// adopted is set if another VM may have sent the order, and seen once the engine was seen to carry
+	// it out.
+	adopted, seen bool
 }
 
 // Planner keeps the state between plans. It is safe for concurrent use.
@@ -174,7 +179,9 @@
 	loading := p.countLoading(byID)
 	for _, id := range p.byReservation() {
 		l, e := p.loads[id], byID[id]
-		plan.Reserved = append(plan.Reserved, id)
+		if !l.adopted || l.seen {
+			plan.Reserved = append(plan.Reserved, id)
+		}
 		if l.accepted {
 			plan.Loading = append(plan.Loading, id)
 			if p.pollDue(l, now) {
@@ -258,7 +265,7 @@
 	maps.DeleteFunc(p.unresponsive, func(id backend.ID, s unresponsiveRun) bool { return byID[id] == nil || !now.Before(s.until) })
 	for id, l := range p.loads {
 		e := byID[id]
-		if l.accepted && e != nil && e.Started == l.started && e.Held >= l.version {
+		if l.accepted && e != nil && e.Started == l.started && e.Held >= l.version && !l.adopted {
 			p.recordLoadTime(now.Sub(l.sent))
 		}
 		switch {
@@ -326,7 +333,7 @@
 		var best *Engine
 		for i := range engines {
 			e := &engines[i]
-			if e.Held >= e.Wanted || p.loads[e.ID] != nil || p.isUnresponsive(e, now) {
+			if e.Held >= e.Wanted || p.loads[e.ID] != nil || e.Blocked || p.isUnresponsive(e, now) {
 				continue
 			}
 			if best == nil || loadsBefore(e, best, current) {
@@ -407,6 +414,32 @@
 	p.unresponsive[o.Engine] = unresponsiveRun{started: o.Started, until: now.Add(p.settings.RetryAfter)}
 }
 
+// Adopt records the engines that may carry out orders of the VM that sent orders before. They hold
+// places until they are seen to load nothing, and get requests until they are seen to load.
+func (p *Planner) Adopt(engines []Engine, ids []backend.ID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range engines {
+		if e.Held < e.Wanted && slices.Contains(ids, e.ID) && p.loads[e.ID] == nil {
+			p.loads[e.ID] = &load{started: e.Started, version: e.Wanted, reserved: now, sent: now, accepted: true, pollDue: now, adopted: true}
+		}
+	}
+}
+
+// Polled records whether an engine was seen to carry out an order.
+func (p *Planner) Polled(id backend.ID, started int64, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	switch {
+	case l == nil || !l.adopted || l.started != started:
+	case busy:
+		l.seen = true
+	default:
+		delete(p.loads, id)
+	}
+}
+
 // Reset drops all loads. It is called when another VM takes over sending orders.
 func (p *Planner) Reset() {
 	p.mu.Lock()
