Tell the next VM when each engine was last ordered

Cause: the row listed engines from when they were reserved, and for a lease after their orders. The log shows the next VM with the lease at 26.38 s, its first orders at 26.48 s, and none from 27.5 to 29.46 s: the engines left were listed, so they waited for a lease from its term's begin. Listing them right before their orders alone wasn't enough: when versions are named in quick succession, all engines were ordered within the last lease (26.36 to 29.45 s without an order).

Fix: an engine is open in the row right before its order only; afterwards the row says how long before the write it was ordered. The holder's claim tells when it last wrote, so the next VM can date these orders by its own clock: a row is as old as the claim says if the claim covers it, else as its first read.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -73,6 +73,8 @@
 	Age time.Duration `json:"a"`
 	// Resigned is set if the holder has given the term up and sends no order after this claim.
 	Resigned bool `json:"res,omitempty"`
+	// WriteAge is the time since the holder last wrote the lease's row, or tried to; 0 if it isn't known.
+	WriteAge time.Duration `json:"w,omitempty"`
 }
 
 // Digest is the state that a VM sends to the other VMs of its domain.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -24,9 +24,10 @@
 	watcher *Watcher
 	term    atomic.Pointer[Term]
 	// note returns the note to write; nil for none.
-	note func(replaced Row) string
-	// replaced is the row that the present term has replaced.
-	replaced Row
+	note func(replaced Row, read time.Time) string
+	// replaced is the row that the present term has replaced, and replacedRead when it was first read.
+	replaced     Row
+	replacedRead time.Time
 }
 
 // NewKeeper returns a Keeper for a resource that uses the monotonic clock.
@@ -49,12 +50,12 @@
 }
 
 // SetNote sets the function that returns the note for each write of the row, given the row that the
-// write replaces. It must be called before the first step.
-func (k *Keeper) SetNote(note func(replaced Row) string) { k.note = note }
+// write replaces and when it was first read. It must be called before the first step.
+func (k *Keeper) SetNote(note func(replaced Row, read time.Time) string) { k.note = note }
 
-// Replaced returns the row that the present term has replaced. It must not be called concurrently
-// with Step.
-func (k *Keeper) Replaced() Row { return k.replaced }
+// Replaced returns the row that the present term has replaced, and when it was first read. It must not
+// be called concurrently with Step.
+func (k *Keeper) Replaced() (Row, time.Time) { return k.replaced, k.replacedRead }
 
 // Term returns the term as last known. The caller checks Valid before each
 // action. Term is safe for concurrent use.
@@ -119,9 +120,9 @@
 	if !ok {
 		return nil
 	}
-	observed, term := k.watcher.observed, k.watcher.Term()
+	observed, read, term := k.watcher.observed, k.watcher.observedAt, k.watcher.Term()
 	if k.note != nil {
-		a.Next.Note = k.note(observed)
+		a.Next.Note = k.note(observed, read)
 	}
 	sent := k.now()
 	k.watcher.RecordSent(a)
@@ -132,7 +133,7 @@
 	if err == nil {
 		k.watcher.RecordCommitted(a, sent, k.now())
 		if term.Fencing != a.Next.Fencing && !term.Valid(sent, 0) {
-			k.replaced = observed
+			k.replaced, k.replacedRead = observed, read
 		}
 	}
 	return err
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -21,6 +21,8 @@
 	lastOrder time.Time
 	// resigned is set if the holder gave the term up: it has sent no order after lastOrder.
 	resigned bool
+	// written is when the holder last wrote the row, or tried to; zero if it isn't known.
+	written time.Time
 	// own is set if this VM is the holder that made the report.
 	own bool
 }
@@ -32,7 +34,7 @@
 // term began.
 func (n *Node) publishClaim(c lease.Claim, term lease.Term, resigned bool) {
 	last := laterOf(n.lastOrderTime(), laterOf(term.Since, term.From))
-	n.claim.Store(&claim{lease: c, reportedAt: n.now(), lastOrder: last, resigned: resigned, own: true})
+	n.claim.Store(&claim{lease: c, reportedAt: n.now(), lastOrder: last, resigned: resigned, written: n.rowWritten, own: true})
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -71,6 +73,9 @@
 		Age:       now.Sub(c.reportedAt),
 		Resigned:  c.resigned,
 	}
+	if !c.written.IsZero() {
+		out.WriteAge = max(1, now.Sub(c.written))
+	}
 	if !c.lastOrder.IsZero() {
 		out.OrderAge = now.Sub(c.lastOrder)
 	}
@@ -88,6 +93,9 @@
 		reportedAt: now.Add(-g.Age),
 		resigned:   g.Resigned,
 	}
+	if g.WriteAge > 0 {
+		next.written = now.Add(-g.WriteAge)
+	}
 	if g.OrderAge >= 0 {
 		next.lastOrder = now.Add(-g.OrderAge)
 	}
@@ -116,6 +124,22 @@
 	return laterOf(term.Since, term.From).Add(n.opts.Bounds.Lease)
 }
 
+// writtenBy returns a time by which a row was written that was first read at the given time.
+func (n *Node) writtenBy(r lease.Row, read time.Time) time.Time {
+	c := n.claim.Load()
+	covered := c != nil && !c.own && !c.written.IsZero() && c.lease.Fencing == r.Record.Fencing && r.Record.Renewals <= c.lease.Renewals
+	if covered && c.written.Before(read) {
+		return c.written
+	}
+	return read
+}
+
+// orderNote returns the note for a write of the lease's row.
+func (n *Node) orderNote(replaced lease.Row, read time.Time) string {
+	n.rowWritten = n.now()
+	return n.handover.note(replaced, n.writtenBy(replaced, read), n.rowWritten)
+}
+
 // beginTerm begins a term, right after it was acquired. The term before may continue in it, in a
 // later era of the store.
 func (n *Node) beginTerm(before, term lease.Term) {
@@ -126,8 +150,8 @@
 		n.handover.extend(term.Fencing)
 		return
 	}
-	replaced := n.keeper.Replaced()
-	n.inherited = n.handover.begin(replaced, term.Fencing, n.earlierOrdersEnd(replaced, term))
+	replaced, read := n.keeper.Replaced()
+	n.inherited = n.handover.begin(replaced, term.Fencing, n.writtenBy(replaced, read), n.earlierOrdersEnd(replaced, term))
 }
 
 // resign gives up the lease so that another VM can acquire it immediately.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -22,29 +22,38 @@
 	mu sync.Mutex
 	// fencing is the fencing token of this VM's last term.
 	fencing lease.Fencing
-	// listed holds the engines that the row lists, whichever of this VM's writes were applied;
-	// written is what the last write lists.
+	// listed holds the engines that the row says may be ordered, whichever of this VM's writes were
+	// applied; written are those of the last write.
 	listed, written map[backend.ID]bool
-	// reserved are the engines that are ordered next, and ordered holds when this VM last
-	// ordered an engine.
-	reserved []backend.ID
-	ordered  map[backend.ID]time.Time
+	// announced holds since when engines are about to be ordered, and ordered when this VM last ordered
+	// an engine.
+	announced, ordered map[backend.ID]time.Time
 	// earlier holds from when the engines may be ordered that earlier holders may have ordered;
 	// allFrom is the same for all engines if it isn't known which ones these are.
 	earlier map[backend.ID]time.Time
 	allFrom time.Time
 }
 
-// handoverNote is the note in the row of the order lease. It lists the engines that may have been
-// ordered within the last lease.
+// announcementAge is the age up to which an announced engine stays listed. Its state is read before its
+// order is sent.
+const announcementAge = 2 * reportTimeout
+
+// handoverNote is the note in the row of the order lease.
 type handoverNote struct {
-	Engines []backend.ID `json:"engines"`
-	// All is set if it isn't known which engines these are.
+	// Open are the engines that the holder may order until its term ends or it writes the row again.
+	Open []backend.ID `json:"open"`
+	// Ordered holds, in milliseconds, how long before the write the other engines may have been ordered
+	// last, if that was within the last lease.
+	Ordered map[backend.ID]int64 `json:"ordered,omitempty"`
+	// All is set if it isn't known which engines were ordered.
 	All bool `json:"all,omitempty"`
 }
 
 func newHandover(duration time.Duration) *handover {
-	return &handover{lease: duration, listed: map[backend.ID]bool{}, ordered: map[backend.ID]time.Time{}, earlier: map[backend.ID]time.Time{}}
+	return &handover{
+		lease: duration, listed: map[backend.ID]bool{},
+		announced: map[backend.ID]time.Time{}, ordered: map[backend.ID]time.Time{}, earlier: map[backend.ID]time.Time{},
+	}
 }
 
 // orderSpacing is the least time from an order of one holder to an order of the next one. An order
@@ -64,30 +73,40 @@
 	return note
 }
 
-// note returns the note for a write that replaces a row.
-func (h *handover) note(replaced lease.Row, now time.Time) string {
+// note returns the note for a write that replaces a row, which was written by the given time.
+func (h *handover) note(replaced lease.Row, by, now time.Time) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.prune(now)
-	note := handoverNote{All: !h.allFrom.IsZero()}
-	h.written = map[backend.ID]bool{}
-	for _, id := range h.reserved {
-		h.written[id] = true
+	note := handoverNote{All: !h.allFrom.IsZero(), Ordered: map[backend.ID]int64{}}
+	add := func(id backend.ID, last time.Time) {
+		age := now.Sub(last).Milliseconds()
+		if other, ok := note.Ordered[id]; !ok || age < other {
+			note.Ordered[id] = age
+		}
 	}
-	for id := range h.ordered {
-		h.written[id] = true
+	for id, at := range h.ordered {
+		add(id, at)
 	}
-	for id := range h.earlier {
+	for id, from := range h.earlier {
+		add(id, from.Add(-h.orderSpacing()))
+	}
+	h.written = map[backend.ID]bool{}
+	for id := range h.announced {
 		h.written[id] = true
 	}
+	open := maps.Clone(h.written)
 	if !h.isOwn(replaced) {
 		other := readNote(replaced)
 		note.All = note.All || other.All
-		for _, id := range other.Engines {
-			h.written[id] = true
+		for _, id := range other.Open {
+			open[id] = true
+		}
+		for id, age := range other.Ordered {
+			add(id, by.Add(-milliseconds(age)))
 		}
 	}
-	note.Engines = slices.Sorted(maps.Keys(h.written))
+	note.Open = slices.Sorted(maps.Keys(open))
 	data, err := json.Marshal(note)
 	if err != nil {
 		return ""
@@ -95,8 +114,11 @@
 	return string(data)
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // prune drops what no longer delays an order.
 func (h *handover) prune(now time.Time) {
+	maps.DeleteFunc(h.announced, func(_ backend.ID, at time.Time) bool { return now.Sub(at) > announcementAge })
 	maps.DeleteFunc(h.ordered, func(_ backend.ID, at time.Time) bool { return now.Sub(at) > h.orderSpacing() })
 	maps.DeleteFunc(h.earlier, func(_ backend.ID, from time.Time) bool { return !now.Before(from) })
 	if !now.Before(h.allFrom) {
@@ -121,9 +143,10 @@
 	h.written = nil
 }
 
-// begin begins a term that has replaced the given row. The engines that earlier holders may have
-// ordered may be ordered from the given time on. It returns these engines.
-func (h *handover) begin(replaced lease.Row, fencing lease.Fencing, from time.Time) []backend.ID {
+// begin begins a term that has replaced a row, which was written by the given time. The engines that
+// its holder could still order then may be ordered from openFrom on. It returns the engines that may
+// load.
+func (h *handover) begin(replaced lease.Row, fencing lease.Fencing, by, openFrom time.Time) []backend.ID {
 	if h == nil {
 		return nil
 	}
@@ -135,13 +158,22 @@
 		return nil
 	}
 	note := readNote(replaced)
-	for _, id := range note.Engines {
+	ids := note.Open
+	for _, id := range note.Open {
+		h.earlier[id] = laterOf(h.earlier[id], openFrom)
+	}
+	for id, age := range note.Ordered {
+		from := by.Add(h.orderSpacing() - milliseconds(age))
+		if from.After(openFrom) {
+			from = openFrom
+		}
 		h.earlier[id] = laterOf(h.earlier[id], from)
+		ids = append(ids, id)
 	}
 	if note.All {
-		h.allFrom = laterOf(h.allFrom, from)
+		h.allFrom = laterOf(h.allFrom, openFrom)
 	}
-	return note.Engines
+	return ids
 }
 
 // isOwn reports whether a row shows that nobody has held the lease since this VM's last term.
@@ -156,14 +188,17 @@
 	h.fencing = fencing
 }
 
-// reserve sets the engines that are ordered next, and reports whether the row lists them all.
-func (h *handover) reserve(ids []backend.ID) bool {
+// announce records that engines are about to be ordered, and reports whether the row already lists
+// them all.
+func (h *handover) announce(ids []backend.ID, now time.Time) bool {
 	if h == nil {
 		return true
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reserved = ids
+	for _, id := range ids {
+		h.announced[id] = now
+	}
 	return !slices.ContainsFunc(ids, func(id backend.ID) bool { return !h.listed[id] })
 }
 
@@ -202,5 +237,6 @@
 		return false
 	}
 	h.ordered[id] = now
+	delete(h.announced, id)
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,6 +240,9 @@
 	// inherited are the engines that may carry out orders of the earlier holder when a term begins; used
 	// by issueOrders only.
 	inherited []backend.ID
+	// rowWritten is when this VM last wrote the row of the order lease, or tried to; used by issueOrders
+	// only.
+	rowWritten time.Time
 	// orderMu is held to record an order while the term permits it, and to resign.
 	orderMu sync.Mutex
 
@@ -344,7 +347,7 @@
 	n.keeper = lease.NewKeeperWithClock(n.opts.Table, "orders", n.holder(), n.opts.Bounds.Lease, now)
 	if !n.opts.Bounds.FencingEnforced {
 		n.handover = newHandover(n.opts.Bounds.Lease)
-		n.keeper.SetNote(func(replaced lease.Row) string { return n.handover.note(replaced, n.now()) })
+		n.keeper.SetNote(n.orderNote)
 	}
 }
 
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -166,12 +166,12 @@
 	plan := n.planner.Plan(engines, n.now())
 	n.setReserved(plan.Reserved)
 	issuer.logPlan(&plan)
-	if !n.handover.reserve(plan.Reserved) && !n.now().Before(issuer.listFrom) {
+	if ids := plan.Ordered(); !n.handover.announce(ids, n.now()) && !n.now().Before(issuer.listFrom) {
 		issuer.renew(ctx)
 		if term = n.keeper.Term(); !term.Valid(n.now(), order.MaxSend) {
 			return
 		}
-		if !n.handover.reserve(plan.Reserved) {
+		if !n.handover.announce(ids, n.now()) {
 			issuer.listFrom = issuer.nextStep
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -118,6 +118,15 @@
 	LoadTime time.Duration
 }
 
+// Ordered returns the engines of the orders.
+func (p *Plan) Ordered() []backend.ID {
+	var ids []backend.ID
+	for _, o := range p.Orders {
+		ids = append(ids, o.Engine)
+	}
+	return ids
+}
+
 // load is the progress of an engine's change to new weights.
 type load struct {
 	started int64
