Leave reserved engines to the next VM that sends orders

What callers saw: with VMs stopped in turn a roll-out still lost most of a second at each change.

Cause: a VM that resigned returned its reserved engines to service, and the next one reserved engines anew and let them drain for 0.7 s.

Fix: after a resignation the reserved engines stay reserved until another VM holds the lease, a third of a lease at most. The next one knows from digests since when they are reserved, and goes on from there. An engine that carries out an order already is no longer measured as if the load had just begun.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,7 +248,9 @@
 
 	mu       sync.Mutex
 	reserved []backend.ID
-	observed map[backend.ID]observedWeights
+	// peerReserved holds since when other VMs have reserved engines.
+	peerReserved map[backend.ID]time.Time
+	observed     map[backend.ID]observedWeights
 	// catalogFetches and serverFetches are the fetches of the configuration and of the servers
 	// from other VMs.
 	catalogFetches, serverFetches fetches
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,7 @@
 		term := n.keeper.Term()
 		if !term.Valid(n.now(), order.MaxSend) {
 			issuer.reset()
+			issuer.releaseReserved()
 			continue
 		}
 		issuer.step(ctx, term)
@@ -136,6 +138,8 @@
 	nextStep time.Time
 	// listFrom is when the row may be written again to list engines, after that has failed.
 	listFrom time.Time
+	// releaseFrom is when the engines are released that this VM has reserved and left to the next holder.
+	releaseFrom time.Time
 	// lastLogged is when a line about the roll-out was last logged.
 	lastLogged time.Time
 }
@@ -149,9 +153,23 @@
 	if !issuer.active {
 		return
 	}
+	n := issuer.n
 	issuer.active = false
-	issuer.n.planner.Reset()
-	issuer.n.setReserved(nil)
+	n.planner.Reset()
+	issuer.releaseFrom = n.now()
+	if c := n.claim.Load(); c != nil && c.own && c.resigned {
+		issuer.releaseFrom = n.now().Add(n.opts.Bounds.Lease / 3)
+	}
+}
+
+// releaseReserved returns the reserved engines to service, after a resignation once another VM has
+// taken over or had time to: the engines that drained would otherwise have to drain again.
+func (issuer *orderIssuer) releaseReserved() {
+	n := issuer.n
+	if !issuer.releaseFrom.IsZero() && (!n.now().Before(issuer.releaseFrom) || n.peerHoldsOrderLease()) {
+		issuer.releaseFrom = time.Time{}
+		n.setReserved(nil)
+	}
 }
 
 func (issuer *orderIssuer) step(ctx context.Context, term lease.Term) {
@@ -159,8 +177,9 @@
 	view := n.directory.View()
 	engines := n.rolloutEngines(view)
 	if !issuer.active {
-		issuer.active = true
+		issuer.active, issuer.releaseFrom = true, time.Time{}
 		n.planner.Adopt(engines, n.inherited, n.now())
+		n.planner.AdoptReserved(engines, n.reservedByPeers())
 		n.inherited = nil
 	}
 	plan := n.planner.Plan(engines, n.now())
@@ -218,6 +237,13 @@
 	return out
 }
 
+// reservedByPeers returns since when other VMs have reserved engines.
+func (n *Node) reservedByPeers() map[backend.ID]time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.peerReserved)
+}
+
 func (n *Node) setReserved(ids []backend.ID) {
 	n.mu.Lock()
 	same := len(ids) == len(n.reserved)
@@ -246,7 +272,7 @@
 			return
 		}
 		if report.Busy {
-			n.planner.Accepted(o) // It carries out this order or one of an earlier lease holder.
+			n.planner.Busy(o) // It carries out this order or one of an earlier lease holder.
 			return
 		}
 		now := n.now()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -184,9 +184,6 @@
 		}
 	}
 	n.mu.Lock()
-	for _, id := range n.reserved {
-		reserved[string(id)] = true
-	}
 	for _, d := range n.domains {
 		if now.Sub(d.receivedAt) >= gossip.SilenceLimit {
 			continue
@@ -196,6 +193,18 @@
 			reserved[string(id)] = true
 		}
 	}
+	before := n.peerReserved
+	n.peerReserved = make(map[backend.ID]time.Time, len(reserved))
+	for id := range reserved {
+		since, ok := before[backend.ID(id)]
+		if !ok {
+			since = now
+		}
+		n.peerReserved[backend.ID(id)] = since
+	}
+	for _, id := range n.reserved {
+		reserved[string(id)] = true
+	}
 	n.mu.Unlock()
 	n.servers.SetPeerLoads(loads)
 	n.Gateway.SetWithheld(reserved)
--- a/internal/rollout/adopt_test.go
+++ b/internal/rollout/adopt_test.go
@@ -36,3 +36,44 @@
 		}
 	}
 }
+
+// An engine that the predecessor took out of service a drain time ago is ordered at once, although it
+// still has runs.
+func TestReservedEnginesDrainAgain(t *testing.T) {
+	p := newEngineSim(12)
+	for i := range p.engines {
+		p.engines[i].Running = 3
+	}
+	p.setWanted(2)
+	settings := DefaultSettings()
+	planner := NewPlanner(settings)
+	planner.AdoptReserved(p.engines, map[backend.ID]time.Time{
+		p.engines[0].ID: p.now.Add(-settings.DrainWait),
+		p.engines[1].ID: p.now.Add(-settings.DrainWait / 2),
+		"gone":          p.now.Add(-settings.DrainWait),
+	})
+	plan := planner.Plan(p.engines, p.now)
+	if len(plan.Orders) != 1 || plan.Orders[0].Engine != p.engines[0].ID {
+		t.Errorf("orders %+v, want one to the engine that has drained", plan.Orders)
+	}
+	if len(plan.Reserved) != 3 {
+		t.Errorf("%d engines are reserved, want 3", len(plan.Reserved))
+	}
+}
+
+// The rest of a load that another VM has ordered doesn't tell how long a load takes.
+func TestLoadOfPredecessorIsNotMeasured(t *testing.T) {
+	p := newEngineSim(12)
+	p.setWanted(2)
+	planner := NewPlanner(DefaultSettings())
+	e := &p.engines[0]
+	planner.AdoptReserved(p.engines, map[backend.ID]time.Time{e.ID: p.now.Add(-time.Minute)})
+	for _, o := range planner.Plan(p.engines, p.now).Orders {
+		planner.Sent(o, p.now)
+		planner.Busy(o)
+	}
+	e.Held = 2
+	if got := planner.Plan(p.engines, p.now.Add(100*time.Millisecond)).LoadTime; got != DefaultSettings().LoadTime {
+		t.Errorf("load time %v after the rest of a load", got)
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -435,6 +435,28 @@
 	}
 }
 
+// AdoptReserved records the engines that the VM that sent orders before has taken out of service, and
+// since when, so that they need not drain again.
+func (p *Planner) AdoptReserved(engines []Engine, since map[backend.ID]time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range engines {
+		if at, ok := since[e.ID]; ok && e.Held < e.Wanted && !e.Blocked && p.loads[e.ID] == nil {
+			p.loads[e.ID] = &load{started: e.Started, reserved: at}
+		}
+	}
+}
+
+// Busy records that an engine carries out an order, possibly one of another VM, so that the load is
+// not measured.
+func (p *Planner) Busy(o Order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[o.Engine]; l != nil && l.started == o.Started && l.version == o.Version {
+		l.accepted, l.adopted, l.seen = true, true, true
+	}
+}
+
 // Polled records whether an engine was seen to carry out an order.
 func (p *Planner) Polled(id backend.ID, started int64, busy bool) {
 	p.mu.Lock()
