Don't free the place of a loading engine for an old report

What callers saw: nothing yet; found in review. After the VM that sends orders has changed, the next one takes the engines that were ordered last for loading until it has polled them. A report of an engine's state may be some hundred milliseconds old, so an engine that accepted its order just before looked idle: it lost its place, got requests, which it refuses while it loads, and others were ordered beside it, more than may load at once. A poll without a response did the same.

Fix: only a report counts, and an idle one only from half a second after the change on.

TestOldReportDoesNotFreePlaceOfLoadingEngine failed before, 3 engines ordered beside 3. TestLoadsOfPredecessorHoldPlaces polled an idle engine at once and expected its place 0.1 s later, which reports don't allow; it polls 0.5 s later now and expects the same.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -307,8 +307,10 @@
 
 // pollEngine reads the state of an engine that loads.
 func (n *Node) pollEngine(ctx context.Context, e *fleet.Entry) {
-	report, ok := n.readEngine(ctx, e)
-	n.planner.Polled(e.ID, e.Started, ok && report.Busy)
+	sent := n.now()
+	if report, ok := n.readEngine(ctx, e); ok {
+		n.planner.Polled(e.ID, e.Started, report.Busy, sent)
+	}
 }
 
 // readEngine requests an engine's state and records its weights. It returns false if this run
--- a/internal/rollout/adopt_test.go
+++ b/internal/rollout/adopt_test.go
@@ -22,11 +22,12 @@
 	if len(plan.Orders) != 0 || len(plan.Reserved) != 0 || len(plan.Polls) != 3 {
 		t.Errorf("before the engines were polled: %d orders, %d reserved, %d polls; want 0, 0, 3", len(plan.Orders), len(plan.Reserved), len(plan.Polls))
 	}
-	planner.Polled(ids[0], p.engines[0].Started, true)
-	planner.Polled(ids[1], p.engines[1].Started, true)
-	planner.Polled(ids[2], p.engines[2].Started, false)
+	polled := p.now.Add(maxReportAge)
+	planner.Polled(ids[0], p.engines[0].Started, true, p.now)
+	planner.Polled(ids[1], p.engines[1].Started, true, p.now)
+	planner.Polled(ids[2], p.engines[2].Started, false, polled)
 	p.engines[2].Blocked = true
-	plan = planner.Plan(p.engines, p.now.Add(100*time.Millisecond))
+	plan = planner.Plan(p.engines, polled.Add(100*time.Millisecond))
 	if len(plan.Orders) != 1 || len(plan.Reserved) != 3 {
 		t.Errorf("beside two engines that load: %d orders, %d reserved; want 1, 3", len(plan.Orders), len(plan.Reserved))
 	}
@@ -37,6 +38,33 @@
 	}
 }
 
+// A report may be older than the predecessor's last order.
+func TestOldReportDoesNotFreePlaceOfLoadingEngine(t *testing.T) {
+	for _, seen := range []bool{false, true} {
+		p := newEngineSim(12)
+		for i := range p.engines {
+			p.engines[i].Running = 0
+		}
+		p.setWanted(2)
+		planner := NewPlanner(DefaultSettings())
+		ids := []backend.ID{p.engines[0].ID, p.engines[1].ID, p.engines[2].ID}
+		planner.Adopt(p.engines, ids, p.now)
+		planner.Plan(p.engines, p.now)
+		polled := p.now.Add(200 * time.Millisecond)
+		for i := range ids {
+			p.engines[i].Blocked = true
+			if seen {
+				planner.Polled(ids[i], p.engines[i].Started, true, p.now)
+			}
+			planner.Polled(ids[i], p.engines[i].Started, false, polled)
+		}
+		plan := planner.Plan(p.engines, polled.Add(100*time.Millisecond))
+		if n := len(plan.Orders); n > 0 {
+			t.Errorf("seen to load %v: %d engines are ordered beside 3 that load; %d may load at once", seen, n, plan.MaxLoading)
+		}
+	}
+}
+
 // An engine that the predecessor took out of service a drain time ago is ordered at once, although it
 // still has runs.
 func TestReservedEnginesDrainAgain(t *testing.T) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -168,6 +168,9 @@
 // loadTimeGain is the weight of a new measurement in the mean load time.
 const loadTimeGain = 0.3
 
+// maxReportAge bounds the age of the state in an engine's report.
+const maxReportAge = 500 * time.Millisecond
+
 // NewPlanner returns a planner without loads in progress.
 func NewPlanner(s Settings) *Planner {
 	return &Planner{settings: s, loads: map[backend.ID]*load{}, unresponsive: map[backend.ID]unresponsiveRun{}, loadTime: s.LoadTime, fastest: s.LoadTime}
@@ -457,8 +460,9 @@
 	}
 }
 
-// Polled records whether an engine was seen to carry out an order.
-func (p *Planner) Polled(id backend.ID, started int64, busy bool) {
+// Polled records whether an engine was seen to carry out an order, in a response to a poll that was sent
+// at a time. Soon after the change of the VM that sends orders, a response may be older than the order.
+func (p *Planner) Polled(id backend.ID, started int64, busy bool, sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.loads[id]
@@ -466,7 +470,7 @@
 	case l == nil || !l.adopted || l.started != started:
 	case busy:
 		l.seen = true
-	default:
+	case sent.Sub(l.reserved) >= maxReportAge:
 		delete(p.loads, id)
 	}
 }
