Don't order an engine that a write in flight drops from the list

Found in review: while a write of the lease's row was in progress that no longer listed an engine, an order to it that was under way could still be sent.

Fix: an engine is off the list when the write is sent, and a new one is on it when the write is known to have been applied.

TestNoOrderToEngineThatWriteInFlightDropsFromList failed before.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -95,6 +95,8 @@
 	for id := range h.announced {
 		h.written[id] = true
 	}
+	// The write may take effect at any time from now on.
+	maps.DeleteFunc(h.listed, func(id backend.ID, _ bool) bool { return !h.written[id] })
 	open := maps.Clone(h.written)
 	if !h.isOwn(replaced) {
 		other := readNote(replaced)
@@ -126,19 +128,16 @@
 	}
 }
 
-// recordWrite records whether the last write is known to have been applied.
+// recordWrite records whether the last write is known to have been applied. Only then are the engines
+// listed that it added.
 func (h *handover) recordWrite(applied bool) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.written == nil:
-	case applied:
+	if applied && h.written != nil {
 		h.listed = h.written
-	default:
-		maps.DeleteFunc(h.listed, func(id backend.ID, _ bool) bool { return !h.written[id] })
 	}
 	h.written = nil
 }
--- /dev/null
+++ b/internal/node/handover_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/lease"
+)
+
+// The write may take effect although its response is lost, and its row says nothing of the order then.
+func TestNoOrderToEngineThatWriteInFlightDropsFromList(t *testing.T) {
+	h := newHandover(3 * time.Second)
+	now := time.Unix(1000, 0)
+	var row lease.Row
+	h.begin(row, 1, now, now)
+	row.Record.Fencing = 1
+	h.announce([]backend.ID{"e"}, now)
+	row.Record.Note = h.note(row, now, now)
+	h.recordWrite(true)
+	now = now.Add(announcementAge + time.Millisecond) // The VM is slow to read the engine's state.
+	row.Record.Note = h.note(row, now, now)
+	admitted := h.admit("e", now.Add(5*time.Millisecond))
+	h.recordWrite(false)
+	next := newHandover(3 * time.Second)
+	now = now.Add(100 * time.Millisecond)
+	next.begin(row, 2, now, now.Add(3400*time.Millisecond))
+	if admitted && !next.blocked("e", now) {
+		t.Errorf("an order was admitted, and the next holder may order the engine 0.1 s later; the row says %s", row.Record.Note)
+	}
+}
