Take a note in another format for one that lists all engines

Found in review: the note in the lease's row was taken for complete whatever its format. The first build that wrote notes named other fields, so that beside it all engines were ordered at once, as with any format to come.

Fix: a note without the list of open engines says nothing; an empty list is written as such.

TestNoteInAnotherFormatListsAllEngines failed before for the first build's format and for an empty object.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -41,6 +41,7 @@
 // handoverNote is the note in the row of the order lease.
 type handoverNote struct {
 	// Open are the engines that the holder may order until its term ends or it writes the row again.
+	// It is never null: notes in other formats don't have it.
 	Open []backend.ID `json:"open"`
 	// Ordered holds, in milliseconds, how long before the write the other engines may have been ordered
 	// last, if that was within the last lease.
@@ -60,14 +61,14 @@
 // may arrive some time after it was recorded.
 func (h *handover) orderSpacing() time.Duration { return h.lease + order.MaxSend/2 }
 
-// readNote returns the note of the row of another term. Rows of earlier builds have none, and a row
-// from an older copy of the store doesn't show what happened after.
+// readNote returns the note of the row of another term. Rows of earlier builds have none or one in
+// another format, and a row from an older copy of the store doesn't show what happened after.
 func readNote(r lease.Row) handoverNote {
 	if r.NeverHeld() {
 		return handoverNote{}
 	}
 	var note handoverNote
-	if !r.Current() || json.Unmarshal([]byte(r.Record.Note), &note) != nil {
+	if !r.Current() || json.Unmarshal([]byte(r.Record.Note), &note) != nil || note.Open == nil {
 		return handoverNote{All: true}
 	}
 	return note
@@ -108,7 +109,8 @@
 			add(id, by.Add(-milliseconds(age)))
 		}
 	}
-	note.Open = slices.Sorted(maps.Keys(open))
+	note.Open = slices.AppendSeq([]backend.ID{}, maps.Keys(open))
+	slices.Sort(note.Open)
 	data, err := json.Marshal(note)
 	if err != nil {
 		return ""
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -29,3 +29,20 @@
 		t.Errorf("an order was admitted, and the next holder may order the engine 0.1 s later; the row says %s", row.Record.Note)
 	}
 }
+
+func TestNoteInAnotherFormatListsAllEngines(t *testing.T) {
+	for _, note := range []string{`{"engines":["e"]}`, `{}`, `{"open":null}`, "", "x"} {
+		h := newHandover(3 * time.Second)
+		now := time.Unix(1000, 0)
+		h.begin(lease.Row{Record: lease.Record{Fencing: 7, Note: note}}, 8, now, now.Add(3*time.Second))
+		if !h.blocked("e", now) {
+			t.Errorf("after a row with the note %s an engine is ordered at once", note)
+		}
+	}
+	h, now := newHandover(3*time.Second), time.Unix(1000, 0)
+	empty := newHandover(3*time.Second).note(lease.Row{}, now, now)
+	h.begin(lease.Row{Record: lease.Record{Fencing: 7, Note: empty}}, 8, now, now.Add(3*time.Second))
+	if h.blocked("e", now) {
+		t.Errorf("after a row with the note %s, of a holder without orders, an engine waits", empty)
+	}
+}
