--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -46,3 +46,14 @@
 		t.Errorf("after a row with the note %s, of a holder without orders, an engine waits", empty)
 	}
 }
+
+func TestRowThatOlderCopyLacksMayHaveBeenHeld(t *testing.T) {
+	v := newTestVM(t, newServerStore())
+	v.opts.FirstStart = true
+	now := v.clock
+	from := now.Add(lease.TakeoverWait(3 * time.Second))
+	got := v.earlierOrdersEnd(lease.Row{Era: 2}, lease.Term{Fencing: 1<<33 + 1, Since: now, From: from})
+	if got.Sub(from) < 3*time.Second {
+		t.Errorf("engines may be ordered %v after the term begins to be valid", got.Sub(from))
+	}
+}
