--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -214,7 +214,7 @@
 		return
 	}
 	issuer.lastLogged = now
-	issuer.n.log.Info("rollout", zap.Int("lacking", plan.Lacking), zap.Int("unanswered", plan.Unanswered), zap.Int("most", plan.MaxLoading),
+	issuer.n.log.Info("rollout", zap.Int("lacking", plan.Lacking), zap.Int("unanswered", plan.Unanswered), zap.Int("blocked", plan.Blocked), zap.Int("most", plan.MaxLoading),
 		zap.Int("reserved", len(plan.Reserved)), zap.Int("loading", len(plan.Loading)),
 		zap.Duration("left", plan.TimeToBound), zap.Duration("load_time", plan.LoadTime))
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -109,8 +109,9 @@
 	// read now.
 	Loading, Polls []backend.ID
 	// Lacking is the number of engines that lack the wanted version, Unanswered the number
-	// of these that are unresponsive, and MaxLoading the number that may load at once.
-	Lacking, Unanswered, MaxLoading int
+	// of these that are unresponsive, Blocked the number that must not be ordered yet, and MaxLoading
+	// the number that may load at once.
+	Lacking, Unanswered, Blocked, MaxLoading int
 	// TimeToBound is the time until the first of the lacking engines must hold a newer version;
 	// zero without a bound.
 	TimeToBound time.Duration
@@ -225,6 +226,9 @@
 			ages = append(ages, e.Behind)
 		}
 		plan.Lacking++
+		if e.Blocked {
+			plan.Blocked++
+		}
 	}
 	p.maxLoading = max(p.settings.MaxLoading, int(p.settings.LoadingShare*float64(len(engines))))
 	slowed := float64(p.loadTime) > slowdownFactor*float64(p.fastest)
