Number each try of a renewal apart

The others took the lease at the end of the first try's term while the holder acted for up to 1.5 s more.

Fix: a holder never writes a number again that it has tried, so the earlier claim doesn't cover the later row.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -202,7 +202,10 @@
 	if w.observed.inCurrentEra() && r.Holder == w.holder && r.Fencing != w.resignedFencing {
 		a.Next.Fencing = r.Fencing
 		a.Next.Renewals = r.Renewals + 1
-		if r.Fencing != w.term.Fencing {
+		if r.Fencing == w.term.Fencing {
+			// Each try has a number of its own: a claim made for an earlier one may end before this one.
+			a.Next.Renewals = max(r.Renewals, w.maxPendingRenewal) + 1
+		} else {
 			a.ActionDelay = TakeoverWait(w.ttl) // The commit's response was lost, or the row is from an older copy.
 		}
 		return a, true
