Play 1,500 random histories of the order lease again

Of the lease's mutants one is found with 1,500 histories and not with 300. The package takes 6 s with them.

--- a/internal/node/turns_test.go
+++ b/internal/node/turns_test.go
@@ -20,7 +20,7 @@
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
-var turnsSeeds = flag.Int64("turns.seeds", 400, "`number` of random histories of the order lease")
+var turnsSeeds = flag.Int64("turns.seeds", 1500, "`number` of random histories of the order lease")
 
 // turnsTest is a group of VMs that compete for the order lease in a store that loses calls.
 type turnsTest struct {
