--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -71,6 +71,10 @@
 	OrderAge time.Duration `json:"o"`
 	// Age is the time since the holder made the claim.
 	Age time.Duration `json:"a"`
+	// Resigned is set if the holder has given the term up and sends no order after this claim.
+	Resigned bool `json:"res,omitempty"`
+	// WriteAge is the time since the holder last wrote the lease's row, or tried to; 0 if it isn't known.
+	WriteAge time.Duration `json:"w,omitempty"`
 }
 
 // Digest is the state that a VM sends to the other VMs of its domain.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -23,6 +23,14 @@
 	now     func() time.Time
 	watcher *Watcher
 	term    atomic.Pointer[Term]
+	// note returns the note to write; nil for none.
+	note func(replaced Row, read time.Time) string
+	// renewing is called with the claim that will hold once a renewal is applied, right before it is
+	// sent; nil for none.
+	renewing func(Claim)
+	// replaced is the row that the present term has replaced, and replacedRead when it was first read.
+	replaced     Row
+	replacedRead time.Time
 }
 
 // NewKeeper returns a Keeper for a resource that uses the monotonic clock.
@@ -44,6 +52,19 @@
 	return k
 }
 
+// SetNote sets the function that returns the note for each write of the row, given the row that the
+// write replaces and when it was first read. It must be called before the first step.
+func (k *Keeper) SetNote(note func(replaced Row, read time.Time) string) { k.note = note }
+
+// SetRenewing sets the function that is called before a renewal is sent, with the claim that will hold
+// once it is applied. If the claim reaches the others first, it covers the row whenever the holder
+// ends. It must be called before the first step.
+func (k *Keeper) SetRenewing(renewing func(Claim)) { k.renewing = renewing }
+
+// Replaced returns the row that the present term has replaced, and when it was first read. It must not
+// be called concurrently with Step.
+func (k *Keeper) Replaced() (Row, time.Time) { return k.replaced, k.replacedRead }
+
 // Term returns the term as last known. The caller checks Valid before each
 // action. Term is safe for concurrent use.
 func (k *Keeper) Term() Term { return *k.term.Load() }
@@ -107,18 +128,35 @@
 	if !ok {
 		return nil
 	}
+	observed, read, term := k.watcher.observed, k.watcher.observedAt, k.watcher.Term()
+	if k.note != nil {
+		a.Next.Note = k.note(observed, read)
+	}
 	sent := k.now()
 	k.watcher.RecordSent(a)
+	if k.renewing != nil && term.Fencing != 0 && term.Fencing == a.Next.Fencing {
+		k.renewing(Claim{Fencing: a.Next.Fencing, Renewals: a.Next.Renewals, Until: laterOf(term.Until, sent.Add(k.ttl))})
+	}
 	err = k.commit(ctx, a)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		err = k.readBack(ctx, a)
 	}
 	if err == nil {
 		k.watcher.RecordCommitted(a, sent, k.now())
+		if term.Fencing != a.Next.Fencing && !term.Valid(sent, 0) {
+			k.replaced, k.replacedRead = observed, read
+		}
 	}
 	return err
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (k *Keeper) read(ctx context.Context) (Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,21 +33,25 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	issuer := &orderIssuer{n: n}
-	var nextStep time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			n.releaseLease()
 			return
+		case <-n.leaseDue:
+			issuer.nextStep = time.Time{}
+			if n.keeper.Term().Fencing == 0 {
+				continue // The ticks of the VMs differ, so that most read the row after one of them has taken it.
+			}
 		case <-ticker.C:
 		}
-		now := n.now()
-		if !now.Before(nextStep) {
-			nextStep = now.Add(n.leaseStep(ctx))
+		if !n.now().Before(issuer.nextStep) {
+			issuer.renew(ctx)
 		}
 		term := n.keeper.Term()
 		if !term.Valid(n.now(), order.MaxSend) {
 			issuer.reset()
+			issuer.releaseReserved()
 			continue
 		}
 		issuer.step(ctx, term)
@@ -56,7 +61,8 @@
 // leaseStep acquires or renews the lease if that is due, and returns the delay before the next
 // step.
 func (n *Node) leaseStep(ctx context.Context) time.Duration {
-	held := n.keeper.Term().Fencing
+	before := n.keeper.Term()
+	held := before.Fencing
 	stranded := n.path.Cut() && n.peerFollows()
 	if held != 0 && (n.Leaving() || stranded) {
 		reason := "leaving"
@@ -67,12 +73,14 @@
 		return n.opts.Bounds.Lease
 	}
 	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
-		return n.opts.Bounds.Lease / 6
+		return n.takeoverPause()
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
 		n.keeper.RecordClaim(c.lease)
 	}
-	if err := n.keeper.Step(ctx); err != nil {
+	err := n.keeper.Step(ctx)
+	n.handover.recordWrite(err == nil)
+	if err != nil {
 		n.log.Info("order_lease_step_failed", zap.Uint64("fencing", uint64(held)), logging.Error(err))
 		if n.peerFollows() {
 			n.resign("store lost")
@@ -81,17 +89,33 @@
 	}
 	n.observeEra(n.keeper.Era(), "store")
 	term := n.keeper.Term()
-	if term.Fencing != 0 {
-		n.publishClaim(n.keeper.Claim(), term)
+	if term.Fencing == 0 {
+		return n.takeoverPause()
 	}
 	if term.Fencing != held {
+		n.beginTerm(before, term)
+	}
+	n.publishClaim(n.keeper.Claim(), term, false)
+	if term.Fencing != held {
+		n.notifyAll()
 		n.log.Info("order_lease", zap.Uint64("fencing", uint64(term.Fencing)), zap.Uint64("before", uint64(held)),
 			zap.Duration("valid_for", max(0, term.Until.Sub(n.now()))))
-		n.notifyAll()
 	}
 	return n.opts.Bounds.Lease / 3
 }
 
+// takeoverPause returns the delay before the next attempt to take the lease over: not later than the
+// end of the holder's term, if that is known.
+func (n *Node) takeoverPause() time.Duration {
+	pause := n.opts.Bounds.Lease / 6
+	if c := n.claim.Load(); c != nil && !c.own {
+		if left := c.lease.Until.Sub(n.now()); left > 0 {
+			pause = min(pause, left)
+		}
+	}
+	return pause
+}
+
 // hasEngines reports whether any server has loadable weights. The lease is acquired even before
 // weights are named, because the first orders of a term may have to wait.
 func (n *Node) hasEngines() bool {
@@ -110,38 +134,75 @@
 type orderIssuer struct {
 	n      *Node
 	active bool
+	// nextStep is when the lease is next acquired or renewed.
+	nextStep time.Time
+	// listFrom is when the row may be written again to list engines, after that has failed.
+	listFrom time.Time
+	// releaseFrom is when the engines are released that this VM has reserved and left to the next holder.
+	releaseFrom time.Time
 	// lastLogged is when a line about the roll-out was last logged.
 	lastLogged time.Time
 }
 
+// renew acquires or renews the lease.
+func (issuer *orderIssuer) renew(ctx context.Context) {
+	issuer.nextStep = issuer.n.now().Add(issuer.n.leaseStep(ctx))
+}
+
 func (issuer *orderIssuer) reset() {
 	if !issuer.active {
 		return
 	}
+	n := issuer.n
 	issuer.active = false
-	issuer.n.planner.Reset()
-	issuer.n.setReserved(nil)
+	n.planner.Reset()
+	issuer.releaseFrom = n.now()
+	if c := n.claim.Load(); c != nil && c.own && c.resigned {
+		issuer.releaseFrom = n.now().Add(n.opts.Bounds.Lease / 3)
+	}
 }
 
-func (issuer *orderIssuer) step(ctx context.Context, term lease.Term) {
+// releaseReserved returns the reserved engines to service, after a resignation once another VM has
+// taken over or had time to: the engines that drained would otherwise have to drain again.
+func (issuer *orderIssuer) releaseReserved() {
 	n := issuer.n
-	if n.now().Before(n.ordersAllowedFrom(term.Since)) {
-		return
+	if !issuer.releaseFrom.IsZero() && (!n.now().Before(issuer.releaseFrom) || n.peerHoldsOrderLease()) {
+		issuer.releaseFrom = time.Time{}
+		n.setReserved(nil)
 	}
-	issuer.active = true
+}
+
+func (issuer *orderIssuer) step(ctx context.Context, term lease.Term) {
+	n := issuer.n
 	view := n.directory.View()
-	plan := n.planner.Plan(n.rolloutEngines(view), n.now())
+	engines := n.rolloutEngines(view)
+	if !issuer.active {
+		issuer.active, issuer.releaseFrom = true, time.Time{}
+		n.planner.Adopt(engines, n.inherited, n.now())
+		n.planner.AdoptReserved(engines, n.reservedByPeers())
+		n.inherited = nil
+	}
+	plan := n.planner.Plan(engines, n.now())
 	n.setReserved(plan.Reserved)
 	issuer.logPlan(&plan)
+	if ids := plan.Ordered(); !n.handover.announce(ids, n.now()) && !n.now().Before(issuer.listFrom) {
+		issuer.renew(ctx)
+		if term = n.keeper.Term(); !term.Valid(n.now(), order.MaxSend) {
+			return
+		}
+		if !n.handover.announce(ids, n.now()) {
+			issuer.listFrom = issuer.nextStep
+		}
+	}
 	for _, o := range plan.Orders {
-		if e := view.Server(o.Engine); e != nil && e.Started == o.Started {
+		if e := view.Server(o.Engine); e != nil && e.Started == o.Started && n.handover.lists(o.Engine) {
 			n.planner.Sent(o, n.now())
 			issuer.sendOrder(ctx, e, o, term)
 		}
 	}
 	for _, id := range plan.Polls {
 		if e := view.Server(id); e != nil {
-			go n.readEngine(ctx, e)
+			go n.pollEngine(ctx, e)
 		}
 	}
 }
@@ -153,7 +214,7 @@
 		return
 	}
 	issuer.lastLogged = now
-	issuer.n.log.Info("rollout", zap.Int("lacking", plan.Lacking), zap.Int("unanswered", plan.Unanswered), zap.Int("most", plan.MaxLoading),
+	issuer.n.log.Info("rollout", zap.Int("lacking", plan.Lacking), zap.Int("unanswered", plan.Unanswered), zap.Int("blocked", plan.Blocked), zap.Int("most", plan.MaxLoading),
 		zap.Int("reserved", len(plan.Reserved)), zap.Int("loading", len(plan.Loading)),
 		zap.Duration("left", plan.TimeToBound), zap.Duration("load_time", plan.LoadTime))
 }
@@ -169,13 +230,20 @@
 			out = append(out, rollout.Engine{
 				ID: e.ID, Started: e.Started, FailureDomain: e.FailureDomain,
 				Model: model, Held: held, Wanted: max(held, n.goals.Wanted(model)), Behind: n.goals.Behind(model, held, n.now()),
-				Running: n.servers.RequestCount(selector.KeyOf(e)),
+				Running: n.servers.RequestCount(selector.KeyOf(e)), Blocked: n.handover.blocked(e.ID, n.now()),
 			})
 		}
 	}
 	return out
 }
 
+// reservedByPeers returns since when other VMs have reserved engines.
+func (n *Node) reservedByPeers() map[backend.ID]time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.peerReserved)
+}
+
 func (n *Node) setReserved(ids []backend.ID) {
 	n.mu.Lock()
 	same := len(ids) == len(n.reserved)
@@ -194,7 +262,6 @@
 // stays valid for the duration of a send; it is checked again right before the send.
 func (issuer *orderIssuer) sendOrder(ctx context.Context, e *fleet.Entry, o rollout.Order, term lease.Term) {
 	n := issuer.n
-	n.recordOrder()
 	go func() {
 		report, ok := n.readEngine(ctx, e)
 		if !ok {
@@ -205,14 +272,13 @@
 			return
 		}
 		if report.Busy {
-			n.planner.Accepted(o) // It carries out this order or one of an earlier lease holder.
+			n.planner.Busy(o) // It carries out this order or one of an earlier lease holder.
 			return
 		}
 		now := n.now()
-		if !n.keeper.Term().Valid(now, order.MaxSend) {
+		if !n.admitOrder(o.Engine, now) {
 			return
 		}
-		n.recordOrder()
 		// The deadline uses the monotonic clock, which sockets require.
 		result, err := n.opts.Engines.Load(ctx, e, o, report.AcceptedOrders, n.holder(), term.Fencing, time.Now().Add(order.MaxSend/2))
 		n.log.Info("order_sent",
@@ -228,6 +294,25 @@
 	}()
 }
 
+// admitOrder reports whether this VM may send an order to an engine now, and records it.
+func (n *Node) admitOrder(id backend.ID, now time.Time) bool {
+	n.orderMu.Lock()
+	defer n.orderMu.Unlock()
+	if !n.keeper.Term().Valid(now, order.MaxSend) || !n.handover.admit(id, now) {
+		return false
+	}
+	n.recordOrder()
+	return true
+}
+
+// pollEngine reads the state of an engine that loads.
+func (n *Node) pollEngine(ctx context.Context, e *fleet.Entry) {
+	sent := n.now()
+	if report, ok := n.readEngine(ctx, e); ok {
+		n.planner.Polled(e.ID, e.Started, report.Busy, sent)
+	}
+}
+
 // readEngine requests an engine's state and records its weights. It returns false if this run
 // of the engine doesn't answer.
 func (n *Node) readEngine(ctx context.Context, e *fleet.Entry) (EngineReport, bool) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -66,17 +66,19 @@
 				audience = gossip.Busy
 			}
 		}
-		if pause := minDigestGap - n.now().Sub(last); pause > 0 {
+		if pause := minDigestGap - n.now().Sub(last); pause > 0 && !n.claimUrgent.Load() {
 			clock.Sleep(ctx, pause)
 		}
 		if n.digestToAll.Swap(false) {
 			audience = gossip.Everyone
 		}
 		last = n.now()
+		n.claimUrgent.Store(false)
 		d := n.digest()
 		d.Origins = n.origins.Notices(originAudiences[audience])
 		n.queueForRelay(d.Placements, d.Kept)
 		n.gossip.Send(n.addUnsent(d, audience), audience)
+		n.signal(n.claimSent)
 		if n.gossip.IsRelay() && (audience == gossip.Everyone || last.Sub(summarized) >= minSummaryGap) {
 			summarized = last
 			n.gossip.SendSummary(n.summary(d))
@@ -184,9 +186,6 @@
 		}
 	}
 	n.mu.Lock()
-	for _, id := range n.reserved {
-		reserved[string(id)] = true
-	}
 	for _, d := range n.domains {
 		if now.Sub(d.receivedAt) >= gossip.SilenceLimit {
 			continue
@@ -196,6 +195,18 @@
 			reserved[string(id)] = true
 		}
 	}
+	before := n.peerReserved
+	n.peerReserved = make(map[backend.ID]time.Time, len(reserved))
+	for id := range reserved {
+		since, ok := before[backend.ID(id)]
+		if !ok {
+			since = now
+		}
+		n.peerReserved[backend.ID(id)] = since
+	}
+	for _, id := range n.reserved {
+		reserved[string(id)] = true
+	}
 	n.mu.Unlock()
 	n.servers.SetPeerLoads(loads)
 	n.Gateway.SetWithheld(reserved)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -88,6 +88,8 @@
 	Behind time.Duration
 	// Running is the number of requests that it runs.
 	Running int
+	// Blocked is set while no order may be sent to it.
+	Blocked bool
 }
 
 // Order is an order to an engine to load a version.
@@ -107,8 +109,9 @@
 	// read now.
 	Loading, Polls []backend.ID
 	// Lacking is the number of engines that lack the wanted version, Unanswered the number
-	// of these that are unresponsive, and MaxLoading the number that may load at once.
-	Lacking, Unanswered, MaxLoading int
+	// of these that are unresponsive, Blocked the number that must not be ordered yet, and MaxLoading
+	// the number that may load at once.
+	Lacking, Unanswered, Blocked, MaxLoading int
 	// TimeToBound is the time until the first of the lacking engines must hold a newer version;
 	// zero without a bound.
 	TimeToBound time.Duration
@@ -116,6 +119,15 @@
 	LoadTime time.Duration
 }
 
+// Ordered returns the engines of the orders.
+func (p *Plan) Ordered() []backend.ID {
+	var ids []backend.ID
+	for _, o := range p.Orders {
+		ids = append(ids, o.Engine)
+	}
+	return ids
+}
+
 // load is the progress of an engine's change to new weights.
 type load struct {
 	started int64
@@ -126,6 +138,9 @@
 	accepted       bool
 	// pollDue is when the engine is polled next; zero before the order was acknowledged.
 	pollDue time.Time
+	// adopted is set if another VM may have sent the order, and seen once the engine was seen to carry
+	// it out.
+	adopted, seen bool
 }
 
 // Planner keeps the state between plans. It is safe for concurrent use.
@@ -154,6 +169,9 @@
 // loadTimeGain is the weight of a new measurement in the mean load time.
 const loadTimeGain = 0.3
 
+// maxReportAge bounds the age of the state in an engine's report.
+const maxReportAge = 500 * time.Millisecond
+
 // NewPlanner returns a planner without loads in progress.
 func NewPlanner(s Settings) *Planner {
 	return &Planner{settings: s, loads: map[backend.ID]*load{}, unresponsive: map[backend.ID]unresponsiveRun{}, loadTime: s.LoadTime, fastest: s.LoadTime}
@@ -174,7 +192,9 @@
 	loading := p.countLoading(byID)
 	for _, id := range p.byReservation() {
 		l, e := p.loads[id], byID[id]
-		plan.Reserved = append(plan.Reserved, id)
+		if !l.adopted || l.seen {
+			plan.Reserved = append(plan.Reserved, id)
+		}
 		if l.accepted {
 			plan.Loading = append(plan.Loading, id)
 			if p.pollDue(l, now) {
@@ -209,6 +229,9 @@
 			ages = append(ages, e.Behind)
 		}
 		plan.Lacking++
+		if e.Blocked {
+			plan.Blocked++
+		}
 	}
 	p.maxLoading = max(p.settings.MaxLoading, int(p.settings.LoadingShare*float64(len(engines))))
 	slowed := float64(p.loadTime) > slowdownFactor*float64(p.fastest)
@@ -258,7 +281,7 @@
 	maps.DeleteFunc(p.unresponsive, func(id backend.ID, s unresponsiveRun) bool { return byID[id] == nil || !now.Before(s.until) })
 	for id, l := range p.loads {
 		e := byID[id]
-		if l.accepted && e != nil && e.Started == l.started && e.Held >= l.version {
+		if l.accepted && e != nil && e.Started == l.started && e.Held >= l.version && !l.adopted {
 			p.recordLoadTime(now.Sub(l.sent))
 		}
 		switch {
@@ -326,7 +349,7 @@
 		var best *Engine
 		for i := range engines {
 			e := &engines[i]
-			if e.Held >= e.Wanted || p.loads[e.ID] != nil || p.isUnresponsive(e, now) {
+			if e.Held >= e.Wanted || p.loads[e.ID] != nil || e.Blocked || p.isUnresponsive(e, now) {
 				continue
 			}
 			if best == nil || loadsBefore(e, best, current) {
@@ -407,6 +430,55 @@
 	p.unresponsive[o.Engine] = unresponsiveRun{started: o.Started, until: now.Add(p.settings.RetryAfter)}
 }
 
+// Adopt records the engines that may carry out orders of the VM that sent orders before. They hold
+// places until they are seen to load nothing, and get requests until they are seen to load.
+func (p *Planner) Adopt(engines []Engine, ids []backend.ID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range engines {
+		if e.Held < e.Wanted && slices.Contains(ids, e.ID) && p.loads[e.ID] == nil {
+			p.loads[e.ID] = &load{started: e.Started, version: e.Wanted, reserved: now, sent: now, accepted: true, pollDue: now, adopted: true}
+		}
+	}
+}
+
+// AdoptReserved records the engines that the VM that sent orders before has taken out of service, and
+// since when, so that they need not drain again.
+func (p *Planner) AdoptReserved(engines []Engine, since map[backend.ID]time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range engines {
+		if at, ok := since[e.ID]; ok && e.Held < e.Wanted && !e.Blocked && p.loads[e.ID] == nil {
+			p.loads[e.ID] = &load{started: e.Started, reserved: at}
+		}
+	}
+}
+
+// Busy records that an engine carries out an order, possibly one of another VM, so that the load is
+// not measured.
+func (p *Planner) Busy(o Order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.loads[o.Engine]; l != nil && l.started == o.Started && l.version == o.Version {
+		l.accepted, l.adopted, l.seen = true, true, true
+	}
+}
+
+// Polled records whether an engine was seen to carry out an order, in a response to a poll that was sent
+// at a time. Soon after the change of the VM that sends orders, a response may be older than the order.
+func (p *Planner) Polled(id backend.ID, started int64, busy bool, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	switch {
+	case l == nil || !l.adopted || l.started != started:
+	case busy:
+		l.seen = true
+	case sent.Sub(l.reserved) >= maxReportAge:
+		delete(p.loads, id)
+	}
+}
+
 // Reset drops all loads. It is called when another VM takes over sending orders.
 func (p *Planner) Reset() {
 	p.mu.Lock()
