Let the relays of a domain forward summaries in turn

Cause: both relays of a failure domain forwarded each other domain's summaries to all VMs of their own every 400 ms, so an idle VM got two streams of the same state. At 195 VMs in five domains that is 20 summaries of 39 members a second, and decoding them costs it more than the 78 digests of its own domain.

Ruled out: a longer interval, which would delay what a domain learns when one relay has failed.

Change: a summary that goes to all VMs says so (ToAll), and a relay that gets one from the other counts it as its own. VMs of earlier builds ignore the field and forward as before. When one relay falls silent, the other goes on.

Result: TestRelaysForwardInTurn fails before with 50 summaries in 10 s from two relays and passes with 25, as with one relay.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,8 +34,8 @@
 	forgetAfter = 10 * time.Second
 	// maxDatagramBytes bounds a received datagram.
 	maxDatagramBytes = 60 << 10
-	// forwardAllInterval is the minimum time between two summaries of a domain that
-	// are forwarded to all VMs. VMs that receive client requests get every summary.
+	// forwardAllInterval is the minimum time between two summaries of a domain that its
+	// relays forward to all VMs. VMs that receive client requests get every summary.
 	forwardAllInterval = 400 * time.Millisecond
 	// A VM counts as one that receives client requests if it gets at least
 	// minBusyCalls requests per second and at least minBusyShare of the rate of the
@@ -74,7 +74,7 @@
 	// their summaries take.
 	relays   map[vm.ID]*Summary
 	transits map[vm.ID]transit
-	// forwardedAt is when a summary of a domain was last forwarded to Everyone.
+	// forwardedAt is when a relay of this domain last forwarded a summary of a domain to Everyone.
 	forwardedAt map[string]time.Time
 }
 
@@ -160,6 +160,9 @@
 	}
 	n.relays[s.From.ID] = s
 	now := n.opts.Now()
+	if s.ToAll {
+		n.forwardedAt[s.From.FailureDomain] = now
+	}
 	transit := n.transits[s.From.ID]
 	s.Delay = transit.delay(s.Incarnation, s.RelayUptime, now)
 	n.transits[s.From.ID] = transit
@@ -174,8 +177,9 @@
 
 // forward sends a summary on to VMs of the own domain.
 func (n *Node) forward(s Summary) {
-	s.Forwarded = true
-	n.send(message{Summary: &s}, n.recipients(n.forwardAudience(s.From.FailureDomain)))
+	audience := n.forwardAudience(s.From.FailureDomain)
+	s.Forwarded, s.ToAll = true, audience == Everyone
+	n.send(message{Summary: &s}, n.recipients(audience))
 }
 
 // forwardAudience returns the audience of the next forwarded summary of a domain:
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -153,3 +153,33 @@
 		t.Errorf("%d of 100 summaries go to all VMs", all)
 	}
 }
+
+// Each relay of a domain gets the summaries of one relay of another domain. Idle VMs don't need both
+// streams; one relay goes on when the other one has failed.
+func TestRelaysForwardInTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relays := []*Node{newNode(&now), newNode(&now)}
+	for _, r := range relays {
+		r.opts.Self.FailureDomain = "a"
+	}
+	toAll := [2]int{}
+	for step := range 100 { // Ten seconds each with both relays and with one.
+		for i, r := range relays {
+			s := Summary{From: Member{ID: vm.ID(fmt.Sprint("b", i)), FailureDomain: "b"}, Sequence: uint64(step + 1)}
+			if i == 1 && step >= 50 || !r.acceptSummary(&s) {
+				continue
+			}
+			s.Forwarded, s.ToAll = true, r.forwardAudience("b") == Everyone
+			if s.ToAll {
+				toAll[step/50]++
+			}
+			relays[1-i].acceptSummary(&s)
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	for i, n := range toAll {
+		if n < 24 || n > 26 {
+			t.Errorf("%d summaries in 10 s go to all VMs with %d relays, want 25", n, 2-i)
+		}
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -149,8 +149,10 @@
 	Sequence    uint64         `json:"seq"`
 	// Forwarded is set when a relay of another domain forwards the summary within that
 	// domain, so that it isn't forwarded again.
-	Forwarded bool          `json:"fwd,omitempty"`
-	Members   []MemberState `json:"members"`
+	Forwarded bool `json:"fwd,omitempty"`
+	// ToAll is set if it is forwarded to all VMs of that domain; its other relay then waits.
+	ToAll   bool          `json:"all,omitempty"`
+	Members []MemberState `json:"members"`
 	// Uptime is the uptime of the domain's oldest process.
 	Uptime time.Duration `json:"up"`
 	// RelayUptime is the uptime of the relay's process; 0 if it is of an earlier build.
