Derive the waits of the feeds from the deployment's bounds

Cause: calls for changes waited 0.7 s (servers) and 2 s (operator), derived from a drain bound of 2 s and a stable window of 3 s.

Change: the waits follow drain_ms and stable_window_ms of the settings. Those for servers end at 1 s, so that the evidence of complete servers stays younger than origin.MaxLag between two answers.

Result: TestPollsKeepEvidenceRecent.

--- a/internal/node/evidence_test.go
+++ b/internal/node/evidence_test.go
@@ -31,7 +31,7 @@
 	v.loadServers()
 	feed := &lateFeed{serverStore: store, v: v}
 	v.opts.Feed = feed
-	v.serverFeed.pollWait = serverPollWait
+	v.serverFeed.pollWait = serverPollWait.least
 	v.serverFeed.onApplied = v.noteServersCurrent
 	v.readChanges()
 	if age := v.serverStaleness(); age > 10*time.Millisecond {
@@ -64,3 +64,19 @@
 		t.Error("two VMs that are silent may know newer servers")
 	}
 }
+
+// Between two answers of the store the servers must count as complete.
+func TestPollsKeepEvidenceRecent(t *testing.T) {
+	for _, drain := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		wait := serverPollWait.within(drain)
+		if wait+serverBatchPause >= origin.MaxLag {
+			t.Errorf("with a drain bound of %v a call waits %v, too long for evidence younger than %v", drain, wait, origin.MaxLag)
+		}
+		if known := drain > 0; known && wait+serverPollWait.margin > max(drain, 2*time.Second) {
+			t.Errorf("with a drain bound of %v a call waits %v", drain, wait)
+		}
+	}
+	if got := operatorPollWait.within(5 * time.Second); got != 4*time.Second {
+		t.Errorf("calls for the operator's objects wait %v", got)
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// serverPollWait is how long a call waits for a change of servers. A connection that falls
-	// silent is detected when a call doesn't return in time: that call, the next one and the
-	// digests to other VMs must fit within the time in which a drain or a removal must be known,
-	// drain_ms on the deployments' sheets, 2 s.
-	serverPollWait = 700 * time.Millisecond
-	// operatorPollWait is the same for the operator's objects. When a call for servers fails,
-	// or succeeds after a failure, the pending call for the operator's objects is repeated. If
-	// only this call is silent, that is detected within stable_window_ms, 3 s, after which the
-	// rules consider a VM stable again.
-	operatorPollWait = 2 * time.Second
 	// minBackoff and maxBackoff bound the back-off after a failed call. The upper bound is
 	// short compared with the time within which changes must be in force.
 	minBackoff = 100 * time.Millisecond
@@ -43,6 +33,31 @@
 	serverBatchPause = 250 * time.Millisecond
 )
 
+// pollWait is how long a call waits for a change. A connection that falls silent is detected when a
+// call doesn't return in time, which must be early enough for a bound of the deployment.
+type pollWait struct {
+	// least applies if the bound isn't known or too short, most if it is long.
+	least, most time.Duration
+	// margin is what else must fit within the bound.
+	margin time.Duration
+}
+
+var (
+	// serverPollWait is for the feed of servers. The call, the next one and the digests to other VMs
+	// must fit within the time in which a drain or a removal must be known. Beyond that, the evidence
+	// that the known servers are complete must stay younger than origin.MaxLag between two answers.
+	serverPollWait = pollWait{least: 700 * time.Millisecond, most: time.Second, margin: 1300 * time.Millisecond}
+	// operatorPollWait is for the operator's objects. When a call for servers fails, or succeeds after
+	// a failure, the pending call for the operator's objects is repeated. If only this call is silent,
+	// that is detected within the time after which the rules consider a VM stable again.
+	operatorPollWait = pollWait{least: 2 * time.Second, most: 4 * time.Second, margin: time.Second}
+)
+
+// within returns how long a call waits under a bound; zero means that the bound isn't known.
+func (w pollWait) within(bound time.Duration) time.Duration {
+	return min(w.most, max(w.least, bound-w.margin))
+}
+
 // feedState is the state of the loop that reads one feed.
 type feedState struct {
 	name string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,9 @@
 	Heartbeat time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
+	// Drain is the time within which a server that leaves must be known, and Stable the time after
+	// which a VM counts as stable again after a disruption. Zero if they aren't known.
+	Drain, Stable time.Duration
 }
 
 // Node is one router process.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -14,7 +14,7 @@
 )
 
 func (n *Node) followOperator(ctx context.Context) {
-	n.operatorFeed.pollWait = operatorPollWait
+	n.operatorFeed.pollWait = operatorPollWait.within(n.opts.Bounds.Stable)
 	n.followTable(ctx, &n.operatorFeed, n.opts.OperatorTable, n.applyOperatorListing, n.applyOperatorChanges)
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -28,7 +28,7 @@
 
 func (n *Node) followServers(ctx context.Context) {
 	n.serverFeed.batchPause = serverBatchPause
-	n.serverFeed.pollWait = serverPollWait
+	n.serverFeed.pollWait = serverPollWait.within(n.opts.Bounds.Drain)
 	n.serverFeed.peerRevision = n.directory.Known
 	n.serverFeed.onStateChange = func() {
 		if interrupt := n.operatorFeed.interrupt.Load(); interrupt != nil {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -401,13 +401,13 @@
 func TestFirstCallAfterStoreOutageDoesNotWait(t *testing.T) {
 	store := newServerStore()
 	v := newTestVM(t, store)
-	v.serverFeed.pollWait = serverPollWait
+	v.serverFeed.pollWait = serverPollWait.least
 	v.loadServers()
 	v.readChanges()
 	v.callFailed(&v.serverFeed, platform.ErrUnavailable)
 	v.readChanges()
 	v.readChanges()
-	if want := []time.Duration{serverPollWait, 0, serverPollWait}; !slices.Equal(store.pollWaits, want) {
+	if want := []time.Duration{serverPollWait.least, 0, serverPollWait.least}; !slices.Equal(store.pollWaits, want) {
 		t.Errorf("calls waited %v, want %v", store.pollWaits, want)
 	}
 }
