Count the calls to the store by kind and table

Cause: calls to the platform's store are the largest price of a large deployment, and neither logs nor metrics said which ones they are.

Change: counters store_calls.KIND.TABLE on the metrics page.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,6 +309,8 @@
 		peerLoads:          newPeerLoads(),
 		planner:            rollout.NewPlanner(rolloutSettings(opts.Bounds)),
 	}
+	store := &storeMeter{table: opts.Table, feed: opts.Feed, metrics: n.metrics}
+	n.opts.Table, n.opts.Feed = store, store
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
 	n.metrics.GetOrRegister("crash_causes", metrics.NewFunctionalGauge(func() int64 { return int64(len(n.crashCauses.Convictions())) }))
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
