Start VMs on standby from the state of their peers

Cause: each VM that started read the operator's and the servers' tables and began to follow both feeds before it had heard of any other VM, and read the members a second time to date the named weights.

Change: a VM whose domain's members show two fitter VMs waits up to 0.7 s for their state instead, and reads the tables only if that doesn't come. When a deployment starts for the first time, the members are read 0.35 s after the VMs' own rows are written, so that they are all listed.

Ruled out: the same for the origins of streams, which a VM that once stored them must read back itself.

--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -190,6 +190,20 @@
 	return found
 }
 
+// ListedFitter returns the number of VMs of the own domain that are fitter than this one and that the
+// store has listed recently or that are live.
+func (n *Node) ListedFitter() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, count := n.opts.Now(), 0
+	for _, p := range n.domain(n.opts.Self.FailureDomain) {
+		if compareCapacity(&p.Member, &n.opts.Self) < 0 && (p.Alive(now) || now.Sub(p.Listed) <= forgetAfter) {
+			count++
+		}
+	}
+	return count
+}
+
 // IsRelay reports whether this VM is a relay of its domain.
 func (n *Node) IsRelay() bool { return n.RanksBelow(relayCount) }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -167,6 +167,9 @@
 // followTable reads a whole table, then its changes, until ctx ends.
 func (n *Node) followTable(ctx context.Context, f *feedState, table string, applyRows func([]platform.Row, platform.Revision), applyChanges changesFunc) {
 	f.name = table
+	if n.startsOnStandby(ctx) {
+		n.noteFeedReadByPeers(f)
+	}
 	loaded := false
 	for ctx.Err() == nil {
 		if f.lastAnswer.Load() != nil && !n.Following() {
@@ -239,7 +242,8 @@
 	f.healthySince.Store(nil)
 	f.gap = true
 	at, ok := n.followerLastSeen()
-	if at = at.Add(-f.pollWait); ok && at.After(*f.lastAnswer.Load()) {
+	last := f.lastAnswer.Load()
+	if at = at.Add(-f.pollWait); ok && (last == nil || at.After(*last)) {
 		f.lastAnswer.Store(&at)
 	}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,20 +24,74 @@
 	// them digests, so further reads are only needed if its digests are lost.
 	followerReadInterval = 15 * time.Second
 	standbyReadInterval  = 60 * time.Second
+	// firstStartSpread is the time within which the VMs of a deployment that starts for the first time
+	// announce themselves. A read after that lists them all.
+	firstStartSpread = 350 * time.Millisecond
+	// membersTimeout is how long a VM that starts waits for the members, and standbyStartLimit how
+	// long it waits for the state of the VMs that read the store for its domain.
+	membersTimeout    = 600 * time.Millisecond
+	standbyStartLimit = 700 * time.Millisecond
+	standbyStartPoll  = 20 * time.Millisecond
 )
 
+// startsOnStandby waits, when this VM starts, until it has the state of VMs that read the store for
+// its domain. It returns false if the members show too few of these, or if they are too slow: this VM
+// then reads the store itself.
+func (n *Node) startsOnStandby(ctx context.Context) bool {
+	select {
+	case <-n.membersTried:
+	case <-time.After(membersTimeout):
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	if n.gossip.ListedFitter() < followers {
+		return false
+	}
+	for began := n.now(); n.now().Sub(began) < standbyStartLimit; {
+		if n.hasFollowersState() {
+			return true
+		}
+		if !clock.Sleep(ctx, standbyStartPoll) {
+			return false
+		}
+	}
+	return false
+}
+
+// hasFollowersState reports whether other VMs read the store for this one, and whether it has the
+// configuration and the servers that they know.
+func (n *Node) hasFollowersState() bool {
+	if n.Following() {
+		return false
+	}
+	catalog, servers := n.catalogVersion(), n.directory.Known()
+	for p := range n.gossip.EachInDomain {
+		if isFollower(p) && (p.Catalog > catalog || p.Servers.After(servers)) {
+			return false
+		}
+	}
+	return true
+}
+
 // maintainMembership announces this VM and reads the other members.
 func (n *Node) maintainMembership(ctx context.Context) {
 	announced := false
 	failures := 0
 	var announcedEra platform.Era
+	triedOnce := sync.OnceFunc(func() { close(n.membersTried) })
+	defer triedOnce()
 	for ctx.Err() == nil {
 		if era, _ := n.era(); !announced || announcedEra != era {
 			// A row of an earlier era may be lost, even if its write is acknowledged late.
 			announced, announcedEra = n.announce(ctx) == nil, era
 			n.updateRecovery(era, func(r *recovery) { r.memberWritten = announced })
 		}
+		if n.opts.FirstStart && failures == 0 && n.now().Sub(n.started) < firstStartSpread {
+			clock.Sleep(ctx, firstStartSpread)
+		}
 		err := n.readMembers(ctx)
+		triedOnce()
 		interval := standbyReadInterval
 		if n.Following() {
 			interval = followerReadInterval
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,6 +201,8 @@
 	// askedRuns holds the runs whose servers are being asked.
 	askedRuns sync.Map
 	eras      eraState
+	// membersTried is closed once the members were read, or a first attempt has failed.
+	membersTried chan struct{}
 	// firstPeerSeen is closed once the state of another VM was received, or once the members
 	// show that there is none.
 	firstPeerSeen chan struct{}
@@ -301,6 +303,7 @@
 		leaseDue:           make(chan struct{}, 1),
 		claimSent:          make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
+		membersTried:       make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		catalogFetches:     newFetches(),
 		serverFetches:      newFetches(),
