--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
@@ -62,11 +63,13 @@
 	for _, id := range old.reserved {
 		l.reserve(id, at, -1)
 	}
-	for i := range old.loads {
-		l.add(from, &old.loads[i], -1)
-	}
-	for i := range loads {
-		l.add(from, &loads[i], 1)
+	if !slices.Equal(old.loads, loads) {
+		for i := range old.loads {
+			l.add(from, &old.loads[i], -1)
+		}
+		for i := range loads {
+			l.add(from, &loads[i], 1)
+		}
 	}
 	l.reports[from] = &loadReport{at: at, loads: loads, reserved: reserved}
 }
