Read the members before the own row is written when a VM starts

Cause: rows of members are written one after the other, some 200 a second. When all 195 VMs of the large deployment start, a row takes up to a second, so that 98 of them gave up waiting for the members and read the operator's and the servers' tables after all (a trial that logged the calls of each VM).

Change: a VM that starts again reads the members first, as the rows of the others are there already, and once more after its own row is written. When the deployment starts for the first time it waits for the members longer, up to the time limit of a write and twice the spread of the starts.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -27,20 +27,26 @@
 	// firstStartSpread is the time within which the VMs of a deployment that starts for the first time
 	// announce themselves. A read after that lists them all.
 	firstStartSpread = 350 * time.Millisecond
-	// membersTimeout is how long a VM that starts waits for the members, and standbyStartLimit how
-	// long it waits for the state of the VMs that read the store for its domain.
-	membersTimeout    = 600 * time.Millisecond
-	standbyStartLimit = 700 * time.Millisecond
-	standbyStartPoll  = 20 * time.Millisecond
+	// membersTimeout is how long a VM that starts waits for the members, firstMembersTimeout the same
+	// when the deployment starts for the first time: the rows of all VMs are written one after the other.
+	// standbyStartLimit is how long it waits for the state of the VMs that read the store for its domain.
+	membersTimeout      = 600 * time.Millisecond
+	firstMembersTimeout = platform.CallTimeout + 2*firstStartSpread
+	standbyStartLimit   = 700 * time.Millisecond
+	standbyStartPoll    = 20 * time.Millisecond
 )
 
 // startsOnStandby waits, when this VM starts, until it has the state of VMs that read the store for
 // its domain. It returns false if the members show too few of these, or if they are too slow: this VM
 // then reads the store itself.
 func (n *Node) startsOnStandby(ctx context.Context) bool {
+	timeout := membersTimeout
+	if n.opts.FirstStart {
+		timeout = firstMembersTimeout
+	}
 	select {
 	case <-n.membersTried:
-	case <-time.After(membersTimeout):
+	case <-time.After(timeout):
 		return false
 	case <-ctx.Done():
 		return false
@@ -81,13 +87,21 @@
 	var announcedEra platform.Era
 	triedOnce := sync.OnceFunc(func() { close(n.membersTried) })
 	defer triedOnce()
+	if !n.opts.FirstStart {
+		// Rows of the VMs that run, or did before a restart of all, are there already. Many VMs that start
+		// at once would wait for one another's writes.
+		if err := n.readMembers(ctx); err != nil {
+			n.log.Info("members_not_read", logging.Error(err))
+		}
+		triedOnce()
+	}
 	for ctx.Err() == nil {
 		if era, _ := n.era(); !announced || announcedEra != era {
 			// A row of an earlier era may be lost, even if its write is acknowledged late.
 			announced, announcedEra = n.announce(ctx) == nil, era
 			n.updateRecovery(era, func(r *recovery) { r.memberWritten = announced })
 		}
-		if n.opts.FirstStart && failures == 0 && n.now().Sub(n.started) < firstStartSpread {
+		if n.opts.FirstStart && failures == 0 && n.now().Sub(n.started) < firstMembersTimeout {
 			clock.Sleep(ctx, firstStartSpread)
 		}
 		err := n.readMembers(ctx)
