Collect changes of servers for longer where the drain bound allows

Change: the pause grows to 0.5 s with the drain bound, and the wait of a call ends at 0.9 s, so that both stay below origin.MaxLag.

Result: TestPollsKeepEvidenceRecent covers both times.

--- a/internal/node/evidence_test.go
+++ b/internal/node/evidence_test.go
@@ -68,12 +68,13 @@
 // Between two answers of the store the servers must count as complete.
 func TestPollsKeepEvidenceRecent(t *testing.T) {
 	for _, drain := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
-		wait := serverPollWait.within(drain)
-		if wait+serverBatchPause >= origin.MaxLag {
-			t.Errorf("with a drain bound of %v a call waits %v, too long for evidence younger than %v", drain, wait, origin.MaxLag)
+		wait, pause := serverPollWait.within(drain), serverBatchPause.within(drain)
+		if wait+pause >= origin.MaxLag {
+			t.Errorf("with a drain bound of %v calls wait %v and pause %v, too long for evidence younger than %v", drain, wait, pause, origin.MaxLag)
 		}
-		if known := drain > 0; known && wait+serverPollWait.margin > max(drain, 2*time.Second) {
-			t.Errorf("with a drain bound of %v a call waits %v", drain, wait)
+		// A call that is lost is noticed 0.7 s after its wait; then another one and digests follow.
+		if known := wait + pause + 700*time.Millisecond; known > max(drain, 2*time.Second)-300*time.Millisecond {
+			t.Errorf("with a drain bound of %v a lost call is noticed after %v", drain, known)
 		}
 	}
 	if got := operatorPollWait.within(5 * time.Second); got != 4*time.Second {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -27,35 +27,35 @@
 	// rowTTLHeartbeats is the number of heartbeats without an announcement after which the
 	// store drops a server's row, according to its documentation.
 	rowTTLHeartbeats = 3
-	// serverBatchPause is how long changes of servers are collected into one call: each call to
-	// the store has a price, and a roll-out changes several servers a second. It is short
-	// compared with the time within which a leaving server must be known.
-	serverBatchPause = 250 * time.Millisecond
 )
 
-// pollWait is how long a call waits for a change. A connection that falls silent is detected when a
-// call doesn't return in time, which must be early enough for a bound of the deployment.
-type pollWait struct {
-	// least applies if the bound isn't known or too short, most if it is long.
+// boundedTime is a time that is as long as a bound of the deployment allows.
+type boundedTime struct {
+	// least applies if the bound isn't known or is short, most if it is long.
 	least, most time.Duration
 	// margin is what else must fit within the bound.
 	margin time.Duration
 }
 
 var (
-	// serverPollWait is for the feed of servers. The call, the next one and the digests to other VMs
-	// must fit within the time in which a drain or a removal must be known. Beyond that, the evidence
-	// that the known servers are complete must stay younger than origin.MaxLag between two answers.
-	serverPollWait = pollWait{least: 700 * time.Millisecond, most: time.Second, margin: 1300 * time.Millisecond}
-	// operatorPollWait is for the operator's objects. When a call for servers fails, or succeeds after
-	// a failure, the pending call for the operator's objects is repeated. If only this call is silent,
-	// that is detected within the time after which the rules consider a VM stable again.
-	operatorPollWait = pollWait{least: 2 * time.Second, most: 4 * time.Second, margin: time.Second}
+	// serverPollWait is how long a call waits for a change of servers. A connection that falls silent
+	// is detected when a call doesn't return in time: the call, the next one and the digests to other
+	// VMs must fit within the time in which a drain or a removal must be known.
+	serverPollWait = boundedTime{least: 700 * time.Millisecond, most: 900 * time.Millisecond, margin: 1300 * time.Millisecond}
+	// serverBatchPause is how long changes of servers are collected into one call: each call to the
+	// store has a price, a roll-out changes several servers a second, and the VMs on standby fetch the
+	// changes after each call. Together with the wait it must be less than origin.MaxLag, the age up to
+	// which the evidence that the known servers are complete counts.
+	serverBatchPause = boundedTime{least: 250 * time.Millisecond, most: 500 * time.Millisecond, margin: 2500 * time.Millisecond}
+	// operatorPollWait is how long a call waits for a change of the operator's objects. When a call for
+	// servers fails, or succeeds after a failure, the pending call for these is repeated. If only this
+	// call is silent, that is detected within the time after which the rules consider a VM stable again.
+	operatorPollWait = boundedTime{least: 2 * time.Second, most: 4 * time.Second, margin: time.Second}
 )
 
-// within returns how long a call waits under a bound; zero means that the bound isn't known.
-func (w pollWait) within(bound time.Duration) time.Duration {
-	return min(w.most, max(w.least, bound-w.margin))
+// within returns the time under a bound; zero means that the bound isn't known.
+func (b boundedTime) within(bound time.Duration) time.Duration {
+	return min(b.most, max(b.least, bound-b.margin))
 }
 
 // feedState is the state of the loop that reads one feed.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -27,7 +27,7 @@
 }
 
 func (n *Node) followServers(ctx context.Context) {
-	n.serverFeed.batchPause = serverBatchPause
+	n.serverFeed.batchPause = serverBatchPause.within(n.opts.Bounds.Drain)
 	n.serverFeed.pollWait = serverPollWait.within(n.opts.Bounds.Drain)
 	n.serverFeed.peerRevision = n.directory.Known
 	n.serverFeed.onStateChange = func() {
