--- a/internal/node/evidence_test.go
+++ b/internal/node/evidence_test.go
@@ -31,7 +31,7 @@
 	v.loadServers()
 	feed := &lateFeed{serverStore: store, v: v}
 	v.opts.Feed = feed
-	v.serverFeed.pollWait = serverPollWait
+	v.serverFeed.pollWait = serverPollWait.least
 	v.serverFeed.onApplied = v.noteServersCurrent
 	v.readChanges()
 	if age := v.serverStaleness(); age > 10*time.Millisecond {
@@ -64,3 +64,20 @@
 		t.Error("two VMs that are silent may know newer servers")
 	}
 }
+
+// Between two answers of the store the servers must count as complete.
+func TestPollsKeepEvidenceRecent(t *testing.T) {
+	for _, drain := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		wait, pause := serverPollWait.within(drain), serverBatchPause.within(drain)
+		if wait+pause >= origin.MaxLag {
+			t.Errorf("with a drain bound of %v calls wait %v and pause %v, too long for evidence younger than %v", drain, wait, pause, origin.MaxLag)
+		}
+		// A call that is lost is noticed 0.7 s after its wait; then another one and digests follow.
+		if known := wait + pause + 700*time.Millisecond; known > max(drain, 2*time.Second)-300*time.Millisecond {
+			t.Errorf("with a drain bound of %v a lost call is noticed after %v", drain, known)
+		}
+	}
+	if got := operatorPollWait.within(5 * time.Second); got != 4*time.Second {
+		t.Errorf("calls for the operator's objects wait %v", got)
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// serverPollWait is how long a call waits for a change of servers. A connection that falls
-	// silent is detected when a call doesn't return in time: that call, the next one and the
-	// digests to other VMs must fit within the time in which a drain or a removal must be known,
-	// drain_ms on the deployments' sheets, 2 s.
-	serverPollWait = 700 * time.Millisecond
-	// operatorPollWait is the same for the operator's objects. When a call for servers fails,
-	// or succeeds after a failure, the pending call for the operator's objects is repeated. If
-	// only this call is silent, that is detected within stable_window_ms, 3 s, after which the
-	// rules consider a VM stable again.
-	operatorPollWait = 2 * time.Second
 	// minBackoff and maxBackoff bound the back-off after a failed call. The upper bound is
 	// short compared with the time within which changes must be in force.
 	minBackoff = 100 * time.Millisecond
@@ -37,12 +27,37 @@
 	// rowTTLHeartbeats is the number of heartbeats without an announcement after which the
 	// store drops a server's row, according to its documentation.
 	rowTTLHeartbeats = 3
-	// serverBatchPause is how long changes of servers are collected into one call: each call to
-	// the store has a price, and a roll-out changes several servers a second. It is short
-	// compared with the time within which a leaving server must be known.
-	serverBatchPause = 250 * time.Millisecond
 )
 
+// boundedTime is a time that is as long as a bound of the deployment allows.
+type boundedTime struct {
+	// least applies if the bound isn't known or is short, most if it is long.
+	least, most time.Duration
+	// margin is what else must fit within the bound.
+	margin time.Duration
+}
+
+var (
+	// serverPollWait is how long a call waits for a change of servers. A connection that falls silent
+	// is detected when a call doesn't return in time: the call, the next one and the digests to other
+	// VMs must fit within the time in which a drain or a removal must be known.
+	serverPollWait = boundedTime{least: 700 * time.Millisecond, most: 900 * time.Millisecond, margin: 1300 * time.Millisecond}
+	// serverBatchPause is how long changes of servers are collected into one call: each call to the
+	// store has a price, a roll-out changes several servers a second, and the VMs on standby fetch the
+	// changes after each call. Together with the wait it must be less than origin.MaxLag, the age up to
+	// which the evidence that the known servers are complete counts.
+	serverBatchPause = boundedTime{least: 250 * time.Millisecond, most: 500 * time.Millisecond, margin: 2500 * time.Millisecond}
+	// operatorPollWait is how long a call waits for a change of the operator's objects. When a call for
+	// servers fails, or succeeds after a failure, the pending call for these is repeated. If only this
+	// call is silent, that is detected within the time after which the rules consider a VM stable again.
+	operatorPollWait = boundedTime{least: 2 * time.Second, most: 4 * time.Second, margin: time.Second}
+)
+
+// within returns the time under a bound; zero means that the bound isn't known.
+func (b boundedTime) within(bound time.Duration) time.Duration {
+	return min(b.most, max(b.least, bound-b.margin))
+}
+
 // feedState is the state of the loop that reads one feed.
 type feedState struct {
 	name string
@@ -152,6 +167,9 @@
 // followTable reads a whole table, then its changes, until ctx ends.
 func (n *Node) followTable(ctx context.Context, f *feedState, table string, applyRows func([]platform.Row, platform.Revision), applyChanges changesFunc) {
 	f.name = table
+	if n.startsOnStandby(ctx) {
+		n.noteFeedReadByPeers(f)
+	}
 	loaded := false
 	for ctx.Err() == nil {
 		if f.lastAnswer.Load() != nil && !n.Following() {
@@ -223,8 +241,9 @@
 func (n *Node) noteFeedReadByPeers(f *feedState) {
 	f.healthySince.Store(nil)
 	f.gap = true
-	at, ok := n.followerLastSeen(n.now())
-	if at = at.Add(-f.pollWait); ok && at.After(*f.lastAnswer.Load()) {
+	at, ok := n.followerLastSeen()
+	last := f.lastAnswer.Load()
+	if at = at.Add(-f.pollWait); ok && (last == nil || at.After(*last)) {
 		f.lastAnswer.Store(&at)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,9 @@
 	Heartbeat time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
+	// Drain is the time within which a server that leaves must be known, and Stable the time after
+	// which a VM counts as stable again after a disruption. Zero if they aren't known.
+	Drain, Stable time.Duration
 }
 
 // Node is one router process.
@@ -198,6 +201,8 @@
 	// askedRuns holds the runs whose servers are being asked.
 	askedRuns sync.Map
 	eras      eraState
+	// membersTried is closed once the members were read, or a first attempt has failed.
+	membersTried chan struct{}
 	// firstPeerSeen is closed once the state of another VM was received, or once the members
 	// show that there is none.
 	firstPeerSeen chan struct{}
@@ -249,11 +254,15 @@
 	// orderMu is held to record an order while the term permits it, and to resign.
 	orderMu sync.Mutex
 
+	// peerLoads are the loads and the reserved engines of the other VMs.
+	peerLoadsMu sync.Mutex
+	peerLoads   *peerLoads
+	// peersCountedAt is when the other VMs were last counted.
+	peersCountedAt atomic.Pointer[time.Time]
+
 	mu       sync.Mutex
 	reserved []backend.ID
-	// peerReserved holds since when other VMs have reserved engines.
-	peerReserved map[backend.ID]time.Time
-	observed     map[backend.ID]observedWeights
+	observed map[backend.ID]observedWeights
 	// catalogFetches and serverFetches are the fetches of the configuration and of the servers
 	// from other VMs.
 	catalogFetches, serverFetches fetches
@@ -294,13 +303,17 @@
 		leaseDue:           make(chan struct{}, 1),
 		claimSent:          make(chan struct{}, 1),
 		firstPeerSeen:      make(chan struct{}),
+		membersTried:       make(chan struct{}),
 		observed:           map[backend.ID]observedWeights{},
 		catalogFetches:     newFetches(),
 		serverFetches:      newFetches(),
 		persistedGoals:     map[string]uint64{},
 		domains:            map[string]domainState{},
+		peerLoads:          newPeerLoads(),
 		planner:            rollout.NewPlanner(rolloutSettings(opts.Bounds)),
 	}
+	store := &storeMeter{table: opts.Table, feed: opts.Feed, metrics: n.metrics}
+	n.opts.Table, n.opts.Feed = store, store
 	n.metrics.GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(func() int64 { return int64(opts.LogDropped()) }))
 	n.metrics.GetOrRegister("crash_causes", metrics.NewFunctionalGauge(func() int64 { return int64(len(n.crashCauses.Convictions())) }))
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -14,7 +14,7 @@
 )
 
 func (n *Node) followOperator(ctx context.Context) {
-	n.operatorFeed.pollWait = operatorPollWait
+	n.operatorFeed.pollWait = operatorPollWait.within(n.opts.Bounds.Stable)
 	n.followTable(ctx, &n.operatorFeed, n.opts.OperatorTable, n.applyOperatorListing, n.applyOperatorChanges)
 }
 
@@ -58,7 +58,7 @@
 // vmWithNewerCatalog returns a VM that has a newer configuration in force.
 func (n *Node) vmWithNewerCatalog(than catalog.Version) (gossip.Member, bool) {
 	now := n.now()
-	for _, p := range n.gossip.Peers() {
+	for p := range n.gossip.Each {
 		if p.Alive(now) && p.Catalog > than {
 			return p.Member, true
 		}
