Continue the servers' feed from what peers delivered at the start

Cause: a VM that had started from its peers' state had never read the feed of servers, so when it had to follow it itself it listed the whole table. In an outage every VM of a domain did so instead of one, and a VM that had run for less than 2.3 s took a server that was missing from the listing for one whose row an outage had removed, and held it: a removal was applied after 2.1 s where 2 s are allowed. The VM also went on waiting for its peers for 0.7 s after a fetch of their state had failed.

Change: the feed of servers continues from the revision that the peers have delivered, as it does after a dropped history. A failed fetch ends the wait.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -97,6 +97,17 @@
 	lostAt, returnedAt time.Time
 }
 
+// continueFromPeers has the feed continue from the revision up to which other VMs have delivered its
+// changes, and reports whether they have delivered any. A listing instead would not tell apart the
+// servers that have ended since from those whose rows an outage may have removed.
+func (f *feedState) continueFromPeers() bool {
+	if f.peerRevision == nil {
+		return false
+	}
+	f.after = f.peerRevision()
+	return !f.after.IsZero()
+}
+
 // age returns the time since the store last answered; negative if it never has.
 func (f *feedState) age(now time.Time) time.Duration {
 	last := f.lastAnswer.Load()
@@ -170,7 +181,7 @@
 	if n.startsOnStandby(ctx) {
 		n.noteFeedReadByPeers(f)
 	}
-	loaded := false
+	loaded := f.continueFromPeers()
 	for ctx.Err() == nil {
 		if f.lastAnswer.Load() != nil && !n.Following() {
 			n.noteFeedReadByPeers(f)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -58,6 +58,9 @@
 		if n.hasFollowersState() {
 			return true
 		}
+		if n.fetchFailedAt.Load() != nil {
+			return false // The state of other VMs can't be relied on.
+		}
 		if !clock.Sleep(ctx, standbyStartPoll) {
 			return false
 		}
