Keep connections reusable when servers crash

A crashed server resets its connections, which looked like a server that drops idle ones: from then on no VM reused a connection to any server for ten seconds. Besides, of an idle timeout of one second, the least that servers state, only half was used.

Change: a drop counts only if the server still accepts a connection, which is kept for the next request. The margin before an idle timeout is a share of it, half a second at most.

Result: both new tests fail before; the package passes with the race detector.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -273,3 +273,65 @@
 		}
 	}
 }
+
+// A crash resets idle connections as well. It must not keep the connections to sound servers from being
+// reused: each request would open a new one.
+func TestCrashLeavesConnectionsToOtherServersReusable(t *testing.T) {
+	echo := func(n int, c net.Conn) {
+		for {
+			r, err := readRequest(c)
+			if err != nil {
+				return
+			}
+			reply(c, r.Header.Get("Id"), "ok")
+		}
+	}
+	sound := serve(t, echo)
+	crashing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { crashing.Close() })
+	go func() {
+		c, err := crashing.Accept()
+		if err != nil {
+			return
+		}
+		r, err := readRequest(c)
+		if err != nil {
+			return
+		}
+		reply(c, r.Header.Get("Id"), "ok")
+		_, _ = readRequest(c) // It crashes while it has this request.
+		crashing.Close()
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}()
+	p := NewPool()
+	for _, addr := range []string{sound, crashing.Addr().String()} {
+		if _, _, err := exchange(t, p, addr, "a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := exchange(t, p, crashing.Addr().String(), "b"); err == nil {
+		t.Fatal("a request to a crashed server was answered")
+	}
+	time.Sleep(100 * time.Millisecond)
+	if _, c, err := exchange(t, p, sound, "c"); err != nil || !c.Reused {
+		t.Errorf("the connection to the sound server was not reused, err %v", err)
+	}
+}
+
+// Servers state their idle timeout in whole seconds. Connections to one that states the least must
+// still be reused for most of that time.
+func TestShortIdleTimeoutIsUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPool()
+	p.now = func() time.Time { return now }
+	c := newConn(nil, hostKey{owner: "a"})
+	p.hosts[c.hostKey] = &host{open: 1}
+	p.keep(c, time.Second)
+	if left := c.idleUntil.Sub(now); left < 800*time.Millisecond || left > 900*time.Millisecond {
+		t.Errorf("a connection is reused for %v of an idle timeout of 1s", left)
+	}
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -15,15 +15,21 @@
 	// defaultIdleTimeout is the idle timeout of connections to servers that don't
 	// state one.
 	defaultIdleTimeout = 4 * time.Second
-	// idleMargin is the time before the server's idle timeout from which a connection
-	// is no longer reused, so that a request doesn't cross with the server's close.
-	idleMargin = 500 * time.Millisecond
+	// maxIdleMargin and idleMarginShare, a share of the server's idle timeout, bound the time before
+	// that timeout from which a connection is no longer reused, so that a request doesn't cross with
+	// the server's close. Half a second of a timeout of one second left most connections unused.
+	maxIdleMargin   = 500 * time.Millisecond
+	idleMarginShare = 0.15
 	// After a server dropped an idle connection, only connections that have been idle
 	// for less than idleShare of that connection's idle time are reused, for
 	// idleLimitTTL. In such a disruption, which lasts for seconds, servers drop
 	// connections that have been idle for some hundred milliseconds.
 	idleShare    = 0.75
 	idleLimitTTL = 10 * time.Second
+	// dropCheckTimeout bounds the check whether a server that seems to have dropped an idle
+	// connection still accepts others. A server that crashed resets its connections too, and is
+	// back later than that.
+	dropCheckTimeout = 300 * time.Millisecond
 )
 
 // ErrConnectionLimit means that the limit of open connections to the server is reached.
@@ -41,6 +47,8 @@
 	idleLimitUntil time.Time
 	// lost holds the servers that closed an idle connection before its idle timeout.
 	lost map[hostKey]bool
+	// checking holds the servers that checkDrop is connecting to.
+	checking map[hostKey]bool
 }
 
 // hostKey identifies a server run and its address.
@@ -60,7 +68,7 @@
 // NewPoolWithDial returns an empty pool whose connections to the server owner at addr are opened
 // by dial.
 func NewPoolWithDial(dial func(ctx context.Context, owner, addr string) (net.Conn, error)) *Pool {
-	return &Pool{dial: dial, hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, now: time.Now}
+	return &Pool{dial: dial, hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, checking: map[hostKey]bool{}, now: time.Now}
 }
 
 // Get returns an idle or a new connection to the server at addr. owner identifies the
@@ -161,14 +169,40 @@
 	return now.After(p.idleLimitUntil) || d < p.idleLimit
 }
 
+// checkDrop adapts the idle limit if a server has dropped an idle connection and still accepts
+// others. A crash must not do that: without idle connections, each request to any server would open a
+// new one. The connection that the check opens is kept for the next request.
+func (p *Pool) checkDrop(key hostKey, idleFor time.Duration) {
+	p.mu.Lock()
+	busy := p.checking[key]
+	p.checking[key] = true
+	p.mu.Unlock()
+	if busy {
+		return // A crash resets many connections at once.
+	}
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.checking, key)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), dropCheckTimeout)
+	defer cancel()
+	c, err := p.open(ctx, key, 0)
+	if err != nil {
+		return
+	}
+	p.recordDrop(idleFor)
+	p.keep(c, defaultIdleTimeout)
+}
+
 // recordDrop adapts the idle limit after a server dropped an idle connection without
 // closing it. The limit applies to all servers, because learning it for each server
 // separately would cost one failed request per server.
-func (p *Pool) recordDrop(c *Conn) {
+func (p *Pool) recordDrop(idleFor time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	limit := time.Duration(idleShare * float64(c.idleFor))
+	limit := time.Duration(idleShare * float64(idleFor))
 	if now.After(p.idleLimitUntil) || limit < p.idleLimit {
 		p.idleLimit = limit
 	}
@@ -214,11 +248,11 @@
 
 // Discard closes a connection.
 func (p *Pool) Discard(c *Conn) {
-	if c.dropped {
-		p.recordDrop(c)
-	}
 	_ = c.Close()
 	p.unreserve(c.hostKey)
+	if c.dropped {
+		go p.checkDrop(c.hostKey, c.idleFor)
+	}
 }
 
 // Release returns a connection to the pool after a response was read completely. It
@@ -238,7 +272,8 @@
 // keep adds a connection to the idle ones. idle is the idle timeout of its server.
 func (p *Pool) keep(c *Conn, idle time.Duration) {
 	now := p.now()
-	c.idleUntil, c.idleSince = now.Add(idle-idleMargin), now
+	margin := min(maxIdleMargin, time.Duration(idleMarginShare*float64(idle)))
+	c.idleUntil, c.idleSince = now.Add(idle-margin), now
 	p.mu.Lock()
 	h := p.hosts[c.hostKey]
 	h.idle = append(h.idle, c)
