Derive crash causes at intervals while there is much evidence

VMs that take calls ran out of processor time while engines crashed.

Change: from 128 traits of evidence on, convictions are derived at most four times a second; below, at once as before.

--- a/internal/crashcause/crashcause.go
+++ b/internal/crashcause/crashcause.go
@@ -204,6 +204,9 @@
 	explained map[selector.ServerKey]Trait
 	// unsettled is set if there are crashes that don't count yet.
 	unsettled bool
+	// pending is set if evidence has changed since the convictions were last derived, at derivedAt.
+	pending   bool
+	derivedAt time.Time
 }
 
 // NewTable returns an empty table. changed is called, without a lock, with each change of
@@ -293,21 +296,6 @@
 	return out
 }
 
-// update applies a change of the evidence. If change returns true, it derives the
-// convictions again and reports their changes.
-func (t *Table) update(source string, change func() bool) {
-	t.mu.Lock()
-	var changes []Change
-	if change() {
-		changes = t.reconsider()
-	}
-	t.mu.Unlock()
-	for _, c := range changes {
-		c.Source = source
-		t.changed(c)
-	}
-}
-
 // addCrash merges requests into a crash and reports whether any is new.
 func (t *Table) addCrash(server selector.ServerKey, at time.Time, runs []Run, from origin) bool {
 	if t.now().Sub(at) >= evidenceTTL {
