Send requests to servers that accept no connections only as a last resort

Cause: under overload the costs of a sound busy server add up to more than 1 while a server that accepts no connections costs at most 1, so that dead servers were preferred. A probe that found the address of a crashed server open marked the ended incarnation as reachable although the next one answers there with 421, and each VM learned that anew. A VM with few requests took a crash of a third of the servers for its own partition and did not report it.

Change: unresponsive servers, by own observation or by reports, are candidates only if no other server is left. An incarnation that a 421 showed to be gone stays gone for its ID and start time, on all VMs (ServerLoad.Gone). A request that was placed before is stopped before it is written. A crash found by a lost connection is marked before the digest that reports it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,11 +109,7 @@
 		t.g.opts.NotifyPeers()
 	}
 	f := a.exchange(ctx)
-	a.inFlight.End(a.result)
-	if a.result == selector.Unreachable {
-		t.g.probeUntilReachable(c.Entry, a.connectionLimit())
-		t.g.opts.NotifyPeers()
-	}
+	a.endInFlight()
 	return f
 }
 
@@ -176,6 +172,9 @@
 	if a.conn.Withdrawn() {
 		return &failure{code: codeWithheld, err: errors.Errorf("the VM that passes the connection on may send server %s no further request", current.ID)}
 	}
+	if t.g.opts.Servers.Gone(selector.KeyOf(current)) {
+		return &failure{code: codeServerGone, err: errors.Errorf("another server has the address of server %s since it was chosen", current.ID)}
+	}
 	a.candidate.Entry = current
 	if left := t.g.opts.RateLimits.Backoff(selector.KeyOf(current)).Left; left > 0 {
 		return &failure{code: codeServersBackOff, err: errors.Errorf("server %s asked for no requests for %v after it was chosen", current.ID, left), retryAfter: left}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -29,6 +29,10 @@
 	backedOff []selector.Candidate
 	// full servers are brittle and have as many requests of this VM as it may send.
 	full []selector.Candidate
+	// unresponsive servers accept no connections or have most likely failed. They get the call
+	// only if no other server is left: the cost model can't decide that, because the costs of a
+	// sound server under overload add up to more than the loss of all credit.
+	unresponsive []selector.Candidate
 }
 
 // choices classifies the servers of a service that have not been tried for this call.
@@ -45,6 +49,9 @@
 		}
 		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
 		g.opts.Servers.Fill(&candidate, t.prompt)
+		if candidate.Gone {
+			continue
+		}
 		candidate.Staleness = t.weightsStaleness(e, t.chosenAt)
 		if model.TooOld(&candidate) || !model.StartsInTime(q, &candidate) {
 			continue
@@ -64,6 +71,8 @@
 			c.full = append(c.full, candidate)
 		case !shared || candidate.RateLimitWait > maxWait:
 			c.limited = append(c.limited, candidate)
+		case candidate.Unresponsive():
+			c.unresponsive = append(c.unresponsive, candidate)
 		case withheld[string(e.ID)]:
 			c.withheld = append(c.withheld, candidate)
 		case t.pinned == nil && t.resumable() && (candidate.RunEnded || !g.opts.Origins.Settled(origin.Origin{Service: service.Name, Version: e.Software})):
@@ -97,6 +106,10 @@
 	if len(candidates) == 0 && len(all.limited) > 0 {
 		return selector.Candidate{}, t.rateLimitedError(all.limited)
 	}
+	if len(candidates) == 0 && len(all.unresponsive) > 0 {
+		candidates = all.unresponsive
+		t.g.meters.lastResorts.Inc(1)
+	}
 	if t.prompt != nil && t.prompt.Fetchable() {
 		sources := slices.Concat(all.withheld, all.limited, all.unsettled, all.full)
 		for i := range candidates {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -92,11 +92,11 @@
 		if !crashed {
 			return
 		}
-		g.recordCrash(key, check.lostAt, runs)
 		if known := g.opts.Directory.View().Server(e.ID); known != nil && known.Started == e.Started {
-			g.opts.Servers.MarkDown(key)
+			g.opts.Servers.MarkDown(key) // Before the digest that recordCrash requests.
 			g.probeUntilReachable(known, connectionLimit)
 		}
+		g.recordCrash(key, check.lostAt, runs)
 	})
 }
 
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -21,8 +21,11 @@
 	// backoffs counts the responses that asked this VM for no requests for a time.
 	backoffs metrics.Counter
 	// leaves counts the servers whose responses stated that they leave.
-	leaves           metrics.Counter
-	firstByte, total map[catalog.Kind]metrics.Histogram
+	leaves metrics.Counter
+	// lastResorts counts the choices among servers that accept no connections or have most likely
+	// failed, as no other was left. gone counts the servers whose address another one has.
+	lastResorts, gone metrics.Counter
+	firstByte, total  map[catalog.Kind]metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -30,15 +33,17 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
 	m := meters{
-		registry:  r,
-		requests:  metrics.GetOrRegisterMeter("requests", r),
-		refused:   metrics.GetOrRegisterMeter("requests_refused", r),
-		failed:    metrics.GetOrRegisterMeter("requests_failed", r),
-		retries:   metrics.GetOrRegisterMeter("retries", r),
-		backoffs:  metrics.GetOrRegisterCounter("server_backoffs", r),
-		leaves:    metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
-		firstByte: map[catalog.Kind]metrics.Histogram{},
-		total:     map[catalog.Kind]metrics.Histogram{},
+		registry:    r,
+		requests:    metrics.GetOrRegisterMeter("requests", r),
+		refused:     metrics.GetOrRegisterMeter("requests_refused", r),
+		failed:      metrics.GetOrRegisterMeter("requests_failed", r),
+		retries:     metrics.GetOrRegisterMeter("retries", r),
+		backoffs:    metrics.GetOrRegisterCounter("server_backoffs", r),
+		leaves:      metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
+		lastResorts: metrics.GetOrRegisterCounter("choices_unresponsive_only", r),
+		gone:        metrics.GetOrRegisterCounter("servers_gone", r),
+		firstByte:   map[catalog.Kind]metrics.Histogram{},
+		total:       map[catalog.Kind]metrics.Histogram{},
 	}
 	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.AtMostOnce, catalog.Stream} {
 		m.firstByte[kind] = histogram("first_byte_ms." + string(kind))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -29,6 +29,8 @@
 	// Silent is the time for which the server has not responded to the sender, in
 	// milliseconds.
 	Silent int64 `json:"q,omitempty"`
+	// Gone is set if another server has answered the sender at the address of this one.
+	Gone bool `json:"g,omitempty"`
 }
 
 // WeightsGoal is a target version of a model's weights as known to the sender. Age is
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -34,6 +34,8 @@
 type loadSum struct {
 	reports int
 	load    selector.Report
+	// gone is the number of reports that another server has the address.
+	gone int
 	// silent holds the reported silences.
 	silent map[string]time.Duration
 }
@@ -114,6 +116,10 @@
 	if x.Silent > 0 {
 		sum.setSilent(from, time.Duration(x.Silent)*time.Millisecond, sign)
 	}
+	if x.Gone {
+		sum.gone += sign
+		sum.load.Gone = sum.gone > 0
+	}
 	if sum.reports == 0 {
 		delete(l.sums, key)
 	}
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -26,7 +26,7 @@
 		for i := range rng.IntN(4) {
 			r.loads = append(r.loads, gossip.ServerLoad{
 				ID: backend.ID(fmt.Sprint("s", i)), Started: int64(rng.IntN(2)),
-				Running: rng.IntN(3), Backlog: rng.IntN(5000), Churn: rng.IntN(90), Memory: rng.IntN(9000), Silent: int64(rng.IntN(2) * rng.IntN(900)),
+				Running: rng.IntN(3), Backlog: rng.IntN(5000), Churn: rng.IntN(90), Memory: rng.IntN(9000), Silent: int64(rng.IntN(2) * rng.IntN(900)), Gone: rng.IntN(9) == 0,
 			})
 			if rng.IntN(3) == 0 {
 				r.reserved = append(r.reserved, backend.ID(fmt.Sprint("s", i)))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -235,6 +235,7 @@
 		r.Churn += float64(l.Churn)
 		r.Memory += float64(l.Memory)
 		r.Silent = max(r.Silent, time.Duration(l.Silent)*time.Millisecond)
+		r.Gone = r.Gone || l.Gone
 		sum[key] = r
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -158,6 +158,7 @@
 			ID: key.ID, Started: key.Started, Running: r.Running,
 			Backlog: int(r.Backlog), Churn: int(r.Churn), Memory: int(r.Memory),
 			Silent: r.Silent.Milliseconds(),
+			Gone:   r.Gone,
 		})
 	}
 	slices.SortFunc(out, func(a, b gossip.ServerLoad) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -61,8 +61,9 @@
 }
 
 // Isolated reports whether this VM is likely partitioned from the servers. pending is the number
-// of servers that have requests of this VM in flight or accept no connections from it, and silent
-// the number of those that are silent.
+// of servers that have requests of this VM in flight, accept no connections from it or have just sent
+// it data, and silent the number of those that are silent. Without the last ones, a VM with few
+// requests would take a crash of a third of the servers for a partition and not report it.
 func (t *Table) Isolated() (isolated bool, pending, silent int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,7 +73,8 @@
 
 func (t *Table) countSilent(now time.Time) (pending, silent int) {
 	for _, s := range t.servers {
-		if s.running == 0 && s.downSince.IsZero() {
+		heard := !s.lastReceived.IsZero() && now.Sub(s.lastReceived) < silenceRampStart
+		if s.gone || s.running == 0 && s.downSince.IsZero() && !heard {
 			continue
 		}
 		pending++
@@ -102,7 +104,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, s := range t.servers {
-		if !s.downSince.IsZero() {
+		if !s.downSince.IsZero() && !s.gone {
 			n++
 		}
 	}
@@ -120,19 +122,54 @@
 
 // MarkReachable records that a server accepts connections.
 func (t *Table) MarkReachable(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[key]; s != nil && !s.gone {
+		s.downSince = time.Time{}
+	}
+}
+
+// MarkGone records that another server has the address of an incarnation, which has ended.
+func (t *Table) MarkGone(key ServerKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(key)
+	s.gone, s.goneSeen, s.downSince = true, true, t.now()
+}
+
+// Gone reports whether another server has the address of an incarnation, according to this VM or
+// to others.
+func (t *Table) Gone(key ServerKey) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[key]; s != nil {
+		return s.gone
+	}
+	return t.peerLoads[key].Gone
+}
+
+// recordHeard records that the server sent data. Data from the address of a server that is gone is
+// another server's.
+func (s *server) recordHeard(now time.Time) {
+	s.lastReceived = now
+	if !s.gone {
 		s.downSince = time.Time{}
 	}
 }
 
+// Unresponsive reports whether the server accepts no connections or has sent nothing for so long
+// that it has most likely failed, according to this VM or to others.
+func (c *Candidate) Unresponsive() bool { return c.Silent >= silenceRampEnd }
+
 // MarkAllReachable records that this VM has another path to all servers.
 func (t *Table) MarkAllReachable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.servers {
-		s.downSince, s.failures = time.Time{}, 0
+		s.failures = 0
+		if !s.gone {
+			s.downSince = time.Time{}
+		}
 	}
 }
 
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -45,6 +45,8 @@
 	// RunEnded is set if another run of the server, whose software isn't known, has taken the
 	// place of the one that its entry describes.
 	RunEnded bool
+	// Gone is set if another server has its address. It gets no request.
+	Gone bool
 	// Brittle is set if the server must not have more than Room requests of this VM.
 	Brittle bool
 	Room    int
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -41,6 +41,8 @@
 	// Silent is how long the server has sent that VM nothing while a response is due, or
 	// has accepted no connections from it.
 	Silent time.Duration
+	// Gone is set if another server answers at the address of this one.
+	Gone bool
 }
 
 // announcesPerReuseWindow is the number of intervals into which the reuse window is
@@ -66,6 +68,9 @@
 	responseDueFrom time.Time
 	// downSince is when the server stopped accepting connections; zero if it accepts them.
 	downSince time.Time
+	// gone is set once another server has answered at its address: this incarnation has ended.
+	// goneSeen is set if this VM got that response, so that it reports it to others.
+	gone, goneSeen bool
 	// runProvedAt is when the run last proved that it goes on; runDoubted is set if a
 	// connection to it was lost since.
 	runProvedAt time.Time
@@ -148,7 +153,7 @@
 	s := t.server(KeyOf(c.Entry))
 	now := t.now()
 	s.decay(now)
-	c.OwnRunning, c.RunEnded = s.running, s.runEnded
+	c.OwnRunning, c.RunEnded, c.Gone = s.running, s.runEnded, s.gone
 	c.KnownRunning = s.running + s.peerLoad.Running
 	c.KnownBacklog = s.backlog + s.peerLoad.Backlog
 	// Other VMs choose from the same state and add as much load until they receive the report.
@@ -297,7 +302,7 @@
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	s := r.table.server(r.key)
-	s.lastReceived, s.downSince = r.table.now(), time.Time{}
+	s.recordHeard(r.table.now())
 	r.table.heardAt, r.answered = s.lastReceived, true
 	took := r.table.now().Sub(r.sent)
 	if r.prompt != nil && r.prefilling {
@@ -364,8 +369,8 @@
 			s.downSince = r.table.now()
 		}
 	case Misdirected:
-		// This incarnation of the server has ended; it never returns to the address.
-		s.downSince = r.table.now()
+		// The incarnation has ended and never returns to the address. Older builds use downSince.
+		s.gone, s.goneSeen, s.downSince = true, true, r.table.now()
 	}
 }
 
@@ -380,11 +385,11 @@
 	isolated := likelyIsolated(pending, silentCount)
 	for key, s := range t.servers {
 		s.unreported = Report{}
-		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.cache.churnRate(now), Memory: s.cache.runningTokens}
+		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.cache.churnRate(now), Memory: s.cache.runningTokens, Gone: s.goneSeen}
 		if silent := s.silence(now); silent >= silenceRampStart && !isolated {
 			r.Silent = silent
 		}
-		if r.Running > 0 || r.Churn >= 1 || r.Silent > 0 {
+		if r.Running > 0 || r.Churn >= 1 || r.Silent > 0 || r.Gone {
 			out[key] = r
 		}
 	}
@@ -403,7 +408,7 @@
 	r.table.mu.Lock()
 	defer r.table.mu.Unlock()
 	s := r.table.server(r.key)
-	s.lastReceived, s.downSince = r.table.now(), time.Time{}
+	s.recordHeard(r.table.now())
 	r.table.heardAt, r.answered = s.lastReceived, true
 }
 
@@ -429,14 +434,18 @@
 		} else {
 			t.peerLoads[key] = load
 		}
-		if s := t.servers[key]; s != nil {
+		s := t.servers[key]
+		if s == nil && load.Gone {
+			s = t.server(key) // It stays gone after the reports have ended.
+		}
+		if s != nil {
 			s.setPeerLoad(load)
 		}
 	}
 }
 
 func (s *server) setPeerLoad(load Report) {
-	s.peerLoad = load
+	s.peerLoad, s.gone = load, s.gone || load.Gone
 	s.cache.peerChurn, s.cache.peerRunningTokens = load.Churn, load.Memory
 }
 
