Choose the VMs for callers by the measured load of their processors

Cause: the choice of VMs assumes 1.2 ms of processor time a call. Under load a call takes several times that, so that the few VMs in use run out of processor time (median 69 ms between choosing a server and writing the request) while the others are on standby.

Change: each VM measures its processor utilization and the time for which ready goroutines wait (internal/saturation) and reports them in digests and summaries from a utilization of 0.1 on. steer.Picker adds VMs of the domain up to an expected utilization of 0.6, then VMs of other domains, and releases them 8 s after they were last needed at 0.45. Without load or reports the result is that of steer.Pick. Only papayaspand edge measures; nodes that share a process, as in tests, report nothing.

Tests of steer, saturation and node pass, of platform those of addresses.

--- a/cmd/papayaspand/edge.go
+++ b/cmd/papayaspand/edge.go
@@ -64,6 +64,7 @@
 		log.Error("start_failed", logging.Error(err))
 		return subcommands.ExitFailure
 	}
+	p.MeasureProcessor()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangups := make(chan os.Signal, 1)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -170,7 +170,7 @@
 	for _, m := range s.Members {
 		p := n.peer(m.ID)
 		n.setMember(p, m.Member)
-		p.Ready, p.Leaving, p.Calls, p.Stranded, p.At = m.Ready, m.Leaving, m.Calls, m.Stranded, now
+		p.Ready, p.Leaving, p.Calls, p.Load, p.Stranded, p.At = m.Ready, m.Leaving, m.Calls, m.Load, m.Stranded, now
 	}
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -12,6 +12,7 @@
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
+	"papayaspan.dev/papayaspan/internal/saturation"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -89,6 +90,8 @@
 	// Calls is the rate of client requests that the sender receives, in requests per
 	// second.
 	Calls float64 `json:"calls,omitempty"`
+	// Load is the load of the sender's processor; nil if it is small or not known.
+	Load *saturation.Load `json:"cpu,omitempty"`
 	// HoldsOrderLease is set if the sender holds the order lease, which is required to send
 	// orders to engines.
 	HoldsOrderLease bool `json:"giver,omitempty"`
@@ -136,6 +139,8 @@
 	Ready   bool    `json:"ready,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
 	Calls   float64 `json:"calls,omitempty"`
+	// Load has the same meaning as in a Digest.
+	Load *saturation.Load `json:"cpu,omitempty"`
 	// Stranded has the same meaning as in a Digest.
 	Stranded bool `json:"str,omitempty"`
 }
--- a/internal/node/addresses.go
+++ b/internal/node/addresses.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"papayaspan.dev/papayaspan/internal/steer"
 )
@@ -12,23 +11,10 @@
 const minAddresses = 2
 
 // Addresses returns the addresses to which callers of a failure domain should connect: VMs of
-// that domain, and of other domains if it has too few. VMs without a path of their own to the
+// that domain, and of other domains if it has too few or if those are saturated. VMs without a path of their own to the
 // servers are offered only if there are no others.
 func (n *Node) Addresses(domain string) []string {
-	vms := n.readyVMs()
-	withPath := slices.DeleteFunc(slices.Clone(vms), func(v readyVM) bool { return v.stranded })
-	if len(withPath) > 0 {
-		vms = withPath
-	}
-	var near, far []steer.VM
-	for _, v := range vms {
-		if v.domain == domain {
-			near = append(near, v.VM)
-		} else {
-			far = append(far, v.VM)
-		}
-	}
-	picked := steer.Pick(near)
+	picked, far := n.pick(domain)
 	if missing := minAddresses - len(picked); missing > 0 {
 		rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 		picked = append(picked, far[:min(len(far), missing)]...)
@@ -54,7 +40,7 @@
 	if n.Ready() {
 		self := n.opts.VM
 		out = append(out, readyVM{
-			VM:     steer.VM{ID: self.ID, Cores: self.Cores, Calls: n.calls.Last(), Address: self.CallerAddress},
+			VM:     steer.VM{ID: self.ID, Cores: self.Cores, Calls: n.calls.Last(), Load: n.steering.meter.Report(), Address: self.CallerAddress},
 			domain: self.FailureDomain, stranded: n.path.Cut(),
 		})
 	}
@@ -62,7 +48,7 @@
 	for p := range n.gossip.Each {
 		if p.Alive(now) && p.Ready && !p.Leaving {
 			out = append(out, readyVM{
-				VM:     steer.VM{ID: p.ID, Cores: p.Cores, Calls: p.Calls, Address: p.Caller},
+				VM:     steer.VM{ID: p.ID, Cores: p.Cores, Calls: p.Calls, Load: p.Load, Address: p.Caller},
 				domain: p.FailureDomain, stranded: p.Stranded,
 			})
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,7 +235,8 @@
 	// loop only.
 	isolated bool
 	// calls measures the rate of calls; used by the digest loop only.
-	calls steer.Meter
+	calls    steer.Meter
+	steering steering
 	// claim is the newest known report about the order lease's term.
 	claim atomic.Pointer[claim]
 	// leaseDue signals that the order lease has to be given up, or that another VM has given it up.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -113,6 +113,7 @@
 		Ready:           n.Ready(),
 		Calls:           n.calls.Rate(n.Gateway.Calls(), now),
 		HoldsOrderLease: n.keeper.Term().Valid(now, 0),
+		Load:            n.measureLoad(now),
 		Stranded:        n.path.Cut(),
 		Following:       following > 0,
 		FollowingFor:    following,
@@ -169,6 +170,7 @@
 	n.gossip.Forget()
 	n.updatePeerLoads(func(l *peerLoads) { l.expire(now) })
 	n.countPeers(now)
+	n.decideAddresses(now)
 }
 
 // peerSeq iterates over the other VMs.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -45,7 +45,7 @@
 		From:            d.Member,
 		Incarnation:     d.Incarnation,
 		Sequence:        d.Sequence,
-		Members:         []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving, Calls: d.Calls, Stranded: d.Stranded}},
+		Members:         []gossip.MemberState{{Member: d.Member, Ready: d.Ready, Leaving: d.Leaving, Calls: d.Calls, Load: d.Load, Stranded: d.Stranded}},
 		Uptime:          d.Uptime,
 		RelayUptime:     d.Uptime,
 		FollowingFor:    d.FollowingFor,
@@ -66,7 +66,7 @@
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
 	for p := range n.gossip.EachInDomain {
-		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving, Calls: p.Calls, Stranded: p.Stranded})
+		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving, Calls: p.Calls, Load: p.Load, Stranded: p.Stranded})
 		s.Uptime = max(s.Uptime, p.Uptime)
 		s.FollowingFor = max(s.FollowingFor, p.FollowingFor)
 		s.HoldsOrderLease = s.HoldsOrderLease || p.HoldsOrderLease
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"papayaspan.dev/papayaspan/internal/saturation"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -22,6 +23,8 @@
 	Cores float64
 	// Calls is the rate of calls that the VM receives, in calls per second.
 	Calls float64
+	// Load is the load of its processor; nil if it reports none.
+	Load *saturation.Load
 	// Address is where callers connect, host:port.
 	Address string
 }
@@ -45,13 +48,23 @@
 	maxUtilization = 0.9
 )
 
-// Pick returns the VMs that callers are sent to, out of those that are ready. The result
-// depends only on data that all VMs of a domain receive, so that their results are nearly
-// the same.
+// Pick returns the VMs that callers are sent to, out of those that are ready, by the rate of calls
+// alone. The result depends only on data that all VMs of a domain receive, so that their results
+// are nearly the same.
 func Pick(ready []VM) []VM {
-	ordered := slices.SortedFunc(slices.Values(ready), func(a, b VM) int {
+	ordered := order(ready)
+	return ordered[:count(ordered)]
+}
+
+// order returns the VMs with the strongest first.
+func order(vms []VM) []VM {
+	return slices.SortedFunc(slices.Values(vms), func(a, b VM) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.ID, b.ID))
 	})
+}
+
+// count returns the number of VMs that are used at their rate of calls.
+func count(ordered []VM) int {
 	calls := 0.0
 	for _, v := range ordered {
 		calls += v.Calls
@@ -63,7 +76,7 @@
 			best, shortest = n, r
 		}
 	}
-	return ordered[:best]
+	return best
 }
 
 // minCount returns the number of VMs that are used at a low rate of calls.
