Hold back requests from servers that have just rejected one as full

Cause: each request learned again that a server is full, by a rejection that costs a repeated send of the retry budget and a connection.

The hold is in digests (ServerLoad.Full), aged by relays. If all servers are held, the request is refused at once with Retry-After. Brittle and limited servers and those that back off are exempt.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -29,6 +29,8 @@
 	backedOff []selector.Candidate
 	// full servers are brittle and have as many requests of this VM as it may send.
 	full []selector.Candidate
+	// rejecting servers have just rejected a request as full.
+	rejecting []selector.Candidate
 	// unresponsive servers accept no connections or have most likely failed. They get the call
 	// only if no other server is left: the cost model can't decide that, because the costs of a
 	// sound server under overload add up to more than the loss of all credit.
@@ -73,6 +75,8 @@
 			c.limited = append(c.limited, candidate)
 		case candidate.Unresponsive():
 			c.unresponsive = append(c.unresponsive, candidate)
+		case candidate.FullFor > 0:
+			c.rejecting = append(c.rejecting, candidate)
 		case withheld[string(e.ID)]:
 			c.withheld = append(c.withheld, candidate)
 		case t.pinned == nil && t.resumable() && (candidate.RunEnded || !g.opts.Origins.Settled(origin.Origin{Service: service.Name, Version: e.Software})):
@@ -94,12 +98,15 @@
 	if len(candidates) == 0 {
 		candidates = all.unsettled
 	}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && len(all.rejecting) == 0 {
 		candidates = all.withheld
 	}
 	if len(candidates) == 0 && len(all.full) > 0 {
 		return selector.Candidate{}, serversFullError()
 	}
+	if len(candidates) == 0 && len(all.rejecting) > 0 {
+		return selector.Candidate{}, t.rejectingError(all.rejecting)
+	}
 	if len(candidates) == 0 && len(all.backedOff) > 0 {
 		return selector.Candidate{}, t.backedOffError(all.backedOff)
 	}
@@ -111,7 +118,7 @@
 		t.g.meters.lastResorts.Inc(1)
 	}
 	if t.prompt != nil && t.prompt.Fetchable() {
-		sources := slices.Concat(all.withheld, all.limited, all.unsettled, all.full)
+		sources := slices.Concat(all.withheld, all.limited, all.unsettled, all.full, all.rejecting)
 		for i := range candidates {
 			t.setFetchSource(service, &candidates[i], candidates, sources)
 		}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -162,6 +162,11 @@
 	case codeServersFull:
 	case codeServersBackOff:
 		left = t.backoffLeft
+	case codeServersRejecting:
+		if !t.begun {
+			return false // Its caller had better retry than wait: other requests wait as well.
+		}
+		left = t.backoffLeft
 	default:
 		return false
 	}
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -25,7 +25,9 @@
 	// lastResorts counts the choices among servers that accept no connections or have most likely
 	// failed, as no other was left. gone counts the servers whose address another one has.
 	lastResorts, gone metrics.Counter
-	firstByte, total  map[catalog.Kind]metrics.Histogram
+	// rejections counts the requests that servers rejected as full.
+	rejections       metrics.Counter
+	firstByte, total map[catalog.Kind]metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -41,6 +43,7 @@
 		backoffs:    metrics.GetOrRegisterCounter("server_backoffs", r),
 		leaves:      metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
 		lastResorts: metrics.GetOrRegisterCounter("choices_unresponsive_only", r),
+		rejections:  metrics.GetOrRegisterCounter("server_rejections", r),
 		gone:        metrics.GetOrRegisterCounter("servers_gone", r),
 		firstByte:   map[catalog.Kind]metrics.Histogram{},
 		total:       map[catalog.Kind]metrics.Histogram{},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,6 +35,7 @@
 	if head.NotRun || head.Misdirected || head.WrongWeights {
 		return a.declinedFailure(resp, head)
 	}
+	a.inFlight.Accept()
 	if !head.Signed {
 		return a.sentFailure(caller, "unsigned_answer", errors.Errorf("status %d without a signature", resp.StatusCode))
 	}
@@ -114,6 +115,7 @@
 		a.t.sends--
 	default:
 		a.t.g.opts.RateLimits.RecordRefusal(selector.KeyOf(a.candidate.Entry))
+		a.recordFull(resp, head)
 	}
 	return f
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -29,6 +29,9 @@
 	// Silent is the time for which the server has not responded to the sender, in
 	// milliseconds.
 	Silent int64 `json:"q,omitempty"`
+	// Full is the time for which the sender sends the server nothing because it was full, in
+	// milliseconds.
+	Full int64 `json:"f,omitempty"`
 	// Gone is set if another server has answered the sender at the address of this one.
 	Gone bool `json:"g,omitempty"`
 }
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -38,6 +38,8 @@
 	gone int
 	// silent holds the reported silences.
 	silent map[string]time.Duration
+	// full holds the reported ends of the times in which the server is full.
+	full map[string]time.Time
 }
 
 // reservation counts the reports that list an engine; since is when the first of them arrived.
@@ -67,10 +69,10 @@
 	}
 	if !slices.Equal(old.loads, loads) {
 		for i := range old.loads {
-			l.add(from, &old.loads[i], -1)
+			l.add(from, &old.loads[i], old.at, -1)
 		}
 		for i := range loads {
-			l.add(from, &loads[i], 1)
+			l.add(from, &loads[i], at, 1)
 		}
 	}
 	l.reports[from] = &loadReport{at: at, loads: loads, reserved: reserved}
@@ -100,7 +102,7 @@
 }
 
 // add adds a reported load to its server's sum, or with a sign of -1 takes it off.
-func (l *peerLoads) add(from string, x *gossip.ServerLoad, sign int) {
+func (l *peerLoads) add(from string, x *gossip.ServerLoad, at time.Time, sign int) {
 	key := selector.ServerKey{ID: x.ID, Started: x.Started}
 	sum := l.sums[key]
 	if sum == nil {
@@ -116,6 +118,9 @@
 	if x.Silent > 0 {
 		sum.setSilent(from, time.Duration(x.Silent)*time.Millisecond, sign)
 	}
+	if x.Full > 0 {
+		sum.setFull(from, at.Add(time.Duration(x.Full)*time.Millisecond), sign)
+	}
 	if x.Gone {
 		sum.gone += sign
 		sum.load.Gone = sum.gone > 0
@@ -140,6 +145,23 @@
 	}
 }
 
+func (s *loadSum) setFull(from string, until time.Time, sign int) {
+	if sign > 0 {
+		if s.full == nil {
+			s.full = map[string]time.Time{}
+		}
+		s.full[from] = until
+	} else {
+		delete(s.full, from)
+	}
+	s.load.FullUntil = time.Time{}
+	for _, other := range s.full {
+		if other.After(s.load.FullUntil) {
+			s.load.FullUntil = other
+		}
+	}
+}
+
 // takeChanged returns the sums that have changed since the last call, and whether the reserved
 // engines have.
 func (l *peerLoads) takeChanged() (loads map[selector.ServerKey]selector.Report, reserved bool) {
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -78,3 +78,27 @@
 		t.Errorf("reserved since %v", since)
 	}
 }
+
+// A report that a relay passes on ages. Otherwise each summary would prolong the time for which a
+// server counts as full.
+func TestReportedFullServerAges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []gossip.ServerLoad{{ID: "s", Running: 1, Full: 200}}
+	loads := map[selector.ServerKey]selector.Report{}
+	addFull(loads, list, 150*time.Millisecond)
+	passed := sortedLoads(loads)
+	if len(passed) != 1 || passed[0].Full != 50 {
+		t.Errorf("passed on: %v, want 50 ms left", passed)
+	}
+	l := newPeerLoads()
+	l.record("a", now, list, nil)
+	l.record("b", now, []gossip.ServerLoad{{ID: "s", Full: 300}}, nil)
+	if changed, _ := l.takeChanged(); !changed[selector.ServerKey{ID: "s"}].FullUntil.Equal(now.Add(300 * time.Millisecond)) {
+		t.Errorf("the latest end doesn't count: %v", changed)
+	}
+	l.record("b", now, nil, nil)
+	l.record("a", now, nil, nil)
+	if changed, _ := l.takeChanged(); changed[selector.ServerKey{ID: "s"}] != (selector.Report{}) {
+		t.Errorf("full without a report: %v", changed)
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -240,6 +240,18 @@
 	}
 }
 
+// addFull adds the times for which servers are full according to a report of the given age.
+func addFull(sum map[selector.ServerKey]selector.Report, list []gossip.ServerLoad, age time.Duration) {
+	for _, l := range list {
+		if left := time.Duration(l.Full)*time.Millisecond - age; l.Full > 0 && left > 0 {
+			key := selector.ServerKey{ID: l.ID, Started: l.Started}
+			r := sum[key]
+			r.FullFor = max(r.FullFor, left)
+			sum[key] = r
+		}
+	}
+}
+
 // receiveDigest applies a newer digest of a peer.
 func (n *Node) receiveDigest(p *gossip.Peer) {
 	n.quota.Record(quota.Report{From: quota.Process{VM: p.ID, Incarnation: p.Incarnation}, Uptime: p.Uptime, Usages: p.Usage})
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -65,6 +65,7 @@
 	}
 	loads := map[selector.ServerKey]selector.Report{}
 	addLoads(loads, d.Loads)
+	addFull(loads, d.Loads, 0)
 	for p := range n.gossip.EachInDomain {
 		s.Members = append(s.Members, gossip.MemberState{Member: p.Member, Ready: p.Ready, Leaving: p.Leaving, Calls: p.Calls, Stranded: p.Stranded})
 		s.Uptime = max(s.Uptime, p.Uptime)
@@ -72,6 +73,7 @@
 		s.HoldsOrderLease = s.HoldsOrderLease || p.HoldsOrderLease
 		s.Reserved = append(s.Reserved, p.Reserved...)
 		addLoads(loads, p.Loads)
+		addFull(loads, p.Loads, n.now().Sub(p.At))
 	}
 	s.Loads = sortedLoads(loads)
 	n.mu.Lock()
@@ -158,6 +160,7 @@
 			ID: key.ID, Started: key.Started, Running: r.Running,
 			Backlog: int(r.Backlog), Churn: int(r.Churn), Memory: int(r.Memory),
 			Silent: r.Silent.Milliseconds(),
+			Full:   r.FullFor.Milliseconds(),
 			Gone:   r.Gone,
 		})
 	}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -72,6 +72,8 @@
 	Silent time.Duration
 	// Backoff is the time for which the server wants no requests of this VM.
 	Backoff time.Duration
+	// FullFor is the time for which the server gets no request because it has rejected one as full.
+	FullFor time.Duration
 	// RateLimitWait is the time until this VM may send a request to the server within the
 	// server's rate limit; 0 if it has none.
 	RateLimitWait time.Duration
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -7,6 +7,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/fullserver"
 )
 
 const (
@@ -41,6 +42,10 @@
 	// Silent is how long the server has sent that VM nothing while a response is due, or
 	// has accepted no connections from it.
 	Silent time.Duration
+	// FullFor is the time for which that VM sends the server nothing because it was full; FullUntil
+	// is the end according to all VMs that report one.
+	FullFor   time.Duration
+	FullUntil time.Time
 	// Gone is set if another server answers at the address of this one.
 	Gone bool
 }
@@ -71,6 +76,7 @@
 	// gone is set once another server has answered at its address: this incarnation has ended.
 	// goneSeen is set if this VM got that response, so that it reports it to others.
 	gone, goneSeen bool
+	full           fullserver.Hold
 	// runProvedAt is when the run last proved that it goes on; runDoubted is set if a
 	// connection to it was lost since.
 	runProvedAt time.Time
@@ -165,7 +171,7 @@
 	if now.Sub(s.lastReceived) > ownEvidenceMaxAge {
 		c.Silent = max(c.Silent, s.peerLoad.Silent)
 	}
-	c.Latency = s.latency
+	c.Latency, c.FullFor = s.latency, s.full.Left(now)
 	if prompt != nil {
 		cached, ready := s.cache.expectedHit(prompt, c.Entry.Weights[prompt.Model], now)
 		c.CachedTokens, c.CachedReadyIn = float64(cached), ready
@@ -247,8 +253,9 @@
 	sent  time.Time
 	// dueFrom is when the request is expected to be answered.
 	dueFrom time.Time
-	// answered is set once data of the response arrived.
+	// answered is set once data of the response arrived, rejected if it says that the server is full.
 	answered      bool
+	rejected      bool
 	prefillTokens float64
 	// tokensAhead is the number of prompt tokens queued at the server before this request.
 	tokensAhead float64
@@ -270,6 +277,7 @@
 	s := t.server(r.key)
 	dueFrom := r.sent
 	s.running++
+	s.full.Send(r.sent)
 	s.unreported.Running++
 	if prompt != nil {
 		r.memoryTokens, r.prompt = float64(prompt.Tokens), prompt
@@ -358,6 +366,9 @@
 	if !r.answered {
 		r.table.noteUnanswered(r, r.table.now())
 	}
+	if r.answered && !r.rejected && (outcome == Succeeded || outcome == Neutral) {
+		s.full.Room()
+	}
 	s.decay(r.table.now())
 	switch outcome {
 	case Succeeded:
@@ -385,11 +396,11 @@
 	isolated := likelyIsolated(pending, silentCount)
 	for key, s := range t.servers {
 		s.unreported = Report{}
-		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.cache.churnRate(now), Memory: s.cache.runningTokens, Gone: s.goneSeen}
+		r := Report{Running: s.running, Backlog: s.backlog, Churn: s.cache.churnRate(now), Memory: s.cache.runningTokens, Gone: s.goneSeen, FullFor: s.full.OwnLeft(now)}
 		if silent := s.silence(now); silent >= silenceRampStart && !isolated {
 			r.Silent = silent
 		}
-		if r.Running > 0 || r.Churn >= 1 || r.Silent > 0 || r.Gone {
+		if r.Running > 0 || r.Churn >= 1 || r.Silent > 0 || r.Gone || r.FullFor > 0 {
 			out[key] = r
 		}
 	}
@@ -446,6 +457,7 @@
 
 func (s *server) setPeerLoad(load Report) {
 	s.peerLoad, s.gone = load, s.gone || load.Gone
+	s.full.Report(load.FullUntil)
 	s.cache.peerChurn, s.cache.peerRunningTokens = load.Churn, load.Memory
 }
 
