Don't take servers for full that reject a request for its own sake

Cause: engines reject a prompt that exceeds their memory, and a request whose deadline passed in the queue, in the same way as when they are full. One such request would have held all others back from every engine.

Change: these rejections set no hold.

Result: the new test fails without the change; the package passes.

--- a/internal/gateway/full.go
+++ b/internal/gateway/full.go
@@ -19,7 +19,7 @@
 func (a *attempt) recordFull(resp *http.Response, head Head) {
 	t, e := a.t, a.candidate.Entry
 	if resp.StatusCode != http.StatusServiceUnavailable || head.Backoff > 0 || head.Leaving ||
-		a.candidate.Brittle || head.RateLimit.Brittle || head.RateLimit.Limited || t.place.Counted {
+		a.candidate.Brittle || head.RateLimit.Brittle || head.RateLimit.Limited || t.place.Counted || t.rejectedForItself() {
 		return
 	}
 	t.g.meters.rejections.Inc(1)
@@ -32,6 +32,13 @@
 	t.g.opts.NotifyPeers()
 }
 
+// rejectedForItself reports whether a server may have rejected the call for its own sake, which says
+// nothing about other calls: its deadline passed in the queue, or it exceeds the memory of an engine.
+func (t *task) rejectedForItself() bool {
+	return t.timeLeft() < minAttemptTime ||
+		t.prompt != nil && t.prompt.EngineTokens > 0 && t.call.PromptTokens+t.call.MaxTokens > t.prompt.EngineTokens
+}
+
 // rejectingError refuses a request because all servers have just rejected others as full. A stream that
 // has begun waits instead, see awaitRoom.
 func (t *task) rejectingError(rejecting []selector.Candidate) *verdict.Error {
--- a/internal/gateway/full_test.go
+++ b/internal/gateway/full_test.go
@@ -74,3 +74,24 @@
 		}
 	}
 }
+
+// A prompt that exceeds the memory of any engine is rejected by all of them as if they were full. Other
+// requests must not be refused because of it.
+func TestOversizedPromptMarksNoServerAsFull(t *testing.T) {
+	g, servers := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	g.opts.Dialect = fullDialect{}
+	call := modelCall()
+	call.PromptTokens, call.MaxTokens = 1<<30, 1
+	snapshot := g.Catalog().Snapshot
+	snapshot.Version++
+	for i := range snapshot.Services {
+		if snapshot.Services[i].Engine != nil {
+			snapshot.Services[i].Engine.CacheTokens = 1 << 20
+		}
+	}
+	g.Publish(snapshot)
+	g.Serve(context.Background(), call, &recordingSink{})
+	if key := selector.KeyOf(g.opts.Directory.View().All()[0]); servers.Loads()[key].FullFor > 0 {
+		t.Error("an engine that rejected an oversized prompt counts as full")
+	}
+}
