Refuse long prompts by the accounts' fair shares when engines are full

Cause: when the engines can't read all long prompts in time, one queue decides for all accounts. An account at 7.5 times its usual load then costs the others a tenth of their prompts.

Change: internal/fairroom compares what the accounts were admitted over all VMs lately, in prompt tokens, with their max-min fair share. While prompts are refused, an account over its share may wait for 0.2 of the objective and one under it for 0.5, instead of 0.4 for all; beyond 0.4 only as many tokens are admitted as were refused to accounts over their share. quota.Ledger.Rates reads the usage that digests report already.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,7 +111,7 @@
 	if t.prompt == nil || t.begun {
 		return candidates[i], nil
 	}
-	j, ok := model.Admit(q, candidates, i)
+	j, ok := t.admitPrompt(service.Name, model, q, candidates, i)
 	if !ok {
 		return selector.Candidate{}, t.overloadedError(&candidates[i])
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/dispatch"
+	"papayaspan.dev/papayaspan/internal/fairroom"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/origin"
@@ -93,12 +94,15 @@
 	// attempts holds each *attempt in progress.
 	attempts sync.Map
 	meters   meters
+	// fairUsage is what client accounts use, fairRooms holds the *fairroom.Room of each service.
+	fairUsage *fairroom.Usage
+	fairRooms sync.Map
 }
 
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	ended, endCalls := context.WithCancel(context.Background())
-	g := &Gateway{opts: opts, started: opts.Now(), ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
+	g := &Gateway{opts: opts, started: opts.Now(), ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}, fairUsage: fairroom.NewUsage(opts.Quota.Rates)}
 	g.SetMembers(1, 1)
 	g.withheld.Store(&map[string]bool{})
 	return g
@@ -220,6 +224,7 @@
 	t.run(ctx)
 	if t.ran == verdict.NotRun {
 		g.opts.Quota.Return(t.account.ID, t.units)
+		t.countUsage(-1)
 	}
 	t.log()
 }
@@ -285,6 +290,7 @@
 	}
 	v := admit(t.account.ID, quota.Bound{Rate: t.account.Rate, Burst: t.account.Burst}, t.units)
 	if v.Admitted {
+		t.countUsage(1)
 		return nil
 	}
 	t.g.opts.Log.Info("over_rate",
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -329,6 +329,35 @@
 	return out
 }
 
+// Rates returns what the accounts use over all VMs, in units per second, averaged over the window. VMs that
+// have stopped reporting count as far as their counts lie within the window.
+func (l *Ledger) Rates() map[account.ID]float64 {
+	out := map[account.ID]float64{}
+	for id, u := range l.Usages() {
+		out[id] = u.Window
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, p := range l.peers {
+		age := now.Sub(p.receivedAt)
+		if age > l.settings.Window {
+			continue
+		}
+		keep := 1.0
+		if p.ended || age > maxReportAge {
+			keep -= float64(age) / float64(l.settings.Window)
+		}
+		for id, u := range p.usages {
+			out[id] += keep * u.Window
+		}
+	}
+	for id := range out {
+		out[id] /= l.settings.Window.Seconds()
+	}
+	return out
+}
+
 // SetMembers sets the number of VMs that share the quota, including this one.
 func (l *Ledger) SetMembers(n int) {
 	l.mu.Lock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -206,3 +206,20 @@
 		t.Errorf("%v admitted in a window, permitted %v", f.maxInWindow(), permitted())
 	}
 }
+
+// Shares between accounts are decided on the usage over all VMs: without the counts of the others, of VMs that
+// have ended or of other domains an account would seem small.
+func TestRatesCoverAllVMs(t *testing.T) {
+	f := newFleet(3)
+	f.admit(0, 800)
+	f.admit(1, 1600)
+	f.exchange(func(int) bool { return true })
+	f.ledgers[0].Record(Report{From: Process{VM: "domain"}, Domain: true, Members: 3, Usages: map[account.ID]Usage{id: {Window: 4000}}})
+	if got, want := f.ledgers[0].Rates()[id], 6400/settings.Window.Seconds(); got != want {
+		t.Errorf("%v units per second, want %v", got, want)
+	}
+	f.now = f.now.Add(settings.Window + time.Second)
+	if got := f.ledgers[0].Rates()[id]; got != 0 {
+		t.Errorf("%v units per second after the window", got)
+	}
+}
--- a/internal/selector/admit.go
+++ b/internal/selector/admit.go
@@ -25,7 +25,7 @@
 // For long ones the rule considers only the queues and not their length, so that longer
 // prompts are not refused more often.
 func (m CostModel) Admit(q Query, candidates []Candidate, picked int) (int, bool) {
-	if q.PromptTokens <= shortPromptTokens || !m.full(q, &candidates[picked]) {
+	if !q.Long() || !m.full(q, &candidates[picked]) {
 		return picked, true
 	}
 	best := -1
@@ -51,8 +51,11 @@
 		return true
 	}
 	share := maxQueueShare
-	if q.Resumed {
+	switch {
+	case q.Resumed:
 		share = resumedQueueShare
+	case q.QueueShare > 0:
+		share = q.QueueShare
 	}
 	return float64(m.QueueTime(c)) > share*float64(q.Objective)
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -29,8 +29,14 @@
 	SharedTokens int
 	// BodyBytes is the size of the body that is sent to the server.
 	BodyBytes int
+	// QueueShare is the share of the objective for which a long prompt may wait in a queue; 0 stands for the
+	// share of all accounts.
+	QueueShare float64
 }
 
+// Long reports whether the prompt adds noticeably to a queue.
+func (q *Query) Long() bool { return q.PromptTokens > shortPromptTokens }
+
 // Candidate is a server under consideration.
 type Candidate struct {
 	Entry *fleet.Entry
--- a/internal/steer/picker_test.go
+++ b/internal/steer/picker_test.go
@@ -141,3 +141,24 @@
 		t.Errorf("the calls go to %v", ids(got))
 	}
 }
+
+// A VM of another domain that fails while it takes calls must not be offered any more, and the failure of a VM
+// of the domain must not leave the callers without addresses.
+func TestLostVMsAreNotOffered(t *testing.T) {
+	p, now := NewPicker("a"), time.Unix(0, 0)
+	near, far := makeVMs(2, 0, 0), makeVMs(3, 0, 0)
+	for i := range near {
+		near[i].Calls, near[i].Load = 200, &saturation.Load{Utilization: 1}
+	}
+	for i := range far {
+		far[i].ID += "-far"
+	}
+	got := p.Pick(near, far, now)
+	if len(got) <= 2 {
+		t.Fatalf("the calls of saturated VMs go to %v", ids(got))
+	}
+	got = p.Pick(near[:1], nil, now.Add(time.Millisecond))
+	if len(got) != 1 || got[0].ID != near[0].ID {
+		t.Errorf("after the loss of VMs the calls go to %v", ids(got))
+	}
+}
