Count only the surge in the replay of fair shares

Cause: the first ten seconds, before the large account's surge, were counted too and made the losses of the others look smaller.

Change: the replay counts from the surge on; the check is stricter, its bounds are unchanged.

--- a/internal/fairroom/fairroom_test.go
+++ b/internal/fairroom/fairroom_test.go
@@ -18,6 +18,7 @@
 	objective = time.Second
 	// usualShare is the share of the objective for which all prompts may wait (internal/selector).
 	usualShare = 0.4
+	surgeAt    = 10 * time.Second
 )
 
 type outcome struct{ arrived, inTime, refused int }
@@ -40,7 +41,7 @@
 }
 
 // replay sends prompts of 16 accounts to engines for 40 s. 15 accounts take 80 % of the engines' capacity, and
-// the last one a multiple of the load of one of those from the tenth second on.
+// the last one a multiple of the load of one of those from surgeAt on, when counting begins.
 func replay(seed uint64, multiple float64, decide decision) (others, large outcome) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	backlog := make([]float64, engines)
@@ -58,7 +59,7 @@
 		}
 		for i := range 16 {
 			load := perAccount
-			if i == 15 && now.Sub(start) >= 10*time.Second {
+			if i == 15 && now.Sub(start) >= surgeAt {
 				load *= multiple
 			}
 			if random.Float64() >= load*step.Seconds() {
@@ -87,6 +88,9 @@
 			if i == 15 {
 				o = &large
 			}
+			if now.Sub(start) < surgeAt {
+				o = new(outcome) // Only the surge counts.
+			}
 			o.arrived++
 			if !ok {
 				o.refused++
