--- a/internal/steer/picker_test.go
+++ b/internal/steer/picker_test.go
@@ -89,19 +89,16 @@
 			per := calls * callCPUTime.Seconds() / float64(max(1, len(near)))
 			for j := range near {
 				if i%2 == 1 && j%3 > 0 {
-					near[j].Load = &saturation.Load{Utilization: min(0.4, per/near[j].cores())}
+					near[j].Load = &saturation.Load{Utilization: min(0.8, 4*per/near[j].cores())}
 				}
 			}
-			if worst(want, calls*callCPUTime.Seconds(), len(want)) > addTarget {
-				return true // The domain is too small for this rate.
-			}
 			now = now.Add(time.Second / 4)
 			if !reflect.DeepEqual(ids(p.Pick(near, far, now)), ids(want)) {
 				return false
 			}
 		}
 		return true
-	}, gen.IntRange(0, 6), gen.IntRange(1, 40), gen.SliceOf(gen.Float64Range(0, 400))))
+	}, gen.IntRange(0, 6), gen.IntRange(1, 40), gen.SliceOf(gen.Float64Range(0, 4000))))
 	properties.TestingRun(t)
 }
 
@@ -141,3 +138,24 @@
 		t.Errorf("the calls go to %v", ids(got))
 	}
 }
+
+// A VM of another domain that fails while it takes calls must not be offered any more, and the failure of a VM
+// of the domain must not leave the callers without addresses.
+func TestLostVMsAreNotOffered(t *testing.T) {
+	p, now := NewPicker("a"), time.Unix(0, 0)
+	near, far := makeVMs(2, 0, 0), makeVMs(3, 0, 0)
+	for i := range near {
+		near[i].Calls, near[i].Load = 200, &saturation.Load{Utilization: 1}
+	}
+	for i := range far {
+		far[i].ID += "-far"
+	}
+	got := p.Pick(near, far, now)
+	if len(got) <= 2 {
+		t.Fatalf("the calls of saturated VMs go to %v", ids(got))
+	}
+	got = p.Pick(near[:1], nil, now.Add(time.Millisecond))
+	if len(got) != 1 || got[0].ID != near[0].ID {
+		t.Errorf("after the loss of VMs the calls go to %v", ids(got))
+	}
+}
