Learn the engines' relative speeds and let new servers start slowly

Cause: the cost model counted with one prefill rate for all engines, so that slow ones got as many prompts as fast ones and answered them late. A server that returned after a crash had no load and was chosen by all VMs at once.

Change: internal/serverspeed estimates each engine's speed from the prefill times that its own responses show; VMs share the samples with placements. The cost model uses the estimates for prefill and queue times while the slowest and the fastest engine differ by a factor of about 1.5. After a crash, or while engines are uneven, a new or returned server's slots count as a fifth at first and as all after 4 s.

--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -339,6 +339,8 @@
 		zap.Int("running", c.Running),
 		zap.Float64("backlog", c.Backlog),
 		zap.Float64("pressure", c.Pressure),
+		zap.Float64("speed", c.Speed),
+		zap.Float64("start_share", c.StartShare),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,6 +234,8 @@
 	// isolated is set while this VM seems to be partitioned from the servers; used by the digest
 	// loop only.
 	isolated bool
+	// unevenEngines is set while the engines' speeds count; used by the digest loop only.
+	unevenEngines bool
 	// calls measures the rate of calls; used by the digest loop only.
 	calls steer.Meter
 	// claim is the newest known report about the order lease's term.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -164,6 +164,7 @@
 	view := n.directory.View()
 	n.logRecovery()
 	n.watchIsolation()
+	n.watchSpeeds()
 	n.pool.CloseIdle(func(owner string) bool { return view.Server(backend.ID(owner)) != nil })
 	n.crashCauses.Settle()
 	n.gossip.Forget()
--- a/internal/selector/admit.go
+++ b/internal/selector/admit.go
@@ -43,7 +43,7 @@
 
 // QueueTime returns the time until the server starts the prefill of a new prompt.
 func (m CostModel) QueueTime(c *Candidate) time.Duration {
-	return seconds(c.KnownBacklog / m.PrefillRate)
+	return seconds(c.KnownBacklog / m.rate(c))
 }
 
 func (m CostModel) full(q Query, c *Candidate) bool {
--- a/internal/selector/prompt.go
+++ b/internal/selector/prompt.go
@@ -121,4 +121,7 @@
 	Tokens int    `json:"t"`
 	// ReadyIn is the expected time until the engine has finished their prefill.
 	ReadyIn time.Duration `json:"r,omitempty"`
+	// PerToken is the time that the engine took for a token of the prompt, if the prefill is complete
+	// and had next to no queue ahead; 0 if it isn't known.
+	PerToken time.Duration `json:"k,omitempty"`
 }
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -117,6 +117,7 @@
 	defer t.mu.Unlock()
 	if s := t.servers[key]; s != nil && s.downSince.IsZero() {
 		s.downSince = t.now()
+		t.crashedAt = s.downSince
 	}
 }
 
@@ -125,7 +126,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[key]; s != nil && !s.gone {
-		s.downSince = time.Time{}
+		s.clearDown(t.now())
 	}
 }
 
@@ -135,6 +136,7 @@
 	defer t.mu.Unlock()
 	s := t.server(key)
 	s.gone, s.goneSeen, s.downSince = true, true, t.now()
+	t.crashedAt = s.downSince
 }
 
 // Gone reports whether another server has the address of an incarnation, according to this VM or
@@ -153,7 +155,7 @@
 func (s *server) recordHeard(now time.Time) {
 	s.lastReceived = now
 	if !s.gone {
-		s.downSince = time.Time{}
+		s.clearDown(now)
 	}
 }
 
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -74,6 +74,11 @@
 	Backoff time.Duration
 	// FullFor is the time for which the server gets no request because it has rejected one as full.
 	FullFor time.Duration
+	// Speed is the engine's prefill speed relative to the mean; 0 counts as 1.
+	Speed float64
+	// StartShare is the share of its slots that a new or returned engine may use for now; 0 counts
+	// as 1.
+	StartShare float64
 	// RateLimitWait is the time until this VM may send a request to the server within the
 	// server's rate limit; 0 if it has none.
 	RateLimitWait time.Duration
@@ -193,7 +198,7 @@
 // load the queues dominate.
 func (m CostModel) Loss(q Query, c *Candidate) float64 {
 	uncached := max(0, float64(q.PromptTokens)-c.CachedTokens-c.Fetch.Tokens)
-	prefill := seconds(uncached / m.PrefillRate)
+	prefill := seconds(uncached / m.rate(c))
 	expected := q.Waited + m.TimeToFirstByte(q, c)
 	loss := lateLoss * ramp(share(expected, q.Objective), lateRampStart, lateRampEnd)
 	loss += prefillLoss * min(1, share(prefill, q.Objective))
@@ -260,7 +265,15 @@
 // TimeToFirstByte returns the expected time from now to the first byte.
 func (m CostModel) TimeToFirstByte(q Query, c *Candidate) time.Duration {
 	uncached := max(0, float64(q.PromptTokens)-c.CachedTokens-c.Fetch.Tokens)
-	return max(c.Wait(), c.RateLimitWait) + c.Latency + seconds((c.Backlog+uncached)/m.PrefillRate) + c.Fetch.time(c.Entry.FailureDomain)
+	return max(c.Wait(), c.RateLimitWait) + c.Latency + seconds((c.Backlog+uncached)/m.rate(c)) + c.Fetch.time(c.Entry.FailureDomain)
+}
+
+// rate returns the prefill rate of a candidate, in tokens per second.
+func (m CostModel) rate(c *Candidate) float64 {
+	if c.Speed > 0 {
+		return c.Speed * m.PrefillRate
+	}
+	return m.PrefillRate
 }
 
 // PrefillTime returns the time that an engine takes for the prefill of so many tokens.
@@ -297,7 +310,11 @@
 	if c.Entry.Slots <= 0 {
 		return 0
 	}
-	return float64(c.Running) / float64(c.Entry.Slots)
+	use := float64(c.Running) / float64(c.Entry.Slots)
+	if c.StartShare > 0 {
+		use /= c.StartShare
+	}
+	return use
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -8,6 +8,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/fullserver"
+	"papayaspan.dev/papayaspan/internal/serverspeed"
 )
 
 const (
@@ -77,6 +78,11 @@
 	// goneSeen is set if this VM got that response, so that it reports it to others.
 	gone, goneSeen bool
 	full           fullserver.Hold
+	// speed is the engine's prefill speed, and relativeSpeed the one that counts; 0 for the mean.
+	speed         serverspeed.Estimate
+	relativeSpeed float64
+	// startedAt is when the server's load began to grow from a small share; zero if it has its full one.
+	startedAt time.Time
 	// runProvedAt is when the run last proved that it goes on; runDoubted is set if a
 	// connection to it was lost since.
 	runProvedAt time.Time
@@ -104,6 +110,10 @@
 	// senders is the number of VMs that send requests to the servers.
 	senders int
 	speed   prefillSpeed
+	// uneven is set while the engines' speeds differ so much that they count. crashedAt is when a
+	// server was last found to be down, and createdAt when the table was created.
+	uneven               bool
+	crashedAt, createdAt time.Time
 	// heardAt is when a server last sent anything to this VM. unansweredSince is when a response was due
 	// to the first of the requests that ended without one since then, unansweredAt when the last ended.
 	heardAt, unansweredSince, unansweredAt time.Time
@@ -113,13 +123,17 @@
 // NewTable returns an empty table. Reuse is the time within which a shared part of a
 // prompt is expected to be used again.
 func NewTable(reuse time.Duration, now func() time.Time) *Table {
-	return &Table{servers: map[ServerKey]*server{}, peerLoads: map[ServerKey]Report{}, reuseWindow: reuse, senders: 1, now: now}
+	return &Table{servers: map[ServerKey]*server{}, peerLoads: map[ServerKey]Report{}, reuseWindow: reuse, senders: 1, now: now, createdAt: now()}
 }
 
 func (t *Table) server(key ServerKey) *server {
 	s := t.servers[key]
 	if s == nil {
-		s = &server{latency: defaultLatency, decayedAt: t.now()}
+		now := t.now()
+		s = &server{latency: defaultLatency, decayedAt: now}
+		if t.startsSlowly(now) {
+			s.startedAt = now
+		}
 		s.setPeerLoad(t.peerLoads[key])
 		t.servers[key] = s
 	}
@@ -171,7 +185,8 @@
 	if now.Sub(s.lastReceived) > ownEvidenceMaxAge {
 		c.Silent = max(c.Silent, s.peerLoad.Silent)
 	}
-	c.Latency, c.FullFor = s.latency, s.full.Left(now)
+	c.Latency, c.FullFor, c.Speed = s.latency, s.full.Left(now), s.relativeSpeed
+	c.StartShare = s.startShare(now)
 	if prompt != nil {
 		cached, ready := s.cache.expectedHit(prompt, c.Entry.Weights[prompt.Model], now)
 		c.CachedTokens, c.CachedReadyIn = float64(cached), ready
@@ -225,6 +240,9 @@
 		return
 	}
 	s.cache.syncWeights(p.Weights)
+	if p.PerToken > 0 {
+		t.addSpeedSample(s, p.PerToken)
+	}
 	now := t.now()
 	ready := now.Add(p.ReadyIn)
 	if x, ok := s.cache.parts[p.Prefix]; ok && now.Sub(x.lastUsed) < duplicateWindow {
@@ -261,6 +279,8 @@
 	tokensAhead float64
 	fetches     bool
 	prefilling  bool
+	// speed is the engine's relative speed that the request was sent with.
+	speed float64
 	// announced is set if the placement was announced to other VMs and they are sent its
 	// completion as well.
 	announced    bool
@@ -283,6 +303,10 @@
 		r.memoryTokens, r.prompt = float64(prompt.Tokens), prompt
 		s.cache.runningTokens += r.memoryTokens
 		r.prefillTokens, r.prefilling = max(0, float64(prompt.Tokens)-c.CachedTokens-c.Fetch.Tokens), true
+		if r.speed = 1; c.Speed > 0 {
+			r.speed = c.Speed
+		}
+		rate *= r.speed
 		r.tokensAhead, r.fetches = c.Backlog, c.Fetch.Tokens > 0
 		s.backlog += r.prefillTokens
 		s.unreported.Backlog += r.prefillTokens
@@ -315,14 +339,20 @@
 	took := r.table.now().Sub(r.sent)
 	if r.prompt != nil && r.prefilling {
 		s.cache.markPrefilled(r.prompt, r.table.now())
-		r.table.speed.addSample(took, r)
+		perToken := r.table.speed.addSample(took, r)
+		if perToken > 0 {
+			r.table.addSpeedSample(s, perToken)
+		}
 		if r.announced {
 			r.table.unsent = append(r.table.unsent, Placement{
 				ID: r.key.ID, Started: r.key.Started, Model: r.prompt.Model, Weights: s.cache.weights,
-				Prefix: r.prompt.sharedHash(), Tokens: r.prompt.SharedTokens(),
+				Prefix: r.prompt.sharedHash(), Tokens: r.prompt.SharedTokens(), PerToken: perToken,
 			})
 		}
 	}
+	if r.speed > 0 {
+		rate *= r.speed
+	}
 	took -= seconds((r.prefillTokens + r.tokensAhead) / rate)
 	s.latency += time.Duration(latencySmoothing * float64(max(0, took)-s.latency))
 	r.endPrefill(s)
@@ -378,10 +408,12 @@
 	case Unreachable:
 		if s.downSince.IsZero() && s.lastReceived.Before(r.sent) {
 			s.downSince = r.table.now()
+			r.table.crashedAt = s.downSince
 		}
 	case Misdirected:
 		// The incarnation has ended and never returns to the address. Older builds use downSince.
 		s.gone, s.goneSeen, s.downSince = true, true, r.table.now()
+		r.table.crashedAt = s.downSince
 	}
 }
 
