Evaluate a waiting request again when the configuration changes

Cause: a request that waited for a place, for capacity or for a prefill ran under the configuration of its arrival, also if its key had been withdrawn, its route removed or its time limit changed meanwhile.

Change: the request is evaluated again before each choice of a server, after the wait for a place and just before it is written, if another configuration is in force. The deadline of the call's context follows the time limit. A stream whose response has begun goes on under the configuration that admitted it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,8 @@
 	t         *task
 	service   *catalog.Service
 	candidate selector.Candidate
+	// objective is the route's: the task's route may be replaced while a timer of the attempt ends.
+	objective time.Duration
 	inFlight  *selector.InFlight
 	conn      *hop.Conn
 	// sentAt is the time just before the request is written.
@@ -102,7 +104,7 @@
 
 // try sends the call to one server and relays the response.
 func (t *task) try(ctx context.Context, service *catalog.Service, c selector.Candidate) *failure {
-	a := &attempt{t: t, service: service, candidate: c, result: selector.Neutral}
+	a := &attempt{t: t, service: service, candidate: c, objective: t.route.Objective, result: selector.Neutral}
 	t.outcome.server = string(c.Entry.ID)
 	a.inFlight = t.g.opts.Servers.Begin(&c, t.prompt, t.g.model().PrefillRate)
 	if t.prompt != nil && t.prompt.Storable() {
@@ -159,6 +161,9 @@
 	if peek.CallerGone(caller) {
 		return &failure{code: "caller_gone", err: errors.New("the caller left before the request was sent"), callerGone: true}
 	}
+	if t.configurationChanged() {
+		return &failure{code: codeConfigurationChanged, err: errors.New("the configuration changed after the server was chosen")}
+	}
 	if t.refuseCrashing() != nil {
 		return &failure{code: codeCrashesServers, err: errors.Errorf("requests with the trait %v crash servers", t.outcome.crashCause)}
 	}
@@ -341,7 +346,7 @@
 func (a *attempt) checkSilence() {
 	pause := maxStreamPause
 	if a.firstEventAt.Load() == nil {
-		pause = max(maxStreamPause, silenceObjectives*a.t.route.Objective)
+		pause = max(maxStreamPause, silenceObjectives*a.objective)
 	}
 	if left := pause - a.inFlight.SilentFor(); left > 0 {
 		a.silenceTimer.Reset(left)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,7 +213,7 @@
 		t.log()
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(t.timeLeft()))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.keepOnStop = context.AfterFunc(g.ended, cancel)
 	defer t.keepOnStop()
@@ -239,22 +239,17 @@
 	}
 	t.route = t.catalog.Route(c.Host, c.Path)
 	if t.route == nil {
-		return verdict.Refuse(http.StatusNotFound, "route_unknown", "no route leads to this host and path")
+		return routeUnknownError()
 	}
 	if t.route.Kind == catalog.Stream && g.refusesStreams.Load() {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM is about to stop", minRetryAfter)
 	}
-	if t.catalog.HasAccounts() && !t.route.Open {
-		t.account = t.catalog.Account(c.Key)
-		if t.account == nil {
-			t.account = &catalog.Account{}
-			return verdict.Refuse(http.StatusUnauthorized, "key_unknown", "the key is not known")
-		}
-	}
-	t.deadline = c.Arrived.Add(t.route.Timeout)
-	if c.CallerTimeout > 0 && c.CallerTimeout < t.route.Timeout {
-		t.deadline = c.Arrived.Add(c.CallerTimeout)
+	account, refusal := t.findAccount(t.catalog, t.route)
+	if refusal != nil {
+		return refusal
 	}
+	t.account = account
+	t.setDeadline()
 	if end := g.endsAt.Load(); end != nil && t.deadline.After(*end) {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM stops before the deadline of the request", minRetryAfter)
 	}
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -113,7 +113,7 @@
 }
 
 // run tries servers until one responds or no further attempt is allowed.
-func (t *task) run(ctx context.Context) {
+func (t *task) run(base context.Context) {
 	service, refusal := t.chooseService()
 	if refusal != nil {
 		t.refuse(refusal)
@@ -121,11 +121,33 @@
 	}
 	budget := t.g.retryBudget(service.Name)
 	budget.Earn()
-	if service.Engine != nil && t.call.Model != "" {
-		t.prompt = selector.NewPrompt(t.call.Model, t.cacheScope(), t.call.PromptTokens, t.call.Parts)
-		t.prompt.EngineTokens = service.Engine.CacheTokens
+	t.setPrompt(service)
+	ctx, cancel := t.withDeadline(base)
+	defer func() { cancel() }()
+	// refresh evaluates the call again if the configuration has changed since.
+	refresh := func() *verdict.Error {
+		if !t.configurationChanged() {
+			return nil
+		}
+		next, refusal := t.reevaluate(service)
+		if refusal != nil {
+			return refusal
+		}
+		if next.Name != service.Name {
+			budget = t.g.retryBudget(next.Name)
+			budget.Earn()
+		}
+		service = next
+		t.setPrompt(service)
+		cancel()
+		ctx, cancel = t.withDeadline(base)
+		return nil
 	}
 	for {
+		if refusal := refresh(); refusal != nil {
+			t.fail(refusal)
+			return
+		}
 		if refusal := t.refuseCrashing(); refusal != nil {
 			t.fail(refusal)
 			return
@@ -144,6 +166,13 @@
 		if !t.awaitPlace(ctx, &candidate) {
 			continue
 		}
+		if refusal := refresh(); refusal != nil {
+			t.fail(refusal)
+			return
+		}
+		if candidate.Entry.Service != service.Name {
+			continue
+		}
 		t.tried = append(t.tried, selector.KeyOf(candidate.Entry))
 		failure := t.try(ctx, service, candidate)
 		if failure == nil {
@@ -153,8 +182,8 @@
 			t.ran = verdict.MayHaveRun
 		}
 		t.logAttempt(candidate, failure)
-		if failure.code == codeServersFull {
-			t.tried = t.tried[:len(t.tried)-1] // It gets the request once it has room.
+		if failure.code == codeServersFull || failure.code == codeConfigurationChanged {
+			t.tried = t.tried[:len(t.tried)-1] // It may get the request after all.
 		}
 		if ctx.Err() != nil || !t.mayRetry(failure) || failure.sent && !budget.Spend() {
 			t.fail(failure.finalError(t))
