--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -113,7 +113,7 @@
 }
 
 // run tries servers until one responds or no further attempt is allowed.
-func (t *task) run(ctx context.Context) {
+func (t *task) run(base context.Context) {
 	service, refusal := t.chooseService()
 	if refusal != nil {
 		t.refuse(refusal)
@@ -121,11 +121,33 @@
 	}
 	budget := t.g.retryBudget(service.Name)
 	budget.Earn()
-	if service.Engine != nil && t.call.Model != "" {
-		t.prompt = selector.NewPrompt(t.call.Model, t.cacheScope(), t.call.PromptTokens, t.call.Parts)
-		t.prompt.EngineTokens = service.Engine.CacheTokens
+	t.setPrompt(service)
+	ctx, cancel := t.withDeadline(base)
+	defer func() { cancel() }()
+	// refresh evaluates the call again if the configuration has changed since.
+	refresh := func() *verdict.Error {
+		if !t.configurationChanged() {
+			return nil
+		}
+		next, refusal := t.reevaluate(service)
+		if refusal != nil {
+			return refusal
+		}
+		if next.Name != service.Name {
+			budget = t.g.retryBudget(next.Name)
+			budget.Earn()
+		}
+		service = next
+		t.setPrompt(service)
+		cancel()
+		ctx, cancel = t.withDeadline(base)
+		return nil
 	}
 	for {
+		if refusal := refresh(); refusal != nil {
+			t.fail(refusal)
+			return
+		}
 		if refusal := t.refuseCrashing(); refusal != nil {
 			t.fail(refusal)
 			return
@@ -144,6 +166,13 @@
 		if !t.awaitPlace(ctx, &candidate) {
 			continue
 		}
+		if refusal := refresh(); refusal != nil {
+			t.fail(refusal)
+			return
+		}
+		if candidate.Entry.Service != service.Name {
+			continue
+		}
 		t.tried = append(t.tried, selector.KeyOf(candidate.Entry))
 		failure := t.try(ctx, service, candidate)
 		if failure == nil {
@@ -153,8 +182,8 @@
 			t.ran = verdict.MayHaveRun
 		}
 		t.logAttempt(candidate, failure)
-		if failure.code == codeServersFull {
-			t.tried = t.tried[:len(t.tried)-1] // It gets the request once it has room.
+		if failure.code == codeServersFull || failure.code == codeConfigurationChanged {
+			t.tried = t.tried[:len(t.tried)-1] // It may get the request after all.
 		}
 		if ctx.Err() != nil || !t.mayRetry(failure) || failure.sent && !budget.Spend() {
 			t.fail(failure.finalError(t))
@@ -180,35 +209,6 @@
 	return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_server", "no backend server is ready", minServerRetryAfter)
 }
 
-// mayRetry reports whether another attempt is allowed after a failure.
-func (t *task) mayRetry(f *failure) bool {
-	if f.callerGone || t.timeLeft() < minAttemptTime || len(t.tried) >= maxTriedServers {
-		return false
-	}
-	if t.sends >= max(1, t.route.MaxAttempts) {
-		return false
-	}
-	if t.sends == 0 && t.waited() > t.timeLeft() {
-		return false // A refusal now leaves the caller time to retry.
-	}
-	if t.begun && t.lastEvent < 0 {
-		return false // Nothing tells where the stream would go on.
-	}
-	return !f.mayHaveRun && !t.begun || t.route.Repeatable()
-}
-
-const (
-	// minAttemptTime is the least time left for which another attempt is made.
-	minAttemptTime = 15 * time.Millisecond
-	// maxTriedServers bounds the servers tried for one call, unreachable ones included:
-	// a third of the servers of a large deployment may crash at once.
-	maxTriedServers = 20
-	// minServerRetryAfter is the least retry delay of a caller for whose request there
-	// was no server: crashed servers are back, and others have loaded new weights,
-	// after a second or more.
-	minServerRetryAfter = 1 * time.Second
-)
-
 // cacheScope returns the name that separates the caches of isolated accounts from all
 // others.
 func (t *task) cacheScope() string {
@@ -339,6 +339,8 @@
 		zap.Int("running", c.Running),
 		zap.Float64("backlog", c.Backlog),
 		zap.Float64("pressure", c.Pressure),
+		zap.Float64("speed", c.Speed),
+		zap.Float64("start_share", c.StartShare),
 	}
 }
 
