Put requests of the largest accounts behind others at full engines

Fair shares concerned long prompts only.

Change: while the slots of the chosen engine are in use, requests of an account that exceeds its max-min fair share of four fifths of what all use lately are sent one priority less urgent. They are neither refused nor held.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -244,7 +244,7 @@
 		Account:   t.account.ID,
 		TimeLeft:  t.timeLeft(),
 		Server:    a.candidate.Entry.ID,
-		Priority:  t.priority(),
+		Priority:  a.priority(),
 		LastEvent: a.resumeAfter(),
 	}
 	if t.prompt != nil {
--- a/internal/gateway/fairroom.go
+++ b/internal/gateway/fairroom.go
@@ -46,3 +46,17 @@
 		t.g.fairUsage.Charge(t.account.ID, sign*t.units, sign*float64(t.call.PromptTokens), t.g.opts.Now())
 	}
 }
+
+// lowestPriority is the least urgent priority that servers know.
+const lowestPriority = 9
+
+// priority returns the priority sent to the server. While all slots of the engine are in use, the requests of
+// accounts that exceed their fair share are one step less urgent: engines admit the others first.
+func (a *attempt) priority() int {
+	t, p := a.t, a.t.priority()
+	if t.prompt == nil || t.account.ID == "" || a.candidate.KnownRunning < a.candidate.Entry.Slots || !t.g.fairUsage.Exceeds(t.account.ID, t.chosenAt) {
+		return p
+	}
+	metrics.GetOrRegisterCounter("requests_behind_fair_share", t.g.meters.registry).Inc(1)
+	return min(lowestPriority, p+1)
+}
