--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -103,3 +103,15 @@
 	b.balance--
 	return true
 }
+
+// SpendSpare takes one retry from the balance for a request that has not failed, and reports
+// whether one was available. It leaves half of the reserve to retries after failures.
+func (b *RetryBudget) SpendSpare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance-1 < b.reserve/2 {
+		return false
+	}
+	b.balance--
+	return true
+}
