Hedge late requests of idempotent routes

Change: with -hedge-share of papayaspand edge above 0 (the default), the first attempt of a whole response of an idempotent route with two attempts or more is a race: once its response is late and the conditions and budgets allow it, a second server gets the request. The first whole sound response claims the race and cancels the other attempt; a failure or a server error waits for the attempt that is pending. A hedge counts as a send of the call and as a repeated send of the retry budget. The first attempt isn't given up as silent while the hedge is the route's last attempt. A share above 0.1 or above half of the settings' retry_budget_ratio is refused at the start. With a share of 0 the path of a request is as before.

Measured: tests of the gateway pass, also with -race. They fail with a server error that wins, without the cancellation of the loser, without the claim, if the first failure isn't held back for a pending hedge, and if silence cancels the first attempt although none is left. A settings file with a ratio of 0.1 and a share of 0.06 ends with code 2: "must be at most 0.05, half of the settings' retry_budget_ratio".

--- a/cmd/papayaspand/edge.go
+++ b/cmd/papayaspand/edge.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/platform"
@@ -19,6 +20,8 @@
 type edgeCmd struct {
 	settings string
 	level    string
+	// hedgeShare is the share of the requests for a service that may be hedged.
+	hedgeShare float64
 }
 
 // logCloseTimeout bounds the flush of the log at process exit.
@@ -32,13 +35,14 @@
 
 // Usage implements subcommands.Command.
 func (*edgeCmd) Usage() string {
-	return "papayaspand edge [-settings FILE]\n  Runs the router with the platform's settings file until SIGTERM, which drains it.\n"
+	return "papayaspand edge [-settings FILE] [-hedge-share SHARE]\n  Runs the router with the platform's settings file until SIGTERM, which drains it.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *edgeCmd) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings `file`")
 	f.StringVar(&c.level, "log", "info", "log `level`: debug, info, warn or error")
+	f.Float64Var(&c.hedgeShare, "hedge-share", 0, "`share` of the requests for a service that may be sent to a second server because the first one is slow: 0 (none) to 0.1, at most half of the settings' retry_budget_ratio")
 }
 
 // Execute implements subcommands.Command.
@@ -59,6 +63,10 @@
 		log.Error("settings_invalid", logging.Error(err))
 		return subcommands.ExitUsageError
 	}
+	if err := s.SetHedgeShare(c.hedgeShare); err != nil {
+		log.Error("flag_invalid", zap.String("flag", "hedge-share"), logging.Error(err))
+		return subcommands.ExitUsageError
+	}
 	p, err := platform.New(s, log, out.Dropped)
 	if err != nil {
 		log.Error("start_failed", logging.Error(err))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,6 +109,9 @@
 		t.g.opts.NotifyPeers()
 	}
 	f := a.exchange(ctx)
+	if t.hedging.outrun() {
+		a.inFlight.Outrun()
+	}
 	a.inFlight.End(a.result)
 	if a.result == selector.Unreachable {
 		t.g.probeUntilReachable(c.Entry, a.connectionLimit())
@@ -258,6 +261,7 @@
 	a.recordEvidence()
 	a.sentAt = t.g.opts.Now()
 	a.sent.Store(true)
+	t.hedging.firstSent(a.sentAt)
 	resp, err := a.conn.Send(ctx, &hop.Request{
 		Method: t.call.Method,
 		Target: t.call.Target,
@@ -354,6 +358,9 @@
 // cancelSilent ends the attempt because of the server's silence, so that another server
 // can be tried.
 func (a *attempt) cancelSilent() {
+	if a.t.hedging.isLastAttempt() {
+		return
+	}
 	a.silent.Store(true)
 	a.cancel()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	RetryRatio, RetrySlack float64
 	// RetryWindow is the time in which these sends are counted; zero if it isn't known.
 	RetryWindow time.Duration
+	// HedgeShare is the share of the requests for a service that may be sent to a second server
+	// because the first one is slow; 0 for none.
+	HedgeShare float64
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Now is the boot-time clock.
@@ -93,12 +96,14 @@
 	// attempts holds each *attempt in progress.
 	attempts sync.Map
 	meters   meters
+	// hedges is nil if no request is hedged.
+	hedges *hedger
 }
 
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	ended, endCalls := context.WithCancel(context.Background())
-	g := &Gateway{opts: opts, started: opts.Now(), ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), runChecks: map[selector.ServerKey]*runCheck{}}
+	g := &Gateway{opts: opts, started: opts.Now(), ended: ended, endCalls: endCalls, meters: newMeters(opts.Metrics), hedges: newHedger(&opts), runChecks: map[selector.ServerKey]*runCheck{}}
 	g.SetMembers(1, 1)
 	g.withheld.Store(&map[string]bool{})
 	return g
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -62,6 +62,8 @@
 	// fallback is a server's own error response, which is passed on if no attempt
 	// brings a better one.
 	fallback *fallbackResponse
+	// hedging is the race of the first attempt with a hedge; nil if the request has none.
+	hedging *race
 }
 
 // fallbackResponse is a complete response of a server.
@@ -87,6 +89,8 @@
 	originSource string
 	// evidence is what was known of the server when the request was written.
 	evidence evidence
+	// hedge tells whether a hedge was sent, failed or won; empty without one.
+	hedge string
 }
 
 func (o *outcome) recordEvent(number int64) {
@@ -121,6 +125,7 @@
 	}
 	budget := t.g.retryBudget(service.Name)
 	budget.Earn()
+	t.g.hedges.countRequest(service.Name)
 	if service.Engine != nil && t.call.Model != "" {
 		t.prompt = selector.NewPrompt(t.call.Model, t.cacheScope(), t.call.PromptTokens, t.call.Parts)
 		t.prompt.EngineTokens = service.Engine.CacheTokens
@@ -131,6 +136,9 @@
 			return
 		}
 		candidate, refusal := t.choose(service)
+		if refusal != nil {
+			t.g.hedges.recordLoad(service.Name, t.chosenAt)
+		}
 		if refusal != nil && t.awaitRoom(ctx, refusal) {
 			continue
 		}
@@ -145,7 +153,7 @@
 			continue
 		}
 		t.tried = append(t.tried, selector.KeyOf(candidate.Entry))
-		failure := t.try(ctx, service, candidate)
+		failure := t.tryHedged(ctx, service, candidate)
 		if failure == nil {
 			return
 		}
@@ -311,6 +319,9 @@
 	if t.outcome.reason != "" {
 		fields = append(fields, zap.String("reason", t.outcome.reason))
 	}
+	if t.outcome.hedge != "" {
+		fields = append(fields, zap.String("hedge", t.outcome.hedge))
+	}
 	if t.outcome.crashCause != 0 {
 		fields = append(fields, zap.Stringer("crash_cause", t.outcome.crashCause))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,8 @@
 	// store.
 	OperatorTable, ServerTable, MemberTable, StreamTable string
 	Bounds                                               Bounds
+	// HedgeShare is the share of the requests for a service that may be hedged; 0 for none.
+	HedgeShare float64
 }
 
 // Bounds are the requirements of the deployment.
@@ -353,6 +355,7 @@
 		RetryRatio:       opts.Bounds.RetryRatio,
 		RetrySlack:       opts.Bounds.RetrySlack,
 		RetryWindow:      opts.Bounds.RetryWindow,
+		HedgeShare:       opts.HedgeShare,
 		FirstStart:       opts.FirstStart,
 		Now:              n.now,
 	})
