Let a successful probe override the reports of other VMs

Cause: VMs probe a crashed server up to 1.5 s apart, and the report of the last one kept the server out of use for all, also for a VM whose own probe had just found it open.

Result: go test of selector and gateway passes; without the change the new test finds the server unused after the probe.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -52,6 +52,7 @@
 					return
 				}
 				g.opts.Servers.MarkReachable(key)
+				g.opts.NotifyPeers() // Until then, this VM's report keeps others from using the server.
 				break
 			}
 		}
--- a/internal/selector/gone_test.go
+++ b/internal/selector/gone_test.go
@@ -65,3 +65,29 @@
 		}
 	}
 }
+
+// VMs probe a crashed server up to 1.5 s apart. The one that finds it open first must not wait for the
+// reports of the others to end.
+func TestOwnProbeOverridesReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(time.Minute, func() time.Time { return now })
+	x := engine("x", "a", 1)
+	unresponsive := func() bool {
+		c := Candidate{Entry: x}
+		table.Fill(&c, nil)
+		return c.Unresponsive()
+	}
+	table.Begin(&Candidate{Entry: x}, nil, 60_000).End(Unreachable)
+	table.UpdatePeerLoads(map[ServerKey]Report{KeyOf(x): {Silent: 2 * time.Second}})
+	if !unresponsive() {
+		t.Error("a server that accepts no connections is used")
+	}
+	table.MarkReachable(KeyOf(x))
+	if unresponsive() {
+		t.Error("not used although the own probe has just found it open")
+	}
+	now = now.Add(time.Second)
+	if !unresponsive() {
+		t.Error("without own data since the probe, the reports of others don't count")
+	}
+}
--- a/internal/selector/reach.go
+++ b/internal/selector/reach.go
@@ -126,7 +126,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[key]; s != nil && !s.gone {
-		s.clearDown(t.now())
+		s.openedAt = t.now()
+		s.clearDown(s.openedAt)
 	}
 }
 
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -74,6 +74,8 @@
 	responseDueFrom time.Time
 	// downSince is when the server stopped accepting connections; zero if it accepts them.
 	downSince time.Time
+	// openedAt is when it last accepted connections again after it had accepted none.
+	openedAt time.Time
 	// gone is set once another server has answered at its address: this incarnation has ended.
 	// goneSeen is set if this VM got that response, so that it reports it to others.
 	gone, goneSeen bool
@@ -185,7 +187,7 @@
 	c.Backlog = c.KnownBacklog + otherSenders*s.unreported.Backlog
 	c.FailureRate = s.failures / (s.successes + s.failures + priorSuccesses)
 	c.Silent = s.silence(now)
-	if now.Sub(s.lastReceived) > ownEvidenceMaxAge {
+	if now.Sub(s.lastReceived) > ownEvidenceMaxAge && now.Sub(s.openedAt) > ownEvidenceMaxAge {
 		c.Silent = max(c.Silent, s.peerLoad.Silent)
 	}
 	c.Latency, c.FullFor, c.Speed = s.latency, s.full.Left(now), s.relativeSpeed
