Apply the reported rejections of a server only while its slots seem full

Cause: with many VMs, the holds that they report cover the whole time together.

Change: a reported hold counts only while the known requests at the server fill its slots.

--- a/internal/fullserver/fullserver.go
+++ b/internal/fullserver/fullserver.go
@@ -6,7 +6,7 @@
 
 const (
 	// minHold is the first hold: within it, a server with a few slots completes a response. In the
-	// trial of TestFullServersAreLeftAlone, 100 ms left twice as much capacity unused as 50 ms.
+	// trial of TestFullServersAreLeftAlone, 100 ms left more capacity unused than 50 ms.
 	// maxHold bounds later ones: a VM without requests at the server has no other sign of room.
 	minHold = 50 * time.Millisecond
 	maxHold = 800 * time.Millisecond
@@ -74,10 +74,12 @@
 	return max(0, h.until.Sub(now))
 }
 
-// Left returns the time for which the server gets no request.
-func (h *Hold) Left(now time.Time) time.Duration {
+// Left returns the time for which the server gets no request. room is set if the known requests at the
+// server leave it a slot: the holds that others report don't count then. Together they would cover the
+// whole time if many VMs send to few servers, and leave a third of their capacity unused.
+func (h *Hold) Left(now time.Time, room bool) time.Duration {
 	left := h.OwnLeft(now)
-	if h.reported.After(h.ignored.Add(sameReport)) {
+	if !room && h.reported.After(h.ignored.Add(sameReport)) {
 		left = max(left, min(maxHold, h.reported.Sub(now)))
 	}
 	return left
--- a/internal/selector/table.go
+++ b/internal/selector/table.go
@@ -190,7 +190,7 @@
 	if now.Sub(s.lastReceived) > ownEvidenceMaxAge && now.Sub(s.openedAt) > ownEvidenceMaxAge {
 		c.Silent = max(c.Silent, s.peerLoad.Silent)
 	}
-	c.Latency, c.FullFor, c.Speed = s.latency, s.full.Left(now), s.relativeSpeed
+	c.Latency, c.FullFor, c.Speed = s.latency, s.full.Left(now, c.KnownRunning < c.Entry.Slots), s.relativeSpeed
 	c.StartShare = s.startShare(now)
 	if prompt != nil {
 		cached, ready := s.cache.expectedHit(prompt, c.Entry.Weights[prompt.Model], now)
