Check a configuration before it is sent: papayaspan check

Cause: an operator's mistakes show only once the VMs use the configuration.

Change: the subcommand check reads a file with the product's decoder (platform.DecodeConfig), prints errors, entries that can never match, limits that contradict each other and, with -against, what differs from another file.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,7 +54,7 @@
 
 func commands(e outputs) map[string][]subcommands.Command {
 	return map[string][]subcommands.Command{
-		"settings": {&checkSettings{outputs: e}},
+		"settings": {&checkSettings{outputs: e}, &checkConfig{outputs: e}},
 		"tickets": {
 			&fileTicket{ticketFiler{outputs: e}},
 			&showTicket{ticketFiler{outputs: e}},
