Refuse prompt prefixes that crash engines on the own path

Cause: papayaspand serve counted crashes by the whole content of a request only.

Change: internal/poison also counts crashes by prompt prefixes with internal/crashcause, the package of the platform's path. A call between the VMs carries the evidence; it is sent before a request is tried again after a crash, and a VM that starts asks for the convictions. A request that would be refused by evidence that has not settled yet waits for it (Table.Pending), as engines that fail at once crash at 100 a second within the settling time. VMs of an earlier build don't know the call and are left out.

The test's cluster registers both services of a guard through poison.Register.

--- a/internal/crashcause/convict.go
+++ b/internal/crashcause/convict.go
@@ -124,7 +124,8 @@
 	t.expire()
 	changes := t.liftIf(t.exonerated)
 	changes = append(changes, t.narrowConvictions()...)
-	suspects := t.suspects()
+	t.pending = nil
+	suspects := t.suspects(false)
 	replaced := t.replacedConvictions(suspects)
 	t.explained = map[selector.ServerKey]Trait{}
 	for _, part := range []bool{true, false} {
@@ -153,6 +154,23 @@
 	return append(changes, t.liftIf(t.explainedByOthers)...)
 }
 
+// pendingConvictions returns the convictions that would follow if the evidence that isn't settled
+// yet counted already.
+func (t *Table) pendingConvictions() []Conviction {
+	out := []Conviction{}
+	for _, s := range t.suspects(true) {
+		s.incidents = slices.DeleteFunc(s.incidents, func(x incident) bool {
+			_, explained := t.explained[x.server]
+			return explained
+		})
+		if t.convictions[s.trait] == nil && s.guilty() {
+			out = append(out, Conviction{Trait: s.trait, With: s.companions(), Part: s.part})
+		}
+	}
+	t.unsettled = true // Until reconsider has derived the convictions, even if the time has just passed.
+	return out
+}
+
 // convictGuilty convicts the guilty of some suspects, the most likely cause first, and
 // returns the new convictions.
 func (t *Table) convictGuilty(suspects []*suspect) []Change {
@@ -352,9 +370,9 @@
 	})
 }
 
-// suspects returns the traits with settled evidence that no success has cleared, and updates
-// suspected and unsettled.
-func (t *Table) suspects() []*suspect {
+// suspects returns the traits with evidence that no success has cleared, and updates suspected and
+// unsettled. Evidence that isn't settled yet counts only if early is set.
+func (t *Table) suspects(early bool) []*suspect {
 	byTime := make([]*crash, 0, len(t.crashes))
 	for _, c := range t.crashes {
 		byTime = append(byTime, c)
@@ -373,7 +391,9 @@
 		t.suspected[trait] = true
 		if now.Sub(c.changedAt) < settleTime {
 			t.unsettled = true
-			return
+			if !early {
+				return
+			}
 		}
 		if since, onProbation := t.probation[trait]; onProbation && run.Sent.Before(since) {
 			return
--- a/internal/crashcause/crashcause.go
+++ b/internal/crashcause/crashcause.go
@@ -204,6 +204,9 @@
 	explained map[selector.ServerKey]Trait
 	// unsettled is set if there are crashes that don't count yet.
 	unsettled bool
+	// pending are the convictions that are expected once the evidence has settled; nil if they have
+	// to be derived again.
+	pending []Conviction
 }
 
 // NewTable returns an empty table. changed is called, without a lock, with each change of
@@ -274,6 +277,21 @@
 	return Conviction{}, 0, false
 }
 
+// Pending reports whether a request with these traits would be refused if the latest evidence were
+// settled already. A VM that holds such requests back until then neither refuses them for evidence
+// that others are about to contradict nor has them crash more servers.
+func (t *Table) Pending(traits Traits) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.unsettled {
+		return false
+	}
+	if t.pending == nil {
+		t.pending = t.pendingConvictions()
+	}
+	return slices.ContainsFunc(t.pending, func(c Conviction) bool { return c.Concerns(traits) })
+}
+
 // Convictions returns the convictions in force, the latest first.
 func (t *Table) Convictions() []Conviction {
 	t.mu.Lock()
--- a/internal/crashcause/notices.go
+++ b/internal/crashcause/notices.go
@@ -145,10 +145,7 @@
 	}
 	for _, c := range t.dueConvictions(now, scope, repeat) {
 		c.report.last[scope] = now
-		n.Convictions = append(n.Convictions, ConvictionNotice{
-			Trait: c.Trait, Part: c.Part, With: c.With, Sole: len(c.With) == 0, Age: now.Sub(c.At).Milliseconds(),
-			Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
-		})
+		n.Convictions = append(n.Convictions, c.notice(now))
 	}
 	if len(n.Crashes)+len(n.Successes)+len(n.Convictions) == 0 {
 		return nil
@@ -156,6 +153,29 @@
 	return n
 }
 
+// notice returns the conviction as gossiped.
+func (c *Conviction) notice(now time.Time) ConvictionNotice {
+	return ConvictionNotice{
+		Trait: c.Trait, Part: c.Part, With: c.With, Sole: len(c.With) == 0, Age: now.Sub(c.At).Milliseconds(),
+		Crashes: c.Crashes, Contents: c.Contents, Weights: c.Weights,
+	}
+}
+
+// AllConvictions returns the convictions in force for a VM that may have missed some; nil if there
+// are none.
+func (t *Table) AllConvictions() *Notices {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.convictions) == 0 {
+		return nil
+	}
+	n, now := &Notices{}, t.now()
+	for _, c := range t.sortedConvictions() {
+		n.Convictions = append(n.Convictions, c.notice(now))
+	}
+	return n
+}
+
 // crashNotices returns the notices of crashes with evidence that no success has cleared.
 func (t *Table) crashNotices(now time.Time, scope Scope, repeat bool) []CrashNotice {
 	var due []*crash
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,7 +159,7 @@
 	d.admitter = router.NewFairAdmitter(d.budget)
 	directory := rosterDirectory{self: d.Self().ID, roster: d.roster, refresh: d.spread.Refresh, pool: pool}
 	d.guard = poison.NewGuard(d.Self().ID, poison.Client{Directory: directory}, poison.Options{Now: time.Now, Start: time.Now(), Log: d.log, Metrics: d.metrics})
-	peer.RegisterPoisonServer(peerServer, poison.Server{Guard: d.guard})
+	poison.Register(peerServer, d.guard)
 	d.evidence = &suspectEvidence{d: d}
 	d.health = health.NewTable()
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
--- a/internal/poison/alone.go
+++ b/internal/poison/alone.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -38,5 +39,10 @@
 // Suspects implements Peers.
 func (SingleVM) Suspects(context.Context, vm.ID) ([]Announcement, error) { return nil, errSingleVM }
 
+// Exchange implements Peers.
+func (SingleVM) Exchange(context.Context, vm.ID, vm.ID, *crashcause.Notices) (*crashcause.Notices, error) {
+	return nil, errSingleVM
+}
+
 // Refresh implements Peers.
 func (SingleVM) Refresh(context.Context) {}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -14,6 +14,7 @@
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/rendezvous"
 	"papayaspan.dev/papayaspan/internal/verdict"
 	"papayaspan.dev/papayaspan/internal/vm"
@@ -62,6 +63,8 @@
 	Announce(ctx context.Context, to vm.ID, a Announcement) (Ack, error)
 	Reserve(ctx context.Context, to vm.ID, server backend.ID, c Content) (bool, error)
 	Suspects(ctx context.Context, to vm.ID) ([]Announcement, error)
+	// Exchange sends evidence on prompt prefixes, if any, and returns the convictions of that VM.
+	Exchange(ctx context.Context, to, from vm.ID, n *crashcause.Notices) (*crashcause.Notices, error)
 }
 
 // RunRequest describes a request that is about to run.
@@ -69,6 +72,9 @@
 	Account account.ID
 	// Content computes the identity. It must cache the result.
 	Content func() Content
+	// Traits computes what crashes may be due to besides the whole content, and caches it. Nil if
+	// the request has no prompt.
+	Traits func() crashcause.Traits
 }
 
 // Target is the server chosen for a run.
@@ -88,6 +94,7 @@
 	peers    Peers
 	now      func() time.Time
 	recorder *recorder
+	causes   *causes
 
 	mu    sync.Mutex
 	home  *HomeState
@@ -111,8 +118,9 @@
 // NewGuard returns the guard of VM self.
 func NewGuard(self vm.ID, peers Peers, o Options) *Guard {
 	serial := uint64(o.Start.UnixNano())
+	rec := newRecorder(o.Log, o.Metrics)
 	return &Guard{
-		self: self, peers: peers, now: o.Now, recorder: newRecorder(o.Log, o.Metrics),
+		self: self, peers: peers, now: o.Now, recorder: rec, causes: newCauses(self, peers, o.Now, rec),
 		home: NewHomeState(serial), local: NewLocalState(self, serial), slots: NewSlots(),
 		runEnded: make(chan struct{}),
 	}
@@ -124,6 +132,11 @@
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	for {
+		g.causes.hold(ctx, s)
+		if cause, wait, found := g.causes.convicted(s); found {
+			g.recorder.refusedCause(s.Account, cause, wait)
+			return nil, Target{}, refuseConvictedPart(wait)
+		}
 		status, evidence, wait := g.check(s)
 		if status == Blocked {
 			g.recorder.refused(s.Content(), wait)
@@ -134,6 +147,9 @@
 			return nil, Target{}, err
 		}
 		run, err := g.startRun(ctx, s, status, evidence, target)
+		if run != nil {
+			run.traits, run.sent, run.observed = s.Traits, g.now(), target.Incarnation
+		}
 		if run != nil || err != nil {
 			return run, target, err
 		}
@@ -145,6 +161,11 @@
 		"requests with this content have crashed the backend servers that ran them", wait)
 }
 
+func refuseConvictedPart(wait time.Duration) *verdict.Error {
+	return verdict.RefuseUntil(http.StatusUnprocessableEntity, "poison_request",
+		"requests that begin like this one have crashed the backend servers that ran them", wait)
+}
+
 func refuseUnverified(cause error) *verdict.Error {
 	e := verdict.RefuseUntil(http.StatusServiceUnavailable, "content_unverified",
 		"a backend server crashed while it ran this content, and the VM that keeps count cannot be asked", callTimeout)
@@ -258,7 +279,11 @@
 // End ends a run. After a crash it waits, up to finishTimeout, until the home
 // and the other VMs have the evidence, so that a retry of the content through
 // any VM is checked against it.
-func (g *Guard) End(r *Run, end End) {
+func (g *Guard) End(r *Run, end End) { g.EndAfter(r, end, 0) }
+
+// EndAfter is End for a run whose response began some time before its end.
+func (g *Guard) EndAfter(r *Run, end End, sinceBegin time.Duration) {
+	defer g.causes.recordEnd(r, end, sinceBegin >= beginTime).Wait()
 	g.mu.Lock()
 	f, suspect := g.local.End(g.now(), r, end)
 	g.mu.Unlock()
--- a/internal/poison/handle.go
+++ b/internal/poison/handle.go
@@ -7,6 +7,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -100,6 +101,11 @@
 	return g.local.Announcements()
 }
 
+// HandleExchange applies evidence on prompt prefixes and returns the convictions in force.
+func (g *Guard) HandleExchange(from vm.ID, n *crashcause.Notices) *crashcause.Notices {
+	return g.causes.handleExchange(from, n)
+}
+
 // announce sends the evidence on a content to the VMs and records their
 // acknowledgements.
 func (g *Guard) announce(ctx context.Context, c Content, to []vm.ID) {
@@ -153,6 +159,11 @@
 			continue
 		}
 		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.causes.exchangeWith(ctx, id, nil)
+		}()
+		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			suspects, err := g.peers.Suspects(ctx, id)
@@ -169,7 +180,8 @@
 	wg.Wait()
 }
 
-// Sweep deletes expired evidence and slots periodically until the context ends.
+// Sweep deletes expired evidence and slots, and repeats convictions, periodically until the context
+// ends.
 func (g *Guard) Sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepInterval) {
 		g.mu.Lock()
@@ -177,5 +189,6 @@
 		g.local.Expire(g.now())
 		g.slots.Expire(g.now())
 		g.mu.Unlock()
+		g.causes.repeat()
 	}
 }
--- a/internal/poison/local.go
+++ b/internal/poison/local.go
@@ -6,6 +6,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
 
@@ -45,6 +46,11 @@
 	crashes int
 	grant   Grant
 	serial  uint64
+	// traits computes the traits of the request; nil if it has no prompt. sent is when it was sent,
+	// and observed the last known incarnation of the server then. The guard sets them.
+	traits   func() crashcause.Traits
+	sent     time.Time
+	observed backend.Incarnation
 }
 
 // LocalState holds a VM's evidence and its current runs. It is a state machine;
--- a/internal/poison/mesh_test.go
+++ b/internal/poison/mesh_test.go
@@ -17,6 +17,7 @@
 	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/verdict"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -93,6 +94,14 @@
 	return g.Suspects(), nil
 }
 
+func (cl clusterPeers) Exchange(_ context.Context, to, from vm.ID, n *crashcause.Notices) (*crashcause.Notices, error) {
+	g, err := cl.peer(to)
+	if err != nil {
+		return nil, err
+	}
+	return g.HandleExchange(from, n), nil
+}
+
 func subject(c Content) RunRequest {
 	return RunRequest{Account: c.Account, Content: func() Content { return c }}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/poison"
@@ -41,6 +42,19 @@
 // withGuards adds health checks and the poison guard to a balancer's picker. The
 // target is the model, or the method and path of a service.
 func (r *Router) withGuards(inner dispatch.Picker, id account.ID, target string, body []byte) dispatch.Picker {
+	return r.guarded(inner, id, target, body)
+}
+
+// withPromptGuards does the same for a model request, whose prompt may begin like that of others.
+func (r *Router) withPromptGuards(inner dispatch.Picker, c *completion) dispatch.Picker {
+	p := r.guarded(inner, c.caller.account.ID, c.model.Name, c.body)
+	p.subject.Traits = sync.OnceValue(func() crashcause.Traits {
+		return poison.NewTraits(CacheSalt(c.caller.account.ID, c.model), c.prompt, c.body)
+	})
+	return p
+}
+
+func (r *Router) guarded(inner dispatch.Picker, id account.ID, target string, body []byte) *guardedPicker {
 	content := sync.OnceValue(func() poison.Content {
 		return poison.NewContent(r.opts.ContentSalt, id, target, body)
 	})
@@ -189,13 +203,22 @@
 		})
 	}
 	end := p.poisonOutcome(res)
-	p.router.opts.Guard.End(p.run, end)
+	p.router.opts.Guard.EndAfter(p.run, end, sinceBegin(res))
 	p.logEnd(req, res, end)
 	if o, ok := p.inner.(dispatch.Observer); ok {
 		o.Ended(req, res)
 	}
 }
 
+// sinceBegin returns the time from the first byte of an attempt's response to its end; 0 if there
+// was none.
+func sinceBegin(res dispatch.Result) time.Duration {
+	if res.FirstByte == 0 {
+		return 0
+	}
+	return res.Duration - res.FirstByte
+}
+
 // countsAgainstServer reports whether the circuit breaker counts a failure of the
 // server. A server that refuses work is overloaded, not broken.
 func countsAgainstServer(f dispatch.Failure) bool {
--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -17,7 +17,6 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
-	"papayaspan.dev/papayaspan/api/peer"
 	"papayaspan.dev/papayaspan/internal/account"
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/config"
@@ -134,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	peer.RegisterPoisonServer(server, poison.Server{Guard: guard})
+	poison.Register(server, guard)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
 	s := settings.Default()
@@ -295,6 +294,23 @@
 	}
 }
 
+// Guards against evidence on a prompt prefix that stays on the router that has seen the crashes.
+func TestPromptPrefixThatCrashedEnginesIsRefusedByOtherRouter(t *testing.T) {
+	f := startCluster(t, 2, 4)
+	text := "burnt"
+	for _, e := range f.engines {
+		e.SetControl(engine.Control{CrashText: &text})
+	}
+	shared := strings.Repeat("a burnt stator with a long description ", 100)
+	for i := range 4 {
+		_, _ = requestStream(f.urls[0], shared+fmt.Sprint("case ", i), 20)
+	}
+	before := f.crashes()
+	if a, err := requestStream(f.urls[1], shared+"another", 20); err != nil || a.err.Code != "poison_request" || f.crashes() != before {
+		t.Errorf("%+v, %v, %d crashes after %d", a, err, f.crashes(), before)
+	}
+}
+
 // TestUnreachableEngineIsAvoidedUntilItReturns checks that an engine that refuses
 // connections is not tried for each request, and that it receives requests again
 // after it has restarted.
--- a/internal/router/completions.go
+++ b/internal/router/completions.go
@@ -77,7 +77,7 @@
 		Class:          c.class,
 		View:           c.view,
 	})
-	picker = r.withGuards(picker, c.caller.account.ID, c.model.Name, c.body)
+	picker = r.withPromptGuards(picker, c)
 	sink := dispatch.NewHTTPSink(w, r.opts.Settings.Limits.WriteTimeout.Std())
 	ctx, cancel := claimed.dispatchContext(req.Context(), r.opts.Settings.Limits.RequestTimeout.Std())
 	defer cancel()
