Measure the guard's cost for a model request with a prompt

Cause: the hashing of prompt prefixes and the record of their successes are new work for each model request of papayaspand serve; BenchmarkRun has no prompt.

--- a/internal/poison/causes_test.go
+++ b/internal/poison/causes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -173,3 +174,23 @@
 		}
 	}
 }
+
+// BenchmarkRunWithPrompt measures the overhead of the guard for a model request with a prompt of
+// 32 KB, without crashes.
+func BenchmarkRunWithPrompt(b *testing.B) {
+	body := []byte(strings.Repeat("winding data ", 32<<10/13))
+	prompt := string(body)
+	g := newCluster("vm-1", "vm-2").guards["vm-1"]
+	choose := onServer("s1")
+	for b.Loop() {
+		r := RunRequest{
+			Account: "a", Content: func() Content { return Content{} },
+			Traits: sync.OnceValue(func() crashcause.Traits { return NewTraits("a/m", prompt, body) }),
+		}
+		run, _, err := g.Begin(context.Background(), r, choose)
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.End(run, Completed)
+	}
+}
