--- a/internal/crashcause/update.go
+++ b/internal/crashcause/update.go
@@ -15,9 +15,9 @@
 func (t *Table) update(source string, change func() bool) {
 	t.mu.Lock()
 	var changes []Change
-	t.pending = change() || t.pending
-	if now := t.now(); t.pending && (t.evidence() < muchEvidence || now.Sub(t.derivedAt) >= minDeriveInterval) {
-		t.pending, t.derivedAt = false, now
+	t.dirty = change() || t.dirty
+	if now := t.now(); t.dirty && (t.evidence() < muchEvidence || now.Sub(t.derivedAt) >= minDeriveInterval) {
+		t.dirty, t.derivedAt = false, now
 		changes = t.reconsider()
 	}
 	t.mu.Unlock()
