Count what VMs on standby use when they are brought in for callers

What digests take of such a VM was counted as zero.

Change: the mean use of the VMs on standby is added to the expected utilization of each VM and taken off the callers' work.

--- a/internal/node/saturation.go
+++ b/internal/node/saturation.go
@@ -91,7 +91,7 @@
 	metrics.GetOrRegisterGauge("vms_of_other_domains_added", n.metrics).Update(int64(d.Spilled))
 	if added != addedBefore || d.Spilled != old.Spilled {
 		n.log.Info("vms_for_callers_changed", zap.Int("by_rate", d.Base), zap.Int("used", d.Own), zap.Int("of_other_domains", d.Spilled),
-			zap.Int("saturated", d.Saturated), zap.Float64("work_cores", d.Work), zap.Float64("expected_utilization", d.Utilization))
+			zap.Int("saturated", d.Saturated), zap.Float64("work_cores", d.Work), zap.Float64("background_cores", d.Background), zap.Float64("expected_utilization", d.Utilization))
 	}
 }
 
--- a/internal/steer/picker.go
+++ b/internal/steer/picker.go
@@ -40,6 +40,8 @@
 	Base, Own, Spilled int
 	// Work is the processor time per second that the callers of the domain need, in cores.
 	Work float64
+	// Background is the processor time per second that a VM on standby uses, in cores.
+	Background float64
 	// Utilization is the highest utilization that is expected of a VM in use.
 	Utilization float64
 	// Saturated is the number of saturated VMs among those that take calls.
@@ -99,10 +101,10 @@
 	used := min(len(ordered), max(base, p.own.value(now)))
 	p.measure(ordered, far, &d)
 	if d.Saturated > 0 || used > base {
-		p.own.record(now, wanted(base, used, func(target float64) int { return enough(ordered, base, d.Work, target) }))
+		p.own.record(now, wanted(base, used, func(target float64) int { return enough(ordered, base, d.Work, d.Background, target) }))
 	}
 	d.Own = min(len(ordered), max(base, p.own.value(now)))
-	d.Utilization = worst(ordered[:d.Own], d.Work, d.Own)
+	d.Utilization = worst(ordered[:d.Own], d.Work, d.Background, d.Own)
 
 	p.spill(ordered[:d.Own], far, &d, now)
 	d.Spilled = len(p.spilled)
@@ -153,10 +155,14 @@
 	for i := range ordered {
 		busiest = max(busiest, ordered[i].Calls)
 	}
-	calls, takers := 0.0, 0.0
+	calls, takers, standby := 0.0, 0.0, 0.0
 	for i := range ordered {
 		v := &ordered[i]
 		if v.Calls < max(minTakenCalls, minTakenShare*busiest) {
+			standby++
+			if v.Load != nil {
+				d.Background += v.Load.Utilization * v.cores()
+			}
 			continue
 		}
 		calls += v.Calls
@@ -166,6 +172,10 @@
 			d.Saturated++
 		}
 	}
+	if standby > 0 {
+		d.Background /= standby
+	}
+	d.Work = max(0, d.Work-takers*d.Background)
 	p.share, p.perCall = 0, 0
 	if takers == 0 {
 		return
@@ -196,21 +206,22 @@
 
 // worst returns the highest utilization of VMs, the weakest of which is last, if work is spread over a
 // number of VMs. Callers choose uniformly among the addresses, so that weak and strong VMs get the same.
-func worst(vms []VM, work float64, number int) float64 {
+// The digests that a VM on standby hears can take a quarter of a weak one, more while servers crash.
+func worst(vms []VM, work, background float64, number int) float64 {
 	if len(vms) == 0 {
 		return 0
 	}
-	return work / float64(number) / vms[len(vms)-1].cores()
+	return (work/float64(number) + background) / vms[len(vms)-1].cores()
 }
 
 // enough returns the least number of VMs, from a number on, that stay below a utilization. If none do, it
 // returns the number with the lowest one. A few weak VMs beside strong ones would get more than they can
 // do, so that weak ones are added only if there are enough of them; strong ones are always kept, as each
 // address lowers the share of all.
-func enough(ordered []VM, from int, work, target float64) int {
-	best, lowest := from, worst(ordered[:from], work, from)
+func enough(ordered []VM, from int, work, background, target float64) int {
+	best, lowest := from, worst(ordered[:from], work, background, from)
 	for n := from; n <= len(ordered); n++ {
-		u := worst(ordered[:n], work, n)
+		u := worst(ordered[:n], work, background, n)
 		if u <= target {
 			return n
 		}
--- a/internal/steer/picker_test.go
+++ b/internal/steer/picker_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"papayaspan.dev/papayaspan/internal/saturation"
+	"papayaspan.dev/papayaspan/internal/vm"
 )
 
 // A burst of 2.6 times the cost of calls for 8 s must not saturate the VMs that take calls while others
@@ -159,3 +161,25 @@
 		t.Errorf("after the loss of VMs the calls go to %v", ids(got))
 	}
 }
+
+// VMs on standby that are busy with digests must not be given as much as idle ones: they run out of
+// processor time and learn of a new configuration too late.
+func TestBackgroundOfStandbyVMsCounts(t *testing.T) {
+	used := func(background float64) int {
+		var near []VM
+		for i := range 26 {
+			v := VM{ID: vm.ID(fmt.Sprintf("vm-%02d", i)), Cores: 0.192, Calls: 1}
+			if background > 0 {
+				v.Load = &saturation.Load{Utilization: background}
+			}
+			if i < 2 {
+				v.Cores, v.Calls, v.Load = 0.8, 200, &saturation.Load{Utilization: 0.95}
+			}
+			near = append(near, v)
+		}
+		return len(NewPicker("a").Pick(near, nil, time.Unix(1000, 0)))
+	}
+	if idle, busy := used(0), used(0.3); busy <= idle {
+		t.Errorf("%d VMs are used while those on standby are idle, %d while they use 0.3 of their capacity", idle, busy)
+	}
+}
