--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -152,6 +152,9 @@
 
 // LimitSilence makes an accepted connection end if the other side falls silent for good.
 func LimitSilence(c net.Conn) error {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // An accepted connection with limits.
+		c = wrapped.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return nil
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -26,9 +26,6 @@
 // String returns the name of a kind in metrics.
 func (k Kind) String() string { return [kinds]string{"head", "body", "response"}[k] }
 
-// Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Head, Body, Response} }
-
 // Options sets the size of a Budget.
 type Options struct {
 	// Total is the number of bytes that may be held.
@@ -41,8 +38,8 @@
 // Budget counts the bytes that are held. It is safe for concurrent use.
 type Budget struct {
 	opts Options
-	// reclaim is called without a lock when bytes are missing.
-	reclaim func()
+	// reclaims are called without a lock when bytes are missing.
+	reclaims []func()
 
 	mu   sync.Mutex
 	held [kinds]int64
@@ -52,11 +49,18 @@
 }
 
 // New returns a budget of which nothing is held.
-func New(opts Options) *Budget { return &Budget{opts: opts, reclaim: func() {}} }
+func New(opts Options) *Budget { return &Budget{opts: opts} }
 
-// SetReclaim sets a function that makes holders give up bytes soon. It must be set before the first
+// AddReclaim adds a function that makes holders give up bytes soon. It must be added before the first
 // reservation, and must not wait for other reservations.
-func (b *Budget) SetReclaim(f func()) { b.reclaim = f }
+func (b *Budget) AddReclaim(f func()) { b.reclaims = append(b.reclaims, f) }
+
+// Reclaim makes holders give up bytes soon.
+func (b *Budget) Reclaim() {
+	for _, f := range b.reclaims {
+		f()
+	}
+}
 
 // Held returns the bytes that are held for a kind.
 func (b *Budget) Held(k Kind) int64 {
@@ -111,7 +115,7 @@
 	if r.TryGrow(n) {
 		return nil
 	}
-	r.budget.reclaim()
+	r.budget.Reclaim()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -32,7 +32,11 @@
 // Bytes returns the state of a connection, and how many of the bytes that a read would return first it
 // has copied to b. It doesn't wait for a read in progress.
 func Bytes(c net.Conn, b []byte) (State, int) {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // A TLS connection.
+	for { // TLS connections and those with limits are wrapped.
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = wrapped.NetConn()
 	}
 	s, ok := c.(syscall.Conn)
@@ -70,12 +74,18 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// ConnOf returns the connection of a request; nil if it isn't known.
+func ConnOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
 // CallerGone reports whether the caller of a request has closed its connection. The context of the
 // request may end later, as its server has to be scheduled to notice.
 func CallerGone(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && Conn(c) == Ended
+	c := ConnOf(ctx)
+	return c != nil && Conn(c) == Ended
 }
--- a/internal/tunnel/notice.go
+++ b/internal/tunnel/notice.go
@@ -150,8 +150,8 @@
 // endAfterNotices ends the tunnel to the other VM, which may have a notice under way: with the end of
 // its connection to the server, or after it has left a response unread.
 func (p *passage) endAfterNotices() {
-	if tcp, ok := p.client.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := p.client.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = p.client.SetReadDeadline(time.Now().Add(noticeWait))
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -285,6 +285,9 @@
 
 // reset makes the connection end with a reset, as that to the server did.
 func reset(c net.Conn) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // An accepted connection with limits.
+		c = wrapped.NetConn()
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
