Bound the memory for responses that are held whole

Each response of up to 256 KiB is read whole before it is passed on, and stays in memory while a client that reads slowly takes it. The sum had no bound. It is now counted if the gateway has a budget for it; when that is used up, the response is passed on piece by piece, so that the server is read as fast as the client reads. Nothing sets the budget yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -62,6 +63,8 @@
 	RetryRatio, RetrySlack float64
 	// RetryWindow is the time in which these sends are counted; zero if it isn't known.
 	RetryWindow time.Duration
+	// Responses bounds the memory for responses that are held whole; nil means no bound.
+	Responses *membudget.Budget
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Now is the boot-time clock.
@@ -218,6 +221,9 @@
 	t.keepOnStop = context.AfterFunc(g.ended, cancel)
 	defer t.keepOnStop()
 	t.run(ctx)
+	if t.fallback != nil {
+		t.fallback.release()
+	}
 	if t.ran == verdict.NotRun {
 		g.opts.Quota.Return(t.account.ID, t.units)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -122,22 +122,30 @@
 // unsuccessfully. A short response is kept for the caller in case no attempt brings a
 // better one.
 func (a *attempt) serverErrorFailure(caller context.Context, resp *http.Response) *failure {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	held, release := a.t.g.holdResponse()
+	body, ended, err := readHeld(resp.Body, held)
 	if err != nil {
+		release()
 		return a.sentFailure(caller, "answer_cut", err)
 	}
 	f := &failure{code: "server_error", err: errors.Errorf("status %d", resp.StatusCode), sent: true, mayHaveRun: true}
-	if len(body) > maxBufferedBytes {
+	if !ended {
+		release()
 		return f // A truncated body must not be passed on as the whole.
 	}
-	a.t.fallback = &fallbackResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	if a.t.fallback != nil {
+		a.t.fallback.release()
+	}
+	a.t.fallback = &fallbackResponse{status: resp.StatusCode, header: resp.Header, body: body, release: release}
 	return f
 }
 
 // relayWhole relays a response that is not an event stream.
 func (a *attempt) relayWhole(caller context.Context, resp *http.Response) *failure {
 	t := a.t
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	held, release := a.t.g.holdResponse()
+	defer release()
+	body, ended, err := readHeld(resp.Body, held)
 	if err != nil {
 		return a.sentFailure(caller, "answer_cut", err)
 	}
@@ -148,7 +156,7 @@
 	}
 	a.inFlight.FirstByte(t.g.model().PrefillRate)
 	t.recordFirstByte(resp.StatusCode)
-	if len(body) <= maxBufferedBytes {
+	if ended {
 		a.recordServed()
 		if err := t.sink.Answer(resp.StatusCode, resp.Header, body); err != nil {
 			t.outcome.reason = "caller_gone"
@@ -163,6 +171,7 @@
 	if err := t.sink.WriteBody(body); err != nil {
 		return a.sentFailure(caller, "caller_gone", err)
 	}
+	release()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := resp.Body.Read(buf)
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -69,6 +69,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release releases the memory that the body counts for.
+	release func()
 }
 
 // outcome holds what the log line of a call reports.
