Apply the limits on clients on the platform's listeners

The callers' listener, those for readiness and addresses and the one for other VMs share one memory budget, a quarter of limits.memory_mb, and each may use a share of limits.max_fds. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration in force replace the fixed 1 MiB, 10 s and 60 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/crashcause"
 	"papayaspan.dev/papayaspan/internal/fleet"
@@ -27,6 +28,7 @@
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/quota"
@@ -115,6 +117,10 @@
 	Peer string
 	// LinkBitRate is the bandwidth of the VM's link in bits per second; 0 if it isn't known.
 	LinkBitRate float64
+	// MemoryBytes is the memory that the process may use, Descriptors the number of descriptors; 0 if
+	// that isn't known.
+	MemoryBytes int64
+	Descriptors int
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Table and Feed access the platform's store.
@@ -163,6 +169,8 @@
 	now     func() time.Time
 	started time.Time
 	metrics metrics.Registry
+	// clientMemory is for what clients and other VMs send.
+	clientMemory *membudget.Budget
 
 	Gateway       *gateway.Gateway
 	directory     *fleet.Directory
@@ -291,6 +299,7 @@
 		now:                clock.BootTime,
 		started:            clock.BootTime(),
 		metrics:            metrics.NewRegistry(),
+		clientMemory:       clientconn.NewBudget(opts.MemoryBytes),
 		directory:          fleet.NewDirectory(rowTTL(opts.Bounds.Heartbeat)),
 		goals:              fleet.NewGoals(),
 		digestDue:          make(chan struct{}, 1),
@@ -340,6 +349,7 @@
 		RateLimits:       n.limits,
 		CrashCauses:      n.crashCauses,
 		Origins:          n.origins,
+		Responses:        n.newResponseBudget(),
 		StoreContents:    n.storeContents,
 		NotifyPeers:      n.notifyBusy,
 		DirectoryAge:     func() time.Duration { return n.serverStaleness() },
@@ -399,8 +409,11 @@
 		_ = l.Close()
 		return err
 	}
-	n.gossip, n.listener = g, l
-	n.peerHTTP = &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: fetchTimeout, IdleTimeout: peerIdleTimeout}
+	n.gossip = g
+	guard := n.newPeerGuard()
+	n.listener = guard.Listener(l)
+	n.peerHTTP = &http.Server{Handler: n.peerHandler()}
+	guard.Protect(n.peerHTTP)
 	return nil
 }
 
