Apply the limits on clients in papayaspand serve

Up to 4,096 requests with bodies of 8 MiB each had no bound together, idle connections had no time limit and no number. Settings: client_memory_bytes (256 MiB), max_connections (8192), idle_timeout (5m). TLS is now terminated in the wrapped listener, so that heads are counted in plain text; the time limit for the head includes the handshake, as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,11 +21,11 @@
 	"papayaspan.dev/papayaspan/internal/admin"
 	"papayaspan.dev/papayaspan/internal/budget"
 	"papayaspan.dev/papayaspan/internal/claim"
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/link"
-	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/poison"
 	"papayaspan.dev/papayaspan/internal/router"
@@ -66,6 +66,7 @@
 	servers    []*http.Server
 
 	callerListener, peerListener, adminListener net.Listener
+	callerGuard, adminGuard                     *clientconn.Guard
 
 	cancel         context.CancelFunc
 	loops          sync.WaitGroup
@@ -165,7 +166,11 @@
 	d.balancer = router.NewPrefixBalancer(d.settings.Routing, d.log)
 	peer.RegisterPrefixServer(peerServer, &warm.Server{Index: d.balancer.Index()})
 	d.claims = d.newClaims(d.Self())
+	clientMemory := clientconn.NewBodyBudget(d.settings.Limits.ClientMemoryBytes)
+	d.callerGuard = d.newGuard("callers", clientMemory, d.settings.Limits.MaxConnections)
+	d.adminGuard = d.newGuard("admin", clientMemory, maxAdminConns)
 	d.router = router.New(router.Options{
+		Clients:     d.callerGuard,
 		Settings:    d.settings,
 		Log:         d.log,
 		Metrics:     d.metrics,
@@ -188,12 +193,10 @@
 func (d *Daemon) buildServers(service *admin.Service) error {
 	limits := d.settings.Limits
 	callerServer := &http.Server{
-		Handler:           d.router.Handler(),
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
-		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
-		ConnContext:       peek.ConnContext,
+		Handler:  d.router.Handler(),
+		ErrorLog: zap.NewStdLog(d.log.Named("http")),
 	}
+	d.callerGuard.Protect(callerServer)
 	if cert := d.settings.CallerTLS; cert.CertFile != "" {
 		loadCertificate := func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			c, err := tls.LoadX509KeyPair(cert.CertFile, cert.KeyFile)
@@ -205,12 +208,11 @@
 		callerServer.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: loadCertificate, NextProtos: []string{"http/1.1"}}
 	}
 	adminServer := &http.Server{
-		Handler:           d.adminHandler(service),
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
-		ReadTimeout:       limits.BodyTimeout.Std(),
-		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
+		Handler:     d.adminHandler(service),
+		ReadTimeout: limits.BodyTimeout.Std(),
+		ErrorLog:    zap.NewStdLog(d.log.Named("http")),
 	}
+	d.adminGuard.Protect(adminServer)
 	d.servers = []*http.Server{callerServer, adminServer}
 	return nil
 }
@@ -231,7 +233,7 @@
 	d.runInBackground(func() { d.logServeError("peers", d.peerServer.Serve(d.peerListener)) })
 	d.runInBackground(func() { d.evidence.run(loopCtx) })
 	d.runInBackground(func() { d.logServeError("callers", d.serveCallers()) })
-	d.runInBackground(func() { d.logServeError("admin", d.servers[1].Serve(d.adminListener)) })
+	d.runInBackground(func() { d.logServeError("admin", d.servers[1].Serve(d.adminGuard.Listener(d.adminListener))) })
 	self := d.Self()
 	d.log.Info("router_started",
 		zap.String("vm", string(self.ID)),
@@ -243,9 +245,9 @@
 
 func (d *Daemon) serveCallers() error {
 	if d.servers[0].TLSConfig != nil {
-		return d.servers[0].ServeTLS(d.callerListener, "", "")
+		return d.servers[0].Serve(d.callerGuard.Listener(tls.NewListener(d.callerListener, d.servers[0].TLSConfig)))
 	}
-	return d.servers[0].Serve(d.callerListener)
+	return d.servers[0].Serve(d.callerGuard.Listener(d.callerListener))
 }
 
 func (d *Daemon) runInBackground(f func()) {
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -50,17 +50,13 @@
 	limits := r.opts.Settings.Limits
 	// The error is ignored: some response writers in tests support no deadlines.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.MaxBodyBytes))
+	body, release, refusal := r.opts.Clients.ReadBody(w, req, limits.MaxBodyBytes)
+	context.AfterFunc(req.Context(), release) // It ends with the handler.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, "body_too_large", errors.Errorf("the body is larger than %d bytes", limits.MaxBodyBytes).Error())
-	default:
-		return nil, verdict.Refuse(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive whole in time")
+	if refusal != nil && refusal.Code == clientconn.CodeIncomplete {
+		refusal.Status = http.StatusRequestTimeout
 	}
+	return body, refusal
 }
 
 // checkDepth refuses a body that is not a single JSON value or is nested deeper
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/config"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/health"
@@ -34,6 +35,8 @@
 	Budget Budget
 	// Claims may be nil; requests with an idempotency key are then refused.
 	Claims Claims
+	// Clients bounds the memory of bodies. Nil means a new guard with the limit of the settings.
+	Clients *clientconn.Guard
 	// Health holds the circuit breakers of the backend servers. Nil means a new
 	// table.
 	Health *health.Table
@@ -73,6 +76,13 @@
 		self := vm.ID(o.Settings.VM.ID)
 		o.Guard = poison.NewGuard(self, poison.SingleVM(self), poison.Options{Now: o.Now, Start: time.Now(), Log: o.Log, Metrics: o.Metrics})
 	}
+	if o.Clients == nil {
+		o.Clients = clientconn.New(clientconn.Options{
+			Name: "callers", Log: o.Log, Metrics: o.Metrics,
+			Budget: clientconn.NewBodyBudget(o.Settings.Limits.ClientMemoryBytes),
+			Limits: func() clientconn.Limits { return clientconn.Limits{} },
+		})
+	}
 	if o.Prober == nil {
 		o.Prober = health.NewProber()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,13 @@
 	MaxJSONDepth int `json:"max_json_depth" validate:"min=4,max=1000"`
 	// MaxOpenRequests bounds the requests in progress. Default 4096.
 	MaxOpenRequests int `json:"max_open_requests" validate:"min=1,max=1000000"`
+	// ClientMemoryBytes bounds the memory for the headers and bodies of all requests together.
+	// Default 268435456.
+	ClientMemoryBytes int64 `json:"client_memory_bytes" validate:"min=1048576,max=1099511627776"`
+	// MaxConnections bounds callers' connections. Idle ones are closed first. Default 8192.
+	MaxConnections int `json:"max_connections" validate:"min=8,max=1000000"`
+	// IdleTimeout is the time after which a connection without a request is closed. Default 5m.
+	IdleTimeout Duration `json:"idle_timeout" validate:"min=1000000000,max=3600000000000"`
 	// HeaderTimeout bounds the time to read a header. Default 5s.
 	HeaderTimeout Duration `json:"header_timeout" validate:"min=100000000,max=60000000000"`
 	// BodyTimeout bounds the time to read a body. Default 30s.
@@ -150,15 +157,18 @@
 func Default() Settings {
 	return Settings{
 		Limits: Limits{
-			MaxHeaderBytes:  32 << 10,
-			MaxBodyBytes:    8 << 20,
-			MaxJSONDepth:    32,
-			MaxOpenRequests: 4096,
-			HeaderTimeout:   Duration(5 * time.Second),
-			BodyTimeout:     Duration(30 * time.Second),
-			WriteTimeout:    Duration(20 * time.Second),
-			RequestTimeout:  Duration(10 * time.Minute),
-			DrainTimeout:    Duration(10 * time.Minute),
+			MaxHeaderBytes:    32 << 10,
+			MaxBodyBytes:      8 << 20,
+			MaxJSONDepth:      32,
+			MaxOpenRequests:   4096,
+			ClientMemoryBytes: 256 << 20,
+			MaxConnections:    8192,
+			IdleTimeout:       Duration(5 * time.Minute),
+			HeaderTimeout:     Duration(5 * time.Second),
+			BodyTimeout:       Duration(30 * time.Second),
+			WriteTimeout:      Duration(20 * time.Second),
+			RequestTimeout:    Duration(10 * time.Minute),
+			DrainTimeout:      Duration(10 * time.Minute),
 		},
 		Routing: Routing{PieceTokens: 2048, DefaultOutputTokens: 1024},
 		Log:     Log{Level: "info"},
