--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"papayaspan.dev/papayaspan/internal/fairroom"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/quota"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -66,6 +67,8 @@
 	// HedgeShare is the share of the requests for a service that may be sent to a second server
 	// because the first one is slow; 0 for none.
 	HedgeShare float64
+	// Responses bounds the memory for responses that are held whole; nil means no bound.
+	Responses *membudget.Budget
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Now is the boot-time clock.
@@ -227,6 +230,9 @@
 	t.keepOnStop = context.AfterFunc(g.ended, cancel)
 	defer t.keepOnStop()
 	t.run(ctx)
+	if t.fallback != nil {
+		t.fallback.release()
+	}
 	if t.ran == verdict.NotRun {
 		g.opts.Quota.Return(t.account.ID, t.units)
 		t.countUsage(-1)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -251,10 +251,12 @@
 	t.tried = f.tried
 	if won {
 		t.outcome, t.place, t.firstByte, t.begun, t.ran = f.outcome, f.place, f.firstByte, f.begun, f.ran
+	} else if t.fallback == nil {
+		t.fallback = f.fallback
 		return
 	}
-	if t.fallback == nil {
-		t.fallback = f.fallback
+	if f.fallback != nil {
+		f.fallback.release()
 	}
 }
 
@@ -271,7 +273,7 @@
 // Answer implements Sink.
 func (s *raceSink) Answer(status int, header http.Header, body []byte) error {
 	if status >= http.StatusInternalServerError {
-		s.task.fallback, s.failed = &fallbackResponse{status: status, header: header, body: body}, true
+		s.task.fallback, s.failed = &fallbackResponse{status: status, header: header, body: body, release: func() {}}, true
 		return nil
 	}
 	if err := s.race.claim(s.side); err != nil {
