Run roll-outs of server versions on a VM

Cause: package canary decides on roll-outs, but nothing reads the orders, stores the progress or exchanges shares and reports between VMs.

Change: package delivery reads the operator's orders, withholds new versions that no order is known not to name, and steps the controllers on the holder of the order lease. A record is stored under a check of its row's version before a larger share or completion is announced; a rollback is announced at once. Digests and summaries have an optional field for announcements, reports and settled versions, bounded in size.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/crashcause"
+	"papayaspan.dev/papayaspan/internal/delivery"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/origin"
 	"papayaspan.dev/papayaspan/internal/platform"
@@ -124,6 +125,8 @@
 	Crashes *crashcause.Notices `json:"cause,omitempty"`
 	// Origins are the software versions that began streams.
 	Origins *origin.Notices `json:"org,omitempty"`
+	// Rollouts are notices about roll-outs of server versions.
+	Rollouts *delivery.Notices `json:"roll,omitempty"`
 	// Placements are the prompts that the sender has recently placed on engines.
 	Placements []selector.Placement `json:"place,omitempty"`
 	// Kept are the prompts whose shared parts were recently saved to a store.
@@ -176,6 +179,7 @@
 	Loads       []ServerLoad               `json:"load,omitempty"`
 	Crashes     *crashcause.Notices        `json:"cause,omitempty"`
 	Origins     *origin.Notices            `json:"org,omitempty"`
+	Rollouts    *delivery.Notices          `json:"roll,omitempty"`
 	Placements  []selector.Placement       `json:"place,omitempty"`
 	Kept        []selector.StoredParts     `json:"kept,omitempty"`
 }
