Choose servers by software version during roll-outs

Cause: all ready servers of a service got requests, whatever their version.

A stream stays at the version that began it. The holder of the order lease also exists in deployments without engines. Without the setting, the new paths return at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,6 +95,8 @@
 	runProved bool
 	// runCheck is the report that proves it later; nil if none is needed.
 	runCheck *runCheck
+	// versionEnd ends the count of requests that run at the server's version; nil if none is kept.
+	versionEnd func()
 	// saveAddress is the store to which the engine saves the shared prompt parts; empty
 	// if it saves none.
 	saveAddress string
@@ -108,7 +110,9 @@
 	if t.prompt != nil && t.prompt.Storable() {
 		t.g.opts.NotifyPeers()
 	}
+	a.beginVersion()
 	f := a.exchange(ctx)
+	a.endVersion(f)
 	a.inFlight.End(a.result)
 	if a.result == selector.Unreachable {
 		t.g.probeUntilReachable(c.Entry, a.connectionLimit())
@@ -173,6 +177,9 @@
 	case t.g.model().TooOld(&selector.Candidate{Staleness: t.weightsStaleness(current, t.g.opts.Now())}):
 		return &failure{code: "weights_too_old", err: errors.Errorf("the weights of server %s became too old after it was chosen", a.candidate.Entry.ID)}
 	}
+	if !t.allowsVersion(current) {
+		return &failure{code: "version_withdrawn", err: errors.Errorf("version %q of server %s may get no further request since it was chosen", current.Software, current.ID)}
+	}
 	if a.conn.Withdrawn() {
 		return &failure{code: codeWithheld, err: errors.Errorf("the VM that passes the connection on may send server %s no further request", current.ID)}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -40,7 +40,7 @@
 	division, offset, part := g.opts.RateLimits.Division(), 0, 0
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
 		part, offset = division.Part(e.Slots, offset)
-		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) {
+		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) || !t.allowsVersion(e) {
 			continue
 		}
 		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
@@ -80,7 +80,7 @@
 	model := t.g.model()
 	t.chosenAt = t.g.opts.Now()
 	q := t.query(t.g)
-	all := t.choices(service, model, q)
+	all := t.versionChoices(service, model, q)
 	candidates := all.available
 	if len(candidates) == 0 {
 		candidates = all.unsettled
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/crashcause"
+	"papayaspan.dev/papayaspan/internal/delivery"
 	"papayaspan.dev/papayaspan/internal/dispatch"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/hop"
@@ -64,6 +65,8 @@
 	RetryWindow time.Duration
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
+	// Rollouts decides which software versions requests may use; nil if all.
+	Rollouts *delivery.Delivery
 	// Now is the boot-time clock.
 	Now func() time.Time
 }
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -54,7 +54,9 @@
 	// emptyResumptions counts the servers that ended the resumed stream without a further event.
 	emptyResumptions int
 	// pinned is the software version to which the stream is bound; nil before its first event.
-	pinned     *pin
+	pinned *pin
+	// versions states which software versions the call may use where roll-outs are enabled.
+	versions   versionChoice
 	firstByte  time.Duration
 	outcome    outcome
 	traitsOnce sync.Once
--- /dev/null
+++ b/internal/gateway/versions.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/delivery"
+	"papayaspan.dev/papayaspan/internal/fleet"
+	"papayaspan.dev/papayaspan/internal/selector"
+)
+
+// versionChoice states which software versions a call may use during a roll-out.
+type versionChoice struct {
+	delivery.Choice
+	made bool
+	// newOnly restricts the choice to servers of the new version.
+	newOnly bool
+}
+
+// versionChoices returns the servers that may get the call. A call of the new version's share gets
+// its servers if one is available, and otherwise those of the old version.
+func (t *task) versionChoices(service *catalog.Service, model selector.CostModel, q selector.Query) choices {
+	r := t.g.opts.Rollouts
+	if r == nil || t.pinned != nil {
+		return t.choices(service, model, q)
+	}
+	if !t.versions.made {
+		t.versions = versionChoice{Choice: r.Choose(service.Name, t.g.opts.Directory.View().Service(service.Name)), made: true}
+	}
+	if t.versions.PrefersNew() {
+		t.versions.newOnly = true
+		c := t.choices(service, model, q)
+		t.versions.newOnly = false
+		if len(c.available) > 0 {
+			return c
+		}
+	}
+	return t.choices(service, model, q)
+}
+
+// allowsVersion reports whether the call may be sent to a server's version now. A stream stays at
+// the version that began it, unless that was rolled back or its servers stop.
+func (t *task) allowsVersion(e *fleet.Entry) bool {
+	r := t.g.opts.Rollouts
+	switch {
+	case r == nil:
+		return true
+	case t.pinned != nil:
+		return r.AllowsPinned(e.Service, e.Software)
+	case t.versions.newOnly && !t.versions.IsNew(e.Software):
+		return false
+	}
+	return t.versions.Allows(e.Software)
+}
+
+// beginVersion counts the attempt as running at its server's version.
+func (a *attempt) beginVersion() {
+	if r := a.t.g.opts.Rollouts; r != nil {
+		a.versionEnd = r.Begin(a.service.Name, a.candidate.Entry.Software)
+	}
+}
+
+// endVersion records the outcome of the attempt for its server's version.
+func (a *attempt) endVersion(f *failure) {
+	if a.versionEnd == nil {
+		return
+	}
+	a.versionEnd()
+	t := a.t
+	if !a.sent.Load() {
+		return
+	}
+	t.versions.Sent(a.candidate.Entry.Software)
+	if f != nil && (f.callerGone || !f.mayHaveRun || f.code == codeStopping || a.refused.Load() || a.weightsExpired.Load()) {
+		return // The server declined it, or it was ended for a reason that says nothing of the version.
+	}
+	failed := f != nil || t.outcome.status >= http.StatusInternalServerError
+	latency := t.g.opts.Now().Sub(a.sentAt)
+	if first := a.firstEventAt.Load(); first != nil {
+		latency = first.Sub(a.sentAt)
+	}
+	t.g.opts.Rollouts.Record(a.service.Name, t.routeName(), a.candidate.Entry.Software, failed, latency)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,9 +18,11 @@
 	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/canary"
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/crashcause"
+	"papayaspan.dev/papayaspan/internal/delivery"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gateway"
 	"papayaspan.dev/papayaspan/internal/gossip"
@@ -127,7 +129,9 @@
 	// OperatorTable, ServerTable, MemberTable and StreamTable are the names of tables in the
 	// store.
 	OperatorTable, ServerTable, MemberTable, StreamTable string
-	Bounds                                               Bounds
+	// Rollouts translates orders of server versions.
+	Rollouts delivery.Dialect
+	Bounds   Bounds
 }
 
 // Bounds are the requirements of the deployment.
@@ -154,6 +158,8 @@
 	// Drain is the time within which a server that leaves must be known, and Stable the time after
 	// which a VM counts as stable again after a disruption. Zero if they aren't known.
 	Drain, Stable time.Duration
+	// Rollouts are the requirements for roll-outs of server versions.
+	Rollouts canary.Settings
 }
 
 // Node is one router process.
@@ -181,6 +187,8 @@
 	listener      net.Listener
 	keeper        *lease.Keeper
 	planner       *rollout.Planner
+	// delivery is nil where roll-outs of server versions are not enabled.
+	delivery *delivery.Delivery
 
 	sequence  atomic.Uint64
 	members   atomic.Int64
@@ -328,6 +336,7 @@
 	n.limits = ratelimit.NewTable(opts.VM.ID, n.now)
 	n.crashCauses = crashcause.NewTable(n.now, n.convictionChanged)
 	n.origins = origin.NewTable(n.now)
+	n.delivery = n.newDelivery()
 	n.Gateway = gateway.New(gateway.Options{
 		Log:              opts.Log,
 		Metrics:          n.metrics,
@@ -354,6 +363,7 @@
 		RetrySlack:       opts.Bounds.RetrySlack,
 		RetryWindow:      opts.Bounds.RetryWindow,
 		FirstStart:       opts.FirstStart,
+		Rollouts:         n.delivery,
 		Now:              n.now,
 	})
 	n.competeForOrders()
@@ -440,6 +450,7 @@
 	n.goLoop(func() { n.tunnels.Run(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.goLoop(func() { n.decideRuns(ctx) })
+	n.goLoop(func() { n.runDelivery(ctx) })
 	n.log.Info("node_started",
 		zap.String("vm", string(n.opts.VM.ID)),
 		zap.Uint64("incarnation", uint64(n.opts.VM.Incarnation)),
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -19,6 +19,7 @@
 }
 
 func (n *Node) applyOperatorListing(rows []platform.Row, upTo platform.Revision) {
+	n.noteRolloutRows(nil)
 	n.awaitFirstPeer(n.opts.Decoder.Operator(rows).Catalog)
 	o := n.applyOperatorRows(rows)
 	n.updateRecovery(upTo.Era, func(r *recovery) {
@@ -77,6 +78,7 @@
 func (n *Node) endFirstPeerWait() { n.firstPeerOnce.Do(func() { close(n.firstPeerSeen) }) }
 
 func (n *Node) applyOperatorChanges(changes []platform.Change, _, _ platform.Revision) {
+	n.noteRolloutRows(changes)
 	rows := make([]platform.Row, 0, len(changes))
 	for _, c := range changes {
 		if !c.Deleted {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -71,7 +71,7 @@
 		n.resign(reason)
 		return n.opts.Bounds.Lease
 	}
-	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.hasEngines()) {
+	if held == 0 && (stranded || n.Leaving() || !n.Following() || n.peerHoldsOrderLease() || !n.needsOrders()) {
 		return n.takeoverPause()
 	}
 	if c := n.claim.Load(); c != nil && !c.own {
@@ -115,6 +115,9 @@
 	return pause
 }
 
+// needsOrders reports whether the holder of the lease may have anything to do.
+func (n *Node) needsOrders() bool { return n.delivery != nil || n.hasEngines() }
+
 // hasEngines reports whether any server has loadable weights. The lease is acquired even before
 // weights are named, because the first orders of a term may have to wait.
 func (n *Node) hasEngines() bool {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -74,6 +74,9 @@
 		addLoads(loads, p.Loads)
 	}
 	s.Loads = sortedLoads(loads)
+	if n.delivery != nil {
+		s.Rollouts = n.delivery.DomainNotices()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Placements, s.Kept = n.relayQueue.placements, n.relayQueue.kept
@@ -91,6 +94,7 @@
 	n.quota.Record(quota.Report{From: quota.Process{VM: name}, Members: len(s.Members), Domain: true, Uptime: s.Uptime, Usages: s.Usage})
 	n.applyCrashes(s.Crashes, string(s.From.ID), false)
 	n.applyOrigins(s.Origins, false)
+	n.applyRollouts(s.Rollouts, string(s.From.ID), false, s.Delay)
 	n.receiveClaim(s.Claim)
 	n.applyPeerKnowledge(string(s.From.ID), s.Goals, s.Held, s.Placements, s.Kept)
 	n.applyUnusableRuns(string(s.From.ID), s.Withheld)
