Keep versions of replaced orders out of use and test roll-outs by VM

Cause: a VM that started after a second order had replaced the first settled the first order's version, as no row named it any more (TestLaterOrderReplacesEarlierOne failed). A holder that is cut off from the other VMs would have taken its own confirmation for that of all.

Change: the stored row keeps the service's rolled-back versions, and new orders are known only once their stored progress was read. All known VMs count as those that have to confirm the last stage.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -74,7 +74,7 @@
 	HasService func(name string) bool
 	// Term returns the fencing token of the order lease while this VM may act as its holder.
 	Term func() (lease.Fencing, bool)
-	// Members returns the number of VMs in touch, including this one.
+	// Members returns the number of VMs that have to confirm the last stage, including this one.
 	Members func() int
 	// Reads reports whether this VM reads the store's feeds.
 	Reads func() bool
--- a/internal/delivery/lead.go
+++ b/internal/delivery/lead.go
@@ -290,7 +290,7 @@
 			return &s.Record, nil
 		}
 	}
-	data, err := json.Marshal(stored{Record: record, Row: o.Row})
+	data, err := json.Marshal(stored{Record: record, Row: o.Row, Banned: d.bansOf(o)})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the record of a roll-out")
 	}
@@ -305,6 +305,19 @@
 	return nil, d.opts.Table.Commit(ctx, []platform.Check{{Key: key, Version: row.Version, Era: row.Era}}, writes)
 }
 
+// bansOf returns the rolled-back versions of an order's service other than its own.
+func (d *Delivery) bansOf(o Order) []canary.Announcement {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []canary.Announcement
+	for v, ban := range d.banned {
+		if v.Service == o.Service && v.Version != o.To {
+			out = append(out, ban)
+		}
+	}
+	return out
+}
+
 func decodeStored(value []byte) (*stored, error) {
 	s := &stored{}
 	if err := json.Unmarshal(value, s); err != nil {
--- a/internal/delivery/scan.go
+++ b/internal/delivery/scan.go
@@ -58,18 +58,22 @@
 		}
 		list[service] = o
 	}
+	d.mu.Unlock()
+	for _, o := range fresh {
+		d.opts.Log.Info("server_rollout_order", zap.String("service", o.Service), zap.String("to", o.To), zap.Stringer("order", o.Revision),
+			zap.Stringer("row", o.Row), zap.Duration("duration", o.Duration), zap.String("invalid", o.Invalid))
+		if err := d.adoptStored(ctx, o); err != nil {
+			return err
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.orders = list
 	for v, since := range d.pending {
 		if !since.After(began) && !d.named(v) {
 			d.settle(v, began)
 		}
 	}
-	d.mu.Unlock()
-	for _, o := range fresh {
-		d.opts.Log.Info("server_rollout_order", zap.String("service", o.Service), zap.String("to", o.To), zap.Stringer("order", o.Revision),
-			zap.Stringer("row", o.Row), zap.Duration("duration", o.Duration), zap.String("invalid", o.Invalid))
-		d.adoptStored(ctx, o)
-	}
 	return nil
 }
 
@@ -141,21 +145,30 @@
 
 // adoptStored applies what the store tells of a new order, and otherwise sends nothing to its
 // version until the holder of the order lease announces a share.
-func (d *Delivery) adoptStored(ctx context.Context, o Order) {
+func (d *Delivery) adoptStored(ctx context.Context, o Order) error {
 	a := canary.Announcement{Service: o.Service, To: o.To, Order: o.Revision, Phase: canary.Running}
 	s, _, err := d.load(ctx, o.Service)
-	if err == nil && s.of(o) && s.Phase != canary.Running {
+	if err != nil {
+		return err
+	}
+	if s.of(o) && s.Phase != canary.Running {
 		a.Phase, a.Fencing, a.Stage = s.Phase, s.Fencing, s.Stage
 	}
-	if s != nil && !s.of(o) && s.Order.To != o.To && s.Phase == canary.Running {
+	if s != nil {
 		d.mu.Lock()
-		d.replaced(canary.Announcement{Service: o.Service, To: s.Order.To, Order: s.Order.Revision})
+		if !s.of(o) && s.Order.To != o.To && s.Phase != canary.Completed {
+			d.replaced(canary.Announcement{Service: o.Service, To: s.Order.To, Order: s.Order.Revision})
+		}
+		for _, ban := range s.Banned {
+			d.recordBan(ban)
+		}
 		d.mu.Unlock()
 	}
 	if o.Invalid != "" && a.Phase == canary.Running {
-		return // The holder ends it; the traffic stays where it is.
+		return nil // The holder ends it; the traffic stays where it is.
 	}
 	d.apply(a, "store")
+	return nil
 }
 
 // stored is the content of a record's row.
@@ -163,6 +176,8 @@
 	canary.Record
 	// Row is the revision of the order's row when the record was written.
 	Row platform.Revision `json:"row"`
+	// Banned are the service's versions that earlier orders named and that were rolled back.
+	Banned []canary.Announcement `json:"banned,omitempty"`
 }
 
 // of reports whether the record is that of an order. The revision of a row that a restore of the
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -33,7 +33,7 @@
 			term := n.keeper.Term()
 			return term.Fencing, term.Valid(n.now(), decisionMargin) && n.Gateway.Catalog() != nil
 		},
-		Members: n.membersInTouch,
+		Members: n.membersToConfirm,
 		Reads:   n.Following,
 		Notify:  n.notifyAll,
 		IsRelay: func() bool { return n.gossip.IsRelay() },
@@ -48,11 +48,13 @@
 	n.delivery.Run(ctx)
 }
 
-// membersInTouch returns the number of VMs that were heard lately, including this one.
-func (n *Node) membersInTouch() int {
-	now, count := n.now(), 1
+// membersToConfirm returns the number of known VMs, including this one and those that are not heard
+// at present: a holder that is cut off from the others must not take its own confirmation for that of
+// all.
+func (n *Node) membersToConfirm() int {
+	count := 1
 	for p := range n.gossip.Each {
-		if p.Alive(now) {
+		if !p.Leaving {
 			count++
 		}
 	}
