Explain roll-outs of server versions to operators

Cause: nothing told an operator why a version was rolled back. The wait for a killed VM lasted as long as the duration allows.

A VM that is silent for ten seconds need not confirm the last stage while most VMs are heard.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -18,12 +18,15 @@
 )
 
 // explain prints the log lines that concern one request: the request's own lines
-// and the events of its VM and its servers around that time.
+// and the events of its VM and its servers around that time. Given a service instead, it prints what
+// concerns the roll-outs of that service's software versions.
 type explain struct {
 	outputs
-	id     string
-	window time.Duration
-	skew   time.Duration
+	id string
+	// service is set instead of id.
+	service string
+	window  time.Duration
+	skew    time.Duration
 }
 
 func (*explain) Name() string { return "explain" }
@@ -32,6 +35,7 @@
 }
 func (*explain) Usage() string {
 	return `papayaspan explain -id ID [-window 3s] [-skew 1s] LOG...
+papayaspan explain -service SERVICE LOG...
   Reads one log file for each VM and prints, in the order of time, the decisions on
   the request, what its VM learnt meanwhile, and what all VMs learnt of the servers
   that it was sent to. However old they are, it prints the back-offs and leaves of these
@@ -42,6 +46,7 @@
 }
 func (c *explain) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.id, "id", "", "`id` of the request")
+	f.StringVar(&c.service, "service", "", "print the roll-outs of this `service` instead: orders, stages, samples, verdicts")
 	f.DurationVar(&c.window, "window", 3*time.Second, "how long before the request events count")
 	f.DurationVar(&c.skew, "skew", time.Second, "by how much the clocks of VMs may differ")
 }
@@ -55,8 +60,8 @@
 }
 
 func (c *explain) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.id == "" || f.NArg() == 0 {
-		return c.usage("explain needs -id and at least one log file")
+	if (c.id == "") == (c.service == "") || f.NArg() == 0 {
+		return c.usage("explain needs either -id or -service, and at least one log file")
 	}
 	var lines []logLine
 	for _, path := range f.Args() {
@@ -66,6 +71,9 @@
 		}
 		lines = append(lines, parsed...)
 	}
+	if c.service != "" {
+		return c.explainRollouts(lines)
+	}
 	related := selectLines(lines, c.id, c.window, c.skew)
 	if len(related) == 0 {
 		fmt.Fprintf(c.err, "no line of the request %q in %d files\n", c.id, f.NArg())
@@ -78,6 +86,24 @@
 	return subcommands.ExitSuccess
 }
 
+// explainRollouts prints the lines about the roll-outs of a service in chronological order.
+func (c *explain) explainRollouts(lines []logLine) subcommands.ExitStatus {
+	related := slices.DeleteFunc(lines, func(l logLine) bool {
+		event := l.fields["event"]
+		about := strings.HasPrefix(event, "server_rollout") || strings.HasPrefix(event, "server_version_")
+		return !about || l.fields["service"] != c.service
+	})
+	if len(related) == 0 {
+		fmt.Fprintf(c.err, "no line about a roll-out of the service %q\n", c.service)
+		return subcommands.ExitFailure
+	}
+	slices.SortStableFunc(related, func(a, b logLine) int { return cmp.Or(a.at.Compare(b.at), strings.Compare(a.vm, b.vm)) })
+	for _, l := range related {
+		fmt.Fprintf(c.out, "%+8.3fs %s %s\n", l.at.Sub(related[0].at).Seconds(), l.vm, l.text)
+	}
+	return subcommands.ExitSuccess
+}
+
 // readLog parses a logfmt file and names the VM after the file. Lines without a
 // time or an event, such as the stack trace of a crash, are skipped.
 func readLog(path string) ([]logLine, error) {
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -136,3 +136,24 @@
 		t.Errorf("printed\n%s\nwant\n%s", got, want)
 	}
 }
+
+// The lines about a service's roll-out must be found in the logs of all VMs, without those of others.
+func TestExplainRollouts(t *testing.T) {
+	const log = `time=2026-01-01T00:00:09.000000000Z level=info event=server_rollout_decision service=app phase=rolled_back samples=40 reason="route read: 9 of 40 answers failed"
+time=2026-01-01T00:00:08.000000000Z level=info event=server_rollout_stage service=app stage=1
+time=2026-01-01T00:00:08.000000000Z level=info event=server_rollout_stage service=llm stage=1
+time=2026-01-01T00:00:08.500000000Z level=info event=server_known service=app
+`
+	path := filepath.Join(t.TempDir(), "vm-a.log")
+	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if code := Run(context.Background(), []string{"explain", "-service", "app", path}, &out, &errs); code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 || !strings.Contains(lines[0], "stage=1") || !strings.Contains(lines[1], "samples=40") {
+		t.Errorf("printed %q", lines)
+	}
+}
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -48,17 +48,27 @@
 	n.delivery.Run(ctx)
 }
 
-// membersToConfirm returns the number of known VMs, including this one and those that are not heard
-// at present: a holder that is cut off from the others must not take its own confirmation for that of
-// all.
+// confirmWait is how long the last stage waits for a VM that isn't heard any more.
+const confirmWait = 10 * time.Second
+
+// membersToConfirm returns the number of VMs, including this one, that have to confirm the last stage.
+// A VM that has been silent for long has ended or is cut off, unless most VMs are silent: a holder that
+// is cut off from the others must not take its own confirmation for that of all.
 func (n *Node) membersToConfirm() int {
-	count := 1
+	now, all, heard := n.now(), 1, 1
 	for p := range n.gossip.Each {
-		if !p.Leaving {
-			count++
+		if p.Leaving {
+			continue
+		}
+		all++
+		if heardWithin(p, now, confirmWait) {
+			heard++
 		}
 	}
-	return count
+	if 2*heard <= all {
+		return all
+	}
+	return heard
 }
 
 // noteRolloutRows tells which rows of the operator have changed; nil stands for all.
