Roll out versions also while the store is down or just restored

Cause: a failed read of the orders also held back the steps of the controllers, which may have to roll a version back meanwhile, and a VM that had seen no order before a restore of the store didn't know that one had happened.

Change: reads and steps are retried apart, and the node's eras are used. Each version is looked up once per choice of a server.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -76,6 +76,9 @@
 	Term func() (lease.Fencing, bool)
 	// Members returns the number of VMs that have to confirm the last stage, including this one.
 	Members func() int
+	// ObserveEra records an era of the store. It returns when this VM first saw the store in it, or
+	// zero if it has seen no earlier era.
+	ObserveEra func(platform.Era) time.Time
 	// Reads reports whether this VM reads the store's feeds.
 	Reads func() bool
 	// Notify requests an immediate digest to all VMs of the domain.
@@ -95,7 +98,8 @@
 	mu sync.RWMutex
 	// orders holds the last orders read, by service.
 	orders map[string]Order
-	// era is the newest era of the store seen in rows, and eraAt when it replaced an earlier one.
+	// era is the newest era of the store seen in rows, and eraAt when this VM first saw it replace an
+	// earlier one; zero if it hasn't.
 	era   platform.Era
 	eraAt time.Time
 	// latest holds the announcement that the gate enforces, by service.
@@ -109,9 +113,10 @@
 	reports reportTable
 
 	// The fields below are used by Run only, except that runs' fields have their own lock.
-	runs      map[string]*run
-	term      lease.Fencing
-	retryFrom time.Time
+	runs map[string]*run
+	term lease.Fencing
+	// scanFrom and leadFrom are when the store is called again after a failure.
+	scanFrom, leadFrom time.Time
 }
 
 // announced is an announcement, how long it holds, and when its phase was first known here.
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -98,6 +98,8 @@
 	now     time.Time
 	servers []*fleet.Entry
 	fencing lease.Fencing
+	era     platform.Era
+	eraAt   time.Time
 }
 
 func newRig() *rig {
@@ -115,10 +117,17 @@
 		Servers:    func() []*fleet.Entry { return r.servers },
 		HasService: func(string) bool { return true },
 		Term:       func() (lease.Fencing, bool) { return r.fencing, r.fencing > 0 },
-		Members:    func() int { return 1 },
-		Reads:      func() bool { return true },
-		Notify:     func() {},
-		IsRelay:    func() bool { return false },
+		ObserveEra: func(era platform.Era) time.Time {
+			if r.era != 0 && era > r.era {
+				r.eraAt = r.now
+			}
+			r.era = era
+			return r.eraAt
+		},
+		Members: func() int { return 1 },
+		Reads:   func() bool { return true },
+		Notify:  func() {},
+		IsRelay: func() bool { return false },
 	})
 }
 
--- a/internal/delivery/lead.go
+++ b/internal/delivery/lead.go
@@ -49,12 +49,12 @@
 		d.runs, d.term = map[string]*run{}, 0
 		return
 	}
-	if now.Before(d.retryFrom) {
+	if now.Before(d.leadFrom) {
 		return
 	}
 	if fencing != d.term {
 		if err := d.takeOver(ctx, fencing); err != nil {
-			d.retryFrom = d.opts.Now().Add(retryPause)
+			d.leadFrom = d.opts.Now().Add(retryPause)
 			d.opts.Log.Warn("server_rollouts_not_taken_over", logging.Error(err))
 			return
 		}
@@ -123,7 +123,7 @@
 	defer cancel()
 	s, _, err := d.load(readCtx, o.Service)
 	if err != nil {
-		d.retryFrom = d.opts.Now().Add(retryPause)
+		d.leadFrom = d.opts.Now().Add(retryPause)
 		d.opts.Log.Warn("server_rollout_unread", zap.String("service", o.Service), logging.Error(err))
 		return nil
 	}
--- a/internal/delivery/scan.go
+++ b/internal/delivery/scan.go
@@ -27,7 +27,7 @@
 	d.scanDue.Store(false)
 	if err := d.readOrders(ctx, began); err != nil {
 		d.scanDue.Store(true)
-		d.retryFrom = d.opts.Now().Add(retryPause)
+		d.scanFrom = d.opts.Now().Add(retryPause)
 		d.opts.Log.Warn("server_rollout_orders_unread", logging.Error(err))
 	}
 }
@@ -48,7 +48,7 @@
 	}
 	d.mu.Lock()
 	for _, r := range rows {
-		d.noteEra(r.Era, began)
+		d.noteEra(r.Era)
 	}
 	var fresh []Order
 	for service, o := range list {
@@ -79,17 +79,14 @@
 
 // noteEra records an era of the store. After a restore from an older copy, stored progress has to
 // be written again. The caller holds d.mu.
-func (d *Delivery) noteEra(era platform.Era, now time.Time) {
+func (d *Delivery) noteEra(era platform.Era) {
 	if era <= d.era {
 		return
 	}
-	if d.era != 0 {
-		d.eraAt = now
-		for _, r := range d.runs {
-			r.restored.Store(true)
-		}
+	d.era, d.eraAt = era, d.opts.ObserveEra(era)
+	for _, r := range d.runs {
+		r.restored.Store(true)
 	}
-	d.era = era
 }
 
 // keepUnrestored keeps known orders whose rows are missing only because the store was restored
@@ -109,13 +106,13 @@
 			return err
 		}
 		d.mu.Lock()
-		d.noteEra(row[0].Era, d.opts.Now())
+		d.noteEra(row[0].Era)
 		recent := !d.eraAt.IsZero() && d.opts.Now().Sub(d.eraAt) < rewriteWindow
 		d.mu.Unlock()
 		if o.Row.Era < row[0].Era && recent && row[0].Version == 0 {
 			list[o.Service] = o
 			d.scanDue.Store(true) // Until the window ends, its row may still be missing.
-			d.retryFrom = d.opts.Now().Add(time.Second)
+			d.scanFrom = d.opts.Now().Add(time.Second)
 		}
 	}
 	return nil
--- a/internal/delivery/versions.go
+++ b/internal/delivery/versions.go
@@ -77,7 +77,7 @@
 // readDue reports whether the orders have to be read: their rows have changed, or a version waits
 // to be known not to be named.
 func (d *Delivery) readDue(now time.Time) bool {
-	if now.Before(d.retryFrom) {
+	if now.Before(d.scanFrom) {
 		return false
 	}
 	reads := d.opts.Reads()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -40,7 +40,7 @@
 	division, offset, part := g.opts.RateLimits.Division(), 0, 0
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
 		part, offset = division.Part(e.Slots, offset)
-		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) || !t.allowsVersion(e) {
+		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) || !t.usesVersion(e) {
 			continue
 		}
 		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -15,12 +15,35 @@
 	made bool
 	// newOnly restricts the choice to servers of the new version.
 	newOnly bool
+	// asked holds the answers for the versions met during one pass over the servers, which are few.
+	asked []askedVersion
+}
+
+type askedVersion struct {
+	version string
+	allowed bool
+}
+
+// usesVersion is allowsVersion for one pass over the servers: each version is looked up once.
+func (t *task) usesVersion(e *fleet.Entry) bool {
+	if t.g.opts.Rollouts == nil {
+		return true
+	}
+	for _, a := range t.versions.asked {
+		if a.version == e.Software {
+			return a.allowed
+		}
+	}
+	allowed := t.allowsVersion(e)
+	t.versions.asked = append(t.versions.asked, askedVersion{version: e.Software, allowed: allowed})
+	return allowed
 }
 
 // versionChoices returns the servers that may get the call. A call of the new version's share gets
 // its servers if one is available, and otherwise those of the old version.
 func (t *task) versionChoices(service *catalog.Service, model selector.CostModel, q selector.Query) choices {
 	r := t.g.opts.Rollouts
+	t.versions.asked = t.versions.asked[:0]
 	if r == nil || t.pinned != nil {
 		return t.choices(service, model, q)
 	}
@@ -30,7 +53,7 @@
 	if t.versions.PrefersNew() {
 		t.versions.newOnly = true
 		c := t.choices(service, model, q)
-		t.versions.newOnly = false
+		t.versions.newOnly, t.versions.asked = false, t.versions.asked[:0]
 		if len(c.available) > 0 {
 			return c
 		}
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -33,6 +33,12 @@
 			term := n.keeper.Term()
 			return term.Fencing, term.Valid(n.now(), decisionMargin) && n.Gateway.Catalog() != nil
 		},
+		ObserveEra: func(era platform.Era) time.Time {
+			n.observeEra(era, "store")
+			n.eras.mu.Lock()
+			defer n.eras.mu.Unlock()
+			return n.eras.since
+		},
 		Members: n.membersToConfirm,
 		Reads:   n.Following,
 		Notify:  n.notifyAll,
