--- a/internal/canary/analysis.go
+++ b/internal/canary/analysis.go
@@ -11,15 +11,15 @@
 	// than this multiple of the old version's rate plus the tolerated rate.
 	maxFailureRatio   = 2
 	toleratedFailures = 0.002
-	// slowerBuckets defines a version as bad if a quantile of its latency is more than this many
-	// buckets above that of the old version: a factor of two. A factor of three is always beyond it,
-	// whatever the position within the buckets.
+	// slowerBuckets defines a version as bad if more of its answers are beyond twice a quantile of the
+	// old version's latency than the old version's are beyond the quantile. Two buckets are a factor
+	// of two; a latency three times that of a bucket is always more than two buckets above it.
 	slowerBuckets = 2
 	// conclusive is the significance that a roll-back needs at any time. The test is repeated
 	// several times a second on each route. suffices is that before the last stage, where the
 	// decision can't be put off any further.
 	conclusive = 1e-4
-	suffices   = 1e-3
+	suffices   = 3e-4
 	// withoutWorst is the significance that is needed without the period that has most bad answers,
 	// so that the crash of one server isn't taken for a fault of its version.
 	withoutWorst = 1e-2
@@ -69,17 +69,9 @@
 	}
 }
 
-// answered returns the number of answers with a latency.
-func (c *Counts) answered() (n int) {
-	for _, l := range c.Latency {
-		n += int(l)
-	}
-	return n
-}
-
 // quantile returns the bucket of a quantile.
 func (c *Counts) quantile(q float64) int {
-	left := q * float64(c.answered())
+	left := q * c.count(0)
 	for i, l := range c.Latency {
 		if left -= float64(l); left <= 0 {
 			return i
@@ -88,6 +80,20 @@
 	return LatencyBuckets - 1
 }
 
+// count returns the number of answers in a bucket and those above it.
+func (c *Counts) count(from int) (n float64) {
+	for i := from; i < LatencyBuckets; i++ {
+		n += float64(c.Latency[i])
+	}
+	return n
+}
+
+// above estimates the share of answers above a bucket. It is never 0, as few answers don't show the
+// end of the distribution.
+func (c *Counts) above(bucket int) float64 {
+	return (c.count(bucket+1) + 1) / (c.count(0) + 1)
+}
+
 func (c *Counts) failureRate() float64 {
 	if c.Requests == 0 {
 		return 0
@@ -186,17 +192,15 @@
 		for _, e := range into {
 			e.failures.add(p.index, n, float64(p.new.Failures), min(n, n*(maxFailureRatio*rate+toleratedFailures)))
 		}
-		if r.total.answered() < minReference {
+		if r.total.count(0) < minReference {
 			continue
 		}
-		n = float64(p.new.answered())
+		n = p.new.count(0)
 		for j, q := range comparedQuantiles {
-			beyond := 0.0
-			for b := max(r.total.quantile(q), reference.quantile(q)) + slowerBuckets + 1; b < LatencyBuckets; b++ {
-				beyond += float64(p.new.Latency[b])
-			}
+			at := max(r.total.quantile(q), reference.quantile(q))
+			slow := n * max(r.total.above(at), reference.above(at))
 			for _, e := range into {
-				e.slow[j].add(p.index, n, beyond, n*(1-q))
+				e.slow[j].add(p.index, n, p.new.count(at+slowerBuckets+1), slow)
 			}
 		}
 	}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+var loads = []struct {
+	vms      int
+	rate     float64
+	duration time.Duration
+}{{8, 130, 12 * time.Second}, {78, 600, 12 * time.Second}, {20, 60, 30 * time.Second}}
+
 // Each of these versions must be rolled back within the exposure and the delay. The faults are those
 // that the requirements name.
 func TestBadVersionIsRolledBack(t *testing.T) {
@@ -42,11 +48,7 @@
 			}
 		},
 	} {
-		for _, load := range []struct {
-			vms      int
-			rate     float64
-			duration time.Duration
-		}{{8, 130, 12 * time.Second}, {78, 600, 12 * time.Second}, {20, 60, 30 * time.Second}} {
+		for _, load := range loads {
 			t.Run(name, func(t *testing.T) {
 				s := newSim(1, load.vms, load.rate, load.duration)
 				s.answers = bad(s)
--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/vm"
@@ -17,6 +18,8 @@
 	shareInterval = 0.05
 	// rateWindow is the time over which the rate of requests is measured.
 	rateWindow = 2 * time.Second
+	// peakDecay is the time in which the peak of the rate falls to 1/e of its distance to the rate.
+	peakDecay = 10 * time.Second
 )
 
 // ServerGroup are the ready servers of one kind.
@@ -58,6 +61,12 @@
 	sent float64
 }
 
+// shareFrom is a share that was announced from a time on.
+type shareFrom struct {
+	from  time.Duration
+	share float64
+}
+
 // Controller decides on one order. It is not safe for concurrent use.
 type Controller struct {
 	schedule schedule
@@ -80,14 +89,15 @@
 	names            []string // of routes, in the order in which they were first seen
 	sent, sentNew    float64
 	rates            []sentAt
-	rate             float64
+	rate, peak       float64
 	samples          uint64
 	step             step
 	stepBegan        time.Duration
 	halfTime         time.Duration
 	stage, fullStage uint32
-	share, lastShare float64 // lastShare is the greatest within reportDelay before shareAt
+	share            float64
 	shareAt          time.Duration
+	shares           []shareFrom // of the last reportDelay
 	announced        Announcement
 	announcedAt      time.Duration
 	until            time.Duration
@@ -174,6 +184,8 @@
 	}
 	if over := elapsed - c.rates[0].at; over >= rateWindow/2 {
 		c.rate = (c.sent - c.rates[0].sent) / over.Seconds()
+		passed := c.rates[len(c.rates)-1].at - c.rates[len(c.rates)-2].at
+		c.peak = max(c.rate, c.rate+(c.peak-c.rate)*math.Exp(-passed.Seconds()/peakDecay.Seconds()))
 	}
 }
 
@@ -184,8 +196,12 @@
 // reported yet are estimated from the shares. What earlier holders recorded counts in full, as the
 // reports of processes that have ended since are unknown.
 func (c *Controller) exposed() float64 {
-	since := min(c.now-c.shareAt, reportDelay)
-	unreported := c.rate * (c.share*since.Seconds() + c.lastShare*(reportDelay-since).Seconds())
+	unreported, until := 0.0, c.now
+	for i := len(c.shares) - 1; i >= 0 && until > c.now-reportDelay; i-- {
+		from := max(c.shares[i].from, c.now-reportDelay)
+		unreported += c.peak * c.shares[i].share * (until - from).Seconds()
+		until = from
+	}
 	return c.storedExposed + c.sentNew - c.baseNew + unreported
 }
 
@@ -247,29 +263,32 @@
 	}
 	validity := s.settings.RollbackDelay / 2
 	if next == halfLoad {
-		validity = min(validity, end-elapsed)
+		validity = min(validity, halfLoadValidity, end-elapsed)
 	}
 	want := s.share(next, end, elapsed, total, c.rate, c.exposed())
+	forced := false
 	if next < fullLoad {
 		// More than the new servers' part of the load would show their size instead of their faults.
 		if in.Old.Slots > 0 {
 			want = min(want, float64(in.New.Slots)/float64(in.Old.Slots))
 		}
-		want = s.affordable(want, validity, total, c.rate, c.exposed())
+		limit := s.affordable(1, validity, total, c.peak, c.exposed())
+		want, forced = min(want, limit), limit < c.share
 	}
 	if in.New.Servers == 0 {
-		want = 0
+		want, forced = 0, c.share > 0
 	}
 	changed := want < c.share*(1-shareChange) || want > c.share*(1+shareChange)
 	due := elapsed >= c.shareAt+max(part(s.duration, shareInterval), 500*time.Millisecond)
 	grown := false
-	if entered || want == 0 && c.share > 0 || changed && (due || want < c.share) {
+	if entered || forced || changed && due {
 		grown = want > c.share
-		if elapsed-c.shareAt >= reportDelay {
-			c.lastShare = 0
+		c.share, c.shareAt = want, elapsed
+		for len(c.shares) > 1 && c.shares[1].from <= elapsed-reportDelay {
+			c.shares = c.shares[1:]
 		}
-		c.share, c.lastShare, c.shareAt = want, max(c.lastShare, c.share), elapsed
-	} else if elapsed < c.announcedAt+s.settings.RollbackDelay/2/renewal && elapsed < c.until {
+		c.shares = append(c.shares, shareFrom{elapsed, want})
+	} else if elapsed < c.announcedAt+min(s.settings.RollbackDelay/2, validity)/renewal {
 		c.announced.For = c.until - elapsed
 		return false
 	}
@@ -283,7 +302,7 @@
 	c.announced = Announcement{Service: c.order.Service, To: c.order.To, Order: c.order.Revision, Phase: Running,
 		Fencing: c.fencing, Stage: c.stage, Share: c.share, For: validity, OldStopping: c.fullStage > 0}
 	// A record that is written later must not be needed before the stage's validity ends.
-	held := burstFactor * c.share * c.rate * validity.Seconds()
+	held := burstFactor * c.share * c.peak * validity.Seconds()
 	if grown || c.exposed()+held > c.record.Exposed {
 		c.keep(elapsed, c.exposed()+held+c.share*c.rate*(end-elapsed).Seconds())
 		return true
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -34,10 +34,12 @@
 type Gate struct {
 	mu    sync.Mutex
 	rules map[string]*rule
+	// random returns a number in [0, 1).
+	random func() float64
 }
 
 // NewGate returns a gate that knows of no roll-out.
-func NewGate() *Gate { return &Gate{rules: map[string]*rule{}} }
+func NewGate() *Gate { return &Gate{rules: map[string]*rule{}, random: rand.Float64} }
 
 // supersedes reports whether an announcement is newer than the one in force. A final phase is
 // replaced only by another order: two holders that disagree would otherwise revive a version.
@@ -71,7 +73,7 @@
 	if r == nil || r.announcement.Order != a.Order {
 		// A random start spreads the first requests of the VMs. With the same start everywhere, many
 		// VMs with few requests each would send none, or all one at the same time.
-		r = &rule{credit: rand.Float64()}
+		r = &rule{credit: g.random()}
 		g.rules[a.Service] = r
 	}
 	r.announcement, r.until = a, until
--- a/internal/canary/schedule.go
+++ b/internal/canary/schedule.go
@@ -9,9 +9,9 @@
 	// sampling takes the first samples with small shares, ramping more of them.
 	sampling step = iota
 	ramping
-	// halfLoad gives the new version half of the load for a short time. waiting then returns to a
-	// small share until the answers have been reported, as waiting at half of the load would use
-	// up the exposure.
+	// halfLoad gives the new version half of the load for a short time. waiting then returns to the
+	// share that is left of the exposure until the answers have been reported, as waiting at half of
+	// the load would use it up.
 	halfLoad
 	waiting
 	// fullLoad moves all requests and lets those at the old servers end.
@@ -40,15 +40,20 @@
 
 	// firstShare is the share until the rate of requests is known.
 	firstShare = 0.01
-	// waitingShare keeps samples coming while reports are awaited.
-	waitingShare = 0.01
-	halfShare    = 0.5
+	// minWait is the least time over which a part of the exposure is spread, as the effect of a
+	// share is only seen a second later.
+	minWait   = time.Second
+	halfShare = 0.5
 	// minHalfLoad is the least time at half of the load, which is more than VMs differ in when they
 	// learn of it. maxHalfLoad is a part of the time limit.
 	minHalfLoad = 600 * time.Millisecond
 	maxHalfLoad = 0.15
-	// burstFactor is how much the rate of requests may grow within the validity of a stage.
-	burstFactor = 2
+	// halfLoadValidity is the validity of a stage at half of the load. With a longer one, the share
+	// would have to be smaller for the exposure to hold if the rate grew.
+	halfLoadValidity = time.Second
+	// burstFactor is how much the rate of requests may grow beyond the recent peak within the validity
+	// of a stage.
+	burstFactor = 1.5
 	// reportDelay is the age that counts in reports have.
 	reportDelay = time.Second
 )
@@ -76,7 +81,7 @@
 
 // fullLoadFor is the least time for which answers under the full load are observed.
 func (s schedule) fullLoadFor() time.Duration {
-	return clamp(part(s.duration, 0.05), 1200*time.Millisecond, 5*time.Second)
+	return clamp(part(s.duration, 0.06), 1600*time.Millisecond, 5*time.Second)
 }
 
 // waitFor is how long the answers at half of the load take to be reported.
@@ -134,18 +139,18 @@
 	switch at {
 	case halfLoad:
 		return halfShare
-	case waiting:
-		return waitingShare
 	case fullLoad:
 		return 1
 	case ramping:
 		part += rampingBudget
+	case waiting:
+		part = 1
 	}
 	if rate <= 0 {
 		return firstShare
 	}
 	left := part*beforeFullLoad(s.budget(total, rate, elapsed), rate) - exposed
-	return clamp(left/(rate*max((end-elapsed).Seconds(), 0.1)), 0, halfShare)
+	return clamp(left/(rate*max(end-elapsed, minWait).Seconds()), 0, halfShare)
 }
 
 // affordable bounds a share such that the exposure stays within what the requests so far allow, for
@@ -157,7 +162,7 @@
 		return 0
 	}
 	if arriving <= 0 {
-		return share
+		return min(share, firstShare)
 	}
 	return min(share, left/arriving)
 }
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -46,14 +48,19 @@
 	// restartAt is when a new holder takes over, which knows only the record and no reports;
 	// holderless is the time that this takes.
 	restartAt, holderless time.Duration
+	restarted             func()
 
 	total, exposed, bad, lateBad int
 	fiftieth, finalAt            time.Duration
 	over                         float64 // greatest exposure beyond what the requests so far allow
 	ended                        Decision
+	full                         bool      // the last step has begun
 	running                      []float64 // new servers' share of the last 200 ms
 }
 
+// trialSeed
+var trialSeed = func() uint64 { n, _ := strconv.Atoi(os.Getenv("TRIAL")); return uint64(n) }()
+
 const tick = 10 * time.Millisecond
 
 var epoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -62,11 +69,13 @@
 	s := &sim{
 		order:   Order{Service: "s", To: "v2", Duration: duration, Revision: platform.Revision{Version: 7}, At: epoch},
 		rate:    func(time.Duration) float64 { return rate },
-		answers: healthy, rng: rand.New(rand.NewPCG(seed, 1)), servers: func(time.Duration) int { return 4 },
+		answers: healthy, rng: rand.New(rand.NewPCG(seed+trialSeed, 1)), servers: func(time.Duration) int { return 4 },
 		events: map[int][]func(time.Duration){}, reports: map[vm.ID]VMReport{},
 	}
 	for i := range vms {
-		s.vms = append(s.vms, &simVM{id: vm.ID(fmt.Sprint(i)), gate: NewGate(), tally: NewTally()})
+		v := &simVM{id: vm.ID(fmt.Sprint(i)), gate: NewGate(), tally: NewTally()}
+		v.gate.random = s.rng.Float64
+		s.vms = append(s.vms, v)
 	}
 	return s
 }
@@ -100,6 +109,9 @@
 	if s.holder == nil {
 		s.holder = NewController(testSettings, s.order, s.record, epoch.Add(t))
 		s.reports = map[vm.ID]VMReport{}
+		if s.restarted != nil {
+			s.restarted()
+		}
 	}
 	in := Input{Old: ServerGroup{4, 64}, New: ServerGroup{s.servers(t), 16 * s.servers(t)}}
 	for _, v := range s.vms {
@@ -199,7 +211,8 @@
 				s.request(v, t)
 			}
 		}
-		if s.finalAt == 0 && (s.holder == nil || s.holder.step < fullLoad) {
+		s.full = s.full || s.finalAt > 0 || s.holder != nil && s.holder.step == fullLoad
+		if !s.full {
 			s.over = max(s.over, float64(s.exposed)-testSettings.ExposureShare*float64(s.total)-testSettings.ExposureSlack)
 		}
 	}
