Compare with enough answers and report bad ones at once

A new holder and the start of an order estimated the rate from first reports, which passed the exposure of a 5 s roll-out.

Change: a verdict needs three bad answers without the worst period, the reference spans as many periods as it needs, a VM reports each bad answer at once, a suspicious version waits for the end of the last step, and the rate comes from second reports.

--- a/internal/canary/analysis.go
+++ b/internal/canary/analysis.go
@@ -17,16 +17,22 @@
 	slowerBuckets = 2
 	// conclusive is the significance that a roll-back needs at any time. The test is repeated
 	// several times a second on each route. suffices is that before the last stage, where the
-	// decision can't be put off any further.
+	// and at the end of it, when the decision can't be put off any further. While a version is
+	// suspicious, it isn't completed before that end.
 	conclusive = 1e-4
 	suffices   = 3e-4
+	suspicious = 2e-2
 	// withoutWorst is the significance that is needed without the period that has most bad answers,
 	// so that the crash of one server isn't taken for a fault of its version.
 	withoutWorst = 1e-2
+	// minRest is the least number of bad answers beside the worst period. Reports of one crash may
+	// arrive in two periods.
+	minRest = 3
 	// minBad is the least number of bad answers for a verdict. With no failure at the old version, 4
 	// failures of 70 are conclusive; for latency, 14 answers that are all slow.
 	minBad = 4
-	// minReference is the number of the old version's answers in a period for its own reference.
+	// minReference is the number of the old version's answers that the latest periods must have to
+	// serve as the reference.
 	minReference = 20
 	// periods is how many periods the time limit is divided into. The versions are compared within
 	// each period, so that a burst which meets the new version's larger shares also counts for the
@@ -142,7 +148,7 @@
 		}
 	}
 	rest := outcome{e.all.samples - worst.samples, e.all.bad - worst.bad, e.all.allowed - worst.allowed}
-	return rest.tail() < withoutWorst
+	return rest.bad >= minRest && rest.tail() < withoutWorst
 }
 
 func (o outcome) tail() float64 { return binomialTail(o.samples, o.bad, o.allowed) }
@@ -176,17 +182,17 @@
 
 // collect adds what the periods of the route show.
 func (r *routeAnalysis) collect(into ...*evidence) {
-	// reference is the latest period with enough answers of the old version. In the last stage the
-	// old version has none.
-	reference := &r.total
 	for i := range r.periods {
 		p := &r.periods[i]
-		if p.old.Requests >= minReference {
-			reference = &p.old
-		}
 		if p.new.Requests == 0 {
 			continue
 		}
+		// The reference are the latest periods with enough answers of the old version. In the last
+		// stage it has none.
+		var reference Counts
+		for j := i; j >= 0 && reference.Requests < minReference; j-- {
+			reference.add(r.periods[j].old)
+		}
 		rate := max(r.total.failureRate(), reference.failureRate())
 		n := float64(p.new.Requests)
 		for _, e := range into {
--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -55,7 +55,7 @@
 	incarnation vm.Incarnation
 }
 
-// sentAt is the number of all requests known at a time.
+// sentAt is the flow of requests known at a time.
 type sentAt struct {
 	at   time.Duration
 	sent float64
@@ -84,10 +84,13 @@
 	storedTotal, storedExposed float64
 	baseSent, baseNew          float64
 
-	seen             map[process]Report
-	routes           map[string]*routeAnalysis
-	names            []string // of routes, in the order in which they were first seen
-	sent, sentNew    float64
+	seen          map[process]Report
+	routes        map[string]*routeAnalysis
+	names         []string // of routes, in the order in which they were first seen
+	sent, sentNew float64
+	// flow are the requests sent since the first report of each process. The first reports don't show
+	// the rate, neither at the start of the order nor to a new holder.
+	flow             float64
 	rates            []sentAt
 	rate, peak       float64
 	samples          uint64
@@ -155,12 +158,15 @@
 			continue
 		}
 		key := process{r.VM, r.Incarnation}
-		last := c.seen[key]
+		last, known := c.seen[key]
 		if r.Report.Sent < last.Sent {
 			continue // an older report that arrived late
 		}
 		c.seen[key] = r.Report
 		c.sent += float64(r.Report.Sent - last.Sent)
+		if known {
+			c.flow += float64(r.Report.Sent - last.Sent)
+		}
 		c.sentNew += float64(r.Report.SentNew - min(last.SentNew, r.Report.SentNew))
 		earlier := make(map[string]RouteCounts, len(last.Routes))
 		for _, rc := range last.Routes {
@@ -178,12 +184,15 @@
 			a.add(index, rc.Old.subtract(earlier[rc.Route].Old), fresh)
 		}
 	}
-	c.rates = append(c.rates, sentAt{elapsed, c.sent})
+	if c.flow == 0 {
+		return
+	}
+	c.rates = append(c.rates, sentAt{elapsed, c.flow})
 	for len(c.rates) > 2 && c.rates[1].at <= elapsed-rateWindow {
 		c.rates = c.rates[1:]
 	}
 	if over := elapsed - c.rates[0].at; over >= rateWindow/2 {
-		c.rate = (c.sent - c.rates[0].sent) / over.Seconds()
+		c.rate = (c.flow - c.rates[0].sent) / over.Seconds()
 		passed := c.rates[len(c.rates)-1].at - c.rates[len(c.rates)-2].at
 		c.peak = max(c.rate, c.rate+(c.peak-c.rate)*math.Exp(-passed.Seconds()/peakDecay.Seconds()))
 	}
@@ -228,7 +237,7 @@
 		return RolledBack, fmt.Sprintf("no server of version %s is ready after half of the duration", c.order.To)
 	}
 	level := conclusive
-	if c.step < fullLoad && elapsed >= c.schedule.fullLoadAt() {
+	if c.step < fullLoad && elapsed >= c.schedule.fullLoadAt() || elapsed >= c.schedule.decideBy() {
 		level = suffices
 	}
 	if reason := verdictOf(c.names, c.routes, level); reason != "" {
@@ -236,7 +245,8 @@
 	}
 	stopped, idle := c.confirmed()
 	if c.step == fullLoad && c.fullStage > 0 {
-		if idle >= max(in.Members, 1) && elapsed >= c.stepBegan+c.schedule.fullLoadFor() {
+		if idle >= max(in.Members, 1) && elapsed >= c.stepBegan+c.schedule.fullLoadFor() &&
+			verdictOf(c.names, c.routes, suspicious) == "" {
 			return Completed, "all VMs have confirmed that nothing runs at the old servers"
 		}
 		// A VM that doesn't confirm is out of touch, or its requests at old servers last too long.
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -58,9 +56,6 @@
 	running                      []float64 // new servers' share of the last 200 ms
 }
 
-// trialSeed
-var trialSeed = func() uint64 { n, _ := strconv.Atoi(os.Getenv("TRIAL")); return uint64(n) }()
-
 const tick = 10 * time.Millisecond
 
 var epoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -69,7 +64,7 @@
 	s := &sim{
 		order:   Order{Service: "s", To: "v2", Duration: duration, Revision: platform.Revision{Version: 7}, At: epoch},
 		rate:    func(time.Duration) float64 { return rate },
-		answers: healthy, rng: rand.New(rand.NewPCG(seed+trialSeed, 1)), servers: func(time.Duration) int { return 4 },
+		answers: healthy, rng: rand.New(rand.NewPCG(seed, 1)), servers: func(time.Duration) int { return 4 },
 		events: map[int][]func(time.Duration){}, reports: map[vm.ID]VMReport{},
 	}
 	for i := range vms {
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// urgentFailures is the number of bad answers since the last report after which a VM reports at
-	// once. A single failure is common without a fault.
-	urgentFailures = 3
+	// urgentFailures is the number of bad answers since the last report at which a VM reports at
+	// once. With more, a VM that gets few requests would wait for its next digest while all VMs
+	// together have enough answers for a verdict.
+	urgentFailures = 1
 	// maxRoutes bounds the routes counted apart for each service, as reports travel in digests.
 	maxRoutes = 16
 )
