--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,7 +58,7 @@
 	division, offset, part := g.opts.RateLimits.Division(), 0, 0
 	for _, e := range g.opts.Directory.View().Service(service.Name) {
 		part, offset = division.Part(e.Slots, offset)
-		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) {
+		if t.hasTried(e) || t.pinned != nil && !t.pinned.allows(e) || !t.usesVersion(e) {
 			continue
 		}
 		candidate := selector.Candidate{Entry: e, SameDomain: e.FailureDomain == g.opts.FailureDomain}
@@ -109,7 +109,7 @@
 		all.reset()
 		choicesPool.Put(all)
 	}()
-	all.classify(t, service, model, q)
+	t.classifyVersions(all, service, model, q)
 	candidates := all.available
 	if len(candidates) == 0 {
 		candidates = all.unsettled
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -111,10 +111,10 @@
 
 // mayHedge reports whether the request may run at two servers at a time. Only the first attempt of a
 // request is hedged, and none that has a prompt: reading the prompt twice costs more than a late
-// response.
+// response. During a roll-out, a hedge could exceed what the new version may get.
 func (t *task) mayHedge() bool {
 	return t.route.Kind == catalog.Idempotent && t.route.MaxAttempts >= 2 && t.prompt == nil && !t.resumes() &&
-		t.sends == 0 && len(t.tried) == 1
+		t.sends == 0 && len(t.tried) == 1 && t.versions.Unrestricted()
 }
 
 // showsLoad reports whether the failure is that of a server without room.
