Close evicted connections before the next one is accepted

They were closed in the background, so that a burst of new connections had 109 descriptors open where the bound of the share gives 51 and the process 19.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -62,6 +62,8 @@
 	// givenUp is why the body was given up.
 	givenUp string
 	closed  bool
+	// closeReason is why the connection is to be closed, until it is.
+	closeReason string
 }
 
 // NetConn returns the wrapped connection.
--- a/internal/clientconn/sweep.go
+++ b/internal/clientconn/sweep.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"crypto/tls"
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/peek"
@@ -46,6 +47,7 @@
 
 // applyTimeLimits closes the connection or gives its body up if it is beyond a time limit.
 func (c *Conn) applyTimeLimits(now time.Time, limits Limits) {
+	defer c.closeIfDue()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -141,6 +143,7 @@
 
 // drop closes the connection if it is still in the phase, or gives its body up.
 func (c *Conn) drop(p phase, reason string) bool {
+	defer c.closeIfDue()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != p || c.closed {
@@ -166,15 +169,28 @@
 	return true
 }
 
+// close marks the connection for closeIfDue.
 func (c *Conn) close(reason string) {
-	if c.closed {
+	if !c.closed {
+		c.closed, c.closeReason = true, reason
+	}
+}
+
+// closeIfDue closes the connection if close was called. It returns when the descriptor is free, so that
+// a new connection doesn't exceed their number. The lock isn't held, as a read in progress needs it.
+func (c *Conn) closeIfDue() {
+	c.mu.Lock()
+	reason := c.closeReason
+	c.closeReason = ""
+	c.mu.Unlock()
+	if reason == "" {
 		return
 	}
-	c.closed = true
-	go func() { // The log and the socket are used without the lock.
-		c.guard.count(reason)
-		_ = c.Close()
-	}()
+	c.guard.count(reason)
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		_ = t.NetConn().Close() // t.Close would wait for a client that doesn't read.
+	}
+	_ = c.Close()
 }
 
 // giveUpBody ends the read of the body, so that the handler refuses the request.
