Test hedging under concurrent calls

Cause: the attempts of a call run at the same time, and the tests so far made one call at a time.

Change: 400 calls by four callers, of which 6 % are slow: each caller gets one whole response, no call is sent more than twice, and the hedges stay within the share.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,7 +40,10 @@
 		i := int(h.received.Add(1)) - 1
 		handlers[min(i, 1)](w, r)
 		if r.Context().Err() != nil {
-			h.canceled <- i
+			select {
+			case h.canceled <- i:
+			default:
+			}
 		}
 	}
 	entries := []fleet.Entry{{ID: "e", Gone: true, Revision: platform.Revision{Version: 2}}}
@@ -230,3 +236,48 @@
 		}
 	}
 }
+
+// Under concurrent calls of which some are slow, each caller gets one whole response, no call is sent more
+// often than the route allows, and the hedges stay within the share.
+func TestConcurrentHedgedCalls(t *testing.T) {
+	const calls, share = 400, 0.1
+	sends := sync.Map{} // The number of sends by call.
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		n, _ := sends.LoadOrStore(r.Header.Get("Call"), &atomic.Int32{})
+		n.(*atomic.Int32).Add(1)
+		delay := time.Duration(rand.Int64N(int64(5 * time.Millisecond)))
+		if rand.Float64() < 0.06 {
+			delay = 150 * time.Millisecond
+		}
+		after(delay, 200, "whole")(w, r)
+	}
+	h := newHedgeTest(t, share, 2, [2]http.HandlerFunc{answer, answer})
+	earned := 40 + calls // The first 40 filled the budget.
+	next := make(chan int)
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for i := range next {
+				c, sink := &Call{ID: "1", Method: "POST", Target: "/x", Path: "/x", Host: "h", Header: http.Header{"Call": {strconv.Itoa(i)}}, Arrived: time.Now(), LastEvent: -1}, &recordingSink{}
+				h.g.Serve(context.Background(), c, sink)
+				if sink.body.String() != "whole" || sink.refusal != nil || sink.aborted {
+					t.Errorf("call %d: got %q, %+v, aborted %v", i, sink.body.String(), sink.refusal, sink.aborted)
+				}
+			}
+		})
+	}
+	for i := range calls {
+		next <- i
+	}
+	close(next)
+	callers.Wait()
+	sends.Range(func(call, n any) bool {
+		if n := n.(*atomic.Int32).Load(); n > 2 {
+			t.Errorf("call %v was sent %d times", call, n)
+		}
+		return true
+	})
+	if sent := h.count("hedges_sent"); sent == 0 || float64(sent) > share*float64(earned) || h.count("hedges_won") > sent {
+		t.Errorf("%d hedges, %d won, of %d requests; want some, at most a share of %v", sent, h.count("hedges_won"), earned, share)
+	}
+}
