--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// renewal is how often a running stage is announced anew, as a part of its validity.
+	// renewal is how often a running stage is announced again, as a part of its validity.
 	renewal = 5
 	// shareChange is the relative change of a share that is worth a new announcement and, if it
 	// grows, a write to the store. shareInterval is the least time between two, as a part of the
@@ -123,7 +123,7 @@
 	return c
 }
 
-// Step decides anew. It is called at least as often as reports arrive.
+// Step makes the next decision. It is called at least as often as reports arrive.
 func (c *Controller) Step(now time.Time, in Input) Decision {
 	elapsed := c.before + max(0, now.Sub(c.started))
 	c.now = elapsed
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -39,7 +39,7 @@
 type Order struct {
 	canary.Order
 	// Row is the revision of the row. It differs from Order.Revision once the store was restored
-	// from an older copy, which changes the revision of a row that was not written anew.
+	// from an older copy, which changes the revision of a row that was not written again.
 	Row platform.Revision
 	// Key is the key of the row.
 	Key string
@@ -142,7 +142,7 @@
 		banned:  map[Version]canary.Announcement{},
 		settled: map[Version]time.Time{},
 		pending: map[Version]time.Time{},
-		reports: reportTable{entries: map[reportKey]*heardReport{}},
+		reports: reportTable{entries: map[reportKey]*receivedReport{}},
 		runs:    map[string]*run{},
 	}
 	d.scanDue.Store(true)
--- a/internal/delivery/exchange.go
+++ b/internal/delivery/exchange.go
@@ -41,7 +41,7 @@
 	service     string
 }
 
-type heardReport struct {
+type receivedReport struct {
 	report canary.Report
 	at     time.Time
 	// local is set if the report is to be passed on to other domains.
@@ -53,7 +53,7 @@
 
 // reportTable holds the last report of each process.
 type reportTable struct {
-	entries map[reportKey]*heardReport
+	entries map[reportKey]*receivedReport
 	// finalsSent is when announcements of final phases were last sent.
 	finalsSent time.Time
 }
@@ -63,7 +63,7 @@
 	old := t.entries[key]
 	switch {
 	case old == nil || old.report.Order.Before(r.Order):
-		old = &heardReport{changed: true}
+		old = &receivedReport{changed: true}
 		t.entries[key] = old
 	case r.Order.Before(old.report.Order) || r.Sent < old.report.Sent:
 		return // Two relays report with different delays.
@@ -124,7 +124,7 @@
 	return n
 }
 
-func wireReport(key reportKey, h *heardReport) canary.VMReport {
+func wireReport(key reportKey, h *receivedReport) canary.VMReport {
 	r := h.report
 	if len(r.Routes) > maxRoutes {
 		r.Routes = slices.Clone(r.Routes)
@@ -213,7 +213,7 @@
 	}
 }
 
-// reportsOf returns the reports on an order. Those of VMs that are no longer heard keep their
+// reportsOf returns the reports on an order. Those of VMs that no longer report keep their
 // counts, but say nothing about what runs there.
 func (d *Delivery) reportsOf(o Order, now time.Time) []canary.VMReport {
 	d.mu.Lock()
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -54,7 +54,7 @@
 	n.delivery.Run(ctx)
 }
 
-// confirmWait is how long the last stage waits for a VM that isn't heard any more.
+// confirmWait is how long the last stage waits for a VM that no longer reports.
 const confirmWait = 10 * time.Second
 
 // membersToConfirm returns the number of VMs, including this one, that have to confirm the last stage.
--- a/internal/poison/causes.go
+++ b/internal/poison/causes.go
@@ -19,7 +19,7 @@
 	// exchangeInterval is the interval at which evidence on prompt prefixes is sent to the other
 	// VMs and settled after a crash.
 	exchangeInterval = 100 * time.Millisecond
-	// exchangeTime is how long that goes on after the last news: longer than the evidence is
+	// exchangeTime is how long that goes on after the evidence last changed: longer than the evidence is
 	// announced and takes to settle.
 	exchangeTime = 3 * time.Second
 	// clearingTime is how long after a crash successes are sent to the other VMs. A success later
@@ -44,8 +44,8 @@
 	now   func() time.Time
 
 	mu sync.Mutex
-	// newsAt and crashAt are when the last news and the last crash became known.
-	newsAt, crashAt time.Time
+	// changedAt and crashAt are when the evidence last changed and when the last crash became known.
+	changedAt, crashAt time.Time
 	exchanging      bool
 }
 
@@ -53,7 +53,7 @@
 	c := &causes{self: self, peers: peers, now: now}
 	c.table = crashcause.NewTable(now, func(change crashcause.Change) {
 		rec.causeChanged(change)
-		c.recordNews(false)
+		c.recordChange(false)
 	})
 	return c
 }
@@ -93,12 +93,12 @@
 		recent := !c.crashAt.IsZero() && c.now().Sub(c.crashAt) < clearingTime
 		c.mu.Unlock()
 		if recent {
-			c.recordNews(false)
+			c.recordChange(false)
 		}
 	case Crashed:
 		run := crashcause.Run{Traits: r.traits(), Sent: r.sent, Begun: begun}
 		c.table.RecordCrash(c.crashKey(r), c.now(), []crashcause.Run{run})
-		c.recordNews(true)
+		c.recordChange(true)
 		return c.send(c.table.Notices(crashcause.OwnDomain, false))
 	}
 	return &sent
@@ -116,13 +116,13 @@
 	return selector.ServerKey{ID: r.server, Started: int64(xxhash.Sum64String(name) >> 1)}
 }
 
-// recordNews has news sent to the other VMs for exchangeTime.
-func (c *causes) recordNews(crash bool) {
+// recordChange has the evidence sent to the other VMs for exchangeTime.
+func (c *causes) recordChange(crash bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.newsAt = c.now()
+	c.changedAt = c.now()
 	if crash {
-		c.crashAt = c.newsAt
+		c.crashAt = c.changedAt
 	}
 	if !c.exchanging {
 		c.exchanging = true
@@ -130,13 +130,13 @@
 	}
 }
 
-// exchange settles the evidence and sends it until there has been no news for exchangeTime.
+// exchange settles the evidence and sends it until it has not changed for exchangeTime.
 func (c *causes) exchange() {
 	for {
 		c.table.Settle()
 		c.send(c.table.Notices(crashcause.OwnDomain, false))
 		c.mu.Lock()
-		c.exchanging = c.now().Sub(c.newsAt) < exchangeTime
+		c.exchanging = c.now().Sub(c.changedAt) < exchangeTime
 		more := c.exchanging
 		c.mu.Unlock()
 		if !more || !clock.Sleep(context.Background(), exchangeInterval) {
@@ -184,7 +184,7 @@
 func (c *causes) handleExchange(from vm.ID, n *crashcause.Notices) *crashcause.Notices {
 	reply := c.table.Apply(n, string(from), true)
 	if n != nil && (reply || len(n.Crashes) > 0) {
-		c.recordNews(len(n.Crashes) > 0)
+		c.recordChange(len(n.Crashes) > 0)
 	}
 	return c.table.AllConvictions()
 }
