--- a/internal/poison/causes.go
+++ b/internal/poison/causes.go
@@ -46,7 +46,7 @@
 	mu sync.Mutex
 	// changedAt and crashAt are when the evidence last changed and when the last crash became known.
 	changedAt, crashAt time.Time
-	exchanging      bool
+	exchanging         bool
 }
 
 func newCauses(self vm.ID, peers Peers, now func() time.Time, rec *recorder) *causes {
