--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -179,6 +179,9 @@
 			t.Errorf("status %d", status)
 		}
 	}
+	// A client sees the end of its connection just before the guard forgets it.
+	f.waitFor("the two others are closed", func() bool { return f.guard.open() <= 1 })
+	time.Sleep(2 * sweepInterval)
 	if f.guard.open() != 1 {
 		t.Errorf("%d open, want the one whose head has begun", f.guard.open())
 	}
