Notice the reset of a response that a write of the request takes

Callers saw: a part of a response as a complete 200, where a server responded to a long upload at once, without a length, and reset its connection (or closed it with the upload unread, which resets it too).

Cause: the kernel reports a reset to one call only. While a long body is being written, a write and a read wait on the same socket. If the write takes the error, the read returns the bytes received so far and then an orderly end, which ends a response without a length. hop used the result of the write only to decide about keeping the connection; net/http, below dispatch, doesn't connect the two either; and a VM that passes bytes on wrote the orderly end to the other VM.

Fix: connections to servers are a serverconn.Conn. At the end of the connection its reads wait for the request to be written, and return io.EOF only if that succeeded. As the write in progress has finished by then, it doesn't matter which call took the error. A response whose server closes with the upload unread is refused: that can't be told from a reset. Responses with a length or chunks that came whole stay whole.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 const (
@@ -91,11 +91,16 @@
 
 // unwrapTracked returns the trackedConn below c, or nil if there is none.
 func unwrapTracked(c net.Conn) *trackedConn {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
+	for {
+		if tracked, ok := c.(*trackedConn); ok {
+			return tracked
+		}
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = wrapped.NetConn()
 	}
-	tracked, _ := c.(*trackedConn)
-	return tracked
 }
 
 // isReused reports whether the connection carried other requests before.
@@ -132,9 +137,9 @@
 // newTransport returns a transport over tracked connections. It uses HTTP/1.1
 // only: on an HTTP/2 connection, which several requests share, written bytes
 // cannot be attributed to one request.
-func newTransport(tlsConfig *tls.Config) *http.Transport {
+func newTransport(tlsConfig *tls.Config) *serverconn.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return serverconn.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -142,14 +147,12 @@
 			}
 			return &trackedConn{Conn: c}, nil
 		},
-		TLSClientConfig:        tlsConfig,
-		TLSHandshakeTimeout:    tlsHandshakeTimeout,
-		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: httpbounds.MaxHeadBytes,
-	}
+		TLSClientConfig:     tlsConfig,
+		TLSHandshakeTimeout: tlsHandshakeTimeout,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	})
 }
 
 // singleUseBody is a request body that http.Transport cannot replay: it is
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
@@ -54,7 +55,7 @@
 // Dispatcher sends requests to backend servers and relays their responses.
 type Dispatcher struct {
 	cfg       Config
-	transport *http.Transport
+	transport *serverconn.Transport
 }
 
 // New returns a Dispatcher with the given configuration.
--- a/internal/hop/asked.go
+++ b/internal/hop/asked.go
@@ -25,7 +25,7 @@
 // Tell tells the VM that opened the connection what the server asks of it. It does nothing if that is
 // this one.
 func (c *Conn) Tell(asked Asked) {
-	if p, ok := c.Conn.(passedOn); ok {
+	if p, ok := c.NetConn().(passedOn); ok {
 		p.Tell(asked)
 	}
 }
@@ -33,7 +33,7 @@
 // Withdrawn reports whether the VM that opened the connection wants no further request on it. The
 // server goes on.
 func (c *Conn) Withdrawn() bool {
-	p, ok := c.Conn.(passedOn)
+	p, ok := c.NetConn().(passedOn)
 	return ok && p.Withdrawn()
 }
 
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -22,6 +22,7 @@
 
 	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/peek"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 const (
@@ -74,7 +75,7 @@
 
 // Conn is a connection to a server. It carries one request at a time.
 type Conn struct {
-	net.Conn
+	*serverconn.Conn
 	hostKey
 	// in is the source of br.
 	in *boundedReader
@@ -131,8 +132,9 @@
 
 // newConn returns a Conn for an open connection.
 func newConn(conn net.Conn, key hostKey) *Conn {
-	in := &boundedReader{r: conn, remaining: -1}
-	return &Conn{Conn: conn, hostKey: key, opened: time.Now(), in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
+	stream := serverconn.New(conn)
+	in := &boundedReader{r: stream, remaining: -1}
+	return &Conn{Conn: stream, hostKey: key, opened: time.Now(), in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
 }
 
 // Age returns the time since the connection was opened.
@@ -264,16 +266,27 @@
 		return err
 	}
 	head.WriteString("\r\n")
+	c.BeginRequest()
 	if len(r.Body) < concurrentBodyBytes {
 		head.Write(r.Body)
-		return c.writeAll(head.Bytes())
+		err := c.writeAll(head.Bytes())
+		if err == nil {
+			c.RequestWritten()
+		}
+		return err
 	}
 	if err := c.writeAll(head.Bytes()); err != nil {
 		return err
 	}
 	done := make(chan error, 1)
 	c.writeErr = done
-	go func() { done <- c.writeAll(r.Body) }()
+	go func() {
+		err := c.writeAll(r.Body)
+		if err == nil {
+			c.RequestWritten()
+		}
+		done <- err
+	}()
 	return nil
 }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -32,6 +32,7 @@
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 const (
@@ -194,7 +195,7 @@
 		return
 	}
 	target := Target{ID: r.URL.Query().Get("server"), Started: started}
-	server, err := h.connect(r.Context(), target)
+	conn, err := h.connect(r.Context(), target)
 	if err != nil {
 		h.opts.Log.Info("tunnel_refused", zap.String("server", target.ID), zap.String("peer", r.RemoteAddr), logging.Error(err))
 		if withheld := (*hop.WithheldError)(nil); errors.As(err, &withheld) {
@@ -205,6 +206,7 @@
 		http.Error(w, "the server accepts no connection", http.StatusBadGateway)
 		return
 	}
+	server := serverconn.New(conn) // A reset that a write takes must end the tunnel like one that a read takes.
 	client, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		_ = server.Close()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/peek"
+	"papayaspan.dev/papayaspan/internal/standin/faulty"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 )
 
@@ -110,6 +111,24 @@
 	}
 }
 
+// The server resets its connection while the other VM's bytes are written to it. The write takes the
+// error then.
+func TestResetDuringUploadEndsTunnelInOrder(t *testing.T) {
+	server := acceptConns(t, func(c net.Conn) {
+		_, _ = io.ReadFull(c, make([]byte, 1))
+		faulty.Reset(c, "", faulty.Part)
+	})
+	peer, _ := startPeer(t, server)
+	for range 20 {
+		conn := open(t, peer)
+		go func() { _, _ = conn.Write(make([]byte, 16<<20)) }()
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if got, err := io.ReadAll(conn); err == nil {
+			t.Errorf("the tunnel ends in order after %q", got)
+		}
+	}
+}
+
 // A VM that passes bytes on is killed, or stops, in the middle of a response that ends with its
 // connection.
 func TestEndOfPassingVMLooksLikeEndOfServersConnection(t *testing.T) {
