Refuse responses whose status is none

Callers saw: with a server in trouble that answers with status 000, the product's own front passed on a response with status 0 (also 099, +20, 600, 999 and 101, and what followed a 101 as a body). On the platform's front a status below 100 or of 101 counted as interim, so that bytes behind it were read as the answer ("000 before another response"), and 600 and 999 were passed on.

The VM's own calls were affected too: a write to the store counted as acknowledged and a read as an empty table after status 000, 099, +20 or 101, and a server that answered its health check so as not leaving.

Cause: http.ReadResponse takes any three digits, also with a sign. hop skipped all statuses below 200; dispatch and the store's client took every status below 300 or 500 for a result.

Fix: one reader of response heads, internal/httphead, checks the status line (RFC 9112, section 4; RFC 9110, section 15: 100 to 599). hop and tunnels read through it; the transports of dispatch, store, orders, reports, health checks, platform client and fetches between VMs check the bytes as they arrive, before net/http parses them. To the caller it is a broken response: the request may have run. It is no evidence of a crash. httpbounds goes; its limit is the reader's.

--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -60,3 +60,20 @@
 		}
 	}
 }
+
+// A server sends what isn't a response, or a response with a malformed head.
+func TestMalformedResponseIsPassedOn(t *testing.T) {
+	for _, broken := range append(faulty.Responses(), faulty.Whole()) {
+		for _, kind := range []backend.Kind{backend.Engine, backend.Service} {
+			t.Run(fmt.Sprintf("%s of %s", broken.Name, kind), func(t *testing.T) {
+				server := brokenServer(t, true, func(c net.Conn, fields string) { _ = broken.Write(c, fields) })
+				p := listPicker{{ID: "server", Kind: kind, URL: server}}
+				sink := &memorySink{}
+				_, err := newTestDispatcher(t).Do(context.Background(), Request{ID: "req-1", Method: http.MethodPost, Path: "/x"}, p, sink)
+				if whole := broken == faulty.Whole(); whole != (err == nil) {
+					t.Errorf("head %v, body %q, error %v", sink.heads, sink.text.String(), err)
+				}
+			})
+		}
+	}
+}
--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -17,8 +17,8 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
-	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 	"papayaspan.dev/papayaspan/internal/sse"
 )
 
@@ -82,7 +82,7 @@
 
 // New returns a Watcher that watches no engines until Run is called.
 func New(sink Sink, log *zap.Logger) *Watcher {
-	return &Watcher{client: &http.Client{Transport: httpbounds.Transport()}, sink: sink, log: log, engines: map[backend.ID]watchedEngine{}}
+	return &Watcher{client: &http.Client{Transport: serverconn.DefaultTransport()}, sink: sink, log: log, engines: map[backend.ID]watchedEngine{}}
 }
 
 // Run watches the engines among the servers that the function returns, until ctx
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"papayaspan.dev/papayaspan/internal/backend"
-	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // NewProber returns a Prober with its own HTTP client.
 func NewProber() *Prober {
-	return &Prober{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}}
+	return &Prober{client: &http.Client{Transport: serverconn.NewTransport(&http.Transport{DisableKeepAlives: true})}}
 }
 
 // Crashed reports whether the server may have crashed since it had the known
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -5,7 +5,6 @@
 package hop
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -20,7 +19,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
+	"papayaspan.dev/papayaspan/internal/httphead"
 	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/serverconn"
 )
@@ -54,9 +53,6 @@
 var (
 	// ErrMismatched means that only responses to other requests arrived.
 	ErrMismatched = errors.New("response belongs to another request")
-	// ErrHeadTooLong means that the response head, including interim responses,
-	// exceeds httpbounds.MaxHeadBytes.
-	ErrHeadTooLong = errors.New("response head is too long")
 	// errBodyTooLong means that a body exceeds maxMismatchedBytes.
 	errBodyTooLong = errors.New("response body is too long")
 	// ErrNotWritten means that no byte of the request was written.
@@ -79,7 +75,7 @@
 	hostKey
 	// in is the source of br.
 	in *boundedReader
-	br *bufio.Reader
+	br *httphead.Reader
 	// opened is when the connection was opened.
 	opened time.Time
 	// Reused is set if the connection was idle in the pool before it was last used.
@@ -134,7 +130,7 @@
 func newConn(conn net.Conn, key hostKey) *Conn {
 	stream := serverconn.New(conn)
 	in := &boundedReader{r: stream, remaining: -1}
-	return &Conn{Conn: stream, hostKey: key, opened: time.Now(), in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
+	return &Conn{Conn: stream, hostKey: key, opened: time.Now(), in: in, br: httphead.NewReader(in, readBufferBytes)}
 }
 
 // Age returns the time since the connection was opened.
@@ -205,7 +201,7 @@
 	}
 	sent := time.Now()
 	for range maxMismatched {
-		resp, err := c.readHead(r)
+		resp, err := c.br.ReadResponse(&http.Request{Method: r.Method}, false)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
@@ -235,20 +231,6 @@
 	return err
 }
 
-// readHead returns the next response head, skipping interim (1xx) responses.
-func (c *Conn) readHead(r *Request) (*http.Response, error) {
-	defer c.in.bound(httpbounds.MaxHeadBytes, ErrHeadTooLong)() // For the interim responses and the head together.
-	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
 func (c *Conn) write(r *Request) error {
 	var head bytes.Buffer
 	head.WriteString(r.Method)
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
+	"papayaspan.dev/papayaspan/internal/httphead"
 )
 
 // endless returns a server that sends start and then repeats the same bytes until the
@@ -72,7 +72,7 @@
 
 // The bound applies to the response head, not to the body.
 func TestLongBodyIsRead(t *testing.T) {
-	const size = 4 * httpbounds.MaxHeadBytes
+	const size = 4 * httphead.MaxHeadBytes
 	addr := serve(t, func(_ int, c net.Conn) {
 		for {
 			r, err := readRequest(c)
--- a/internal/hop/reset_test.go
+++ b/internal/hop/reset_test.go
@@ -63,3 +63,20 @@
 		}
 	}
 }
+
+func TestMalformedResponseIsAccepted(t *testing.T) {
+	for _, broken := range append(faulty.Responses(), faulty.Whole()) {
+		t.Run(broken.Name, func(t *testing.T) {
+			addr := serve(t, func(_ int, c net.Conn) {
+				defer c.Close()
+				if _, err := readRequest(c); err == nil {
+					_ = broken.Write(c, "Id: a\r\n")
+				}
+			})
+			body, _, err := exchange(t, NewPool(), addr, "a")
+			if whole := broken == faulty.Whole(); whole != (err == nil) {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -20,9 +20,9 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
-	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 	"papayaspan.dev/papayaspan/internal/stall"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -394,7 +394,7 @@
 
 // peerClient opens a new connection for each fetch, as an idle one may have failed silently. It
 // accepts compressed responses.
-var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes}}
+var peerClient = &http.Client{Transport: serverconn.NewTransport(&http.Transport{DisableKeepAlives: true})}
 
 // fetchFromPeer decodes the JSON that another VM serves at a path, and returns its size before
 // compression.
--- a/internal/order/client.go
+++ b/internal/order/client.go
@@ -12,9 +12,9 @@
 
 	"github.com/pkg/errors"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/lease"
 	"papayaspan.dev/papayaspan/internal/openai"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
-	return &Client{reads: &http.Client{Timeout: readTimeout, CheckRedirect: noRedirect, Transport: httpbounds.Transport()}}
+	return &Client{reads: &http.Client{Timeout: readTimeout, CheckRedirect: noRedirect, Transport: serverconn.DefaultTransport()}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -56,7 +56,7 @@
 		return errors.Wrap(err, "order")
 	}
 	req.GetBody = nil // prevents the transport from resending the order
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes, DialContext: BoundedDial(deadline)}
+	transport := serverconn.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: BoundedDial(deadline)})
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrap(err, "send order")
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 )
 
 // maxReplyBytes bounds how much of a reply body the client reads.
@@ -31,7 +31,7 @@
 		base: base,
 		http: &http.Client{
 			Timeout:   platform.CallTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: httpbounds.MaxHeadBytes},
+			Transport: serverconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16}),
 		},
 	}
 }
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -1,5 +1,5 @@
 // Package serverconn connects to processes that answer requests over HTTP/1.1, and notices responses that
-// are broken off where net/http takes them for whole.
+// are broken off or malformed where net/http takes them for whole.
 package serverconn
 
 import (
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/httphead"
 )
 
 // Conn is a connection whose end its reader can rely on. The kernel reports a reset once: if a write takes
@@ -25,6 +27,9 @@
 	// sending is set from the begin of a request until it has been written.
 	sending bool
 	closed  bool
+	// head checks the heads of responses; nil between them. headErr is its error.
+	head    *httphead.Checker
+	headErr error
 }
 
 // New returns a Conn for an open connection.
@@ -51,6 +56,13 @@
 	c.changed.Broadcast()
 }
 
+// expectHead makes the Conn check the heads of the responses to the next request.
+func (c *Conn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = &httphead.Checker{}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -71,12 +83,29 @@
 // returns io.EOF only if that succeeds.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if malformed := c.checkHead(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if err == io.EOF {
 		err = c.end()
 	}
 	return n, err
 }
 
+func (c *Conn) checkHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr != nil || c.head == nil {
+		return c.headErr
+	}
+	_, ended, err := c.head.Next(p)
+	if ended {
+		c.head = nil
+	}
+	c.headErr = err
+	return err
+}
+
 // end returns io.EOF if the other side has closed the connection in order.
 func (c *Conn) end() error {
 	c.mu.Lock()
--- a/internal/serverconn/transport.go
+++ b/internal/serverconn/transport.go
@@ -9,17 +9,18 @@
 	"sync/atomic"
 	"time"
 
-	"papayaspan.dev/papayaspan/internal/httpbounds"
+	"papayaspan.dev/papayaspan/internal/httphead"
 )
 
 // defaultHandshakeTimeout bounds TLS handshakes of transports that don't state a time.
 const defaultHandshakeTimeout = 10 * time.Second
 
-// Transport is an http.RoundTripper that notices responses that are broken off. It speaks HTTP/1.1 only.
+// Transport is an http.RoundTripper that checks the heads of responses and notices those that are broken
+// off. It speaks HTTP/1.1 only.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport with the options of base, which it takes over. It limits the size of
-// heads to httpbounds.MaxHeadBytes.
+// heads to httphead.MaxHeadBytes.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -43,12 +44,17 @@
 		}
 		return handshake(ctx, c, address, config, timeout)
 	}
-	base.MaxResponseHeaderBytes = httpbounds.MaxHeadBytes
+	base.MaxResponseHeaderBytes = httphead.MaxHeadBytes
 	base.TLSNextProto = map[string]func(string, *tls.Conn) http.RoundTripper{}
 	return &Transport{base: base}
 }
 
-// handshake returns the Conn of a TLS connection.
+// DefaultTransport returns a Transport with the options of http.DefaultTransport.
+func DefaultTransport() *Transport {
+	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+}
+
+// handshake returns the Conn of a TLS connection. Its responses are checked as they are decrypted.
 func handshake(ctx context.Context, c net.Conn, address string, config *tls.Config, timeout time.Duration) (net.Conn, error) {
 	if config == nil {
 		config = &tls.Config{}
@@ -75,6 +81,7 @@
 			conn, _ := info.Conn.(*Conn)
 			used.Store(conn)
 			if conn != nil {
+				conn.expectHead()
 				conn.BeginRequest()
 			}
 		},
--- a/internal/standin/faulty/faulty.go
+++ b/internal/standin/faulty/faulty.go
@@ -3,10 +3,14 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"time"
 )
 
+// Body is the body of a response whose head is broken. It is also an empty JSON object.
+const Body = "{  }"
+
 // Part is what arrives of the body of a response that is broken off.
 const Part = "part"
 
@@ -28,3 +32,47 @@
 	time.Sleep(closeDelay)
 	_ = c.Close()
 }
+
+// Response is a response that isn't HTTP/1.1 (RFC 9112) or that its client didn't ask for.
+type Response struct {
+	Name string
+	// before and after are the bytes before and after the fields that the server adds.
+	before, after string
+}
+
+// Write writes the response with further fields of its head; each ends with CRLF.
+func (r Response) Write(w io.Writer, fields string) error {
+	_, err := io.WriteString(w, r.before+fields+r.after)
+	return err
+}
+
+const (
+	okLine = "HTTP/1.1 200 OK\r\n"
+	// sized is the rest of a head and a body.
+	sized = "Content-Length: 4\r\n\r\n" + Body
+)
+
+// Responses returns responses that a client must not accept. Each is complete; the server closes the
+// connection behind it.
+func Responses() []Response {
+	return []Response{
+		{"status 000", "HTTP/1.1 000 Trouble\r\n", sized},
+		{"status 000 before another response", "HTTP/1.1 000 Trouble\r\n\r\n" + okLine, sized},
+		{"status 000 without a length", "HTTP/1.1 000 Trouble\r\n", "\r\n" + Body},
+		{"status 099", "HTTP/1.1 099 Trouble\r\n", sized},
+		{"status with a sign", "HTTP/1.1 +20 Trouble\r\n", sized},
+		{"status 600", "HTTP/1.1 600 Trouble\r\n", sized},
+		{"status 999", "HTTP/1.1 999 Trouble\r\n", sized},
+		{"switch to another protocol", "HTTP/1.1 101 Switching Protocols\r\n", "Connection: Upgrade\r\nUpgrade: other\r\n" + sized},
+		{"switch to another protocol before a response", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n" + okLine, sized},
+		{"status without digits", "HTTP/1.1 abc Trouble\r\n", sized},
+		{"status of four digits", "HTTP/1.1 2000 Trouble\r\n", sized},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n", sized},
+		{"two lengths", okLine, "Content-Length: 2\r\n" + sized},
+		{"negative length", okLine, "Content-Length: -4\r\n\r\n" + Body},
+		{"unknown encoding", okLine, "Transfer-Encoding: rot13\r\n\r\n" + Body},
+	}
+}
+
+// Whole returns the whole response whose broken forms Responses returns.
+func Whole() Response { return Response{"whole", okLine, sized} }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -13,7 +13,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -31,6 +30,7 @@
 
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/httphead"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/serverconn"
 )
@@ -94,8 +94,8 @@
 		Endpoint, query.Encode(), protocol, framingHeader, framing, noticesHeader, notices); err != nil {
 		return nil, err
 	}
-	in := bufio.NewReader(io.LimitReader(conn, maxHeadBytes))
-	resp, err := http.ReadResponse(in, nil)
+	in := httphead.NewReader(io.LimitReader(conn, maxHeadBytes), maxHeadBytes)
+	resp, err := in.ReadResponse(nil, true)
 	switch {
 	case err != nil:
 		return nil, err
