Refuse response heads with malformed fields

Callers saw: a blank in or behind the name of a field (RFC 9112, section 5.1) was accepted. The product's own front passed the line on, the platform's front dropped it. With "Content-Length : 2" the body went on to the end of the connection, and with "Transfer-Encoding : chunked", or with chunks in HTTP/1.0, callers got the chunks' marks as the body. A malformed interim response was accepted too.

Cause: http.ReadResponse accepts blanks in names for the sake of old clients, keeps such names as they are, and so doesn't see the framing fields among them. It drops Transfer-Encoding from responses of HTTP/1.0.

Now all are refused on each path.

Fix: internal/httphead checks each field line: a name of token characters directly followed by the colon, a value without control bytes, no continuation lines (section 5.2 lets a gateway refuse them), no Transfer-Encoding in HTTP/1.0 (section 6.1).

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,5 +1,6 @@
 // Package httphead checks the heads of HTTP/1.x responses strictly (RFC 9112). The parser of net/http
-// accepts any number of three digits as a status.
+// accepts field names with blanks, which other parsers and the framing of the body don't recognize, and
+// any number of three digits as a status.
 package httphead
 
 import (
@@ -41,6 +42,8 @@
 	size int
 	// status is that of the present head; 0 before its first line.
 	status int
+	// http10 and encoded are set if the head is one of HTTP/1.0, and has a Transfer-Encoding.
+	http10, encoded bool
 	// Upgrade is set if the response may switch to another protocol.
 	Upgrade bool
 }
@@ -78,9 +81,11 @@
 	case c.status == 0:
 		return false, c.checkStatusLine(string(line))
 	case len(line) > 0:
-		return false, nil
+		return false, c.checkField(string(line))
+	case c.http10 && c.encoded:
+		return false, malformed("a Transfer-Encoding in a response of HTTP/1.0") // RFC 9112, section 6.1.
 	case c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols:
-		c.status = 0
+		c.status, c.http10, c.encoded = 0, false, false
 		return false, nil
 	}
 	return true, nil
@@ -101,7 +106,7 @@
 	if reason != "" && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(reason) {
 		return malformed("status line %.40q", line)
 	}
-	c.status = status
+	c.status, c.http10 = status, strings.HasPrefix(line, "HTTP/1.0")
 	return c.checkStatus(status)
 }
 
@@ -115,4 +120,18 @@
 	return nil
 }
 
+// checkField checks a field. A line that continues the field before it is refused: a gateway must not
+// pass it on (RFC 9112, section 5.2).
+func (c *Checker) checkField(line string) error {
+	name, value, found := strings.Cut(line, ":")
+	switch {
+	case !found || !httpguts.ValidHeaderFieldName(name):
+		return malformed("field line %.40q", line)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return malformed("value of the field %.40q", name)
+	}
+	c.encoded = c.encoded || strings.EqualFold(name, "Transfer-Encoding")
+	return nil
+}
+
 func malformed(format string, args ...any) error { return errors.Wrapf(ErrMalformed, format, args...) }
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -9,6 +9,7 @@
 	"testing/iotest"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"papayaspan.dev/papayaspan/internal/standin/faulty"
 )
@@ -113,5 +114,12 @@
 		if resp.StatusCode != whole.StatusCode || resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 			t.Errorf("status %d and %d", resp.StatusCode, whole.StatusCode)
 		}
+		for name, values := range resp.Header {
+			for _, value := range values {
+				if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+					t.Errorf("field %q: %q", name, value)
+				}
+			}
+		}
 	})
 }
--- a/internal/standin/faulty/faulty.go
+++ b/internal/standin/faulty/faulty.go
@@ -48,8 +48,9 @@
 
 const (
 	okLine = "HTTP/1.1 200 OK\r\n"
-	// sized is the rest of a head and a body.
-	sized = "Content-Length: 4\r\n\r\n" + Body
+	// sized and chunked are the rest of a head and a body.
+	sized   = "Content-Length: 4\r\n\r\n" + Body
+	chunked = "\r\n4\r\n" + Body + "\r\n0\r\n\r\n"
 )
 
 // Responses returns responses that a client must not accept. Each is complete; the server closes the
@@ -68,6 +69,23 @@
 		{"status without digits", "HTTP/1.1 abc Trouble\r\n", sized},
 		{"status of four digits", "HTTP/1.1 2000 Trouble\r\n", sized},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n", sized},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n", "Transfer-Encoding: chunked\r\n" + chunked},
+		{"blank after a field name", okLine, "X-Note : x\r\n" + sized},
+		{"blank after the name of the length", okLine, "Content-Length : 2\r\n\r\n" + Body},
+		{"blank after the name of the encoding", okLine, "Transfer-Encoding : chunked\r\n" + chunked},
+		{"blank in a field name", okLine, "X Note: x\r\n" + sized},
+		{"blank before a field name", okLine + " X-Note: x\r\n", sized},
+		{"tab after a field name", okLine, "X-Note\t: x\r\n" + sized},
+		{"control byte in a field name", okLine, "X-\x01Note: x\r\n" + sized},
+		{"CR in a field name", okLine, "X-\rNote: x\r\n" + sized},
+		{"NUL in a field name", okLine, "X-\x00Note: x\r\n" + sized},
+		{"DEL in a field name", okLine, "X-\x7fNote: x\r\n" + sized},
+		{"no field name", okLine, ": x\r\n" + sized},
+		{"line without a colon", okLine, "X-Note\r\n" + sized},
+		{"control byte in a field value", okLine, "X-Note: a\x01b\r\n" + sized},
+		{"NUL in a field value", okLine, "X-Note: a\x00b\r\n" + sized},
+		{"CR in a field value", okLine, "X-Note: a\rContent-Length: 2\r\n" + sized},
+		{"malformed interim response", "HTTP/1.1 103 Early Hints\r\nX-Note : x\r\n\r\n" + okLine, sized},
 		{"two lengths", okLine, "Content-Length: 2\r\n" + sized},
 		{"negative length", okLine, "Content-Length: -4\r\n\r\n" + Body},
 		{"unknown encoding", okLine, "Transfer-Encoding: rot13\r\n\r\n" + Body},
