Ask an engine for its run when a stream ends with its connection

Callers saw: a stream without a length as complete after some of its events, where the engine was killed within it and was back at its address under its ID within milliseconds.

Cause: the kernel of a killed process closes its connections in order. The check after such an end connects to the server's address, and the new process accepts.

Another run than the directory's means that the one that responded has ended; the stream is resumed or broken off. Without a report the check stays as it was.

--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -6,8 +6,10 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"papayaspan.dev/papayaspan/internal/hop"
+	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/selector"
 )
 
@@ -15,6 +17,8 @@
 // event before its end counts as the end of the stream. A server that is in trouble may do so too.
 const minEmptyResumptions = 2
 
+const errRunEnded = "the server's run ended with its response"
+
 // checkStreamEnd returns a failure if the end of a server's event stream isn't the end of the
 // stream. relayed is set if it brought events that the caller didn't have.
 func (a *attempt) checkStreamEnd(caller context.Context, resp *http.Response, resumed, relayed bool) *failure {
@@ -49,7 +53,28 @@
 	known := a.t.g.opts.Directory.View().Server(e.ID)
 	restarted := known != nil && known.Started != e.Started
 	if restarted || a.t.g.refusesConnections(e, a.connectionLimit()) {
-		return a.sentFailure(caller, "answer_cut", errors.Wrap(io.ErrUnexpectedEOF, "the server's run ended with its response"))
+		return a.sentFailure(caller, "answer_cut", errors.Wrap(io.ErrUnexpectedEOF, errRunEnded))
+	}
+	if a.service.Engine != nil && a.runEnded(caller) {
+		return a.sentFailure(caller, "answer_cut", errors.Wrap(io.ErrUnexpectedEOF, errRunEnded))
 	}
 	return nil
 }
+
+// runEnded asks an engine that accepts connections for its run. One that is back at once after a crash
+// reports another run than the one that responded. Without a report, it counts as the same.
+func (a *attempt) runEnded(caller context.Context) bool {
+	e, g := a.candidate.Entry, a.t.g
+	check := g.checkRun(e, g.opts.Now())
+	select {
+	case <-check.done:
+	case <-caller.Done():
+		return true // The caller has left, or its time is over.
+	}
+	if check.err != nil {
+		g.opts.Log.Info("run_not_reported", zap.String("request_id", a.t.call.ID), zap.String("server", string(e.ID)),
+			zap.Int64("server_started", e.Started), logging.Error(check.err))
+		return false
+	}
+	return check.started != e.Started
+}
