Count the memory of long events

Callers saw, at other operators: a VM that kept what a faulty server sent without end ran out of memory, and all of its requests ended. Here it could happen with events of streams that never end.

Cause: each stream holds the event that it is reading, up to 1 MiB, and nothing bounded their sum. Heads, chunks, trailers, interim responses and bodies were bounded already.

Fix: a reader of events counts buffers over 8 KiB in the budget for responses, a tenth of the process's memory, and breaks the stream off if there is none left. Usual events are far shorter and aren't counted, so that they go on beside such a crowd.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -229,6 +229,11 @@
 func (a *attempt) relayStream(caller context.Context, resp *http.Response) *failure {
 	t := a.t
 	events := sse.NewRawReader(resp.Body, 0)
+	held, release := t.g.holdResponse()
+	defer release()
+	if held != nil {
+		events.CountMemory(held)
+	}
 	if !hop.Framed(resp) {
 		events.RejectStatusLines()
 	}
--- a/internal/sse/raw.go
+++ b/internal/sse/raw.go
@@ -25,7 +25,7 @@
 type RawReader struct {
 	br    *bufio.Reader
 	limit int
-	event []byte
+	event buffer
 	// rejectStatusLines is set if bytes of another response may follow the stream.
 	rejectStatusLines bool
 }
@@ -49,28 +49,33 @@
 	return &RawReader{br: bufio.NewReaderSize(r, readBufferBytes/2), limit: limit}
 }
 
+// CountMemory makes the reader count the memory of long events. Next returns ErrNoMemory if there is none.
+func (r *RawReader) CountMemory(m Memory) { r.event.memory = m }
+
 // Next returns the next event. If the stream ends after a complete event the
 // error is io.EOF; if it ends within an event, io.ErrUnexpectedEOF.
 func (r *RawReader) Next() (RawEvent, error) {
-	r.event = r.event[:0]
+	r.event.reset()
 	id := int64(-1)
 	start, comment := 0, true
 	for {
 		part, err := r.br.ReadSlice('\n')
-		r.event = append(r.event, part...)
-		if len(r.event) > r.limit {
+		if len(r.event.bytes)+len(part) > r.limit {
 			return RawEvent{}, ErrTooLong
 		}
+		if err := r.event.append(part); err != nil {
+			return RawEvent{}, err
+		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
-			return RawEvent{}, endError(err, len(r.event) > 0)
+			return RawEvent{}, endError(err, len(r.event.bytes) > 0)
 		}
-		line := bytes.TrimRight(r.event[start:], "\r\n")
-		start = len(r.event)
+		line := bytes.TrimRight(r.event.bytes[start:], "\r\n")
+		start = len(r.event.bytes)
 		if len(line) == 0 {
-			return RawEvent{Bytes: r.event, ID: id, Comment: comment}, nil
+			return RawEvent{Bytes: r.event.bytes, ID: id, Comment: comment}, nil
 		}
 		if r.rejectStatusLines && bytes.HasPrefix(line, []byte(statusLinePrefix)) {
 			return RawEvent{}, ErrStatusLine
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -16,6 +16,8 @@
 
 const readBufferBytes = 8 << 10
 
+var newline = []byte("\n")
+
 // ErrTooLong means that an event or a line exceeds the size limit.
 var ErrTooLong = errors.New("server-sent event too long")
 
@@ -32,8 +34,8 @@
 type Reader struct {
 	br    *bufio.Reader
 	limit int
-	line  []byte
-	data  []byte
+	line  buffer
+	data  buffer
 }
 
 // NewReader returns a Reader that accepts lines and event data of at most limit
@@ -45,12 +47,15 @@
 	return &Reader{br: bufio.NewReaderSize(r, readBufferBytes), limit: limit}
 }
 
+// CountMemory makes the reader count the memory of long events. Next returns ErrNoMemory if there is none.
+func (r *Reader) CountMemory(m Memory) { r.line.memory, r.data.memory = m, m }
+
 // Next returns the next event. If the stream ends after a complete event the
 // error is io.EOF. An event without its final blank line is not returned; the
 // error is then io.ErrUnexpectedEOF.
 func (r *Reader) Next() (Event, error) {
 	var ev Event
-	r.data = r.data[:0]
+	r.data.reset()
 	lines := 0
 	for {
 		line, err := r.readLine()
@@ -62,7 +67,7 @@
 				ev.Name = ""
 				continue
 			}
-			ev.Data = r.data
+			ev.Data = r.data.bytes
 			return ev, nil
 		}
 		name, value := splitField(line)
@@ -70,13 +75,17 @@
 		case "event":
 			ev.Name = string(value)
 		case "data":
-			if len(r.data)+len(value)+1 > r.limit {
+			if len(r.data.bytes)+len(value)+1 > r.limit {
 				return Event{}, ErrTooLong
 			}
 			if lines > 0 {
-				r.data = append(r.data, '\n')
+				if err := r.data.append(newline); err != nil {
+					return Event{}, err
+				}
+			}
+			if err := r.data.append(value); err != nil {
+				return Event{}, err
 			}
-			r.data = append(r.data, value...)
 			lines++
 		}
 	}
@@ -84,20 +93,22 @@
 
 // readLine returns the next line without its line ending, LF or CRLF.
 func (r *Reader) readLine() ([]byte, error) {
-	r.line = r.line[:0]
+	r.line.reset()
 	for {
 		part, err := r.br.ReadSlice('\n')
-		if len(r.line)+len(part) > r.limit {
+		if len(r.line.bytes)+len(part) > r.limit {
 			return nil, ErrTooLong
 		}
-		r.line = append(r.line, part...)
+		if err := r.line.append(part); err != nil {
+			return nil, err
+		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
-			return nil, endError(err, len(r.line) > 0)
+			return nil, endError(err, len(r.line.bytes) > 0)
 		}
-		line := bytes.TrimSuffix(r.line, []byte("\n"))
+		line := bytes.TrimSuffix(r.line.bytes, newline)
 		return bytes.TrimSuffix(line, []byte("\r")), nil
 	}
 }
