Count the memory of responses that the product's front holds

Callers would see all requests of a VM end, as it runs out of memory, where engines send bodies or events without end: the product's own front held up to 8 MiB of each response and up to 2 MiB of each event, and nothing bounded the sum over 4,096 open requests.

Fix: dispatch reads through membudget.Read, which gateway had as its own, and counts events as gateway does, in the budget of limits.client_memory_bytes. A service's response is passed on piece by piece if there is no memory for it, as one that is too long. An engine's must be checked whole, so the attempt fails as memory_short, which isn't held against the engine. relayBody moves to a file of its own.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,7 +174,7 @@
 		Settings:    d.settings,
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Dispatcher:  dispatch.New(dispatch.Config{}),
+		Dispatcher:  dispatch.New(dispatch.Config{Responses: clientMemory}),
 		Freshness:   d.evidence,
 		Admitter:    d.admitter,
 		Budget:      d.budget,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/clock"
+	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/serverconn"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -34,6 +35,9 @@
 	// BufferBytes is the size up to which a service's response is buffered
 	// until it is complete. A larger one is passed on as it arrives.
 	BufferBytes int
+	// Responses is the budget for responses that are held until they are complete, and for long
+	// events. May be nil.
+	Responses *membudget.Budget
 	// TLS is the client configuration for backend servers. May be nil.
 	TLS *tls.Config
 	// Observer is notified of the attempts of all requests. May be nil.
@@ -86,6 +90,16 @@
 	}
 }
 
+// holdResponse returns an empty reservation for a response, nil without a budget, and a function that
+// releases it.
+func (d *Dispatcher) holdResponse() (*membudget.Reservation, func()) {
+	if d.cfg.Responses == nil {
+		return nil, func() {}
+	}
+	held := d.cfg.Responses.Open(membudget.Response)
+	return held, held.Close
+}
+
 // Close closes idle connections.
 func (d *Dispatcher) Close() { d.transport.CloseIdleConnections() }
 
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -33,6 +33,8 @@
 	WrongRequestID
 	// InvalidResponse means that the response violates the protocol.
 	InvalidResponse
+	// MemoryShort means that the VM has no memory to hold the response.
+	MemoryShort
 	// ServerError means that the server reported an error, such as a 5xx
 	// status.
 	ServerError
@@ -46,7 +48,7 @@
 
 var failureNames = [...]string{
 	"none", "connect_failed", "not_sent", "refused", "connection_lost", "truncated", "stalled",
-	"crossed", "bad_answer", "server_error", "bad_request", "caller_gone", "caller_failed",
+	"crossed", "bad_answer", "memory_short", "server_error", "bad_request", "caller_gone", "caller_failed",
 }
 
 // String returns the name used in logs.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -12,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
-	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -238,6 +236,11 @@
 	}
 	x.relay.beginStream(x.result.WeightsVersion)
 	events := sse.NewReader(body, x.d.cfg.MaxEventBytes)
+	held, release := x.d.holdResponse()
+	defer release()
+	if held != nil {
+		events.CountMemory(held)
+	}
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -273,113 +276,6 @@
 	_, _ = io.CopyN(io.Discard, body, drainBytes)
 }
 
-// relayBody relays a response that is not an engine's stream. An engine's
-// response and a short one of a service are buffered until they are complete. A
-// longer response of a service is passed on as it arrives.
-func (x *exchange) relayBody(resp *http.Response, body io.Reader) *attemptError {
-	limit := x.d.cfg.BufferBytes
-	if x.server.Kind == backend.Engine {
-		limit = x.d.cfg.MaxResponseBytes
-	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		limit = 0
-	}
-	buffered, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
-	if err != nil {
-		return readError(err)
-	}
-	if len(buffered) <= limit {
-		if failure := x.checkUnframedEnd(resp, buffered); failure != nil {
-			return failure
-		}
-		return x.relayBuffered(resp, buffered)
-	}
-	if x.server.Kind == backend.Engine {
-		return failedMayHaveRun(InvalidResponse, errors.New("response exceeds the size limit"))
-	}
-	return x.relayUnbuffered(resp, buffered, body)
-}
-
-func (x *exchange) relayBuffered(resp *http.Response, buffered []byte) *attemptError {
-	if x.server.Kind == backend.Engine && resp.StatusCode == http.StatusOK && x.req.Model != "" {
-		if failure := x.checkCompletion(buffered); failure != nil {
-			return failure
-		}
-	}
-	length := int64(len(buffered))
-	if x.req.Method == http.MethodHead {
-		length = resp.ContentLength
-	}
-	if err := x.relay.startBody(resp, length, buffered); err != nil {
-		return failedMayHaveRun(CallerFailed, err)
-	}
-	return nil
-}
-
-// checkCompletion checks that the body is a complete response to this request.
-func (x *exchange) checkCompletion(body []byte) *attemptError {
-	var completion struct {
-		ID    string       `json:"id"`
-		Usage *engineUsage `json:"usage"`
-	}
-	if err := json.Unmarshal(body, &completion); err != nil {
-		return failedMayHaveRun(Truncated, errors.Wrap(err, "completion"))
-	}
-	if completion.ID != x.req.ID {
-		return failedMayHaveRun(WrongRequestID, errors.Errorf("completion carries the ID of request %q", completion.ID))
-	}
-	if completion.Usage != nil {
-		x.result.Usage = completion.Usage.toUsage()
-		x.relay.cursor.delivered = completion.Usage.CompletionTokens
-	}
-	return nil
-}
-
-const copyBufferBytes = 32 << 10
-
-func (x *exchange) relayUnbuffered(resp *http.Response, buffered []byte, body io.Reader) *attemptError {
-	if err := x.relay.startBody(resp, resp.ContentLength, buffered); err != nil {
-		return failedMayHaveRun(CallerFailed, err)
-	}
-	buf := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if err := x.relay.sink.Body(buf[:n]); err != nil {
-				return failedMayHaveRun(CallerFailed, err)
-			}
-		}
-		if err == io.EOF {
-			if failure := x.checkUnframedEnd(resp, nil); failure != nil {
-				return failure
-			}
-			return nil
-		}
-		if err != nil {
-			return readError(err)
-		}
-	}
-}
-
-// checkUnframedEnd returns a failure if a response that ended with its connection may not be whole: if
-// its server accepts no connections any more, or another response to the request follows it.
-func (x *exchange) checkUnframedEnd(resp *http.Response, body []byte) *attemptError {
-	if hop.Framed(resp) || resp.Request == nil {
-		return nil
-	}
-	if hop.ContainsResponse(body, x.req.Method, func(r *http.Response) bool { return r.Header.Get(openai.HeaderRequestID) == x.req.ID }) {
-		return failedMayHaveRun(InvalidResponse, errors.New("another response follows the body"))
-	}
-	c, err := hop.Dial(x.callerCtx, resp.Request.URL.Host)
-	if err != nil {
-		return failedMayHaveRun(Truncated, errors.Wrap(err, "the server accepts no connections after the end of its response"))
-	}
-	if err := c.Close(); err != nil {
-		return failedMayHaveRun(Truncated, err)
-	}
-	return nil
-}
-
 // readError classifies an error while reading the response body.
 func readError(err error) *attemptError {
 	switch {
@@ -387,6 +283,8 @@
 		return failedMayHaveRun(Truncated, errors.New("the response ended before it was complete"))
 	case errors.Is(err, sse.ErrTooLong):
 		return failedMayHaveRun(InvalidResponse, err)
+	case errors.Is(err, sse.ErrNoMemory):
+		return failedMayHaveRun(MemoryShort, err)
 	default:
 		return failedMayHaveRun(ConnectionLost, err)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/logging"
+	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/sse"
 	"papayaspan.dev/papayaspan/internal/verdict"
@@ -125,7 +126,7 @@
 // better one.
 func (a *attempt) serverErrorFailure(caller context.Context, resp *http.Response) *failure {
 	held, release := a.t.g.holdResponse()
-	body, ended, err := readHeld(resp.Body, held)
+	body, ended, err := membudget.Read(resp.Body, maxBufferedBytes, held)
 	if err != nil {
 		release()
 		return a.sentFailure(caller, "answer_cut", err)
@@ -147,7 +148,7 @@
 	t := a.t
 	held, release := a.t.g.holdResponse()
 	defer release()
-	body, ended, err := readHeld(resp.Body, held)
+	body, ended, err := membudget.Read(resp.Body, maxBufferedBytes, held)
 	if err != nil {
 		return a.sentFailure(caller, "answer_cut", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,8 +88,8 @@
 	MaxJSONDepth int `json:"max_json_depth" validate:"min=4,max=1000"`
 	// MaxOpenRequests bounds the requests in progress. Default 4096.
 	MaxOpenRequests int `json:"max_open_requests" validate:"min=1,max=1000000"`
-	// ClientMemoryBytes bounds the memory for the headers and bodies of all requests together.
-	// Default 268435456.
+	// ClientMemoryBytes bounds the memory for the headers and bodies of all requests together, and for
+	// the responses that are held until they are complete. Default 268435456.
 	ClientMemoryBytes int64 `json:"client_memory_bytes" validate:"min=1048576,max=1099511627776"`
 	// MaxConnections bounds callers' connections. Idle ones are closed first. Default 8192.
 	MaxConnections int `json:"max_connections" validate:"min=8,max=1000000"`
