Reset the connection of an HTTP/1.0 caller whose answer is broken off

Callers of HTTP/1.0 saw: a stream or a long answer that was broken off as complete. They get such answers without a length and without chunks, and take the end of the connection for theirs; an abort closed it in order, over TLS with the alert of an orderly end.

Evidence: TestAnswerThatIsBrokenOffLooksWholeInHTTP10 on the platform's front failed on all three routes, TestAbortedResponseLooksWholeInHTTP10 of the guard, which both fronts use, with and without TLS.

Fix: the guard resets the connection if the handler of a request of HTTP/1.0 panics, which is how responses are aborted. Answers of HTTP/1.1 show their end by themselves and are aborted as before. The reset of a tunnel's connection uses the same function.

Heads of callers with malformed fields were refused already (TestMalformedHeadOfCallerIsRefused, kept).

--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -130,7 +130,7 @@
 			own.setState(state)
 		}
 	}
-	next := s.Handler
+	next := resetAborted(s.Handler)
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
 		if c == nil {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -28,6 +28,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/httphead"
@@ -278,23 +279,13 @@
 			return
 		}
 		if err != nil {
-			reset(p.client)
+			clientconn.Reset(p.client) // As the connection to the server ended.
 		}
 		_ = p.client.Close()
 	}()
 	directions.Wait()
 }
 
-// reset makes the connection end with a reset, as that to the server did.
-func reset(c net.Conn) {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok { // An accepted connection with limits.
-		c = wrapped.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
 // track records a tunnel's connections, or closes them if there are too many.
 func (h *Handler) track(p *passage) bool {
 	h.mu.Lock()
