Don't suspect a crash behind a malformed response head

Callers of sound requests could be refused: on the product's own front a malformed head counted as a lost connection, which may be a crash, so that the request became a suspect of the poison guard and its server was probed.

Cause: dispatch couldn't tell a malformed head from a connection that broke off, as both are errors of the transport. The framing fields were only checked by net/http.

Fix: dispatch recognizes httphead.ErrMalformed and ErrTooLong, and the head reader checks the values of Content-Length and Transfer-Encoding too. The verdict stays "may have run", and the attempt still counts against the server.

--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -11,6 +11,7 @@
 	"papayaspan.dev/papayaspan/internal/backend"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/standin/faulty"
+	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
 // brokenServer answers each request with respond, which gets the fields of a valid response. It reads
@@ -70,8 +71,11 @@
 				p := listPicker{{ID: "server", Kind: kind, URL: server}}
 				sink := &memorySink{}
 				_, err := newTestDispatcher(t).Do(context.Background(), Request{ID: "req-1", Method: http.MethodPost, Path: "/x"}, p, sink)
-				if whole := broken == faulty.Whole(); whole != (err == nil) {
+				switch whole := broken == faulty.Whole(); {
+				case whole != (err == nil):
 					t.Errorf("head %v, body %q, error %v", sink.heads, sink.text.String(), err)
+				case !whole && verdict.AsError(err).Code != "backend_bad_answer":
+					t.Errorf("error %v, which may suggest a crash", err)
 				}
 			})
 		}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/httphead"
 	"papayaspan.dev/papayaspan/internal/openai"
 	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/ratelimit"
@@ -125,11 +126,15 @@
 	for try := 1; ; try++ {
 		trace := &connTrace{}
 		resp, err := x.d.transport.RoundTrip(out.WithContext(trace.withContext(ctx)))
-		switch {
-		case err == nil:
+		if err == nil {
 			x.trace = trace
 			return resp, nil
-		case trace.mayHaveWritten():
+		}
+		wrote := trace.mayHaveWritten()
+		switch {
+		case wrote && (errors.Is(err, httphead.ErrMalformed) || errors.Is(err, httphead.ErrTooLong)):
+			return nil, failedMayHaveRun(InvalidResponse, err)
+		case wrote:
 			return nil, failedMayHaveRun(ConnectionLost, err)
 		case !trace.reused:
 			return nil, failedNotRun(ConnectFailed, err)
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"net/http"
+	"net/textproto"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -42,8 +44,10 @@
 	size int
 	// status is that of the present head; 0 before its first line.
 	status int
-	// http10 and encoded are set if the head is one of HTTP/1.0, and has a Transfer-Encoding.
+	// http10 and encoded are set if the head is one of HTTP/1.0, and has a Transfer-Encoding. length
+	// is its Content-Length, empty if it has none.
 	http10, encoded bool
+	length          string
 	// Upgrade is set if the response may switch to another protocol.
 	Upgrade bool
 }
@@ -85,7 +89,7 @@
 	case c.http10 && c.encoded:
 		return false, malformed("a Transfer-Encoding in a response of HTTP/1.0") // RFC 9112, section 6.1.
 	case c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols:
-		c.status, c.http10, c.encoded = 0, false, false
+		c.status, c.http10, c.encoded, c.length = 0, false, false, ""
 		return false, nil
 	}
 	return true, nil
@@ -130,7 +134,23 @@
 	case !httpguts.ValidHeaderFieldValue(value):
 		return malformed("value of the field %.40q", name)
 	}
-	c.encoded = c.encoded || strings.EqualFold(name, "Transfer-Encoding")
+	return c.checkFraming(name, textproto.TrimString(value))
+}
+
+// checkFraming checks the fields that say where the body ends (RFC 9112, section 6).
+func (c *Checker) checkFraming(name, value string) error {
+	switch {
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		if c.encoded || !strings.EqualFold(value, "chunked") {
+			return malformed("transfer encoding %.40q", value)
+		}
+		c.encoded = true
+	case strings.EqualFold(name, "Content-Length"):
+		if _, err := strconv.ParseUint(value, 10, 63); err != nil || c.length != "" && c.length != value {
+			return malformed("length %.40q", value)
+		}
+		c.length = value
+	}
 	return nil
 }
 
