--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -18,6 +18,7 @@
 	"papayaspan.dev/papayaspan/internal/catalog"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/platform"
+	"papayaspan.dev/papayaspan/internal/standin/faulty"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 )
 
@@ -102,6 +103,17 @@
 	}
 }
 
+// malformed answers with what isn't a response after a delay.
+func malformed(d time.Duration, broken faulty.Response) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(d)
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_ = broken.Write(c, "")
+			_ = c.Close()
+		}
+	}
+}
+
 const (
 	never = time.Hour
 	// beyondSilence is later than a request leaves a silent server while another attempt is allowed.
@@ -119,6 +131,8 @@
 		"the first server is stalled":          {[2]http.HandlerFunc{after(never, 200, ""), after(0, 200, "second")}, "second", 1, 0},
 		"the first server is only late":        {[2]http.HandlerFunc{after(200*time.Millisecond, 200, "first"), after(never, 200, "")}, "first", 0, 1},
 		"the hedge is cut":                     {[2]http.HandlerFunc{after(beyondSilence, 200, "first"), cut(0)}, "first", 0, -1},
+		"the hedge is malformed":               {[2]http.HandlerFunc{after(beyondSilence, 200, "first"), malformed(0, faulty.Responses()[0])}, "first", 0, -1},
+		"the first response is malformed":      {[2]http.HandlerFunc{malformed(150*time.Millisecond, faulty.Responses()[0]), after(300*time.Millisecond, 200, "second")}, "second", 1, -1},
 		"the hedge gets a server error":        {[2]http.HandlerFunc{after(beyondSilence, 200, "first"), after(0, 500, "error")}, "first", 0, -1},
 		"the first response is cut":            {[2]http.HandlerFunc{cut(150 * time.Millisecond), after(300*time.Millisecond, 200, "second")}, "second", 1, -1},
 		"the first response is a server error": {[2]http.HandlerFunc{after(150*time.Millisecond, 500, "error"), after(300*time.Millisecond, 200, "second")}, "second", 1, -1},
