Let a connection that ends before a response end at once

Found on reading the diff: a connection that its server closed in order while it was idle ended for its reader only after the next request was written, so that dispatch could no longer tell that the request hadn't been written, and a call that must not run twice couldn't be repeated.

The wait for the request is for the end of a response that has begun.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -61,17 +61,20 @@
 		if end >= 0 {
 			rest = p[n : n+end+1]
 		}
-		c.line = append(c.line, rest...)
 		n += len(rest)
 		if c.size += len(rest); c.size > MaxHeadBytes {
 			return n, false, errors.WithStack(ErrTooLong)
 		}
+		line := rest
+		if len(c.line) > 0 || end < 0 {
+			c.line = append(c.line, rest...)
+			line = c.line
+		}
 		if end < 0 {
 			return n, false, nil
 		}
-		line := bytes.TrimSuffix(bytes.TrimSuffix(c.line, []byte("\n")), []byte("\r"))
-		ended, err = c.checkLine(line)
 		c.line = c.line[:0]
+		ended, err = c.checkLine(string(bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))))
 		if ended || err != nil {
 			return n, ended, err
 		}
@@ -80,12 +83,12 @@
 }
 
 // checkLine checks one line without its end, and reports whether it ends the final head.
-func (c *Checker) checkLine(line []byte) (ended bool, err error) {
+func (c *Checker) checkLine(line string) (ended bool, err error) {
 	switch {
 	case c.status == 0:
-		return false, c.checkStatusLine(string(line))
+		return false, c.checkStatusLine(line)
 	case len(line) > 0:
-		return false, c.checkField(string(line))
+		return false, c.checkField(line)
 	case c.http10 && c.encoded:
 		return false, malformed("a Transfer-Encoding in a response of HTTP/1.0") // RFC 9112, section 6.1.
 	case c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols:
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -110,6 +110,9 @@
 func (c *Conn) end() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.head != nil {
+		return io.EOF // It ends no response. net/http doesn't write a request to a connection that has ended.
+	}
 	for c.writeErr == nil && !c.closed && (c.sending || c.writing > 0) {
 		c.changed.Wait()
 	}
