Check that a whole response stays whole behind a reset

Responses with a length or chunks that came whole before the server reset its connection during a long upload: already handled, on the platform's front, the product's own front and in hop; the tests stay.

--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// A whole response stays whole, whatever becomes of the request's body.
+func TestFramedResponseBeforeResetIsWhole(t *testing.T) {
+	for _, framing := range faulty.Framed() {
+		server := brokenServer(t, false, func(c net.Conn, fields string) { faulty.ResetBehind(c, fields, framing) })
+		p := listPicker{{ID: "server", Kind: backend.Service, URL: server}}
+		for range 10 {
+			sink := &memorySink{}
+			req := Request{ID: "req-1", Method: http.MethodPost, Path: "/x", Body: make([]byte, 16<<20)}
+			if _, err := newTestDispatcher(t).Do(context.Background(), req, p, sink); err != nil || sink.text.String() != faulty.Body {
+				t.Errorf("%q: body %q, error %v", framing, sink.text.String(), err)
+			}
+		}
+	}
+}
+
 // A server may respond before it has read the body, and read it then.
 func TestResponseBeforeBodyIsReadIsWhole(t *testing.T) {
 	server := brokenServer(t, false, func(c net.Conn, fields string) {
--- a/internal/hop/reset_test.go
+++ b/internal/hop/reset_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// A whole response stays whole, whatever becomes of the request's body.
+func TestFramedResponseBeforeResetIsWhole(t *testing.T) {
+	for _, framing := range faulty.Framed() {
+		addr := serve(t, func(_ int, c net.Conn) {
+			_, _ = c.Read(make([]byte, 1<<10))
+			faulty.ResetBehind(c, "Id: a\r\n", framing)
+		})
+		for range 10 {
+			if body, err := upload(t, addr); err != nil || body != faulty.Body {
+				t.Errorf("%q: body %q, error %v", framing, body, err)
+			}
+		}
+	}
+}
+
 // A server may respond before it has read the body, and read it then.
 func TestResponseBeforeBodyIsReadIsWhole(t *testing.T) {
 	addr := serve(t, func(_ int, c net.Conn) {
--- a/internal/standin/faulty/faulty.go
+++ b/internal/standin/faulty/faulty.go
@@ -20,9 +20,7 @@
 // Reset sends the head of a response without a length and a part of its body, and resets the
 // connection. The fields belong to the head; each ends with CRLF.
 func Reset(c net.Conn, fields, part string) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	resetOnClose(c)
 	Close(c, fields, part)
 }
 
@@ -33,6 +31,24 @@
 	_ = c.Close()
 }
 
+// ResetBehind sends a whole response and then resets the connection. framing is its framing fields, which
+// end the head, and its body; see Framed.
+func ResetBehind(c net.Conn, fields, framing string) {
+	_, _ = io.WriteString(c, okLine+fields+framing)
+	time.Sleep(closeDelay)
+	resetOnClose(c)
+	_ = c.Close()
+}
+
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// Framed returns framings of Body that end with it: a length, and chunks.
+func Framed() []string { return []string{sized, "Transfer-Encoding: chunked\r\n" + chunked} }
+
 // Response is a response that isn't HTTP/1.1 (RFC 9112) or that its client didn't ask for.
 type Response struct {
 	Name string
