Count what a VM's link carries, and log it while the link is busy

Nothing told what a link was full of: whether requests, digests or states of other VMs waited in front of a configuration. Counts by kind are metrics, and event=link_busy has them for each second in which the link carried over half of its bandwidth.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -141,6 +141,7 @@
 	if n == 0 {
 		return n, err
 	}
+	c.guard.opts.Traffic.Received(c.guard.opts.TrafficKind, n)
 	refusal, reason := c.received(p[:n])
 	if refusal == "" {
 		return n, err
@@ -232,6 +233,7 @@
 		c.writing.Store(time.Now().UnixNano())
 		n, err := c.Conn.Write(p[written:min(len(p), written+writeStep)])
 		written += n
+		c.guard.opts.Traffic.Sent(c.guard.opts.TrafficKind, n)
 		if err != nil || written == len(p) {
 			return written, err
 		}
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/peek"
 )
@@ -66,6 +67,9 @@
 	MaxConns int
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// Traffic counts the bytes of the connections as those of a kind; nil for no count.
+	Traffic     *linkmeter.Meter
+	TrafficKind linkmeter.Kind
 }
 
 // Guard watches the connections of all listeners of a process.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/vm"
 )
@@ -54,6 +55,8 @@
 	Listen string
 	Log    *zap.Logger
 	Now    func() time.Time
+	// Traffic counts the bytes of messages; nil for no count.
+	Traffic *linkmeter.Meter
 	// Received is called with each accepted digest, and Summarized with each accepted
 	// summary of another domain. Both are called from the same goroutine.
 	Received   func(p *Peer)
@@ -116,6 +119,7 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
+		n.opts.Traffic.Received(linkmeter.Gossip, size)
 		if err := n.Receive(buf[:size]); err != nil {
 			n.opts.Log.Warn("gossip_malformed", zap.Stringer("from", from), logging.Error(err))
 		}
@@ -260,5 +264,6 @@
 		}
 		// A failed send is equivalent to a lost datagram, which the protocol tolerates.
 		_, _ = n.conn.WriteToUDPAddrPort(data, addr)
+		n.opts.Traffic.Sent(linkmeter.Gossip, len(data))
 	}
 }
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"papayaspan.dev/papayaspan/internal/httphead"
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 	"papayaspan.dev/papayaspan/internal/peek"
 	"papayaspan.dev/papayaspan/internal/serverconn"
 )
@@ -100,7 +101,8 @@
 
 // boundedReader reads from a connection and bounds the bytes read for a part of a response.
 type boundedReader struct {
-	r io.Reader
+	r       io.Reader
+	traffic *linkmeter.Meter
 	// remaining is the number of bytes that may still be read; negative means no bound.
 	remaining int
 	// exceeded is the error once there are more.
@@ -116,20 +118,26 @@
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
 	if b.remaining < 0 {
-		return b.r.Read(p)
+		return b.read(p)
 	}
 	if b.remaining == 0 {
 		return 0, errors.WithStack(b.exceeded)
 	}
-	n, err := b.r.Read(p[:min(len(p), b.remaining)])
+	n, err := b.read(p[:min(len(p), b.remaining)])
 	b.remaining -= n
 	return n, err
 }
 
-// newConn returns a Conn for an open connection.
-func newConn(conn net.Conn, key hostKey) *Conn {
+func (b *boundedReader) read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.traffic.Received(linkmeter.Servers, n)
+	return n, err
+}
+
+// newConn returns a Conn for an open connection, whose bytes a meter counts.
+func newConn(conn net.Conn, key hostKey, traffic *linkmeter.Meter) *Conn {
 	stream := serverconn.New(conn)
-	in := &boundedReader{r: stream, remaining: -1}
+	in := &boundedReader{r: stream, traffic: traffic, remaining: -1}
 	return &Conn{Conn: stream, hostKey: key, opened: time.Now(), in: in, br: httphead.NewReader(in, readBufferBytes)}
 }
 
@@ -274,6 +282,7 @@
 
 func (c *Conn) writeAll(p []byte) error {
 	n, err := c.Conn.Write(p)
+	c.in.traffic.Sent(linkmeter.Servers, n)
 	if n > 0 {
 		c.written.Store(true)
 	}
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -109,7 +109,7 @@
 			}
 		}
 	}()
-	_, err := newConn(client, hostKey{}).Send(context.Background(), request("a"), matches("a"))
+	_, err := newConn(client, hostKey{}, nil).Send(context.Background(), request("a"), matches("a"))
 	client.Close()
 	if n := <-sent; !errors.Is(err, ErrMismatched) || n > maxMismatchedBytes+2*readBufferBytes {
 		t.Errorf("read %d bytes, want at most %d; error %v", n, maxMismatchedBytes, err)
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -328,7 +328,7 @@
 	now := time.Unix(1000, 0)
 	p := NewPool()
 	p.now = func() time.Time { return now }
-	c := newConn(nil, hostKey{owner: "a"})
+	c := newConn(nil, hostKey{owner: "a"}, nil)
 	p.hosts[c.hostKey] = &host{open: 1}
 	p.keep(c, time.Second)
 	if left := c.idleUntil.Sub(now); left < 800*time.Millisecond || left > 900*time.Millisecond {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 )
 
 const (
@@ -49,6 +51,7 @@
 	lost map[hostKey]bool
 	// checking holds the servers that checkDrop is connecting to.
 	checking map[hostKey]bool
+	traffic  *linkmeter.Meter
 }
 
 // hostKey identifies a server run and its address.
@@ -71,6 +74,9 @@
 	return &Pool{dial: dial, hosts: map[hostKey]*host{}, lost: map[hostKey]bool{}, checking: map[hostKey]bool{}, now: time.Now}
 }
 
+// CountTraffic makes a meter count the bytes of the connections. It must be called before these are opened.
+func (p *Pool) CountTraffic(m *linkmeter.Meter) { p.traffic = m }
+
 // Get returns an idle or a new connection to the server at addr. owner identifies the
 // run of the server, so that a connection isn't reused for another run at the same
 // address. limit bounds the open connections; 0 means no bound.
@@ -115,7 +121,7 @@
 		p.unreserve(key)
 		return nil, errors.Wrapf(ErrNotWritten, "connect to %s: %v", key.addr, err)
 	}
-	return newConn(conn, key), nil
+	return newConn(conn, key, p.traffic), nil
 }
 
 func (p *Pool) takeIdle(key hostKey) *Conn {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"papayaspan.dev/papayaspan/internal/clientconn"
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 	"papayaspan.dev/papayaspan/internal/membudget"
 )
 
@@ -11,7 +12,7 @@
 // NewGuard returns a guard for a listener for clients, which may use the given share of the process's
 // descriptors. All guards share one memory budget.
 func (n *Node) NewGuard(name string, share float64) *clientconn.Guard {
-	return n.newGuard(name, share, func() clientconn.Limits {
+	return n.newGuard(name, share, linkmeter.Callers, func() clientconn.Limits {
 		c := n.Gateway.Catalog()
 		if c == nil {
 			return clientconn.Limits{}
@@ -23,10 +24,10 @@
 // newPeerGuard returns the guard for the listener for other VMs.
 func (n *Node) newPeerGuard() *clientconn.Guard {
 	limits := clientconn.Limits{HeaderBytes: peerHeaderBytes, HeaderTimeout: fetchTimeout, IdleTimeout: peerIdleTimeout}
-	return n.newGuard("peers", clientconn.PeerShare, func() clientconn.Limits { return limits })
+	return n.newGuard("peers", clientconn.PeerShare, linkmeter.Peers, func() clientconn.Limits { return limits })
 }
 
-func (n *Node) newGuard(name string, share float64, limits func() clientconn.Limits) *clientconn.Guard {
+func (n *Node) newGuard(name string, share float64, kind linkmeter.Kind, limits func() clientconn.Limits) *clientconn.Guard {
 	return clientconn.New(clientconn.Options{
 		Name:     name,
 		Log:      n.log,
@@ -34,6 +35,7 @@
 		Budget:   n.clientMemory,
 		MaxConns: clientconn.MaxConns(n.opts.MemoryBytes, n.opts.Descriptors, share),
 		Limits:   limits,
+		Traffic:  n.traffic, TrafficKind: kind,
 	})
 }
 
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -43,8 +43,6 @@
 	fetchFailureHold = 30 * time.Second
 	// maxFetches bounds the fetches of one part of the state that a VM has in progress.
 	maxFetches = 2
-	// defaultLinkBitRate is the bandwidth of a VM's link if it isn't known.
-	defaultLinkBitRate = 10e6
 	// catalogLinkShare is the share of its link that a VM uses to send the configuration to other
 	// VMs, and maxCatalogBacklog how long its link may have been promised to others when one more
 	// asks. VMs that are turned away get the configuration from those that have it by then.
@@ -192,11 +190,7 @@
 
 // catalogTransferTime returns how long a configuration takes on this VM's share of its link.
 func (n *Node) catalogTransferTime(size int) time.Duration {
-	rate := n.opts.LinkBitRate
-	if rate <= 0 {
-		rate = defaultLinkBitRate
-	}
-	return time.Duration(float64(size) * 8 / (rate * catalogLinkShare) * float64(time.Second))
+	return time.Duration(float64(size) * 8 / (n.linkBitRate() * catalogLinkShare) * float64(time.Second))
 }
 
 // serveCatalog sends the configuration, unless this VM's link is busy with sending it to others.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/lease"
+	"papayaspan.dev/papayaspan/internal/linkmeter"
 	"papayaspan.dev/papayaspan/internal/logging"
 	"papayaspan.dev/papayaspan/internal/membudget"
 	"papayaspan.dev/papayaspan/internal/origin"
@@ -114,6 +115,8 @@
 	metrics metrics.Registry
 	// clientMemory is for what clients and other VMs send.
 	clientMemory *membudget.Budget
+	// traffic counts the bytes on the VM's link.
+	traffic *linkmeter.Meter
 
 	Gateway       *gateway.Gateway
 	directory     *fleet.Directory
@@ -275,7 +278,9 @@
 	n.metrics.GetOrRegister("crash_causes", metrics.NewFunctionalGauge(func() int64 { return int64(len(n.crashCauses.Convictions())) }))
 	n.metrics.GetOrRegister("servers_with_rate_limit", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.LimitedCount()) }))
 	n.path = n.newServerPath()
+	n.traffic = linkmeter.New(n.metrics)
 	n.pool = hop.NewPoolWithDial(n.dialServer)
+	n.pool.CountTraffic(n.traffic)
 	n.tunnels = tunnel.NewHandler(tunnel.HandlerOptions{Log: opts.Log, Connect: n.connectForPeer, Withheld: n.withheldFromPeers, Asked: n.serverAsked})
 	n.metrics.GetOrRegister("servers_backing_off", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BackoffCount()) }))
 	n.metrics.GetOrRegister("brittle_servers", metrics.NewFunctionalGauge(func() int64 { return int64(n.limits.BrittleCount()) }))
@@ -353,6 +358,7 @@
 		Listen:     n.opts.Peer,
 		Log:        n.log,
 		Now:        n.now,
+		Traffic:    n.traffic,
 		Received:   n.receiveDigest,
 		Summarized: n.receiveSummary,
 	})
@@ -402,6 +408,7 @@
 	n.goLoop(func() { n.storeOrigins(ctx) })
 	n.goLoop(func() { n.path.Run(ctx) })
 	n.goLoop(func() { n.tunnels.Run(ctx) })
+	n.goLoop(func() { n.watchLink(ctx) })
 	n.goLoop(func() { n.issueOrders(ctx) })
 	n.goLoop(func() { n.decideRuns(ctx) })
 	n.goLoop(func() { n.runDelivery(ctx) })
