Let messages between VMs take a quarter of the link at most

VMs that had been cut off came back, and every piece of news (crashed servers, placed prompts, weights) led to a digest to all VMs of the domain, 20 a second of 2.1 KB to 27 VMs. The gap between digests knew the processor, not the link: 12 Mbit/s of datagrams, which nothing slows down, stood in front of fetches, calls to the store, connection attempts and the end of cancelled requests on links of 10 Mbit/s.

A VM now waits with its next message until those before have taken no more than a quarter of its link, for half a second at most, so that VMs still count as alive. What it sends then is its newest state. Claims to the order lease don't wait.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,8 @@
 	Listen string
 	Log    *zap.Logger
 	Now    func() time.Time
+	// BitRate is the bandwidth that messages may take, in bits per second; 0 means no bound.
+	BitRate float64
 	// Traffic counts the bytes of messages; nil for no count.
 	Traffic *linkmeter.Meter
 	// Received is called with each accepted digest, and Summarized with each accepted
@@ -65,8 +67,9 @@
 
 // Node sends and receives digests.
 type Node struct {
-	opts Options
-	conn *net.UDPConn
+	opts  Options
+	conn  *net.UDPConn
+	pacer pacer
 
 	mu    sync.Mutex
 	peers map[vm.ID]*Peer
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s/udp", opts.Listen)
 	}
-	return &Node{opts: opts, conn: conn, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, transits: map[vm.ID]transit{}, forwardedAt: map[string]time.Time{}}, nil
+	return &Node{opts: opts, conn: conn, pacer: pacer{bitRate: opts.BitRate}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, transits: map[vm.ID]transit{}, forwardedAt: map[string]time.Time{}}, nil
 }
 
 // Run receives messages until ctx ends.
@@ -179,9 +182,13 @@
 	return true
 }
 
-// forward sends a summary on to VMs of the own domain.
+// forward sends a summary on to VMs of the own domain. While the link is short, only those for all VMs
+// are sent on: they carry what the others do, but for prompt placements.
 func (n *Node) forward(s Summary) {
 	audience := n.forwardAudience(s.From.FailureDomain)
+	if audience != Everyone && n.Pause() > 0 {
+		return
+	}
 	s.Forwarded, s.ToAll = true, audience == Everyone
 	n.send(message{Summary: &s}, n.recipients(audience))
 }
@@ -256,6 +263,7 @@
 		n.opts.Log.Error("gossip_encode_failed", logging.Error(err))
 		return
 	}
+	n.pacer.record(len(data), len(to), n.opts.Now())
 	for _, t := range to {
 		addr, err := t.resolve()
 		if err != nil {
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -13,6 +13,8 @@
 const (
 	// defaultLinkBitRate is the bandwidth of a VM's link if it isn't known.
 	defaultLinkBitRate = 10e6
+	// gossipLinkShare is the share of its link that a VM uses for messages to other VMs.
+	gossipLinkShare = 0.25
 	// linkLogInterval is the time between two lines about a busy link, busyLinkShare the share of its
 	// bandwidth in one direction from which a link counts as busy.
 	linkLogInterval = time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -358,6 +358,7 @@
 		Listen:     n.opts.Peer,
 		Log:        n.log,
 		Now:        n.now,
+		BitRate:    gossipLinkShare * n.linkBitRate(),
 		Traffic:    n.traffic,
 		Received:   n.receiveDigest,
 		Summarized: n.receiveSummary,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -71,9 +71,7 @@
 				audience = gossip.Busy
 			}
 		}
-		if pause := n.digestGap() - n.now().Sub(last); pause > 0 && !n.claimUrgent.Load() {
-			clock.Sleep(ctx, pause)
-		}
+		n.awaitDigestTurn(ctx, last)
 		if n.digestToAll.Swap(false) {
 			audience = gossip.Everyone
 		}
@@ -93,6 +91,16 @@
 	}
 }
 
+// awaitDigestTurn waits until the next digest may be sent. A claim to the order lease doesn't wait.
+func (n *Node) awaitDigestTurn(ctx context.Context, last time.Time) {
+	for !n.claimUrgent.Load() {
+		pause := max(n.digestGap()-n.now().Sub(last), n.gossip.Pause())
+		if pause <= 0 || !clock.Sleep(ctx, min(pause, minDigestGap)) {
+			return
+		}
+	}
+}
+
 // digestGap returns the least time between two digests.
 func (n *Node) digestGap() time.Duration {
 	return max(minDigestGap, minDigestGap*time.Duration(n.Gateway.Senders())/gapSenders)
