Notice a caller that leaves behind bytes that nobody reads

Servers worked on for callers that had left (GONE). net/http reads one byte ahead while a request is served, to notice the end of the connection. If the caller sends something meanwhile (its next request, a line end), that byte is all it reads until the response has ended, so that neither a close nor a reset behind it ends the request; the look at the socket before each send sees data too. Servers worked until they were done, and waiting requests were sent on.

The socket is asked whether the other side has closed (POLLRDHUP), before each send, and four times a second where bytes came during a request.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -59,6 +60,11 @@
 	// windowBytes counts the bytes of the body since windowStart.
 	windowStart time.Time
 	windowBytes int64
+	// sentAhead is set if bytes came during the request's service. net/http then reads no further
+	// until the response has ended, and doesn't notice that the client leaves.
+	sentAhead bool
+	// end ends the context of the connection's requests.
+	end context.CancelFunc
 	// givenUp is why the body was given up.
 	givenUp string
 	closed  bool
@@ -86,10 +92,23 @@
 		defer c.mu.Unlock()
 		c.closed = true
 		c.head.Close()
+		if c.end != nil {
+			c.end()
+		}
 	})
 	return err
 }
 
+// withEnd returns the context of the connection's requests, which ends when the client is seen to have
+// left.
+func (c *Conn) withEnd(ctx context.Context) context.Context {
+	ctx, end := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = end
+	return ctx
+}
+
 func (c *Conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateIdle:
@@ -125,7 +144,7 @@
 // begin starts a phase. The lock is held.
 func (c *Conn) begin(p phase) {
 	now := time.Now()
-	c.phase, c.since, c.progress, c.unnoted = p, now, now, 0
+	c.phase, c.since, c.progress, c.unnoted, c.sentAhead = p, now, now, 0, false
 	switch p {
 	case idle:
 		c.headBytes, c.line = 0, 0
@@ -166,6 +185,7 @@
 	case head:
 		c.noteProgress(len(p))
 	default:
+		c.sentAhead = true
 		return "", ""
 	}
 	ended := c.scanHead(p)
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -4,6 +4,7 @@
 package clientconn
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -128,7 +129,13 @@
 func (g *Guard) Protect(s *http.Server) {
 	s.MaxHeaderBytes = maxServerHeadBytes
 	s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
-	s.ConnContext = peek.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		ctx = peek.ConnContext(ctx, c)
+		if own, ok := c.(*Conn); ok {
+			ctx = own.withEnd(ctx)
+		}
+		return ctx
+	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if own, ok := c.(*Conn); ok {
 			own.setState(state)
--- a/internal/clientconn/sweep.go
+++ b/internal/clientconn/sweep.go
@@ -61,6 +61,8 @@
 			return
 		}
 		c.windowStart, c.windowBytes = now, 0
+	case c.phase == serving && c.sentAhead && c.end != nil && peek.Left(c.Conn):
+		c.end()
 	case c.phase == serving || c.phase == finishing:
 		if s := c.writing.Load(); s != 0 && now.UnixNano()-s >= int64(writeTimeout) {
 			c.close("response_unread")
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -29,9 +29,8 @@
 	return state
 }
 
-// Bytes returns the state of a connection, and how many of the bytes that a read would return first it
-// has copied to b. It doesn't wait for a read in progress.
-func Bytes(c net.Conn, b []byte) (State, int) {
+// rawConn returns the socket of a connection; nil if it isn't known.
+func rawConn(c net.Conn) syscall.RawConn {
 	for { // TLS connections and those with limits are wrapped.
 		wrapped, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -41,14 +40,41 @@
 	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return Unknown, 0
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// Left reports whether the other side has closed or reset a connection, also if bytes that it sent before
+// haven't been read.
+func Left(c net.Conn) bool {
+	raw := rawConn(c)
+	if raw == nil {
+		return false
+	}
+	left := false
+	err := raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, err := unix.Poll(fds, 0); err == nil {
+			left = fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	})
+	return left || err != nil // The connection is closed.
+}
+
+// Bytes returns the state of a connection, and how many of the bytes that a read would return first it
+// has copied to b. It doesn't wait for a read in progress.
+func Bytes(c net.Conn, b []byte) (State, int) {
+	raw := rawConn(c)
+	if raw == nil {
 		return Unknown, 0
 	}
 	state, copied := Unknown, 0
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		n, _, err := unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EAGAIN || err == unix.EWOULDBLOCK:
@@ -87,5 +113,9 @@
 		return true
 	}
 	c := ConnOf(ctx)
-	return c != nil && Conn(c) == Ended
+	if c == nil {
+		return false
+	}
+	state := Conn(c)
+	return state == Ended || state == Data && Left(c)
 }
--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -78,3 +78,31 @@
 	}
 	t.Error("a caller that left doesn't count as gone")
 }
+
+func TestLeftBehindUnreadBytes(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closes": func(c *net.TCPConn) { _ = c.Close() },
+		"ends":   func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"resets": func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, server := pair(t)
+			if _, err := client.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			wantState(t, server, Data)
+			ctx := ConnContext(context.Background(), server)
+			if Left(server) || CallerGone(ctx) {
+				t.Error("left before it did")
+			}
+			leave(client)
+			for range 200 {
+				if CallerGone(ctx) {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+			t.Error("not noticed")
+		})
+	}
+}
