Don't refuse for good by a configuration that is known to be outdated

The request now waits for the newer configuration, half a second and a quarter of the caller's time at most, and is then refused with 503, not run, to come back. At most 64 wait at a VM, so that unknown keys don't hold the connections of others. A version that no live VM has any more doesn't count. Without the check TestOutdatedConfigurationRefusesNewKeyOrRoute gets 401 and 404, and TestRefusalOfOutdatedConfigurationIsTemporary 401. The lines of such requests have catalog_wait.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	HedgeShare float64
 	// Responses bounds the memory for responses that are held whole; nil means no bound.
 	Responses *membudget.Budget
+	// NewerCatalogKnown reports whether another VM has a newer configuration in force than the given
+	// version; nil if that isn't known.
+	NewerCatalogKnown func(catalog.Version) bool
 	// FirstStart is set if the deployment starts for the first time.
 	FirstStart bool
 	// Rollouts decides which software versions requests may use; nil if all.
@@ -85,6 +88,8 @@
 	// members is the number of VMs, senders the number of those that take calls.
 	members, senders atomic.Int64
 	withheld         atomic.Pointer[map[string]bool]
+	// catalogWaiters counts the calls that wait for a newer configuration.
+	catalogWaiters atomic.Int64
 	// refusesCalls is set once all calls are refused, refusesStreams once streams are.
 	refusesCalls, refusesStreams atomic.Bool
 	// endsAt is when calls end because the VM stops; nil before that is known. ended ends them.
@@ -226,7 +231,7 @@
 // Serve processes one call.
 func (g *Gateway) Serve(ctx context.Context, c *Call, sink Sink) {
 	t := &task{g: g, call: c, sink: sink, lastEvent: c.LastEvent, ran: verdict.NotRun}
-	if refusal := t.admit(); refusal != nil {
+	if refusal := t.admit(ctx); refusal != nil {
 		t.refuse(refusal)
 		t.log()
 		return
@@ -247,7 +252,7 @@
 }
 
 // admit checks the call and finds its route. A returned error is the final response.
-func (t *task) admit() *verdict.Error {
+func (t *task) admit(ctx context.Context) *verdict.Error {
 	g, c := t.g, t.call
 	g.meters.requests.Mark(1)
 	t.catalog = g.Catalog()
@@ -259,18 +264,14 @@
 	if t.catalog == nil {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, "no_configuration", "this VM has no configuration yet", configRetryAfter)
 	}
-	t.route = t.catalog.Route(c.Host, c.Path)
-	if t.route == nil {
-		return routeUnknownError()
+	if refusal := t.match(); refusal != nil {
+		if refusal = t.confirmRefusal(ctx, refusal); refusal != nil {
+			return refusal
+		}
 	}
 	if t.route.Kind == catalog.Stream && g.refusesStreams.Load() {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM is about to stop", minRetryAfter)
 	}
-	account, refusal := t.findAccount(t.catalog, t.route)
-	if refusal != nil {
-		return refusal
-	}
-	t.account = account
 	t.setDeadline()
 	if end := g.endsAt.Load(); end != nil && t.deadline.After(*end) {
 		return verdict.RefuseUntil(http.StatusServiceUnavailable, codeStopping, "this VM stops before the deadline of the request", minRetryAfter)
@@ -284,6 +285,20 @@
 	return t.chargeQuota()
 }
 
+// match finds the call's route and account in the configuration.
+func (t *task) match() *verdict.Error {
+	t.route = t.catalog.Route(t.call.Host, t.call.Path)
+	if t.route == nil {
+		return routeUnknownError()
+	}
+	account, refusal := t.findAccount(t.catalog, t.route)
+	if refusal != nil {
+		return refusal
+	}
+	t.account = account
+	return nil
+}
+
 // chargeQuota charges the call to its account's quota.
 func (t *task) chargeQuota() *verdict.Error {
 	t.units = 1
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -28,7 +28,9 @@
 	// rejections counts the requests that servers rejected as full.
 	rejections metrics.Counter
 	// reevaluations counts the calls that were evaluated again because the configuration had changed.
-	reevaluations    metrics.Counter
+	reevaluations metrics.Counter
+	// outdatedRefusals counts the calls that an outdated configuration would have refused.
+	outdatedRefusals metrics.Counter
 	firstByte, total map[catalog.Kind]metrics.Histogram
 }
 
@@ -37,19 +39,20 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
 	m := meters{
-		registry:      r,
-		requests:      metrics.GetOrRegisterMeter("requests", r),
-		refused:       metrics.GetOrRegisterMeter("requests_refused", r),
-		failed:        metrics.GetOrRegisterMeter("requests_failed", r),
-		retries:       metrics.GetOrRegisterMeter("retries", r),
-		backoffs:      metrics.GetOrRegisterCounter("server_backoffs", r),
-		leaves:        metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
-		lastResorts:   metrics.GetOrRegisterCounter("choices_unresponsive_only", r),
-		reevaluations: metrics.GetOrRegisterCounter("requests_reevaluated", r),
-		rejections:    metrics.GetOrRegisterCounter("server_rejections", r),
-		gone:          metrics.GetOrRegisterCounter("servers_gone", r),
-		firstByte:     map[catalog.Kind]metrics.Histogram{},
-		total:         map[catalog.Kind]metrics.Histogram{},
+		registry:         r,
+		requests:         metrics.GetOrRegisterMeter("requests", r),
+		refused:          metrics.GetOrRegisterMeter("requests_refused", r),
+		failed:           metrics.GetOrRegisterMeter("requests_failed", r),
+		retries:          metrics.GetOrRegisterMeter("retries", r),
+		backoffs:         metrics.GetOrRegisterCounter("server_backoffs", r),
+		leaves:           metrics.GetOrRegisterCounter("servers_leaving_by_answer", r),
+		lastResorts:      metrics.GetOrRegisterCounter("choices_unresponsive_only", r),
+		reevaluations:    metrics.GetOrRegisterCounter("requests_reevaluated", r),
+		outdatedRefusals: metrics.GetOrRegisterCounter("requests_refused_by_outdated_configuration", r),
+		rejections:       metrics.GetOrRegisterCounter("server_rejections", r),
+		gone:             metrics.GetOrRegisterCounter("servers_gone", r),
+		firstByte:        map[catalog.Kind]metrics.Histogram{},
+		total:            map[catalog.Kind]metrics.Histogram{},
 	}
 	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.AtMostOnce, catalog.Stream} {
 		m.firstByte[kind] = histogram("first_byte_ms." + string(kind))
--- a/internal/gateway/reevaluate.go
+++ b/internal/gateway/reevaluate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,6 +79,14 @@
 	return t.chooseService()
 }
 
+// catalogVersion returns the version of the configuration that the call was evaluated by, for logs.
+func (t *task) catalogVersion() string {
+	if t.catalog == nil {
+		return ""
+	}
+	return strconv.FormatUint(uint64(t.catalog.Version), 10)
+}
+
 // findAccount returns the account of the call's key, an empty one if the route needs none.
 func (t *task) findAccount(c *catalog.Catalog, route *catalog.Route) (*catalog.Account, *verdict.Error) {
 	if !c.HasAccounts() || route.Open {
--- a/internal/gateway/task.go
+++ b/internal/gateway/task.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -91,6 +90,8 @@
 	firstEvent int64
 	// originSource tells from what the origin of a resumed stream is known.
 	originSource string
+	// catalogWait is how long the call waited for a newer configuration than the one that refused it.
+	catalogWait time.Duration
 	// evidence is what was known of the server when the request was written.
 	evidence evidence
 	// hedge tells whether a hedge was sent, failed or won; empty without one.
@@ -324,6 +325,9 @@
 	if t.outcome.reason != "" {
 		fields = append(fields, zap.String("reason", t.outcome.reason))
 	}
+	if t.outcome.catalogWait > 0 {
+		fields = append(fields, zap.Duration("catalog_wait", t.outcome.catalogWait))
+	}
 	if t.outcome.hedge != "" {
 		fields = append(fields, zap.String("hedge", t.outcome.hedge))
 	}
@@ -367,13 +371,6 @@
 	return t.route.Name
 }
 
-func (t *task) catalogVersion() string {
-	if t.catalog == nil {
-		return ""
-	}
-	return strconv.FormatUint(uint64(t.catalog.Version), 10)
-}
-
 func (t *task) logAttempt(c selector.Candidate, f *failure) {
 	t.g.meters.count("attempt", f.code, f.verdict())
 	t.g.opts.Log.Warn("attempt_failed",
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// newerCatalogKnown reports whether another VM has a newer configuration in force than the given version.
+func (n *Node) newerCatalogKnown(than catalog.Version) bool {
+	_, known := n.vmWithNewerCatalog(than)
+	return known
+}
+
 // vmWithNewerCatalog returns a VM that has a newer configuration in force.
 func (n *Node) vmWithNewerCatalog(than catalog.Version) (gossip.Member, bool) {
 	now := n.now()
