--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -13,15 +13,16 @@
 	"papayaspan.dev/papayaspan/internal/verdict"
 )
 
-// withKey returns the next version of a gateway's configuration, with an account of the given key and a
-// further route.
-func withKey(g *Gateway, key string) catalog.Snapshot {
+// withKeyAndHost returns the next version of a gateway's configuration, with an account of the given key
+// and a further route.
+func withKeyAndHost(g *Gateway, key, host string) catalog.Snapshot {
 	s := g.Catalog().Snapshot
 	s.Version++
-	s.Accounts = []catalog.Account{{ID: "a", KeyHashes: []string{account.HashSecret(key)}}}
+	s.Accounts = append([]catalog.Account{}, s.Accounts...)
+	s.Accounts = append(s.Accounts, catalog.Account{ID: "a", KeyHashes: []string{account.HashSecret(key)}})
 	s.Routes = append([]catalog.Route{}, s.Routes...)
 	added := s.Routes[0]
-	added.Name, added.Host = "added", "added.example"
+	added.Name, added.Host = host, host
 	s.Routes = append(s.Routes, added)
 	return s
 }
@@ -34,15 +35,15 @@
 		_, _ = w.Write([]byte("id: 1\ndata: a\n\n"))
 	})
 	g.opts.NewerCatalogKnown = func(v catalog.Version) bool { return uint64(v) < newest.Load() }
-	g.Publish(withKey(g, "old-key"))
-	next := withKey(g, "new-key")
+	g.Publish(withKeyAndHost(g, "old-key", "old.example"))
+	next := withKeyAndHost(g, "new-key", "new.example")
 	return g, func() { g.Publish(next) }
 }
 
 func TestOutdatedConfigurationRefusesNewKeyOrRoute(t *testing.T) {
 	for name, change := range map[string]func(*Call){
 		"key":   func(c *Call) { c.Key = "new-key" },
-		"route": func(c *Call) { c.Key, c.Host = "new-key", "added.example" },
+		"route": func(c *Call) { c.Key, c.Host = "old-key", "new.example" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			var newest atomic.Uint64
