Start with the newest configuration that another VM has, also if that VM is busy

A VM that starts asks one VM with a newer configuration than the store's, once. If that one was busy with sending it to others, or the fetch failed, the older one was put in force by a VM that knew of a newer one. It tries on now, for 0.8 s.

--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -40,6 +40,13 @@
 // often than that.
 const firstPeerWait = 400 * time.Millisecond
 
+const (
+	// newerCatalogWait is how long a VM that starts tries to fetch a configuration that is newer than
+	// the store's, and newerCatalogPause the time between two attempts. VMs that have it may be busy.
+	newerCatalogWait  = 800 * time.Millisecond
+	newerCatalogPause = 100 * time.Millisecond
+)
+
 // awaitFirstPeer waits for another VM before the first configuration is put in force, and
 // fetches that VM's configuration if it is newer than the store's.
 func (n *Node) awaitFirstPeer(stored *catalog.Snapshot) {
@@ -51,8 +58,16 @@
 	case <-time.After(firstPeerWait):
 		return
 	}
-	if from, ok := n.vmWithNewerCatalog(stored.Version); ok {
+	for began := n.now(); n.catalogVersion() <= stored.Version; {
+		from, ok := n.vmWithNewerCatalog(stored.Version)
+		if !ok {
+			return
+		}
 		n.fetchCatalog(from)
+		if left := newerCatalogWait - n.now().Sub(began); left <= 0 {
+			return
+		}
+		time.Sleep(newerCatalogPause)
 	}
 }
 
