Announce a new configuration ahead of other news

As with renewals of the order lease, the next digest goes at once; that is one digest a VM and version.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -107,6 +107,9 @@
 	return &Node{opts: opts, conn: conn, pacer: pacer{bitRate: opts.BitRate}, peers: map[vm.ID]*Peer{}, relays: map[vm.ID]*Summary{}, transits: map[vm.ID]transit{}, forwardedAt: map[string]time.Time{}}, nil
 }
 
+// Address returns the UDP address at which the node listens.
+func (n *Node) Address() string { return n.conn.LocalAddr().String() }
+
 // Run receives messages until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() })
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -48,7 +48,7 @@
 	case <-n.claimSent:
 	default:
 	}
-	n.claimUrgent.Store(true)
+	n.digestUrgent.Store(true)
 	n.notifyAll()
 	select {
 	case <-n.claimSent:
--- a/internal/node/link_test.go
+++ b/internal/node/link_test.go
@@ -4,10 +4,15 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"papayaspan.dev/papayaspan/internal/backend"
+	"papayaspan.dev/papayaspan/internal/catalog"
+	"papayaspan.dev/papayaspan/internal/clock"
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/linkmeter"
@@ -36,35 +41,84 @@
 	return c.LocalAddr().String()
 }
 
-func TestNewsFillsSmallLinkWithDigests(t *testing.T) {
-	c := newCrowd(t, domainVMs)
-	n := c.node
+// newBusyVM returns a VM with many requests at servers and a small link, whose digests go to the given
+// addresses.
+func newBusyVM(t *testing.T, servers int, peers []string) *Node {
+	n := newCrowd(t, 1).node
 	n.opts.LinkBitRate = smallLinkBitRate
 	var members []gossip.Member
-	for i := range domainVMs - 1 {
-		members = append(members, gossip.Member{ID: vm.ID(fmt.Sprintf("vm-%d", i)), FailureDomain: domainOf(0), Cores: 0.192, Peer: listenForDatagrams(t)})
+	for i, address := range peers {
+		members = append(members, gossip.Member{ID: vm.ID(fmt.Sprintf("vm-%d", i)), FailureDomain: domainOf(0), Cores: 0.192, Peer: address})
 	}
 	n.gossip.RecordListed(members)
-	for i := range busyServers {
+	for i := range servers {
 		id := backend.ID(fmt.Sprintf("i-%010x", uint64(i+1)*0x9e3779b97f4a7c15>>24))
 		n.servers.Begin(&selector.Candidate{Entry: &fleet.Entry{ID: id, Started: 1760000000000 + int64(i)*7919}}, nil, 1)
 	}
+	return n
+}
+
+// sendNews has a VM send digests, with news all the time, until the test ends.
+func sendNews(t *testing.T, n *Node) {
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.sendDigests(ctx)
-	}()
-	before := n.traffic.Read(n.now())
-	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		n.notifyAll()
+	var loops sync.WaitGroup
+	loops.Go(func() { n.sendDigests(ctx) })
+	loops.Go(func() {
+		for clock.Sleep(ctx, 5*time.Millisecond) {
+			n.notifyAll()
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		loops.Wait()
+	})
+}
+
+func TestNewsFillsSmallLinkWithDigests(t *testing.T) {
+	var peers []string
+	for range domainVMs - 1 {
+		peers = append(peers, listenForDatagrams(t))
 	}
+	n := newBusyVM(t, busyServers, peers)
+	sendNews(t, n)
+	before := n.traffic.Read(n.now())
+	time.Sleep(3 * time.Second)
 	after := n.traffic.Read(n.now())
-	cancel()
-	<-done
 	sent := float64(after.Sent[linkmeter.Gossip]-before.Sent[linkmeter.Gossip]) * 8 / after.At.Sub(before.At).Seconds()
 	if sent > gossipBound*smallLinkBitRate {
 		t.Errorf("digests take %.1f Mbit/s of a link of %.0f", sent/1e6, smallLinkBitRate/1e6)
 	}
 	t.Logf("%.2f Mbit/s", sent/1e6)
 }
+
+func TestNewConfigurationIsAnnouncedBehindOtherNews(t *testing.T) {
+	heard := make(chan catalog.Version, 100)
+	listen := listenForDatagrams(t)
+	peer, err := gossip.New(gossip.Options{
+		Self: gossip.Member{ID: "peer", FailureDomain: domainOf(0)}, Listen: loopback.Host() + ":0", Log: zap.NewNop(), Now: clock.BootTime,
+		Received: func(p *gossip.Peer) { heard <- p.Catalog }, Summarized: func(*gossip.Summary) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go peer.Run(ctx)
+	peers := []string{peer.Address()}
+	for range domainVMs - 2 {
+		peers = append(peers, listen)
+	}
+	n := newBusyVM(t, 4*busyServers, peers)
+	sendNews(t, n)
+	const versions = 5
+	for version := catalog.Version(1); version <= versions; version++ {
+		time.Sleep(700 * time.Millisecond)
+		n.publish(testCatalog(version, 1), "store")
+		published := time.Now()
+		for <-heard < version {
+		}
+		if took := time.Since(published); took > 4*minDigestGap {
+			t.Errorf("version %d is announced after %v", version, took)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,9 +199,9 @@
 	claim atomic.Pointer[claim]
 	// leaseDue signals that the order lease has to be given up, or that another VM has given it up.
 	leaseDue chan struct{}
-	// claimSent signals that a digest was sent; claimUrgent lets the next one be sent without a pause.
-	claimSent   chan struct{}
-	claimUrgent atomic.Bool
+	// claimSent signals that a digest was sent; digestUrgent lets the next one be sent without a pause.
+	claimSent    chan struct{}
+	digestUrgent atomic.Bool
 	// handover is nil where engines check fencing tokens.
 	handover *handover
 	// inherited are the engines that may carry out orders of the earlier holder when a term begins; used
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -142,6 +142,7 @@
 		zap.Int("routes", len(s.Routes)),
 		zap.Int("services", len(s.Services)),
 		zap.Int("accounts", len(s.Accounts)))
+	n.digestUrgent.Store(true)
 	n.notifyAll()
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -76,7 +76,7 @@
 			audience = gossip.Everyone
 		}
 		last = n.now()
-		n.claimUrgent.Store(false)
+		n.digestUrgent.Store(false)
 		d := n.digest()
 		d.Origins = n.origins.Notices(originAudiences[audience])
 		d.Rollouts = n.rolloutNotices(audience)
@@ -91,9 +91,10 @@
 	}
 }
 
-// awaitDigestTurn waits until the next digest may be sent. A claim to the order lease doesn't wait.
+// awaitDigestTurn waits until the next digest may be sent. A claim to the order lease and a new
+// configuration don't wait.
 func (n *Node) awaitDigestTurn(ctx context.Context, last time.Time) {
-	for !n.claimUrgent.Load() {
+	for !n.digestUrgent.Load() {
 		pause := max(n.digestGap()-n.now().Sub(last), n.gossip.Pause())
 		if pause <= 0 || !clock.Sleep(ctx, min(pause, minDigestGap)) {
 			return
