Drop the rest of a cancelled request in a tunnel

The close isn't even read while the server takes no bytes.

The first VM resets a tunnel whose request hasn't been written; the second one looks at it five times a second while it waits for the server, and resets the connection to the server.

--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -136,9 +136,22 @@
 }
 
 // Abort closes the connection and drops what hasn't been sent, so that a request that nobody waits for
-// any more doesn't reach the server later. A connection that another VM passes on is closed in order.
+// any more doesn't reach the server later. A connection through another VM is closed in order once the
+// request has been written, as that VM may have notices to read.
 func (c *Conn) Abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	c.mu.Lock()
+	unwritten := c.sending || c.writing > 0
+	c.mu.Unlock()
+	tcp, direct := c.Conn.(*net.TCPConn)
+	for next := c.Conn; tcp == nil && unwritten; {
+		wrapped, ok := next.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		next = wrapped.NetConn()
+		tcp, _ = next.(*net.TCPConn)
+	}
+	if tcp != nil && (direct || unwritten) {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/tunnel/notice.go
+++ b/internal/tunnel/notice.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayaspan.dev/papayaspan/internal/clientconn"
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/peek"
 )
@@ -134,6 +135,30 @@
 	withdrawn atomic.Bool
 	// clientGone is set if client takes no more bytes.
 	clientGone atomic.Bool
+	// sending is set while bytes are written to the server.
+	sending atomic.Bool
+}
+
+// leaveInterval is the time between two looks at whether the other VM has closed a tunnel while the
+// server takes no bytes.
+const leaveInterval = 200 * time.Millisecond
+
+// dropWhenLeft resets the connection to the server if the other VM closes the tunnel while bytes for the
+// server wait: what is left of the request must not reach it later.
+func (p *passage) dropWhenLeft(done <-chan struct{}) {
+	ticker := time.NewTicker(leaveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		if p.sending.Load() && peek.Left(p.client) {
+			clientconn.Reset(p.server)
+			return
+		}
+	}
 }
 
 // Write writes bytes to the other VM.
@@ -158,16 +183,29 @@
 
 // toServer writes a request's bytes to the server. Those that it doesn't take any more are dropped, as
 // a notice may follow.
-type toServer struct{ net.Conn }
+type toServer struct{ *passage }
 
 // Write implements io.Writer.
 func (s toServer) Write(b []byte) (int, error) {
-	if _, err := s.Conn.Write(b); err != nil {
-		_ = s.Close()
+	if _, err := s.send(b); err != nil {
+		_ = s.server.Close()
 	}
 	return len(b), nil
 }
 
+// send writes bytes to the server.
+func (p *passage) send(b []byte) (int, error) {
+	p.sending.Store(true)
+	defer p.sending.Store(false)
+	return p.server.Write(b)
+}
+
+// writerFunc is an io.Writer.
+type writerFunc func([]byte) (int, error)
+
+// Write implements io.Writer.
+func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
+
 // withdraw asks the other VM once to send no further request on the tunnel. A response under way goes
 // on.
 func (p *passage) withdraw() {
@@ -179,9 +217,9 @@
 // copyToServer copies the other VM's bytes until the tunnel ends, and reports its notices.
 func (p *passage) copyToServer(noticed func(hop.Asked)) error {
 	if p.notices {
-		return copyUnframed(toServer{p.server}, p.fromClient, noticed)
+		return copyUnframed(toServer{p}, p.fromClient, noticed)
 	}
-	_, err := io.Copy(p.server, p.fromClient)
+	_, err := io.Copy(writerFunc(p.send), p.fromClient)
 	return err
 }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -263,6 +263,9 @@
 // pass passes bytes on in both directions until either side closes its connection, and closes
 // the other one then: the end of a response and a caller that leaves must be noticed at once.
 func (p *passage) pass(noticed func(hop.Asked)) {
+	done := make(chan struct{})
+	defer close(done)
+	go p.dropWhenLeft(done)
 	var directions sync.WaitGroup
 	directions.Add(2)
 	go func() {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 
 	"papayaspan.dev/papayaspan/internal/hop"
 	"papayaspan.dev/papayaspan/internal/peek"
+	"papayaspan.dev/papayaspan/internal/serverconn"
 	"papayaspan.dev/papayaspan/internal/standin/faulty"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 )
@@ -399,3 +400,22 @@
 		t.Errorf("the path is restored after %v", took)
 	}
 }
+
+// The other VM cancels a request while the server reads it slowly, or not at all.
+func TestCancelledRequestGoesOnThroughTunnel(t *testing.T) {
+	const size = 16 << 20 // More than all buffers on the way hold.
+	accepted := make(chan net.Conn, 1)
+	peer, _ := startPeer(t, acceptConns(t, func(c net.Conn) { accepted <- c }))
+	conn := serverconn.New(open(t, peer))
+	server := <-accepted
+	defer server.Close()
+	conn.BeginRequest()
+	go func() { _, _ = conn.Write(make([]byte, size)) }()
+	time.Sleep(300 * time.Millisecond)
+	conn.Abort()
+	time.Sleep(500 * time.Millisecond)
+	_ = server.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := io.Copy(io.Discard, server); err == nil {
+		t.Errorf("the server got %d bytes and then an orderly end, 0.5 s after the request was cancelled", n)
+	}
+}
