Announce servers that leave ahead of other news

The test for the configuration has become a case of TestChangeIsAnnouncedBehindOtherNews, with the same bound.

--- a/internal/node/link_test.go
+++ b/internal/node/link_test.go
@@ -16,6 +16,7 @@
 	"papayaspan.dev/papayaspan/internal/fleet"
 	"papayaspan.dev/papayaspan/internal/gossip"
 	"papayaspan.dev/papayaspan/internal/linkmeter"
+	"papayaspan.dev/papayaspan/internal/platform"
 	"papayaspan.dev/papayaspan/internal/selector"
 	"papayaspan.dev/papayaspan/internal/standin/loopback"
 	"papayaspan.dev/papayaspan/internal/vm"
@@ -91,34 +92,66 @@
 	t.Logf("%.2f Mbit/s", sent/1e6)
 }
 
-func TestNewConfigurationIsAnnouncedBehindOtherNews(t *testing.T) {
-	heard := make(chan catalog.Version, 100)
-	listen := listenForDatagrams(t)
+// leavingDecoder decodes every row as that of a server that leaves.
+type leavingDecoder struct{ goalDecoder }
+
+func (leavingDecoder) Server(c platform.Change) (fleet.Entry, error) {
+	return fleet.Entry{ID: backend.ID(c.Key), Service: "s", Address: "127.0.0.1:1", State: fleet.Draining, Revision: c.Revision()}, nil
+}
+
+// startHearing starts a VM that passes the digests that it hears on, and returns its address.
+func startHearing(t *testing.T, heard func(*gossip.Peer)) string {
 	peer, err := gossip.New(gossip.Options{
 		Self: gossip.Member{ID: "peer", FailureDomain: domainOf(0)}, Listen: loopback.Host() + ":0", Log: zap.NewNop(), Now: clock.BootTime,
-		Received: func(p *gossip.Peer) { heard <- p.Catalog }, Summarized: func(*gossip.Summary) {},
+		Received: heard, Summarized: func(*gossip.Summary) {},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
 	go peer.Run(ctx)
-	peers := []string{peer.Address()}
+	return peer.Address()
+}
+
+func TestChangeIsAnnouncedBehindOtherNews(t *testing.T) {
+	const changes = 5
+	heard := make(chan gossip.Digest, 1000)
+	peers := []string{startHearing(t, func(p *gossip.Peer) { heard <- p.Digest })}
+	others := listenForDatagrams(t)
 	for range domainVMs - 2 {
-		peers = append(peers, listen)
+		peers = append(peers, others)
 	}
 	n := newBusyVM(t, 4*busyServers, peers)
+	n.opts.Decoder = leavingDecoder{}
 	sendNews(t, n)
-	const versions = 5
-	for version := catalog.Version(1); version <= versions; version++ {
-		time.Sleep(700 * time.Millisecond)
-		n.publish(testCatalog(version, 1), "store")
-		published := time.Now()
-		for <-heard < version {
-		}
-		if took := time.Since(published); took > 4*minDigestGap {
-			t.Errorf("version %d is announced after %v", version, took)
-		}
+	for name, change := range map[string]struct {
+		make  func(version uint64)
+		known func(d gossip.Digest) uint64
+	}{
+		"configuration": {
+			func(version uint64) { n.publish(testCatalog(catalog.Version(version), 1), "store") },
+			func(d gossip.Digest) uint64 { return uint64(d.Catalog) },
+		},
+		"server leaves": {
+			func(version uint64) {
+				after, upTo := platform.Revision{Version: platform.Version(version - 1)}, platform.Revision{Version: platform.Version(version)}
+				n.applyServerChanges([]platform.Change{{Row: platform.Row{Key: "i", Version: upTo.Version}}}, after, upTo)
+			},
+			func(d gossip.Digest) uint64 { return uint64(d.Servers.Version) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for version := uint64(1); version <= changes; version++ {
+				time.Sleep(700 * time.Millisecond)
+				change.make(version)
+				made := time.Now()
+				for change.known(<-heard) < version {
+				}
+				if took := time.Since(made); took > 4*minDigestGap {
+					t.Errorf("version %d is announced after %v", version, took)
+				}
+			}
+		})
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// awaitDigestTurn waits until the next digest may be sent. A claim to the order lease and a new
-// configuration don't wait.
+// awaitDigestTurn waits until the next digest may be sent. A claim to the order lease, a new
+// configuration and servers that leave don't wait.
 func (n *Node) awaitDigestTurn(ctx context.Context, last time.Time) {
 	for !n.digestUrgent.Load() {
 		pause := max(n.digestGap()-n.now().Sub(last), n.gossip.Pause())
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -79,6 +79,9 @@
 		u.Entries = append(u.Entries, e)
 	}
 	n.applyServers(u, "store")
+	if slices.ContainsFunc(u.Entries, func(e fleet.Entry) bool { return e.Gone || e.State == fleet.Draining }) {
+		n.digestUrgent.Store(true)
+	}
 	if len(changes) > 0 {
 		n.notifyAll()
 	}
