--- a/internal/clientconn/abort.go
+++ b/internal/clientconn/abort.go
@@ -29,14 +29,7 @@
 // Reset resets a TCP connection and discards what hasn't been sent; that of a TLS connection without the
 // alert that announces an orderly end. The wrappers of the connection must still be closed.
 func Reset(c net.Conn) {
-	for {
-		wrapped, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapped.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := peek.Unwrap(c).(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 		_ = tcp.Close()
 	}
--- a/internal/clientconn/sweep.go
+++ b/internal/clientconn/sweep.go
@@ -61,7 +61,7 @@
 			return
 		}
 		c.windowStart, c.windowBytes = now, 0
-	case c.phase == serving && c.sentAhead && c.end != nil && peek.Left(c.Conn):
+	case c.sentAhead && c.phase == serving && c.end != nil && peek.Left(c.Conn):
 		c.end()
 	case c.phase == serving || c.phase == finishing:
 		if s := c.writing.Load(); s != 0 && now.UnixNano()-s >= int64(writeTimeout) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -185,8 +185,8 @@
 	return true
 }
 
-// forward sends a summary on to VMs of the own domain. While the link is short, only those for all VMs
-// are sent on: they carry what the others do, but for prompt placements.
+// forward sends a summary on to VMs of the own domain. While messages have used up their share of the
+// link, only those for all VMs are sent on: they carry what the others do, but for prompt placements.
 func (n *Node) forward(s Summary) {
 	audience := n.forwardAudience(s.From.FailureDomain)
 	if audience != Everyone && n.Pause() > 0 {
--- a/internal/linkmeter/linkmeter.go
+++ b/internal/linkmeter/linkmeter.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// Traffic is the number of bytes in a period by kind.
+// Traffic is the number of bytes by kind from the start of the process to a time.
 type Traffic struct {
 	At             time.Time
 	Sent, Received [kinds]int64
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -29,16 +29,20 @@
 	return state
 }
 
-// rawConn returns the socket of a connection; nil if it isn't known.
-func rawConn(c net.Conn) syscall.RawConn {
-	for { // TLS connections and those with limits are wrapped.
+// Unwrap returns the innermost connection: TLS connections, tunnels and those with limits are wrapped.
+func Unwrap(c net.Conn) net.Conn {
+	for {
 		wrapped, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return c
 		}
 		c = wrapped.NetConn()
 	}
-	s, ok := c.(syscall.Conn)
+}
+
+// rawConn returns the socket of a connection; nil if it isn't known.
+func rawConn(c net.Conn) syscall.RawConn {
+	s, ok := Unwrap(c).(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"papayaspan.dev/papayaspan/internal/httphead"
+	"papayaspan.dev/papayaspan/internal/peek"
 )
 
 // Conn is a connection whose end its reader can rely on. The kernel reports a reset once: if a write takes
@@ -143,15 +144,10 @@
 	unwritten := c.sending || c.writing > 0
 	c.mu.Unlock()
 	tcp, direct := c.Conn.(*net.TCPConn)
-	for next := c.Conn; tcp == nil && unwritten; {
-		wrapped, ok := next.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		next = wrapped.NetConn()
-		tcp, _ = next.(*net.TCPConn)
+	if !direct && unwritten {
+		tcp, _ = peek.Unwrap(c.Conn).(*net.TCPConn)
 	}
-	if tcp != nil && (direct || unwritten) {
+	if tcp != nil {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
