--- a/internal/node/link_test.go
+++ b/internal/node/link_test.go
@@ -59,7 +59,7 @@
 	return n
 }
 
-// sendNews has a VM send digests, with news all the time, until the test ends.
+// sendNews has a VM announce changes in digests all the time until the test ends.
 func sendNews(t *testing.T, n *Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
